--- /dev/null
+++ b/packages/cli/swifthoist_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of swifthoist for operators."""
--- /dev/null
+++ b/packages/core/swifthoist_core/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregates and records of the swifthoist scheduler."""
--- /dev/null
+++ b/packages/core/swifthoist_core/types.py
@@ -0,0 +1,24 @@
+"""Type aliases that the whole workspace shares."""
+
+from typing import TypeAlias
+
+Offset: TypeAlias = int
+"""Position of a record in a stream of the platform's log, from 0."""
+
+Epoch: TypeAlias = int
+"""Number of a tenure of a cell; greater is newer, 0 is none."""
+
+Millis: TypeAlias = int
+"""Milliseconds; as a point in time, since the Unix epoch."""
+
+InstanceId: TypeAlias = str
+WorkerId: TypeAlias = str
+RunnerId: TypeAlias = str
+RackId: TypeAlias = str
+ZoneId: TypeAlias = str
+CellId: TypeAlias = str
+OwnerId: TypeAlias = str
+EntryId: TypeAlias = str
+JobId: TypeAlias = str
+RequestKey: TypeAlias = str
+ClassName: TypeAlias = str
--- /dev/null
+++ b/packages/daemon/swifthoistd/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance of the swifthoist scheduler."""
--- /dev/null
+++ b/packages/platform/swifthoist_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform that swifthoist runs on."""
--- /dev/null
+++ b/packages/standins/swifthoist_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for tests and the demo."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""All tests of the workspace."""
