Fold the log's records into one ledger

Every instance needs the same order of decisions, and only the log gives one. Each record is a claim that the fold accepts or rejects by epoch, expected version, free room and the identity of the record, so that stale holders, racing operators and doubled appends change nothing.

Tests: tests/core/test_ledger.py.

--- /dev/null
+++ b/packages/core/swifthoist_core/ledger.py
@@ -0,0 +1,283 @@
+"""The ledger: every record folded, in order, into one state."""
+
+from typing import NamedTuple
+
+from swifthoist_core import records
+from swifthoist_core.account import Account, span_of
+from swifthoist_core.authors import Authors
+from swifthoist_core.catalogue import Catalogue
+from swifthoist_core.cells import Cell
+from swifthoist_core.fleet import Fleet
+from swifthoist_core.guarantees import admission_findings
+from swifthoist_core.jobs import ENDED, PLACED, Job, Jobs
+from swifthoist_core.records import Author, Envelope, Record
+from swifthoist_core.requests import Requests
+from swifthoist_core.types import Epoch, Millis, Offset
+
+_FORGET_EVERY_MS = 60_000
+
+
+class Verdict(NamedTuple):
+    """What the fold made of a record.
+
+    :ivar author: author of the record.
+    :ivar seq: number of the record among those of its author.
+    :ivar offset: offset of the record.
+    :ivar reason: why it was rejected, empty if it was accepted.
+    :ivar version: version that a catalogue change put in force, or 0.
+    """
+
+    author: Author
+    seq: int
+    offset: Offset
+    reason: str
+    version: int = 0
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the record took effect."""
+        return not self.reason
+
+
+class Ledger:
+    """The root aggregate; equal on every instance at equal offsets.
+
+    :ivar offset: offset of the next record to fold.
+    :ivar time_ms: log time of the last record.
+    :ivar authors: which records are folded.
+    :ivar cell: who decides.
+    :ivar catalogue: entries in force.
+    :ivar fleet: workers and what is in use on them.
+    :ivar jobs: jobs.
+    :ivar requests: non-idempotent requests.
+    :ivar account: who got what.
+    """
+
+    def __init__(self) -> None:
+        """Start before the first record."""
+        self.offset: Offset = 0
+        self.time_ms: Millis = 0
+        self.authors = Authors()
+        self.cell = Cell()
+        self.catalogue = Catalogue()
+        self.fleet = Fleet()
+        self.jobs = Jobs()
+        self.requests = Requests()
+        self.account = Account()
+        self._forgot_ms: Millis = 0
+
+    def fold(
+        self, offset: Offset, time_ms: Millis, envelope: Envelope
+    ) -> Verdict:
+        """Fold the next record.
+
+        :param offset: its offset; must be :attr:`offset`.
+        :param time_ms: its time in the log.
+        :param envelope: the record.
+        :returns: whether it took effect, and if not, why.
+        :raises ValueError: when a record was left out.
+        """
+        if offset != self.offset:
+            raise ValueError(f'expected offset {self.offset}, got {offset}')
+        self.offset = offset + 1
+        self.time_ms = max(self.time_ms, time_ms)
+        self._forget()
+        author, seq, record = envelope
+        if not self.authors.add(author, seq, self.time_ms):
+            return Verdict(author, seq, offset, 'duplicate')
+        if record is None:
+            return Verdict(author, seq, offset, 'unknown kind of record')
+        reason = self._apply(author, record, offset)
+        version = 0 if reason else self._version(record)
+        return Verdict(author, seq, offset, reason, version)
+
+    def _forget(self) -> None:
+        if self.time_ms - self._forgot_ms < _FORGET_EVERY_MS:
+            return
+        self._forgot_ms = self.time_ms
+        self.authors.forget(self.time_ms)
+        self.requests.forget(self.time_ms)
+        self.jobs.forget(self.time_ms)
+
+    def _apply(self, author: Author, record: Record, offset: Offset) -> str:
+        match record:
+            case records.EntryChanged() | records.PolicyChanged():
+                return self._apply_catalogue(record)
+            case records.CellClaimed():
+                return self.cell.claim(author, record, self.time_ms)
+            case records.CellRenewed():
+                return self.cell.renew(author, record, self.time_ms)
+            case records.CellReleased():
+                return self.cell.release(author, record)
+            case records.RequestIntended():
+                return self.requests.intend(author, record, self.time_ms)
+            case records.RequestClosed():
+                return self.requests.close(author, record, self.time_ms)
+            case records.RequestsCounted(tallies=tallies):
+                for tally in tallies:
+                    self.account.add_tally(self.time_ms, tally)
+                return ''
+            case records.JobSubmitted():
+                return self._submit(record)
+            case records.JobCancelled():
+                return self._cancel(record, offset)
+            case _:
+                return self._apply_decision(author, record, offset)
+
+    def _apply_catalogue(
+        self, record: records.EntryChanged | records.PolicyChanged
+    ) -> str:
+        match record:
+            case records.PolicyChanged():
+                if record.expected_version != self.catalogue.policy_version:
+                    return 'version conflict'
+                self.catalogue.put_policy(record.policy)
+                return ''
+            case records.EntryChanged():
+                version = self.catalogue.version(record.entry_id)
+                if record.expected_version != version:
+                    return 'version conflict'
+                findings = admission_findings(
+                    self.catalogue, self.fleet, record.entry_id, record.entry
+                )
+                if findings:
+                    return '; '.join(str(finding) for finding in findings)
+                self.catalogue.put(record.entry_id, record.entry)
+                return ''
+
+    def _version(self, record: Record) -> int:
+        match record:
+            case records.EntryChanged(entry_id=entry_id):
+                return self.catalogue.version(entry_id)
+            case records.PolicyChanged():
+                return self.catalogue.policy_version
+            case _:
+                return 0
+
+    def _apply_decision(
+        self, author: Author, record: Record, offset: Offset
+    ) -> str:
+        epoch: Epoch = getattr(record, 'epoch', 0)
+        stale = self.cell.check(author, epoch)
+        if stale:
+            return stale
+        match record:
+            case records.JobPlaced():
+                return self._place(record, offset)
+            case records.JobStarted():
+                return self.jobs.start(record, self.time_ms)
+            case records.JobReclaimed():
+                return self._reclaim(record, offset)
+            case records.JobEnded():
+                return self._end(record)
+            case records.WorkerJoined(spec=spec):
+                return self.fleet.join(spec)
+            case records.WorkerLeft(worker=worker, lost=lost):
+                if not lost:
+                    return self.fleet.drain(worker)
+                return self._lose(worker)
+            case _:
+                return 'not a decision'
+
+    def _submit(self, record: records.JobSubmitted) -> str:
+        spec = record.spec
+        entry = self.catalogue.find(spec.owner, spec.class_name)
+        if entry is None:
+            return 'no catalogue entry for this owner and class'
+        refusal = ''
+        if not self.fleet.could_ever_fit(spec.shape):
+            refusal = 'no workers could ever hold this shape'
+        elif self._waiting(spec) >= entry.limits.queue:
+            refusal = 'queue of the owner is full'
+        reason = self.jobs.submit(record, self.time_ms, refusal)
+        if refusal and not reason:
+            self.account.add_refusal(
+                self.time_ms, spec.owner, spec.class_name, refusal
+            )
+        return reason
+
+    def _waiting(self, spec: records.JobSpec) -> int:
+        return sum(
+            job.status not in PLACED
+            and job.spec.owner == spec.owner
+            and job.spec.class_name == spec.class_name
+            for job in self.jobs.open_jobs()
+        )
+
+    def _cancel(self, record: records.JobCancelled, offset: Offset) -> str:
+        reason = self.jobs.cancel(record, self.time_ms, offset)
+        job = self.jobs.get(record.job_id)
+        if not reason and job is not None:
+            self._note_end(job)
+        return reason
+
+    def _place(self, record: records.JobPlaced, offset: Offset) -> str:
+        job = self.jobs.get(record.job_id)
+        if job is None:
+            return 'unknown job'
+        reason = self.jobs.check_place(record)
+        if reason:
+            return reason
+        reason = self.fleet.occupy(job.spec.shape, record.parts)
+        if reason:
+            return reason
+        self.jobs.place(record, self.time_ms, offset)
+        wait_ms = self.time_ms - job.submitted_ms
+        if record.attempt == 1:
+            self.account.add_wait(
+                self.time_ms, job.spec.owner, job.spec.class_name, wait_ms
+            )
+        return ''
+
+    def _reclaim(self, record: records.JobReclaimed, offset: Offset) -> str:
+        reason = self.jobs.reclaim(record, self.time_ms, offset)
+        job = self.jobs.get(record.job_id)
+        if not reason and job is not None:
+            self.account.add_reclaim(
+                self.time_ms, job.spec.owner, job.spec.class_name
+            )
+        return reason
+
+    def _end(self, record: records.JobEnded) -> str:
+        job = self.jobs.get(record.job_id)
+        reason = self.jobs.end(record, self.time_ms)
+        if reason or job is None:
+            return reason
+        self.fleet.vacate(job.spec.shape, job.parts)
+        for use in record.usage:
+            if use.started_ms:
+                self._note_use(job, use)
+        after = self.jobs.get(record.job_id)
+        if after is not None:
+            self._note_end(after)
+        return ''
+
+    def _lose(self, worker: str) -> str:
+        for job in self.jobs.open_jobs():
+            if any(part.worker == worker for part in job.parts):
+                return f'job {job.spec.job_id} still holds it'
+        return self.fleet.lose(worker)
+
+    def _note_use(self, job: Job, use: records.PartUsage) -> None:
+        spec = job.spec
+        first = job.parts[use.part].first
+        span = span_of(
+            spec.owner,
+            spec.class_name,
+            spec.job_id,
+            job.attempt,
+            use,
+            first,
+            job.lent,
+        )
+        self.account.add_span(span, self.time_ms)
+
+    def _note_end(self, job: Job) -> None:
+        if job.status not in ENDED:
+            return
+        self.account.add_end(
+            self.time_ms,
+            job.spec.owner,
+            job.spec.class_name,
+            job.status.value,
+        )
