--- /dev/null
+++ b/packages/daemon/swifthoistd/api_reports.py
@@ -0,0 +1,73 @@
+"""HTTP API of the reports."""
+
+import re
+
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from swifthoist_core.burn import burn_report
+from swifthoist_core.errors import Finding
+from swifthoist_core.ledger import Ledger
+from swifthoist_core.reports import usage_report
+from swifthoist_core.tokens import Identity, Role
+from swifthoistd import replies
+from swifthoistd.callers import Gatekeeper
+
+_MONTH = re.compile(r'\d{4}-(0[1-9]|1[0-2])')
+
+
+class ReportApi:
+    """Answers who got what, and how service levels stand.
+
+    The same question at the same offset has the same answer anywhere.
+    """
+
+    def __init__(self, ledger: Ledger) -> None:
+        """Wire the parts.
+
+        :param ledger: the state.
+        """
+        self._ledger = ledger
+
+    def routes(self, gate: Gatekeeper) -> list[Route]:
+        """The routes of this part of the API.
+
+        :param gate: lets callers through.
+        :returns: the routes.
+        """
+        both = (Role.OWNER, Role.OPERATOR)
+        return [
+            Route('/v1/reports/usage', gate.allow(self.usage, *both)),
+            Route('/v1/reports/burn', gate.allow(self.burn, *both)),
+        ]
+
+    async def usage(self, request: Request, identity: Identity) -> Response:
+        """Report use, waiting and refusals.
+
+        :param request: the call; ``owner`` and ``month`` narrow it.
+        :param identity: an owner, who sees its own, or an operator.
+        :returns: the report with the offset it holds to.
+        """
+        month = request.query_params.get('month')
+        if month is not None and not _MONTH.fullmatch(month):
+            finding = Finding('month', 'must be such as 2026-12')
+            return replies.invalid((finding,))
+        owner = _owner_asked(request, identity)
+        return replies.json_reply(usage_report(self._ledger, owner, month))
+
+    async def burn(self, request: Request, identity: Identity) -> Response:
+        """Report how error budgets are spent.
+
+        :param request: the call; ``owner`` narrows it.
+        :param identity: an owner, who sees its own, or an operator.
+        :returns: the report with the offset it holds to.
+        """
+        owner = _owner_asked(request, identity)
+        return replies.json_reply(burn_report(self._ledger, owner))
+
+
+def _owner_asked(request: Request, identity: Identity) -> str | None:
+    if identity.role is Role.OWNER:
+        return identity.name
+    return request.query_params.get('owner')
--- /dev/null
+++ b/packages/daemon/swifthoistd/callers.py
@@ -0,0 +1,126 @@
+"""Callers of the HTTP API: who they are and what they send."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+import anyio
+from starlette.requests import Request
+from starlette.responses import Response
+
+from swifthoist_core.errors import Finding, SwifthoistError
+from swifthoist_core.tokens import Identity, Role, read_token
+from swifthoistd import replies
+
+MAX_BODY = 1024 * 1024
+"""Largest body that is taken, in bytes."""
+
+BODY_S = 10.0
+"""How long a caller may take to send a body, in seconds."""
+
+Endpoint: TypeAlias = Callable[[Request], Awaitable[Response]]
+Handler: TypeAlias = Callable[[Request, Identity], Awaitable[Response]]
+
+
+class BodyError(SwifthoistError):
+    """The body of a call cannot be taken.
+
+    :ivar reply: the answer to the caller.
+    """
+
+    def __init__(self, reply: Response) -> None:
+        """Keep the answer.
+
+        :param reply: the answer to the caller.
+        """
+        super().__init__('body not taken')
+        self.reply = reply
+
+
+async def read_body(request: Request) -> bytes:
+    """Read a body of bounded size in bounded time.
+
+    :param request: the call.
+    :returns: the body.
+    :raises BodyError: when it is too large, too slow or cut short.
+    """
+    chunks = bytearray()
+    with anyio.move_on_after(BODY_S) as scope:
+        async for chunk in request.stream():
+            chunks += chunk
+            if len(chunks) > MAX_BODY:
+                break
+    if scope.cancelled_caught:
+        finding = Finding('body', f'did not arrive within {BODY_S:g} s')
+        raise BodyError(replies.invalid((finding,)))
+    if len(chunks) > MAX_BODY:
+        finding = Finding('body', f'is larger than {MAX_BODY} bytes')
+        raise BodyError(replies.invalid((finding,), replies.TOO_LARGE))
+    return bytes(chunks)
+
+
+class Gatekeeper:
+    """Lets calls through to handlers for the roles that may make them."""
+
+    def __init__(self, secret: str) -> None:
+        """Keep the key of the tokens.
+
+        :param secret: the key.
+        """
+        self._secret = secret
+
+    def allow(self, handler: Handler, *roles: Role) -> Endpoint:
+        """Guard a handler.
+
+        :param handler: called with the request and who makes it.
+        :param roles: roles that may call it.
+        :returns: the endpoint.
+        """
+
+        async def endpoint(request: Request) -> Response:
+            identity = self._identify(request)
+            if identity is None:
+                reply = replies.not_run('no valid token', replies.UNAUTHORIZED)
+                reply.headers['WWW-Authenticate'] = 'Bearer'
+                return reply
+            if identity.role not in roles:
+                reason = f'not allowed for an {identity.role}'
+                return replies.not_run(reason, replies.FORBIDDEN)
+            try:
+                return await handler(request, identity)
+            except BodyError as exc:
+                return exc.reply
+
+        return endpoint
+
+    def _identify(self, request: Request) -> Identity | None:
+        header = request.headers.get('authorization', '')
+        scheme, _, token = header.partition(' ')
+        if scheme.lower() != 'bearer':
+            return None
+        return read_token(self._secret, token.strip())
+
+
+async def run_while_connected(
+    request: Request, work: Callable[[], Awaitable[Response]]
+) -> Response:
+    """Run a handler until it ends or its caller is gone.
+
+    :param request: the call, whose body has been read.
+    :param work: the handler.
+    :returns: the reply, which nobody reads if the caller is gone.
+    """
+    reply = replies.unknown('the caller is gone')
+    async with anyio.create_task_group() as group:
+        group.start_soon(_cancel_when_gone, request, group.cancel_scope)
+        reply = await work()
+        group.cancel_scope.cancel()
+    return reply
+
+
+async def _cancel_when_gone(
+    request: Request, scope: anyio.CancelScope
+) -> None:
+    message = await request.receive()
+    while message['type'] != 'http.disconnect':
+        message = await request.receive()
+    scope.cancel()
--- /dev/null
+++ b/packages/daemon/swifthoistd/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
