Add clients of the platform and stand-ins that speak its protocol

Cause: the entry instance needs the log, the workers, the runners and the list of instances, and the tests need something that behaves and fails as they do.

Change: clients with errors that tell "not applied" from "unknown" (swifthoist_platform.log, workers, orders, instances); stand-ins served by hypercorn and starlette, each listener behind a gate that shows its faults; a worker's lease table as an aggregate of its own (leases, parts, fences, places), which settles by a clock that counts suspension before each act. tests/platform is now tests/clients: nose2 puts tests/ first on the path, where a package "platform" hid the standard library's module and broke the import of msgspec.

Ruled out: one httpx client for each listener's heartbeats. Each makes a TLS context of its own, and 48 of them kept the loop busy for more than the two seconds of a call. Running hypercorn's serve in the task that cancels its group: asyncio.TaskGroup and the cancel scope disagreed, and SIGTERM ended with an error; each serve now has a task of its own.

Not covered yet: tests of clients and faults over loopback, and the page on the protocol.

--- /dev/null
+++ b/packages/platform/swifthoist_platform/calls.py
@@ -0,0 +1,73 @@
+"""One call to the platform over HTTP, with its outcome told apart.
+
+An error says whether the call took effect: surely not, or unknown.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import anyio
+import httpx
+
+from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
+
+_CONNECT_SHARE = 0.5
+"""Share of a call's time within which its connection must be open."""
+
+_UNOPENED = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class Call(NamedTuple):
+    """A request to the platform.
+
+    :ivar method: HTTP method.
+    :ivar url: whole URL.
+    :ivar timeout_s: time for the whole call, in seconds.
+    :ivar content: body, empty for none.
+    :ivar headers: headers beside the usual ones.
+    """
+
+    method: str
+    url: str
+    timeout_s: float
+    content: bytes = b''
+    headers: Mapping[str, str] = {}
+
+
+class Reply(NamedTuple):
+    """A whole reply.
+
+    :ivar status: HTTP status.
+    :ivar content: body.
+    """
+
+    status: int
+    content: bytes
+
+
+async def send(http: httpx.AsyncClient, call: Call) -> Reply:
+    """Make a call and wait for the whole reply.
+
+    :param http: client whose connections are used.
+    :param call: the request.
+    :returns: the reply, whatever its status.
+    :raises UnreachableError: when no connection was opened in time.
+    :raises OutcomeUnknownError: when the reply was lost or came too late.
+    """
+    limit = httpx.Timeout(
+        call.timeout_s, connect=call.timeout_s * _CONNECT_SHARE
+    )
+    try:
+        with anyio.fail_after(call.timeout_s):
+            reply = await http.request(
+                call.method,
+                call.url,
+                content=call.content,
+                headers=dict(call.headers),
+                timeout=limit,
+            )
+    except _UNOPENED as exc:
+        raise UnreachableError(f'{call.url}: {exc!r}') from exc
+    except (httpx.HTTPError, httpx.StreamError, TimeoutError) as exc:
+        raise OutcomeUnknownError(f'{call.url}: {exc!r}') from exc
+    return Reply(reply.status_code, reply.content)
--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the clients of the platform."""
