--- a/packages/daemon/swifthoistd/api_catalogue.py
+++ b/packages/daemon/swifthoistd/api_catalogue.py
@@ -82,8 +82,7 @@
         :returns: every entry with its version.
         """
         entries = [
-            _versioned(item)
-            for item in self._ledger.catalogue.entries()
+            _versioned(item) for item in self._ledger.catalogue.entries()
         ]
         offset = self._ledger.offset
         return replies.json_reply({'offset': offset, 'entries': entries})
@@ -171,10 +170,12 @@
         :returns: the settings with their version.
         """
         catalogue = self._ledger.catalogue
-        return replies.json_reply({
-            'version': catalogue.policy_version,
-            'policy': catalogue.policy._asdict(),
-        })
+        return replies.json_reply(
+            {
+                'version': catalogue.policy_version,
+                'policy': catalogue.policy._asdict(),
+            }
+        )
 
     async def put_policy(
         self, request: Request, identity: Identity
--- a/packages/daemon/swifthoistd/api_jobs.py
+++ b/packages/daemon/swifthoistd/api_jobs.py
@@ -120,9 +120,7 @@
             for job in self._ledger.jobs.all_jobs()
             if _may_see(identity, job)
         ]
-        return replies.json_reply(
-            {'offset': self._ledger.offset, 'jobs': jobs}
-        )
+        return replies.json_reply({'offset': self._ledger.offset, 'jobs': jobs})
 
     async def get(self, request: Request, identity: Identity) -> Response:
         """Tell of one job, at once or when it has changed.
--- a/packages/daemon/swifthoistd/api_status.py
+++ b/packages/daemon/swifthoistd/api_status.py
@@ -189,9 +189,7 @@
             self._metrics.expose(), media_type='text/plain; version=0.0.4'
         )
 
-    async def instances(
-        self, request: Request, identity: Identity
-    ) -> Response:
+    async def instances(self, request: Request, identity: Identity) -> Response:
         """List the entry instances as this one sees them.
 
         :param request: the call.
--- a/packages/daemon/swifthoistd/callers.py
+++ b/packages/daemon/swifthoistd/callers.py
@@ -117,9 +117,7 @@
     return reply
 
 
-async def _cancel_when_gone(
-    request: Request, scope: anyio.CancelScope
-) -> None:
+async def _cancel_when_gone(request: Request, scope: anyio.CancelScope) -> None:
     message = await request.receive()
     while message['type'] != 'http.disconnect':
         message = await request.receive()
--- a/packages/daemon/swifthoistd/replies.py
+++ b/packages/daemon/swifthoistd/replies.py
@@ -37,9 +37,7 @@
     return Response(body, status, media_type=JSON)
 
 
-def invalid(
-    findings: Sequence[Finding], status: int = BAD_REQUEST
-) -> Response:
+def invalid(findings: Sequence[Finding], status: int = BAD_REQUEST) -> Response:
     """Reply that the input is wrong and nothing was run.
 
     :param findings: everything that is wrong.
