--- /dev/null
+++ b/packages/daemon/swifthoistd/retries.py
@@ -0,0 +1,147 @@
+"""When a request may be sent again: budget, hedging and deadlines."""
+
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from swifthoist_core.catalogue import Urgency
+from swifthoist_core.types import ClassName, Millis
+
+_MAX_TRACKED_MS = 600_000
+_DIGITS = 2
+_HEDGE_PERCENTILE = 95.0
+_WINDOW = 512
+_MEAN_WEIGHT = 0.05
+
+
+class RetryConfig(NamedTuple):
+    """Settings of retries.
+
+    :ivar ratio: retries and hedges allowed for each request.
+    :ivar burst: how many may be saved up.
+    :ivar max_attempts: attempts for one request, the first included.
+    :ivar hedge_min_ms: no hedge is sent earlier, in ms.
+    :ivar silent_ms: an idempotent attempt without an answer for this long is
+        tried on a fresh connection, in ms; longer for slow classes.
+    :ivar silent_factor: the same as a multiple of the class's usual time.
+    """
+
+    ratio: float = 0.1
+    burst: float = 32.0
+    max_attempts: int = 3
+    hedge_min_ms: Millis = 20
+    silent_ms: Millis = 1_500
+    silent_factor: float = 4.0
+
+
+DEFAULT_RETRIES = RetryConfig()
+
+
+class _Latency:
+    """Time of the answers of one class, over a window that moves on."""
+
+    def __init__(self) -> None:
+        self.mean_ms = float(0)
+        self._now = HdrHistogram(1, _MAX_TRACKED_MS, _DIGITS)
+        self._before: HdrHistogram | None = None
+        self._high_ms = 0
+
+    def record(self, elapsed_ms: float) -> None:
+        if not self.mean_ms:
+            self.mean_ms = elapsed_ms
+        self.mean_ms += _MEAN_WEIGHT * (elapsed_ms - self.mean_ms)
+        self._now.record_value(min(max(1, round(elapsed_ms)), _MAX_TRACKED_MS))
+        if self._now.get_total_count() < _WINDOW:
+            return
+        self._before = self._now
+        self._now = HdrHistogram(1, _MAX_TRACKED_MS, _DIGITS)
+        self._high_ms = self._before.get_value_at_percentile(_HEDGE_PERCENTILE)
+
+    def high_ms(self) -> Millis:
+        if self._before is not None:
+            return self._high_ms
+        high: int = self._now.get_value_at_percentile(_HEDGE_PERCENTILE)
+        return high
+
+
+class RetryPolicy:
+    """The aggregate that allows or denies every attempt after the first.
+
+    One budget covers retries and hedges: each request earns a fraction of an
+    attempt, so that attempts stay a bounded multiple of requests whatever
+    fails.
+
+    :ivar cfg: the settings.
+    """
+
+    def __init__(self, cfg: RetryConfig = DEFAULT_RETRIES) -> None:
+        """Start with a full budget.
+
+        :param cfg: the settings.
+        """
+        self.cfg = cfg
+        self._tokens = cfg.burst
+        self._latency: dict[ClassName, _Latency] = {}
+
+    def earn(self) -> None:
+        """Count a new request towards the budget."""
+        self._tokens = min(self.cfg.burst, self._tokens + self.cfg.ratio)
+
+    def spend(self) -> bool:
+        """Take one further attempt out of the budget.
+
+        :returns: ``False`` when the budget is used up.
+        """
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def record(self, class_name: ClassName, elapsed_ms: float) -> None:
+        """Learn from a whole answer.
+
+        :param class_name: class of work.
+        :param elapsed_ms: time from the first byte sent, in ms.
+        """
+        self._latency.setdefault(class_name, _Latency()).record(elapsed_ms)
+
+    def mean_ms(self, class_name: ClassName) -> float:
+        """Mean time of the answers of a class of late.
+
+        :param class_name: class of work.
+        :returns: the moving mean in ms; 0 if none is known.
+        """
+        latency = self._latency.get(class_name)
+        return latency.mean_ms if latency else 0
+
+    def usual_ms(self, class_name: ClassName) -> Millis:
+        """Time within which nearly every answer of a class comes.
+
+        :param class_name: class of work.
+        :returns: the 95th percentile of late, in ms; 0 if none is known.
+        """
+        latency = self._latency.get(class_name)
+        return latency.high_ms() if latency else 0
+
+    def hedge_after_ms(
+        self, class_name: ClassName, urgency: Urgency
+    ) -> Millis | None:
+        """When to send a second attempt beside the first.
+
+        :param class_name: class of work.
+        :param urgency: order of service; only urgent work is hedged.
+        :returns: the delay in ms, or ``None`` for no hedge.
+        """
+        usual_ms = self.usual_ms(class_name)
+        if urgency is not Urgency.URGENT or not usual_ms:
+            return None
+        return max(self.cfg.hedge_min_ms, usual_ms)
+
+    def silent_after_ms(self, class_name: ClassName) -> Millis:
+        """When an idempotent attempt is taken to be on a silent connection.
+
+        :param class_name: class of work.
+        :returns: the time without an answer, in ms.
+        """
+        scaled = self.usual_ms(class_name) * self.cfg.silent_factor
+        return max(self.cfg.silent_ms, round(scaled))
