--- a/packages/core/swifthoist_core/authors.py
+++ b/packages/core/swifthoist_core/authors.py
@@ -1,28 +1,35 @@
-"""Which records of each author are folded, so that none counts twice."""
+"""Which records of each author are folded, so that none counts twice.
+
+The records of one author fold in the order of their numbers, without gaps.
+A second copy of a record is a duplicate. A record that overtook an earlier
+one is out of order: it has no effect, and its author appends it again behind
+the one it overtook.
+"""
 
 from typing import NamedTuple
 
 from swifthoist_core.records import Author
 from swifthoist_core.types import Millis
 
-KEEP_MS = 24 * 3_600_000
+KEEP_MS = 7 * 24 * 3_600_000
 """How long an author is remembered after its last record, in ms."""
 
+DUPLICATE = 'duplicate'
+OUT_OF_ORDER = 'out of order'
+
 
 class Seen(NamedTuple):
     """Records of one author that are folded.
 
-    :ivar upto: every record up to this number is folded.
-    :ivar above: numbers beyond it that are folded as well.
+    :ivar upto: every record up to this number is folded, none beyond.
     :ivar at_ms: log time of the latest.
     """
 
     upto: int
-    above: frozenset[int]
     at_ms: Millis
 
 
-_NOTHING = Seen(0, frozenset(), 0)
+_NOTHING = Seen(0, 0)
 
 
 class Authors:
@@ -32,34 +39,33 @@
         """Start with nothing seen."""
         self._seen: dict[Author, Seen] = {}
 
-    def has(self, author: Author, seq: int) -> bool:
-        """Tell whether a record is folded.
+    def __len__(self) -> int:
+        """Count the authors that are remembered."""
+        return len(self._seen)
 
-        :param author: its author.
-        :param seq: its number.
-        :returns: whether it is.
+    def upto(self, author: Author) -> int:
+        """Number of the last record of an author that is folded.
+
+        :param author: the author.
+        :returns: its number, 0 for none.
         """
-        seen = self._seen.get(author, _NOTHING)
-        return seq <= seen.upto or seq in seen.above
+        return self._seen.get(author, _NOTHING).upto
 
-    def add(self, author: Author, seq: int, time_ms: Millis) -> bool:
+    def add(self, author: Author, seq: int, time_ms: Millis) -> str:
         """Note a record as folded.
 
         :param author: its author.
         :param seq: its number, from 1.
         :param time_ms: its time in the log.
-        :returns: whether it is new.
+        :returns: why it must not be folded, empty if it is the next one.
         """
-        seen = self._seen.get(author, _NOTHING)
-        if self.has(author, seq):
-            return False
-        upto, above = seen.upto, set(seen.above)
-        above.add(seq)
-        while upto + 1 in above:
-            upto += 1
-            above.discard(upto)
-        self._seen[author] = Seen(upto, frozenset(above), time_ms)
-        return True
+        upto = self.upto(author)
+        if seq <= upto:
+            return DUPLICATE
+        if seq > upto + 1:
+            return OUT_OF_ORDER
+        self._seen[author] = Seen(seq, time_ms)
+        return ''
 
     def forget(self, time_ms: Millis) -> None:
         """Drop the authors that have been silent for long.
--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -16,6 +16,9 @@
 
 _FORGET_EVERY_MS = 60_000
 
+_FAULTS = (LookupError, ValueError, TypeError, ArithmeticError)
+"""What a record with senseless content raises, alike on every instance."""
+
 
 class Verdict(NamedTuple):
     """What the fold made of a record.
@@ -51,6 +54,7 @@
     :ivar jobs: jobs.
     :ivar requests: non-idempotent requests.
     :ivar account: who got what.
+    :ivar passed_over: entries that were no record or had senseless content.
     """
 
     def __init__(self) -> None:
@@ -64,6 +68,7 @@
         self.jobs = Jobs()
         self.requests = Requests()
         self.account = Account()
+        self.passed_over = 0
         self._forgot_ms: Millis = 0
 
     def fold(
@@ -77,20 +82,38 @@
         :returns: whether it took effect, and if not, why.
         :raises ValueError: when a record was left out.
         """
-        if offset != self.offset:
-            raise ValueError(f'expected offset {self.offset}, got {offset}')
-        self.offset = offset + 1
-        self.time_ms = max(self.time_ms, time_ms)
-        self._forget()
+        self._advance(offset, time_ms)
         author, seq, record = envelope
-        if not self.authors.add(author, seq, self.time_ms):
-            return Verdict(author, seq, offset, 'duplicate')
+        reason = self.authors.add(author, seq, self.time_ms)
+        if reason:
+            return Verdict(author, seq, offset, reason)
         if record is None:
             return Verdict(author, seq, offset, 'unknown kind of record')
-        reason = self._apply(author, record, offset)
+        try:
+            reason = self._apply(author, record, offset)
+        except _FAULTS as exc:
+            self.passed_over += 1
+            reason = f'faulty record: {exc!r}'
         version = 0 if reason else self._version(record)
         return Verdict(author, seq, offset, reason, version)
 
+    def pass_over(self, offset: Offset, time_ms: Millis) -> None:
+        """Go past an entry that is no record, as every instance does.
+
+        :param offset: its offset; must be :attr:`offset`.
+        :param time_ms: its time in the log.
+        :raises ValueError: when a record was left out.
+        """
+        self._advance(offset, time_ms)
+        self.passed_over += 1
+
+    def _advance(self, offset: Offset, time_ms: Millis) -> None:
+        if offset != self.offset:
+            raise ValueError(f'expected offset {self.offset}, got {offset}')
+        self.offset = offset + 1
+        self.time_ms = max(self.time_ms, time_ms)
+        self._forget()
+
     def _forget(self) -> None:
         if self.time_ms - self._forgot_ms < _FORGET_EVERY_MS:
             return
--- a/packages/core/swifthoist_core/requests.py
+++ b/packages/core/swifthoist_core/requests.py
@@ -60,6 +60,7 @@
     def __init__(self) -> None:
         """Start with no request known."""
         self._states: dict[RequestId, RequestState] = {}
+        self._open: dict[RequestId, None] = {}
 
     def __len__(self) -> int:
         """Count the keys that are remembered."""
@@ -89,9 +90,11 @@
             return 'key reused for another request'
         if known is not None and known.phase is not Phase.NOT_RUN:
             return known.phase.value
-        self._states[RequestId(record.owner, record.key)] = RequestState(
+        request_id = RequestId(record.owner, record.key)
+        self._states[request_id] = RequestState(
             Phase.OPEN, author, record.digest, time_ms, record.valid_ms
         )
+        self._open[request_id] = None
         return ''
 
     def close(
@@ -111,11 +114,15 @@
         if known is None or known.phase in {Phase.DONE, Phase.NOT_RUN}:
             return 'not open'
         phase = Phase(record.outcome)
+        if phase is Phase.OPEN:
+            return 'not an outcome'
         if author != known.author:
-            orphan_ms = known.at_ms + known.valid_ms + ORPHAN_MS
-            if phase is not Phase.UNKNOWN or time_ms < orphan_ms:
+            early = time_ms < _orphan_ms(known)
+            if phase is not Phase.UNKNOWN or early:
                 return 'not the author of the intent'
-        self._states[RequestId(record.owner, record.key)] = known._replace(
+        request_id = RequestId(record.owner, record.key)
+        self._open.pop(request_id, None)
+        self._states[request_id] = known._replace(
             phase=phase,
             at_ms=time_ms,
             status=record.status,
@@ -123,6 +130,18 @@
         )
         return ''
 
+    def orphans(self, time_ms: Millis) -> tuple[RequestId, ...]:
+        """Find the open intents whose authors have been silent for long.
+
+        :param time_ms: time of the log now.
+        :returns: what names them, by the order of their intents.
+        """
+        return tuple(
+            request_id
+            for request_id in self._open
+            if time_ms >= _orphan_ms(self._states[request_id])
+        )
+
     def forget(self, time_ms: Millis) -> None:
         """Drop the keys that are too old to be asked for again.
 
@@ -135,3 +154,8 @@
         ]
         for request_id in old:
             self._states.pop(request_id)
+            self._open.pop(request_id, None)
+
+
+def _orphan_ms(known: RequestState) -> Millis:
+    return known.at_ms + known.valid_ms + ORPHAN_MS
