--- /dev/null
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -0,0 +1,70 @@
+"""The command line, as fire shows it."""
+
+from pathlib import Path
+
+import anyio
+
+from swifthoist_cli import demo as demo_play
+from swifthoist_cli.output import ExitCode, print_text
+from swifthoist_cli.rendering import burn_text, usage_text
+from swifthoist_cli.verbs import verb
+from swifthoist_cli.verbs_catalogue import CatalogueVerbs
+from swifthoist_cli.verbs_jobs import JobVerbs
+from swifthoist_cli.verbs_reports import ReportVerbs
+from swifthoist_core.errors import Finding, InvalidInputError
+from swifthoist_core.tokens import Identity, Role, make_token
+from swifthoist_standins import processes
+
+
+class Commands(CatalogueVerbs, JobVerbs, ReportVerbs):
+    """swifthoist: drive and watch the scheduler.
+
+    --url (SWIFTHOIST_URL) names entry instances, separated by commas, and
+    --token (SWIFTHOIST_TOKEN) says who calls. --json prints documents.
+
+    Exit codes: 0 done, 1 refused, 2 wrong usage or input, 3 no instance
+    reached (nothing was done), 4 outcome unknown.
+    """
+
+    @verb
+    def token(self, role: str, name: str, secret: str) -> None:
+        """Make the token of an operator or owner.
+
+        :param role: ``operator`` or ``owner``.
+        :param name: name of the operator or id of the owner.
+        :param secret: the key that the instances were given.
+        """
+        if role not in set(Role):
+            finding = Finding('role', f'must be one of {", ".join(Role)}')
+            raise InvalidInputError.of('token', (finding,))
+        print_text(make_token(str(secret), Identity(Role(role), str(name))))
+
+    @verb
+    def standins(self, kind: str, **options: object) -> None:
+        """Run stand-ins for the platform in the foreground.
+
+        :param kind: log, instances, workers, runners or all.
+        :param options: settings, such as --workers=24.
+        """
+        anyio.run(processes.run, kind, options)
+
+    @verb
+    def demo(self, scene: str) -> int:
+        """Play the demo's load against running instances and check it.
+
+        :param scene: file that scripts/demo.py wrote.
+        :returns: 0 if every promise was kept, else 1.
+        """
+        played = anyio.run(
+            demo_play.play, demo_play.read_scene(Path(scene).read_text())
+        )
+        print_text(usage_text(played.usage))
+        print_text(burn_text(played.burn))
+        broken = False
+        for check in played.checks:
+            mark = 'BROKEN' if check.broken else 'kept'
+            print_text(f'{mark}: {check.promise} ({check.seen} seen)')
+            for detail in check.broken:
+                print_text(f'  {detail}')
+            broken = broken or bool(check.broken)
+        return ExitCode.REFUSED if broken else ExitCode.OK
--- a/packages/core/swifthoist_core/errors.py
+++ b/packages/core/swifthoist_core/errors.py
@@ -8,7 +8,7 @@
     """One thing that is wrong with an input, and where.
 
     :ivar place: path to the part at fault, such as ``limits.rate`` or
-        ``SWIFTHOIST_PORT``.
+        ``SWIFTHOISTD_HTTP``.
     :ivar problem: what is wrong with it, in plain words.
     """
 
--- a/packages/core/swifthoist_core/plain.py
+++ b/packages/core/swifthoist_core/plain.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 
-def to_plain(content: object) -> object:
+def plain_of(content: object) -> object:
     """Turn named tuples into objects, at any depth.
 
     :param content: numbers, texts, mappings, sequences and named tuples.
@@ -11,10 +11,10 @@
     """
     if isinstance(content, tuple) and hasattr(content, '_asdict'):
         return {
-            name: to_plain(item) for name, item in content._asdict().items()
+            name: plain_of(item) for name, item in content._asdict().items()
         }
     if isinstance(content, Mapping):
-        return {str(key): to_plain(item) for key, item in content.items()}
+        return {str(key): plain_of(item) for key, item in content.items()}
     if isinstance(content, (list, tuple, set, frozenset)):
-        return [to_plain(item) for item in content]
+        return [plain_of(item) for item in content]
     return content
--- a/packages/core/swifthoist_core/planner.py
+++ b/packages/core/swifthoist_core/planner.py
@@ -109,3 +109,29 @@
         if trial.find(job.spec.shape, frozenset(job.banned)):
             return tuple(decisions)
     return ()
+
+
+class Explanation(NamedTuple):
+    """Why a job waits.
+
+    :ivar job_id: the job.
+    :ivar status: its state.
+    :ivar reason: what it waits for.
+    """
+
+    job_id: JobId
+    status: str
+    reason: str
+
+
+def explain(ledger: Ledger, job_id: JobId) -> Explanation | None:
+    """Tell why a job waits.
+
+    :param ledger: the state at an offset.
+    :param job_id: the job.
+    :returns: the explanation, ``None`` if there is no such job.
+    """
+    job = ledger.jobs.get(job_id)
+    if job is None:
+        return None
+    return Explanation(job_id, job.status.value, job.reason)
--- a/packages/daemon/swifthoistd/api_jobs.py
+++ b/packages/daemon/swifthoistd/api_jobs.py
@@ -175,7 +175,8 @@
 
     async def _submit(self, entry: Entry, document: JobDocument) -> Response:
         key = document['key']
-        digest = xxhash.xxh3_64_hexdigest(f'{entry.owner}\n{key}')
+        name = f'{entry.owner}\n{key}'.encode()
+        digest = xxhash.xxh3_64_hexdigest(name)
         spec = read_job(f'job-{digest}', entry, document)
         failed = await self._commit(JobSubmitted(spec, key))
         job = self._ledger.jobs.by_key(entry.owner, key)
--- a/packages/daemon/swifthoistd/api_requests.py
+++ b/packages/daemon/swifthoistd/api_requests.py
@@ -1,5 +1,6 @@
 """HTTP API of requests: short work that a runner answers."""
 
+import functools
 import uuid
 
 from starlette.requests import Request
@@ -82,10 +83,7 @@
             return replies.invalid(findings)
         body = await read_body(request)
         req = _work_request(request, entry, body)
-
-        async def send() -> Response:
-            return await self._send(req, entry)
-
+        send = functools.partial(self._send, req, entry)
         return await run_while_connected(request, send)
 
     async def _send(self, req: WorkRequest, entry: Entry) -> Response:
--- a/packages/daemon/swifthoistd/api_status.py
+++ b/packages/daemon/swifthoistd/api_status.py
@@ -16,7 +16,7 @@
 from swifthoistd.counters import Counters
 from swifthoistd.follower import Follower
 from swifthoistd.journal import Journal
-from swifthoistd.members import Members
+from swifthoistd.members import Member, Members
 from swifthoistd.metrics import Metrics
 from swifthoistd.settings import Sourced
 
@@ -243,19 +243,7 @@
         live = set(self._members.live_ids())
         views = [self._own_view()]
         for member in self._members.all_members():
-            heard = member.heard
-            state = 'live' if member.instance in live else 'silent'
-            if heard is not None and heard.leaving:
-                state = 'leaving'
-            views.append(
-                InstanceView(
-                    member.instance,
-                    heard.zone if heard else '',
-                    state,
-                    heard.offset if heard else 0,
-                    heard.holds_epoch if heard else 0,
-                )
-            )
+            views.append(_peer_view(member, member.instance in live))
         return tuple(sorted(views))
 
     def _own_view(self) -> InstanceView:
@@ -275,6 +263,20 @@
         )
 
 
+def _peer_view(member: Member, is_live: bool) -> InstanceView:
+    heard = member.heard
+    if heard is None:
+        return InstanceView(member.instance, '', 'silent', 0, 0)
+    state = 'live' if is_live else 'silent'
+    return InstanceView(
+        member.instance,
+        heard.zone,
+        'leaving' if heard.leaving else state,
+        heard.offset,
+        heard.holds_epoch,
+    )
+
+
 def _setting_view(item: Sourced) -> SettingView:
     text = item.text or ''
     if item.option.name in _HIDDEN:
--- a/packages/daemon/swifthoistd/callers.py
+++ b/packages/daemon/swifthoistd/callers.py
@@ -44,11 +44,9 @@
     :raises BodyError: when it is too large, too slow or cut short.
     """
     chunks = bytearray()
-    with anyio.move_on_after(BODY_S) as scope:
-        async for chunk in request.stream():
-            chunks += chunk
-            if len(chunks) > MAX_BODY:
-                break
+    scope = anyio.move_on_after(BODY_S)
+    with scope:
+        await _collect(request, chunks)
     if scope.cancelled_caught:
         finding = Finding('body', f'did not arrive within {BODY_S:g} s')
         raise BodyError(replies.invalid((finding,)))
@@ -58,6 +56,13 @@
     return bytes(chunks)
 
 
+async def _collect(request: Request, chunks: bytearray) -> None:
+    async for chunk in request.stream():
+        chunks += chunk
+        if len(chunks) > MAX_BODY:
+            return
+
+
 class Gatekeeper:
     """Lets calls through to handlers for the roles that may make them."""
 
@@ -76,7 +81,7 @@
         :returns: the endpoint.
         """
 
-        async def endpoint(request: Request) -> Response:
+        async def wrapper(request: Request) -> Response:
             identity = self._identify(request)
             if identity is None:
                 reply = replies.not_run('no valid token', replies.UNAUTHORIZED)
@@ -90,7 +95,7 @@
             except BodyError as exc:
                 return exc.reply
 
-        return endpoint
+        return wrapper
 
     def _identify(self, request: Request) -> Identity | None:
         header = request.headers.get('authorization', '')
--- a/packages/daemon/swifthoistd/commands.py
+++ b/packages/daemon/swifthoistd/commands.py
@@ -27,13 +27,13 @@
 class Failure(NamedTuple):
     """A command that did not succeed.
 
-    :ivar index: index of the part in the gang.
+    :ivar part: index of the part in the gang.
     :ivar worker: the worker.
     :ivar reason: why.
     :ivar applied: whether the command may have taken effect.
     """
 
-    index: int
+    part: int
     worker: WorkerId
     reason: str
     applied: bool
--- a/packages/daemon/swifthoistd/renewals.py
+++ b/packages/daemon/swifthoistd/renewals.py
@@ -54,7 +54,9 @@
     """
     return max(
         instances,
-        key=lambda instance: xxhash.xxh64_intdigest(f'{instance}/{worker}'),
+        key=lambda instance: xxhash.xxh64_intdigest(
+            f'{instance}/{worker}'.encode()
+        ),
     )
 
 
--- a/packages/daemon/swifthoistd/replies.py
+++ b/packages/daemon/swifthoistd/replies.py
@@ -6,7 +6,7 @@
 from starlette.responses import Response
 
 from swifthoist_core.errors import Finding
-from swifthoist_core.plain import to_plain
+from swifthoist_core.plain import plain_of
 from swifthoist_core.types import Millis
 
 JSON = 'application/json'
@@ -33,7 +33,7 @@
     :param status: HTTP status.
     :returns: the reply.
     """
-    body = msgspec.json.encode(to_plain(content))
+    body = msgspec.json.encode(plain_of(content))
     return Response(body, status, media_type=JSON)
 
 
--- a/packages/daemon/swifthoistd/settings.py
+++ b/packages/daemon/swifthoistd/settings.py
@@ -9,7 +9,7 @@
 from swifthoist_core.errors import Finding, raise_findings
 from swifthoist_core.types import InstanceId, Millis, ZoneId
 
-_PREFIX = 'SWIFTHOIST_'
+_PREFIX = 'SWIFTHOISTD_'
 _MAX_PORT = 65_535
 _MIN_SECRET = 16
 _LEVELS = ('debug', 'info', 'warning', 'error')
@@ -61,11 +61,11 @@
     @property
     def flag(self) -> str:
         """The flag, such as ``--log-url``."""
-        return '--{0}'.format(self.name.replace('_', '-'))
+        return '--' + self.name.replace('_', '-')
 
     @property
     def variable(self) -> str:
-        """The environment variable, such as ``SWIFTHOIST_LOG_URL``."""
+        """The environment variable, such as ``SWIFTHOISTD_LOG_URL``."""
         return f'{_PREFIX}{self.name.upper()}'
 
 
--- a/packages/standins/swifthoist_standins/main.py
+++ b/packages/standins/swifthoist_standins/main.py
@@ -28,10 +28,12 @@
 
     :ivar kind: ``log``, ``instances``, ``worker`` or ``runner``.
     :ivar address: its ``host:port``.
+    :ivar instance_id: its id on the list, empty if it is not listed.
     """
 
     kind: str
     address: str
+    instance_id: str = ''
 
 
 Announce: TypeAlias = Callable[[Ready], None]
@@ -131,7 +133,7 @@
         cores=cfg.cores,
         memory_mib=cfg.memory_mib,
     )
-    host.announce(Ready('worker', listed.address))
+    host.announce(Ready('worker', listed.address, listed.instance_id))
     await _serve_listed(cfg, host, _Member(app, sock, listed))
 
 
@@ -149,7 +151,7 @@
         incarnation=clock.wall_ms(),
         service=cfg.service,
     )
-    host.announce(Ready('runner', listed.address))
+    host.announce(Ready('runner', listed.address, listed.instance_id))
     app = build_runner(clock, limits)
     await _serve_listed(cfg, host, _Member(app, sock, listed))
 
