Report usage, shortfalls and service-level burn from the fold

Cause: the account had totals and spans, but no answer to who lent, which guarantees were asked for and not given, or how fast an error budget burns.

Change: holdings (who holds, borrows and lends; lending by idle guarantee, exact in sum), shortfalls with causes noted as the fold goes, usage split at the ends of months, outcomes in rings of 5-minute buckets for 6 hours and hourly ones for 30 days, usage_report, burn_report, reconcile, Counting. New record UsageCorrected replaces the estimate for a lost worker's part, once; PartUsage says whether it is an estimate. Tally.waits is now sparse HDR counts.

Ruled out: 5-minute buckets for 3 days (864 per class against 72 + 720 hourly ones; the 3-day rule is read to the hour instead); a full HDR histogram per month, owner and class (464 counters each, nearly all zero; kept sparse).

--- a/packages/core/swifthoist_core/account.py
+++ b/packages/core/swifthoist_core/account.py
@@ -1,155 +1,176 @@
 """The account of who got which accelerators, when, and what was refused."""
 
-import bisect
-import datetime as dt
+from collections import deque
 from typing import NamedTuple
 
+from swifthoist_core.histograms import add_wait, merge
+from swifthoist_core.holdings import Holdings, HoldingsState
+from swifthoist_core.lines import Line, LineKey, empty_line
+from swifthoist_core.months import month_of, pieces
 from swifthoist_core.records import PartUsage, Tally
-from swifthoist_core.types import ClassName, JobId, Millis, OwnerId
-
-BUCKETS: tuple[Millis, ...] = (
-    10,
-    20,
-    50,
-    100,
-    200,
-    500,
-    1_000,
-    2_000,
-    5_000,
-    10_000,
-    30_000,
-    60_000,
-    600_000,
-    3_600_000,
-    86_400_000,
-)
-"""Upper bounds of the waiting times that are counted together, in ms."""
+from swifthoist_core.series import Outcomes, Series, SeriesState
+from swifthoist_core.shortfalls import Shortfalls, ShortfallsState
+from swifthoist_core.spans import Span, SpanKey
+from swifthoist_core.types import ClassName, Millis, OwnerId
 
 KEEP_SPANS = 20_000
 """How many of the latest spans are kept one by one."""
 
-_MS_PER_S = 1_000
+KEEP_MONTHS = 3
+"""How many months have totals, the current one included."""
 
+NEVER_FITS = 'no workers could ever hold this shape'
+"""The one refusal that breaks no promise: the job could not run anywhere."""
 
-class Span(NamedTuple):
-    """One part of a gang on one worker, for a time.
 
-    :ivar owner: the team.
-    :ivar class_name: class of work.
-    :ivar job_id: the job.
-    :ivar attempt: number of the attempt.
-    :ivar part: index of the part.
-    :ivar worker: the worker.
-    :ivar first: index of its first accelerator.
-    :ivar accelerators: how many accelerators.
-    :ivar started_ms: start by the worker's clock.
-    :ivar stopped_ms: end by the worker's clock.
-    :ivar lent: whether the place was beyond the owner's guarantee.
-    """
+class SeriesKey(NamedTuple):
+    """What names a series of outcomes.
 
-    owner: OwnerId
-    class_name: ClassName
-    job_id: JobId
-    attempt: int
-    part: int
-    worker: str
-    first: int
-    accelerators: int
-    started_ms: Millis
-    stopped_ms: Millis
-    lent: bool
-
-    @property
-    def accelerator_ms(self) -> int:
-        """Accelerators times milliseconds."""
-        return self.accelerators * (self.stopped_ms - self.started_ms)
-
-
-class Line(NamedTuple):
-    """Totals of one owner and class in one month.
-
-    :ivar month: the month, as ``2026-12``.
     :ivar owner: the team.
     :ivar class_name: class of work.
-    :ivar guaranteed_ms: accelerator-ms within the guarantee.
-    :ivar borrowed_ms: accelerator-ms beyond it.
-    :ivar reclaims: times that a borrowed place was reclaimed.
-    :ivar jobs: jobs that ended, by their last state.
-    :ivar good: requests complete and within the objective.
-    :ivar late: requests complete, but later.
-    :ivar failed: requests answered with an error or unknown.
-    :ivar refused: refusals by reason.
-    :ivar waits: counts by bucket of :data:`BUCKETS`; the last is beyond.
     """
 
-    month: str
     owner: OwnerId
     class_name: ClassName
-    guaranteed_ms: int
-    borrowed_ms: int
-    reclaims: int
-    jobs: dict[str, int]
-    good: int
-    late: int
-    failed: int
-    refused: dict[str, int]
-    waits: tuple[int, ...]
 
 
-class LineKey(NamedTuple):
-    """What names a line of the account.
+class NamedSeries(NamedTuple):
+    """A series with its name, for snapshots.
 
-    :ivar month: the month, as ``2026-12``.
-    :ivar owner: the team.
-    :ivar class_name: class of work.
+    :ivar key: owner and class.
+    :ivar series: its content.
     """
 
-    month: str
-    owner: OwnerId
-    class_name: ClassName
+    key: SeriesKey
+    series: SeriesState
 
 
-def bucket_of(wait_ms: Millis) -> int:
-    """Find the bucket that counts a waiting time.
+class AccountState(NamedTuple):
+    """Content of the account, for snapshots.
 
-    :param wait_ms: the waiting time, in ms.
-    :returns: index into counts of one more bucket than :data:`BUCKETS`.
+    :ivar lines: totals.
+    :ivar spans: the latest spans, oldest first.
+    :ivar dropped: how many older spans are gone.
+    :ivar series: outcomes over time.
+    :ivar holdings: who holds how much.
+    :ivar shortfalls: guarantees asked for and not given.
     """
-    return bisect.bisect_left(BUCKETS, wait_ms)
+
+    lines: tuple[Line, ...]
+    spans: tuple[Span, ...]
+    dropped: int
+    series: tuple[NamedSeries, ...]
+    holdings: HoldingsState
+    shortfalls: ShortfallsState
 
 
 class Account:
-    """The aggregate of totals by month, owner and class."""
+    """The aggregate of totals by month, owner and class.
+
+    :ivar holdings: who holds how much now, and who lent it.
+    :ivar shortfalls: guarantees asked for and not given.
+    :ivar dropped: how many spans are no longer kept one by one.
+    """
 
-    def __init__(self) -> None:
-        """Start with nothing on the account."""
+    def __init__(self, state: AccountState | None = None) -> None:
+        """Start from a snapshot.
+
+        :param state: content of a snapshot; none for an empty account.
+        """
+        self.holdings = Holdings(state.holdings if state else None)
+        self.shortfalls = Shortfalls(state.shortfalls if state else None)
+        self.dropped = state.dropped if state else 0
         self._lines: dict[LineKey, Line] = {}
-        self._spans: list[Span] = []
+        self._spans = deque(state.spans if state else ())
+        self._series: dict[SeriesKey, Series] = {}
+        for line in state.lines if state else ():
+            self._put(line)
+        for named in state.series if state else ():
+            self._series[named.key] = Series(named.series)
+
+    def state(self) -> AccountState:
+        """Content of the account, for a snapshot."""
+        series = tuple(
+            NamedSeries(key, item.state())
+            for key, item in sorted(
+                self._series.items(), key=lambda pair: pair[0]
+            )
+        )
+        return AccountState(
+            self.lines(),
+            self.spans(),
+            self.dropped,
+            series,
+            self.holdings.state(),
+            self.shortfalls.state(),
+        )
 
     def lines(self) -> tuple[Line, ...]:
         """All lines, by month, owner and class."""
-        return tuple(line for _, line in sorted(self._lines.items()))
+        return tuple(self._lines[key] for key in sorted(self._lines))
 
     def spans(self) -> tuple[Span, ...]:
         """The latest spans, one for each part that ran."""
         return tuple(self._spans)
 
+    def outcomes(
+        self,
+        owner: OwnerId,
+        class_name: ClassName,
+        time_ms: Millis,
+        length_ms: Millis,
+    ) -> Outcomes:
+        """Add up the outcomes of a window that ends now.
+
+        :param owner: the team.
+        :param class_name: class of work.
+        :param time_ms: log time now.
+        :param length_ms: length of the window, in ms.
+        :returns: how many were good and how many were not.
+        """
+        series = self._series.get(SeriesKey(owner, class_name))
+        return series.window(time_ms, length_ms) if series else Outcomes()
+
     def add_span(self, span: Span, time_ms: Millis) -> None:
         """Note that a part ran.
 
+        The time is split at the ends of months by the worker's clock; a
+        span of a clock that is ahead of the log is moved back to the log.
+
         :param span: what ran, where and when.
         :param time_ms: time of the record in the log.
         """
-        self._spans.append(span)
-        del self._spans[:-KEEP_SPANS]
-        line = self._line(time_ms, span.owner, span.class_name)
-        if span.lent:
-            borrowed = line.borrowed_ms + span.accelerator_ms
-            self._put(line._replace(borrowed_ms=borrowed))
-            return
-        guaranteed = line.guaranteed_ms + span.accelerator_ms
-        self._put(line._replace(guaranteed_ms=guaranteed))
+        bounded = span.ended_by(time_ms)
+        self._spans.append(bounded)
+        if len(self._spans) > KEEP_SPANS:
+            self._spans.popleft()
+            self.dropped += 1
+        self._count_span(bounded, sign=1)
+
+    def correct_span(
+        self, key: SpanKey, use: PartUsage, time_ms: Millis
+    ) -> str:
+        """Replace an estimate by what the worker reported late.
+
+        :param key: the span.
+        :param use: the worker's own report.
+        :param time_ms: time of the record in the log.
+        :returns: why it is rejected, empty if accepted.
+        """
+        found = [span for span in self._spans if span.key == key]
+        if not found:
+            return 'no such span, or it is no longer kept'
+        span = found[0]
+        if not span.estimated or span.worker != use.worker:
+            return 'the worker has reported this span already'
+        better = span.corrected(use).ended_by(time_ms)
+        self._spans[self._spans.index(span)] = better
+        self._count_span(span, sign=-1)
+        self._count_span(better, sign=1)
+        line = self._line(month_of(time_ms), span.owner, span.class_name)
+        change = better.accelerator_ms - span.accelerator_ms
+        self._put(line._replace(corrected_ms=line.corrected_ms + change))
+        return ''
 
     def add_reclaim(
         self, time_ms: Millis, owner: OwnerId, class_name: ClassName
@@ -160,7 +181,7 @@
         :param owner: the borrower.
         :param class_name: class of work.
         """
-        line = self._line(time_ms, owner, class_name)
+        line = self._line(month_of(time_ms), owner, class_name)
         self._put(line._replace(reclaims=line.reclaims + 1))
 
     def add_end(
@@ -177,9 +198,27 @@
         :param class_name: class of work.
         :param status: the last state of the job.
         """
-        line = self._line(time_ms, owner, class_name)
-        jobs = {**line.jobs, status: line.jobs.get(status, 0) + 1}
-        self._put(line._replace(jobs=jobs))
+        line = self._line(month_of(time_ms), owner, class_name)
+        self._put(line._replace(jobs=_plus(line.jobs, {status: 1})))
+
+    def add_outcomes(
+        self,
+        time_ms: Millis,
+        owner: OwnerId,
+        class_name: ClassName,
+        outcomes: Outcomes,
+    ) -> None:
+        """Note what came out, for the service level.
+
+        :param time_ms: time of the record in the log.
+        :param owner: the team.
+        :param class_name: class of work.
+        :param outcomes: how many were good and how many were not.
+        """
+        if not outcomes.total:
+            return
+        key = SeriesKey(owner, class_name)
+        self._series.setdefault(key, Series()).add(time_ms, outcomes)
 
     def add_refusal(
         self,
@@ -195,9 +234,10 @@
         :param class_name: class of work.
         :param reason: why.
         """
-        line = self._line(time_ms, owner, class_name)
-        refused = {**line.refused, reason: line.refused.get(reason, 0) + 1}
-        self._put(line._replace(refused=refused))
+        line = self._line(month_of(time_ms), owner, class_name)
+        self._put(line._replace(refused=_plus(line.refused, {reason: 1})))
+        bad = Outcomes(bad=int(reason != NEVER_FITS))
+        self.add_outcomes(time_ms, owner, class_name, bad)
 
     def add_wait(
         self,
@@ -213,10 +253,8 @@
         :param class_name: class of work.
         :param wait_ms: the waiting time, in ms.
         """
-        line = self._line(time_ms, owner, class_name)
-        waits = list(line.waits)
-        waits[bucket_of(wait_ms)] += 1
-        self._put(line._replace(waits=tuple(waits)))
+        line = self._line(month_of(time_ms), owner, class_name)
+        self._put(line._replace(waits=add_wait(line.waits, wait_ms)))
 
     def add_tally(self, time_ms: Millis, tally: Tally) -> None:
         """Add what an instance counted of requests.
@@ -224,86 +262,55 @@
         :param time_ms: time of the record in the log.
         :param tally: the counts.
         """
-        line = self._line(time_ms, tally.owner, tally.class_name)
-        refused = dict(line.refused)
-        for reason, times in tally.refused.items():
-            refused[reason] = refused.get(reason, 0) + times
-        both = zip(line.waits, tally.waits, strict=True)
+        line = self._line(month_of(time_ms), tally.owner, tally.class_name)
         self._put(
             line._replace(
                 good=line.good + tally.good,
                 late=line.late + tally.late,
                 failed=line.failed + tally.failed,
-                refused=refused,
-                waits=tuple(old + new for old, new in both),
+                refused=_plus(line.refused, tally.refused),
+                waits=merge(line.waits, tally.waits),
             )
         )
+        bad = tally.late + tally.failed + sum(tally.refused.values())
+        outcomes = Outcomes(tally.good, bad)
+        self.add_outcomes(time_ms, tally.owner, tally.class_name, outcomes)
+
+    def _count_span(self, span: Span, *, sign: int) -> None:
+        for piece in pieces(span.started_ms, span.stopped_ms):
+            used = sign * span.accelerators * piece.length_ms
+            lent = used * span.lent
+            line = self._line(piece.month, span.owner, span.class_name)
+            self._put(
+                line._replace(
+                    guaranteed_ms=line.guaranteed_ms + used - lent,
+                    borrowed_ms=line.borrowed_ms + lent,
+                    reclaimed_ms=line.reclaimed_ms + lent * span.reclaimed,
+                    estimated_ms=line.estimated_ms + used * span.estimated,
+                )
+            )
 
-    def _line(
-        self, time_ms: Millis, owner: OwnerId, class_name: ClassName
-    ) -> Line:
-        month = month_of(time_ms)
+    def _line(self, month: str, owner: OwnerId, class_name: ClassName) -> Line:
         key = LineKey(month, owner, class_name)
-        return self._lines.get(key) or Line(
-            month,
-            owner,
-            class_name,
-            guaranteed_ms=0,
-            borrowed_ms=0,
-            reclaims=0,
-            jobs={},
-            good=0,
-            late=0,
-            failed=0,
-            refused={},
-            waits=(0,) * (len(BUCKETS) + 1),
-        )
+        return self._lines.get(key) or empty_line(key)
 
     def _put(self, line: Line) -> None:
         key = LineKey(line.month, line.owner, line.class_name)
+        if key not in self._lines:
+            self._drop_months(line.month)
         self._lines[key] = line
 
+    def _drop_months(self, new_month: str) -> None:
+        months = sorted({new_month, *(key.month for key in self._lines)})
+        oldest = months[-KEEP_MONTHS:][0]
+        old = [key for key in self._lines if key.month < oldest]
+        for key in old:
+            self._lines.pop(key)
+        self.holdings.forget(oldest)
 
-def month_of(time_ms: Millis) -> str:
-    """Name the month of a point in time, in UTC.
 
-    :param time_ms: ms since the epoch.
-    :returns: the month, as ``2026-12``.
-    """
-    when = dt.datetime.fromtimestamp(time_ms / _MS_PER_S, dt.UTC)
-    return when.strftime('%Y-%m')
-
-
-def span_of(
-    owner: OwnerId,
-    class_name: ClassName,
-    job_id: JobId,
-    attempt: int,
-    use: PartUsage,
-    first: int,
-    lent: bool,
-) -> Span:
-    """Make a span from what a worker reported.
-
-    :param owner: the team.
-    :param class_name: class of work.
-    :param job_id: the job.
-    :param attempt: number of the attempt.
-    :param use: the worker's report.
-    :param first: index of the first accelerator.
-    :param lent: whether the place was beyond the owner's guarantee.
-    :returns: the span.
-    """
-    return Span(
-        owner,
-        class_name,
-        job_id,
-        attempt,
-        use.part,
-        use.worker,
-        first,
-        use.accelerators,
-        use.started_ms,
-        use.stopped_ms,
-        lent,
-    )
+def _plus(one: dict[str, int], other: dict[str, int]) -> dict[str, int]:
+    sums = dict(one)
+    for name, times in other.items():
+        sums[name] = sums.get(name, 0) + times
+    return sums
--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-from swifthoist_core import records
-from swifthoist_core.account import Account, span_of
+from swifthoist_core import accounting, records
+from swifthoist_core.account import Account
 from swifthoist_core.authors import Authors
 from swifthoist_core.catalogue import Catalogue
 from swifthoist_core.cells import Cell
@@ -12,6 +12,7 @@
 from swifthoist_core.jobs import ENDED, PLACED, Job, Jobs
 from swifthoist_core.records import Author, Envelope, Record
 from swifthoist_core.requests import Requests
+from swifthoist_core.spans import SpanKey, span_of
 from swifthoist_core.types import Epoch, Millis, Offset
 
 _FORGET_EVERY_MS = 60_000
@@ -87,7 +88,10 @@
             return Verdict(author, seq, offset, 'duplicate')
         if record is None:
             return Verdict(author, seq, offset, 'unknown kind of record')
+        accounting.note_silence(self)
         reason = self._apply(author, record, offset)
+        if not reason:
+            accounting.note(self, record)
         version = 0 if reason else self._version(record)
         return Verdict(author, seq, offset, reason, version)
 
@@ -170,6 +174,9 @@
                 return self._reclaim(record, offset)
             case records.JobEnded():
                 return self._end(record)
+            case records.UsageCorrected(use=use):
+                span = SpanKey(record.job_id, record.attempt, use.part)
+                return self.account.correct_span(span, use, self.time_ms)
             case records.WorkerJoined(spec=spec):
                 return self.fleet.join(spec)
             case records.WorkerLeft(worker=worker, lost=lost):
@@ -246,7 +253,7 @@
         self.fleet.vacate(job.spec.shape, job.parts)
         for use in record.usage:
             if use.started_ms:
-                self._note_use(job, use)
+                self._note_use(job, use, record.outcome)
         after = self.jobs.get(record.job_id)
         if after is not None:
             self._note_end(after)
@@ -258,18 +265,8 @@
                 return f'job {job.spec.job_id} still holds it'
         return self.fleet.lose(worker)
 
-    def _note_use(self, job: Job, use: records.PartUsage) -> None:
-        spec = job.spec
-        first = job.parts[use.part].first
-        span = span_of(
-            spec.owner,
-            spec.class_name,
-            spec.job_id,
-            job.attempt,
-            use,
-            first,
-            job.lent,
-        )
+    def _note_use(self, job: Job, use: records.PartUsage, outcome: str) -> None:
+        span = span_of(job, use, reclaimed=outcome == 'reclaimed')
         self.account.add_span(span, self.time_ms)
 
     def _note_end(self, job: Job) -> None:
--- a/packages/core/swifthoist_core/records.py
+++ b/packages/core/swifthoist_core/records.py
@@ -183,6 +183,8 @@
     :ivar accelerators: how many accelerators it held.
     :ivar started_ms: start by the worker's clock, 0 if it never started.
     :ivar stopped_ms: end by the worker's clock.
+    :ivar estimated: whether the times are the holder's estimate, because
+        the worker was lost before it reported.
     """
 
     part: int
@@ -190,6 +192,7 @@
     accelerators: int
     started_ms: Millis
     stopped_ms: Millis
+    estimated: bool = False
 
 
 class JobEnded(NamedTuple):
@@ -213,6 +216,21 @@
     blamed: WorkerId = ''
 
 
+class UsageCorrected(NamedTuple):
+    """A worker reported late how long a part of an ended attempt ran.
+
+    :ivar epoch: the holder's epoch.
+    :ivar job_id: the job.
+    :ivar attempt: number of the attempt.
+    :ivar use: the worker's own report.
+    """
+
+    epoch: Epoch
+    job_id: JobId
+    attempt: int
+    use: PartUsage
+
+
 class JobCancelled(NamedTuple):
     """An owner takes a job back.
 
@@ -291,7 +309,8 @@
     :ivar late: complete, but later than the objective.
     :ivar failed: answered with an error or unknown.
     :ivar refused: refusals by reason.
-    :ivar waits: counts by bucket of :data:`swifthoist_core.account.BUCKETS`.
+    :ivar waits: waiting times, counted by bucket of
+        :mod:`swifthoist_core.histograms`.
     """
 
     owner: OwnerId
@@ -300,7 +319,7 @@
     late: int
     failed: int
     refused: dict[str, int]
-    waits: tuple[int, ...]
+    waits: dict[Millis, int]
 
 
 class RequestsCounted(NamedTuple):
@@ -324,6 +343,7 @@
     | JobReclaimed
     | JobEnded
     | JobCancelled
+    | UsageCorrected
     | WorkerJoined
     | WorkerLeft
     | RequestIntended
--- /dev/null
+++ b/packages/core/swifthoist_core/shortfalls.py
@@ -0,0 +1,165 @@
+"""Shortfalls: guarantees that were asked for and not given, and why."""
+
+from collections import deque
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from swifthoist_core.types import ClassName, JobId, Millis, OwnerId
+
+KEEP_SHORTFALLS = 5_000
+"""How many of the latest closed shortfalls are kept one by one."""
+
+MAX_CAUSES = 8
+"""How many causes of one shortfall are kept, the first ones."""
+
+
+class Ask(NamedTuple):
+    """A job that waits for a place.
+
+    :ivar owner: the team.
+    :ivar class_name: class of work.
+    :ivar job_id: the job.
+    :ivar accelerators: how many it needs.
+    """
+
+    owner: OwnerId
+    class_name: ClassName
+    job_id: JobId
+    accelerators: int
+
+
+class Shortfall(NamedTuple):
+    """A time in which a job waited although the guarantee covered it.
+
+    :ivar ask: the job.
+    :ivar since_ms: log time from which the guarantee covered it.
+    :ivar until_ms: log time at which it got its place, or the guarantee
+        no longer covered it, or it was taken back; 0 while open.
+    :ivar causes: why it was not given, in the order of being noted.
+    """
+
+    ask: Ask
+    since_ms: Millis
+    until_ms: Millis = 0
+    causes: tuple[str, ...] = ()
+
+
+class ShortfallsState(NamedTuple):
+    """Content of the shortfalls, for snapshots.
+
+    :ivar asks: jobs that wait, in order.
+    :ivar opened: shortfalls that last.
+    :ivar closed: the latest that are over, oldest first.
+    :ivar dropped: how many older ones are gone.
+    """
+
+    asks: tuple[Ask, ...] = ()
+    opened: tuple[Shortfall, ...] = ()
+    closed: tuple[Shortfall, ...] = ()
+    dropped: int = 0
+
+
+class Shortfalls:
+    """The aggregate of guarantees asked for and not given.
+
+    :ivar dropped: how many closed ones are no longer kept.
+    """
+
+    def __init__(self, state: ShortfallsState | None = None) -> None:
+        """Start from a snapshot.
+
+        :param state: content of a snapshot; none for a new account.
+        """
+        state = state or ShortfallsState()
+        self.dropped = state.dropped
+        self._asks: dict[OwnerId, dict[JobId, Ask]] = {}
+        for ask in state.asks:
+            self.ask(ask)
+        self._open = {item.ask.job_id: item for item in state.opened}
+        self._closed = deque(state.closed)
+
+    def state(self) -> ShortfallsState:
+        """Content of the shortfalls, for a snapshot."""
+        asks = (
+            ask for waiting in self._asks.values() for ask in waiting.values()
+        )
+        return ShortfallsState(
+            tuple(asks), self.opened(), self.closed(), self.dropped
+        )
+
+    def opened(self) -> tuple[Shortfall, ...]:
+        """Shortfalls that last, oldest first."""
+        return tuple(self._open.values())
+
+    def closed(self) -> tuple[Shortfall, ...]:
+        """The latest shortfalls that are over, oldest first."""
+        return tuple(self._closed)
+
+    def owners(self) -> tuple[OwnerId, ...]:
+        """Owners with a job that waits, in order."""
+        return tuple(sorted(self._asks))
+
+    def ask(self, ask: Ask) -> None:
+        """Note that a job waits.
+
+        :param ask: the job.
+        """
+        self._asks.setdefault(ask.owner, {})[ask.job_id] = ask
+
+    def settle(self, owner: OwnerId, job_id: JobId, time_ms: Millis) -> None:
+        """Note that a job waits no more.
+
+        :param owner: the team.
+        :param job_id: the job.
+        :param time_ms: time of the record in the log.
+        """
+        waiting = self._asks.get(owner, {})
+        waiting.pop(job_id, None)
+        if not waiting:
+            self._asks.pop(owner, None)
+        self._close(job_id, time_ms)
+
+    def review(self, owner: OwnerId, left: int, time_ms: Millis) -> None:
+        """Tell which waiting jobs of an owner its guarantee covers now.
+
+        Jobs are covered in the order in which they asked, as far as the
+        rest of the guarantee goes.
+
+        :param owner: the team.
+        :param left: accelerators of its guarantee that it does not hold.
+        :param time_ms: time of the record in the log.
+        """
+        for ask in tuple(self._asks.get(owner, {}).values()):
+            if not 0 < ask.accelerators <= left:
+                self._close(ask.job_id, time_ms)
+                continue
+            left -= ask.accelerators
+            if ask.job_id not in self._open:
+                self._open[ask.job_id] = Shortfall(ask, time_ms)
+
+    def note(self, causes: Mapping[JobId, str]) -> None:
+        """Add a cause to shortfalls that last.
+
+        :param causes: the cause for each job.
+        """
+        for job_id, cause in causes.items():
+            found = self._open.get(job_id)
+            if found is None or cause in found.causes:
+                continue
+            if len(found.causes) < MAX_CAUSES:
+                every = (*found.causes, cause)
+                self._open[job_id] = found._replace(causes=every)
+
+    def all_items(self) -> Iterator[Shortfall]:
+        """Go through every shortfall that is kept, oldest first."""
+        yield from self._closed
+        yield from self._open.values()
+
+    def _close(self, job_id: JobId, time_ms: Millis) -> None:
+        found = self._open.pop(job_id, None)
+        if found is None or found.since_ms == time_ms:
+            return
+        self._closed.append(found._replace(until_ms=time_ms))
+        if len(self._closed) > KEEP_SHORTFALLS:
+            self._closed.popleft()
+            self.dropped += 1
--- /dev/null
+++ b/tests/core/test_reports.py
@@ -0,0 +1,113 @@
+"""Tests of the usage report, from the fold on."""
+
+import unittest
+
+import msgspec
+
+from swifthoist_core import accounting, records
+from swifthoist_core.ledger import Ledger
+from swifthoist_core.records import PartPlacement, PartUsage
+from swifthoist_core.reports import usage_report
+from swifthoist_core.shapes import GuaranteedShape, Shape
+from tests.core.builders import Book, job_entry, spec
+
+WHOLE = Shape(1, 8)
+PLACE = (PartPlacement('w0', 0, 8),)
+
+
+def reclaimed_book() -> Book:
+    """Let ``b`` borrow the only worker, and ``a`` reclaim it."""
+    book = Book().staffed(workers=1)
+    book.publish(job_entry('a', GuaranteedShape(WHOLE)))
+    book.publish(job_entry('b'))
+    book.append(records.JobSubmitted(spec('jb', 'b', WHOLE), 'k'))
+    book.append(records.JobPlaced(1, 'jb', 1, PLACE, True))
+    book.now_ms += 1_000
+    book.append(records.JobSubmitted(spec('ja', 'a', WHOLE), 'k'))
+    book.append(records.JobReclaimed(1, 'jb', 1, 'ja'))
+    book.now_ms += 500
+    use = PartUsage(0, 'w0', 8, 1_000, 2_500)
+    book.append(records.JobEnded(1, 'jb', 1, 'reclaimed', (use,)))
+    book.append(records.JobPlaced(1, 'ja', 1, PLACE, False))
+    return book
+
+
+class UsageReportTest(unittest.TestCase):
+    """The report tells who got what, and what was not given."""
+
+    def test_a_reclaimed_loan_shows_on_both_sides(self) -> None:
+        """The borrower borrowed what the owner lent out."""
+        report = usage_report(reclaimed_book().ledger)
+        by_owner = {line.owner: line for line in report.lines}
+        self.assertEqual(by_owner['b'].borrowed_s, 12)
+        self.assertEqual(by_owner['b'].reclaimed_s, 12)
+        self.assertEqual(by_owner['b'].reclaims, 1)
+        lent = [(line.owner, line.lent_out_s) for line in report.lendings]
+        self.assertEqual(lent, [('a', 12)])
+        self.assertEqual([one.job_id for one in report.spans], ['jb'])
+        self.assertEqual([one.job_id for one in report.running], ['ja'])
+
+    def test_a_guarantee_not_given_is_listed_with_its_cause(self) -> None:
+        """The wait for the borrower is a shortfall of the owner."""
+        report = usage_report(reclaimed_book().ledger, 'a')
+        self.assertEqual(len(report.shortfalls), 1)
+        short = report.shortfalls[0]
+        self.assertEqual(short.until_ms - short.since_ms, 500)
+        self.assertIn(accounting.RECLAIMING, short.causes)
+
+    def test_silence_of_every_instance_is_named_as_a_cause(self) -> None:
+        """The lease of the cell ran out while a job waited."""
+        book = Book().staffed(workers=1)
+        book.publish(job_entry('a', GuaranteedShape(WHOLE)))
+        book.append(records.JobSubmitted(spec('ja', 'a', WHOLE), 'k'))
+        book.now_ms += 60_000
+        book.claim(2)
+        short = usage_report(book.ledger).shortfalls[0]
+        self.assertEqual(short.until_ms, 0)
+        self.assertIn(accounting.NO_HOLDER, short.causes)
+
+    def test_work_beyond_the_guarantee_is_no_shortfall(self) -> None:
+        """Only one of two jobs is covered, though both wait."""
+        book = Book().staffed(workers=2)
+        book.publish(job_entry('a', GuaranteedShape(WHOLE)))
+        for job_id in ('j1', 'j2'):
+            book.append(records.JobSubmitted(spec(job_id, 'a', WHOLE), job_id))
+        waiting = [
+            one.ask.job_id for one in usage_report(book.ledger).shortfalls
+        ]
+        self.assertEqual(waiting, ['j1'])
+
+    def test_any_instance_gives_the_same_answer_for_an_offset(self) -> None:
+        """Another fold of the same records encodes to the same bytes."""
+        book = reclaimed_book()
+        other = Ledger()
+        for offset, (time_ms, envelope) in enumerate(book.log):
+            other.fold(offset, time_ms, envelope)
+        mine = msgspec.json.encode(usage_report(book.ledger))
+        self.assertEqual(mine, msgspec.json.encode(usage_report(other)))
+        self.assertEqual(usage_report(other).offset, len(book.log))
+
+    def test_a_question_for_one_owner_and_month_gets_only_that(self) -> None:
+        """Other owners and other months are left out."""
+        ledger = reclaimed_book().ledger
+        mine = usage_report(ledger, 'b', '1970-01')
+        self.assertEqual({line.owner for line in mine.lines}, {'b'})
+        self.assertEqual(mine.lendings, ())
+        self.assertEqual(usage_report(ledger, 'b', '1970-02').spans, ())
+
+    def test_an_estimate_is_marked_until_the_worker_reports(self) -> None:
+        """The correction goes through the fold."""
+        book = Book().staffed(workers=1)
+        book.publish(job_entry('b'))
+        book.append(records.JobSubmitted(spec('j', 'b', WHOLE), 'k'))
+        book.append(records.JobPlaced(1, 'j', 1, PLACE, True))
+        book.now_ms += 1_500
+        guess = PartUsage(0, 'w0', 8, 1_000, 2_500, estimated=True)
+        book.append(records.JobEnded(1, 'j', 1, 'lost', (guess,)))
+        self.assertEqual(usage_report(book.ledger).lines[0].estimated_s, 12)
+        own = PartUsage(0, 'w0', 8, 1_000, 2_000)
+        verdict = book.append(records.UsageCorrected(1, 'j', 1, own))
+        self.assertTrue(verdict.accepted)
+        line = usage_report(book.ledger).lines[0]
+        told = (line.estimated_s, line.borrowed_s, line.corrected_s)
+        self.assertEqual(told, (0, 8, -4))
