--- a/packages/cli/swifthoist_cli/client.py
+++ b/packages/cli/swifthoist_cli/client.py
@@ -2,18 +2,22 @@
 
 import random
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import httpx
+import msgspec
 
 from swifthoist_core.errors import Finding, SwifthoistError
 
 TIMEOUT_S = 15.0
 """Time for one call, in seconds."""
 
+JSON = 'application/json'
+MSGPACK = 'application/msgpack'
+
 _REFUSED_FROM = 400
 _UNKNOWN_OUTCOME = 504
-_SERVER_ERROR = 500
+_Report = TypeVar('_Report')
 
 
 class CallError(SwifthoistError):
@@ -78,6 +82,27 @@
         """
         return self.call('GET', path, params=params)
 
+    def get_report(
+        self, path: str, kind: type[_Report], **params: str | None
+    ) -> _Report:
+        """Read a report.
+
+        :param path: path below the base URL.
+        :param kind: its type.
+        :param params: query parameters; ``None`` leaves one out.
+        :returns: the report.
+        :raises CallError: when it was refused.
+        :raises NoInstanceError: when no instance was reached.
+        :raises UnknownOutcomeError: when there was no whole answer.
+        """
+        reply = self._call_any('GET', path, None, params, MSGPACK)
+        if reply.status_code >= _REFUSED_FROM:
+            _document(reply)
+        try:
+            return msgspec.msgpack.decode(reply.content, type=kind)
+        except msgspec.DecodeError as exc:
+            raise UnknownOutcomeError(f'{path}: {exc}') from exc
+
     def call(
         self,
         method: str,
@@ -96,35 +121,41 @@
         :raises NoInstanceError: when no instance was reached.
         :raises UnknownOutcomeError: when there was no answer.
         """
-        urls = list(self._target.urls)
-        random.shuffle(urls)
-        given = {
-            name: text
-            for name, text in (params or {}).items()
-            if text is not None
-        }
-        for url in urls:
-            try:
-                reply = self._send(method, f'{url}{path}', content, given)
-            except (httpx.ConnectError, httpx.ConnectTimeout):
-                continue
-            except httpx.HTTPError as exc:
-                raise UnknownOutcomeError(f'{url}: {exc!r}') from exc
-            return _document(reply)
-        raise NoInstanceError(f'no instance answers at {", ".join(urls)}')
+        reply = self._call_any(method, path, content, params or {}, JSON)
+        return _document(reply)
 
-    def _send(
+    def _call_any(
         self,
         method: str,
-        url: str,
+        path: str,
         content: object,
-        params: Mapping[str, str | int],
+        params: Mapping[str, str | int | None],
+        accept: str,
     ) -> httpx.Response:
-        headers = {'Authorization': f'Bearer {self._target.token}'}
+        urls = list(self._target.urls)
+        random.shuffle(urls)
+        headers = {
+            'Authorization': f'Bearer {self._target.token}',
+            'Accept': accept,
+        }
+        given = {
+            name: text for name, text in params.items() if text is not None
+        }
         with httpx.Client(timeout=TIMEOUT_S, trust_env=False) as client:
-            return client.request(
-                method, url, json=content, params=params, headers=headers
-            )
+            for url in urls:
+                try:
+                    return client.request(
+                        method,
+                        f'{url}{path}',
+                        json=content,
+                        params=given,
+                        headers=headers,
+                    )
+                except (httpx.ConnectError, httpx.ConnectTimeout):
+                    continue
+                except httpx.HTTPError as exc:
+                    raise UnknownOutcomeError(f'{url}: {exc!r}') from exc
+        raise NoInstanceError(f'no instance answers at {", ".join(urls)}')
 
 
 def _document(reply: httpx.Response) -> Any:
--- a/packages/cli/swifthoist_cli/commands.py
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -6,7 +6,7 @@
 
 from swifthoist_cli import demo as demo_play
 from swifthoist_cli.output import ExitCode, print_text
-from swifthoist_cli.rendering import burn_text, usage_text
+from swifthoist_cli.rendering import Format, render
 from swifthoist_cli.verbs import verb
 from swifthoist_cli.verbs_catalogue import CatalogueVerbs
 from swifthoist_cli.verbs_jobs import JobVerbs
@@ -58,8 +58,9 @@
         played = anyio.run(
             demo_play.play, demo_play.read_scene(Path(scene).read_text())
         )
-        print_text(usage_text(played.usage))
-        print_text(burn_text(played.burn))
+        for report in (played.usage, played.burn):
+            if report is not None:
+                print_text(render(report, Format.TEXT))
         broken = False
         for check in played.checks:
             mark = 'BROKEN' if check.broken else 'kept'
--- a/packages/cli/swifthoist_cli/demo.py
+++ b/packages/cli/swifthoist_cli/demo.py
@@ -3,13 +3,14 @@
 import random
 import sys
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import anyio
 import httpx
 import msgspec
 
 from swifthoist_cli import demo_checks
+from swifthoist_cli.client import MSGPACK
 from swifthoist_cli.demo_callers import Callers, Site, some_key
 from swifthoist_cli.demo_catalogue import (
     IMPOSSIBLE_SHAPE,
@@ -18,7 +19,10 @@
     USERS,
     demo_entries,
 )
+from swifthoist_cli.verbs_reports import BURN, USAGE
+from swifthoist_core.burn import BurnReport
 from swifthoist_core.documents import JobDocument, ShapeDocument
+from swifthoist_core.reports import UsageReport
 from swifthoist_core.tokens import Identity, Role
 
 LOAD_S = 9.0
@@ -38,6 +42,7 @@
 _PLAN_AT_S = 3.0
 _SMALL_JOBS = 12
 _OPERATOR = Identity(Role.OPERATOR, 'demo')
+_Report = TypeVar('_Report')
 _ENDED = frozenset(('done', 'failed', 'cancelled', 'refused', 'unknown'))
 
 
@@ -69,8 +74,8 @@
         :param http: client whose connections are used.
         """
         self.checks: list[demo_checks.Check] = []
-        self.usage: dict[str, Any] = {}
-        self.burn: dict[str, Any] = {}
+        self.usage: UsageReport | None = None
+        self.burn: BurnReport | None = None
         self._scene = scene
         self._http = http
         self._callers = Callers(scene.site, http)
@@ -194,10 +199,10 @@
     async def _check(self) -> None:
         left = await self._open_jobs()
         records = await self._read_records()
-        self.usage = await self._read('/v1/reports/usage')
-        self.burn = await self._read('/v1/reports/burn')
+        self.usage = await self._read_report(USAGE, UsageReport)
+        self.burn = await self._read_report(BURN, BurnReport)
         attempts = self._callers.attempts
-        reclaims = sum(line['reclaims'] for line in self.usage['lines'])
+        reclaims = sum(line.reclaims for line in self.usage.lines)
         self.checks = [
             *demo_checks.check_requests(attempts, records),
             demo_checks.check_gangs(records, self._sizes),
@@ -210,14 +215,21 @@
             _wanted('a guarantee was reclaimed', reclaims),
         ]
 
-    async def _read(self, path: str) -> dict[str, Any]:
-        """Read a report once the last counts of requests are on the log."""
+    async def _read(self, path: str) -> Any:
         reply = await self._callers.call('GET', path, _OPERATOR)
         while reply is None or reply.is_error:
             await anyio.sleep(_POLL_S)
             reply = await self._callers.call('GET', path, _OPERATOR)
-        content: dict[str, Any] = reply.json()
-        return content
+        return reply.json()
+
+    async def _read_report(self, path: str, kind: type[_Report]) -> _Report:
+        reply = await self._callers.call('GET', path, _OPERATOR, accept=MSGPACK)
+        while reply is None or reply.is_error:
+            await anyio.sleep(_POLL_S)
+            reply = await self._callers.call(
+                'GET', path, _OPERATOR, accept=MSGPACK
+            )
+        return msgspec.msgpack.decode(reply.content, type=kind)
 
     async def _read_records(self) -> demo_checks.Records:
         runs: list[Mapping[str, Any]] = []
--- a/packages/cli/swifthoist_cli/demo_callers.py
+++ b/packages/cli/swifthoist_cli/demo_callers.py
@@ -126,6 +126,7 @@
         path: str,
         identity: Identity,
         content: object = None,
+        accept: str = 'application/json',
     ) -> httpx.Response | None:
         """Make one call to the next instance in turn.
 
@@ -133,14 +134,16 @@
         :param path: path below the base URL.
         :param identity: who calls.
         :param content: document to send, ``None`` for none.
+        :param accept: media type of the answer.
         :returns: the answer, ``None`` if there was none.
         """
+        headers = {**self._headers(identity), 'Accept': accept}
         try:
             return await self._http.request(
                 method,
                 f'{self._next_url()}{path}',
                 json=content,
-                headers=self._headers(identity),
+                headers=headers,
                 timeout=CALL_S,
             )
         except httpx.HTTPError:
--- a/packages/cli/swifthoist_cli/demo_checks.py
+++ b/packages/cli/swifthoist_cli/demo_checks.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple, TypeAlias
 
 from swifthoist_cli.demo_callers import Attempt, Ending
+from swifthoist_core.reports import UsageReport
 
 WINDOW_MS = 8_000
 """Bound on the time between the first and the last start or end of the parts
@@ -128,7 +129,7 @@
     return Check(promise, tuple(broken), seen)
 
 
-def check_account(report: Mapping[str, Any], records: Records) -> Check:
+def check_account(report: UsageReport, records: Records) -> Check:
     """Check the report against the workers, part by part.
 
     :param report: the usage report.
@@ -136,10 +137,8 @@
     :returns: the check.
     """
     reported = {
-        (span['job_id'], span['attempt'], span['part']): (
-            span['accelerators'] * (span['stopped_ms'] - span['started_ms'])
-        )
-        for span in report['spans']
+        (span.job_id, span.attempt, span.part): span.accelerator_ms
+        for span in report.spans
     }
     recorded = {
         (part['job_id'], part['attempt'], part['part']): (
@@ -172,7 +171,7 @@
 def _is_partial(parts: list[Line], size: int) -> bool:
     if len(parts) != size:
         return True
-    starts = [part['started_ms'] for part in parts]
+    starts = [_start_of(part) for part in parts]
     return max(starts) - min(starts) > WINDOW_MS
 
 
--- a/packages/cli/swifthoist_cli/verbs_reports.py
+++ b/packages/cli/swifthoist_cli/verbs_reports.py
@@ -1,8 +1,17 @@
 """Verbs that report, and show the state of instances."""
 
+from pathlib import Path
+
 from swifthoist_cli.output import print_json, print_table, print_text
-from swifthoist_cli.rendering import burn_text, usage_text
+from swifthoist_cli.pages import usage_page
+from swifthoist_cli.rendering import Format, render
 from swifthoist_cli.verbs import Verbs, verb
+from swifthoist_core.burn import BurnReport
+from swifthoist_core.errors import Finding, InvalidInputError
+from swifthoist_core.reports import UsageReport
+
+USAGE = '/v1/reports/usage'
+BURN = '/v1/reports/burn'
 
 
 class ReportVerbs(Verbs):
@@ -10,32 +19,45 @@
 
     @verb
     def report(
-        self, owner: str | None = None, month: str | None = None
+        self,
+        owner: str | None = None,
+        month: str | None = None,
+        form: str = 'text',
+        table: str = '',
+        html: str = '',
     ) -> None:
         """Report use, waiting and refusals.
 
         :param owner: one team only.
         :param month: one month only, as 2026-12.
+        :param form: text, json or csv.
+        :param table: one table only; a CSV file holds one.
+        :param html: file for one page with plots, instead of text.
         """
-        content = self._api().get('/v1/reports/usage', owner=owner, month=month)
-        if self._json:
-            print_json(content)
+        usage = self._api().get_report(
+            USAGE, UsageReport, owner=owner, month=month
+        )
+        if html:
+            burn = self._api().get_report(BURN, BurnReport, owner=owner)
+            Path(html).write_text(usage_page(usage, burn))
+            print_text(f'wrote {html}')
             return
-        print_text(usage_text(content))
+        print_text(render(usage, self._form(form), table).rstrip('\n'))
 
     @verb
-    def burn(self, owner: str | None = None) -> int:
+    def burn(
+        self, owner: str | None = None, form: str = 'text', table: str = ''
+    ) -> int:
         """Report service-level burn; the exit code is the worst alert.
 
         :param owner: one team only.
-        :returns: 0 for no alert, greater for a worse one.
+        :param form: text, json or csv.
+        :param table: one table only; a CSV file holds one.
+        :returns: 0 for no alert, 1 for a ticket, 2 for a page.
         """
-        content = self._api().get('/v1/reports/burn', owner=owner)
-        if self._json:
-            print_json(content)
-        else:
-            print_text(burn_text(content))
-        return int(content['exit_code'])
+        burn = self._api().get_report(BURN, BurnReport, owner=owner)
+        print_text(render(burn, self._form(form), table).rstrip('\n'))
+        return burn.exit_code
 
     @verb
     def instances(self) -> None:
@@ -51,3 +73,11 @@
     def debug(self) -> None:
         """Show settings and state of an instance, for a bug report."""
         print_json(self._api().get('/v1/debug'))
+
+    def _form(self, form: str) -> Format:
+        if self._json:
+            return Format.JSON
+        if form not in set(Format):
+            finding = Finding('--form', f'must be one of {", ".join(Format)}')
+            raise InvalidInputError.of('report', (finding,))
+        return Format(form)
--- a/packages/daemon/swifthoistd/api_reports.py
+++ b/packages/daemon/swifthoistd/api_reports.py
@@ -2,18 +2,21 @@
 
 import re
 
+import msgspec
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
-from swifthoist_core.burn import burn_report
+from swifthoist_core.burn import BurnReport, burn_report
 from swifthoist_core.errors import Finding
 from swifthoist_core.ledger import Ledger
-from swifthoist_core.reports import usage_report
+from swifthoist_core.reports import UsageReport, usage_report
 from swifthoist_core.tokens import Identity, Role
 from swifthoistd import replies
 from swifthoistd.callers import Gatekeeper
 
+MSGPACK = 'application/msgpack'
+
 _MONTH = re.compile(r'\d{4}-(0[1-9]|1[0-2])')
 
 
@@ -54,7 +57,7 @@
             finding = Finding('month', 'must be such as 2026-12')
             return replies.invalid((finding,))
         owner = _owner_asked(request, identity)
-        return replies.json_reply(usage_report(self._ledger, owner, month))
+        return _reply(request, usage_report(self._ledger, owner, month))
 
     async def burn(self, request: Request, identity: Identity) -> Response:
         """Report how error budgets are spent.
@@ -64,7 +67,14 @@
         :returns: the report with the offset it holds to.
         """
         owner = _owner_asked(request, identity)
-        return replies.json_reply(burn_report(self._ledger, owner))
+        return _reply(request, burn_report(self._ledger, owner))
+
+
+def _reply(request: Request, report: UsageReport | BurnReport) -> Response:
+    """Reply in msgpack, field by field in order, if the caller wants that."""
+    if request.headers.get('accept') != MSGPACK:
+        return replies.json_reply(report)
+    return Response(msgspec.msgpack.encode(report), media_type=MSGPACK)
 
 
 def _owner_asked(request: Request, identity: Identity) -> str | None:
