--- a/packages/cli/swifthoist_cli/demo.py
+++ b/packages/cli/swifthoist_cli/demo.py
@@ -40,7 +40,7 @@
 _SEED = 20_261_203
 _POLL_S = 0.3
 _PLAN_AT_S = 3.0
-_SMALL_JOBS = 12
+_SMALL_JOBS = 24
 _OPERATOR = Identity(Role.OPERATOR, 'demo')
 _Report = TypeVar('_Report')
 _ENDED = frozenset(('done', 'failed', 'cancelled', 'refused', 'unknown'))
@@ -187,10 +187,7 @@
                 await anyio.sleep(_POLL_S)
 
     async def _open_jobs(self) -> list[str]:
-        reply = await self._callers.call('GET', '/v1/jobs', _OPERATOR)
-        if reply is None or reply.is_error:
-            return ['unknown']
-        jobs = reply.json()['jobs']
+        jobs = (await self._read('/v1/jobs'))['jobs']
         known = {job['job_id']: job['status'] for job in jobs}
         return [
             job_id for job_id in self._sizes if known.get(job_id) not in _ENDED
--- a/packages/standins/swifthoist_standins/runner.py
+++ b/packages/standins/swifthoist_standins/runner.py
@@ -221,7 +221,10 @@
         )
         asked_ms = min(int(work_ms), LONGEST_WORK_MS)
         work = Work(run, body, asked_ms, int(deadline_ms))
-        return await self._runner.serve(work)
+        reply = await self._runner.serve(work)
+        # The echo lets an instance match the answer to its own request.
+        reply.headers['X-Request-Id'] = request_id
+        return reply
 
     async def record(self, _: Request) -> Response:
         """Serve ``GET /record``."""
