--- a/packages/core/swifthoist_core/histograms.py
+++ b/packages/core/swifthoist_core/histograms.py
@@ -78,11 +78,6 @@
     histogram = HdrHistogram(1, MAX_WAIT_MS, SIGNIFICANT_DIGITS)
     for bucket, times in counts.items():
         histogram.record_value(min(bucket, MAX_WAIT_MS), times)
-    ranks = histogram.get_percentile_to_value_dict([50, 90, 99, 100])
-    return Percentiles(
-        int(histogram.get_total_count()),
-        int(ranks[50]),
-        int(ranks[90]),
-        int(ranks[99]),
-        int(ranks[100]),
-    )
+    ranks = (50, 90, 99, 100)
+    waits = (int(histogram.get_value_at_percentile(rank)) for rank in ranks)
+    return Percentiles(int(histogram.get_total_count()), *waits)
--- a/tests/core/test_reports.py
+++ b/tests/core/test_reports.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from swifthoist_core import accounting, records
+from swifthoist_core.account import NEVER_FITS
 from swifthoist_core.ledger import Ledger
 from swifthoist_core.records import PartPlacement, PartUsage
 from swifthoist_core.reports import usage_report
@@ -95,6 +96,16 @@
         self.assertEqual(mine.lendings, ())
         self.assertEqual(usage_report(ledger, 'b', '1970-02').spans, ())
 
+    def test_a_line_without_waiting_has_no_percentiles(self) -> None:
+        """A refusal alone makes a line, and the report holds."""
+        book = Book().staffed(workers=1)
+        book.publish(job_entry('a'))
+        huge = records.JobSubmitted(spec('j', 'a', Shape(9, 8)), 'k')
+        book.append(huge)
+        line = usage_report(book.ledger).lines[0]
+        self.assertEqual(line.refused, {NEVER_FITS: 1})
+        self.assertEqual(set(line.waiting), {0})
+
     def test_an_estimate_is_marked_until_the_worker_reports(self) -> None:
         """The correction goes through the fold."""
         book = Book().staffed(workers=1)
