--- a/packages/core/swifthoist_core/months.py
+++ b/packages/core/swifthoist_core/months.py
@@ -1,13 +1,16 @@
 """Months of the account, in UTC."""
 
 import datetime as dt
+import functools
 from collections.abc import Iterator
 from typing import NamedTuple
 
 from swifthoist_core.types import Millis
 
 _MS_PER_S = 1_000
+_MS_PER_HOUR = 3_600_000
 _MAX_PIECES = 24
+_HOURS_REMEMBERED = 1_024
 
 
 class MonthPiece(NamedTuple):
@@ -27,7 +30,7 @@
     :param time_ms: ms since the epoch.
     :returns: the month, as ``2026-12``.
     """
-    return _when(time_ms).strftime('%Y-%m')
+    return _month_of_hour(time_ms // _MS_PER_HOUR)
 
 
 def pieces(started_ms: Millis, stopped_ms: Millis) -> Iterator[MonthPiece]:
@@ -40,6 +43,9 @@
     :param stopped_ms: end, ms since the epoch.
     :returns: a piece for each month, in order.
     """
+    if month_of(started_ms) == month_of(stopped_ms):
+        yield MonthPiece(month_of(started_ms), max(0, stopped_ms - started_ms))
+        return
     for _ in range(_MAX_PIECES):
         end_ms = _next_month_ms(started_ms)
         if stopped_ms <= end_ms:
@@ -49,6 +55,11 @@
     yield MonthPiece(month_of(started_ms), max(0, stopped_ms - started_ms))
 
 
+@functools.lru_cache(maxsize=_HOURS_REMEMBERED)
+def _month_of_hour(hour: int) -> str:
+    return _when(hour * _MS_PER_HOUR).strftime('%Y-%m')
+
+
 def _when(time_ms: Millis) -> dt.datetime:
     return dt.datetime.fromtimestamp(time_ms / _MS_PER_S, dt.UTC)
 
--- a/packages/core/swifthoist_core/spans.py
+++ b/packages/core/swifthoist_core/spans.py
@@ -1,5 +1,6 @@
 """Spans: one part of a gang on one worker, for a time."""
 
+import sys
 from typing import NamedTuple
 
 from swifthoist_core.jobs import Job
@@ -89,6 +90,8 @@
 def span_of(job: Job, use: PartUsage, *, reclaimed: bool) -> Span:
     """Make a span from what a worker reported.
 
+    The account keeps many spans of few workers, so their names are shared.
+
     :param job: the job as it was while it had its place.
     :param use: the worker's report, or the holder's estimate.
     :param reclaimed: whether a reclaim ended the attempt.
@@ -100,7 +103,7 @@
         job.spec.job_id,
         job.attempt,
         use.part,
-        use.worker,
+        sys.intern(use.worker),
         job.parts[use.part].first,
         use.accelerators,
         use.started_ms,
