--- a/packages/cli/swifthoist_cli/load.py
+++ b/packages/cli/swifthoist_cli/load.py
@@ -135,11 +135,10 @@
     shots = tuple(_schedule(plan, mix))
     run = _Run(plan, client, len(shots))
     started_s = anyio.current_time()
-    async with anyio.create_task_group() as group:
-        group.start_soon(run.tell_progress, on_progress)
-        for shot in shots:
-            await anyio.sleep_until(started_s + shot.due_s)
-            group.start_soon(run.send, shot, started_s)
+    async with anyio.create_task_group() as watchers:
+        watchers.start_soon(run.tell_progress, on_progress)
+        await _send_all(run, shots, started_s)
+        watchers.cancel_scope.cancel()
     on_progress(Progress(run.tallies.ended, len(shots)))
     return LoadSummary(
         mix.name,
@@ -151,6 +150,15 @@
     )
 
 
+async def _send_all(
+    run: '_Run', shots: tuple[_Shot, ...], started_s: float
+) -> None:
+    async with anyio.create_task_group() as group:
+        for shot in shots:
+            await anyio.sleep_until(started_s + shot.due_s)
+            group.start_soon(run.send, shot, started_s)
+
+
 class _Run:
     def __init__(
         self, plan: LoadPlan, client: httpx.AsyncClient, scheduled: int
@@ -175,7 +183,7 @@
     async def tell_progress(
         self, on_progress: Callable[[Progress], None]
     ) -> None:
-        while self.tallies.ended < self._scheduled:
+        while True:
             on_progress(Progress(self.tallies.ended, self._scheduled))
             await anyio.sleep(_PROGRESS_S)
 
--- a/tests/core/test_reports.py
+++ b/tests/core/test_reports.py
@@ -6,6 +6,7 @@
 
 from swifthoist_core import accounting, records
 from swifthoist_core.account import NEVER_FITS
+from swifthoist_core.burn import burn_report
 from swifthoist_core.ledger import Ledger
 from swifthoist_core.records import PartPlacement, PartUsage
 from swifthoist_core.reports import usage_report
@@ -88,6 +89,14 @@
         self.assertEqual(mine, msgspec.json.encode(usage_report(other)))
         self.assertEqual(usage_report(other).offset, len(book.log))
 
+    def test_reports_survive_the_way_to_another_program(self) -> None:
+        """What was encoded is decoded to an equal report."""
+        ledger = reclaimed_book().ledger
+        for report in (usage_report(ledger), burn_report(ledger)):
+            packed = msgspec.json.encode(report)
+            read = msgspec.json.decode(packed, type=type(report))
+            self.assertEqual(read, report)
+
     def test_a_question_for_one_owner_and_month_gets_only_that(self) -> None:
         """Other owners and other months are left out."""
         ledger = reclaimed_book().ledger
