Take a slot when the runner is chosen, and give up in time

Change: choosing takes the slot; a waiter whose class needs more time than is left is refused at its turn. An attempt that still runs counts as evidence that its runner is slow. Ruled out: counting in the task, as a task cancelled before its first step never runs its cleanup on asyncio.

--- a/packages/daemon/swifthoistd/attempts.py
+++ b/packages/daemon/swifthoistd/attempts.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one runner, and what it teaches."""
 
 from collections.abc import Callable, Collection
+from functools import partial
 from urllib.parse import quote
 
 import anyio
@@ -8,7 +9,7 @@
 from swifthoist_core.catalogue import Entry
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import Millis, RunnerId
-from swifthoistd.choice import Chooser, Scarcity
+from swifthoistd.choice import Chooser, Scarcity, Slot
 from swifthoistd.connections import Connections
 from swifthoistd.counters import Counters
 from swifthoistd.exchange import (
@@ -57,6 +58,11 @@
         """Whether a runner may have run the request by now."""
         return any(sending.sent for sending in self._sendings)
 
+    @property
+    def is_on_kept_connection(self) -> bool:
+        """Whether the latest attempt uses a connection that was kept."""
+        return bool(self._sendings) and self._sendings[-1].on_kept
+
     def begin(self, guard: Callable[[], None] | None) -> Sending:
         """Start to follow an attempt.
 
@@ -113,29 +119,32 @@
 
     def choose(
         self, job: Job, avoid: Collection[RunnerId] = ()
-    ) -> Runner | Scarcity:
-        """Choose a runner that has a slot to spare now.
+    ) -> Slot | Scarcity:
+        """Take a slot that is free now.
 
         :param job: the request.
         :param avoid: runners that were tried; taken only if no other is
             there.
-        :returns: the runner, or why there is none.
+        :returns: the slot, or why there is none.
         """
         runners = self._runners.serving(job.entry.service)
-        trial = job.req.idempotent
-        found = self._chooser.choose(runners, avoid, trial=trial)
-        if found is Scarcity.NONE and avoid:
-            return self._chooser.choose(runners, trial=trial)
-        return found
+        choose = partial(
+            self._chooser.choose,
+            runners,
+            trial=job.req.idempotent,
+            usual_ms=self._policy.mean_ms(job.req.class_name),
+        )
+        found = choose(avoid)
+        return choose() if found is Scarcity.NONE and avoid else found
 
     async def choose_in_turn(
         self, job: Job, avoid: Collection[RunnerId] = ()
-    ) -> Runner | Scarcity:
-        """Choose a runner, and wait while all that may be used are busy.
+    ) -> Slot | Scarcity:
+        """Take a slot, and wait while all that may be used are taken.
 
         :param job: the request.
         :param avoid: runners that were tried.
-        :returns: the runner, or why there is none.
+        :returns: the slot, or why there is none.
         """
         found = self.choose(job, avoid)
         while found is Scarcity.BUSY and self.left_ms(job):
@@ -148,7 +157,7 @@
     async def make(
         self,
         job: Job,
-        runner: Runner,
+        slot: Slot,
         *,
         fresh: bool = False,
         guard: Callable[[], None] | None = None,
@@ -156,21 +165,20 @@
         """Send a request to a runner once.
 
         :param job: the request.
-        :param runner: the runner.
+        :param slot: the slot at a runner; given back at the end.
         :param fresh: whether to use a new connection in any case.
         :param guard: called immediately before the first byte.
         :returns: what is known afterwards, at its deadline at the latest.
         """
         self._counters.count_attempt()
-        self._chooser.start(runner)
         sending = job.begin(guard)
         began_s = anyio.current_time()
         reply: Reply | None = None
         try:
-            reply = await self._exchange(job, runner, sending, fresh)
+            reply = await self._exchange(job, slot.runner, sending, fresh)
         finally:
             elapsed_ms = (anyio.current_time() - began_s) * _MS_PER_S
-            self._learn(job, runner, reply, elapsed_ms)
+            self._learn(job, slot, reply, elapsed_ms)
         if isinstance(reply, Declined | NotSent):
             job.clear(sending)
         return reply
@@ -187,7 +195,7 @@
         return Broken('deadline') if sending.sent else NotSent('deadline')
 
     def _learn(
-        self, job: Job, runner: Runner, reply: Reply | None, elapsed_ms: float
+        self, job: Job, slot: Slot, reply: Reply | None, elapsed_ms: float
     ) -> None:
         class_name = job.req.class_name
         usual_ms = self._policy.mean_ms(class_name) or elapsed_ms
@@ -195,9 +203,9 @@
         if isinstance(reply, Answered):
             self._policy.record(class_name, elapsed_ms)
         elif slowness < 1 or isinstance(reply, Declined | NotSent):
-            self._chooser.finish(runner, _verdict(reply))
+            slot.free(_verdict(reply))
             return
-        self._chooser.finish(runner, _verdict(reply), slowness)
+        slot.free(_verdict(reply), slowness)
 
 
 def _verdict(reply: Reply | None) -> Verdict:
--- a/packages/daemon/swifthoistd/choice.py
+++ b/packages/daemon/swifthoistd/choice.py
@@ -13,6 +13,8 @@
 from swifthoistd.shares import Shares
 from swifthoistd.standing import Standing, Verdict
 
+_CAPACITY_MS = 20
+
 
 class ChoiceConfig(NamedTuple):
     """Settings of the choice.
@@ -76,16 +78,26 @@
         self._rng = rng
         self._cfg = cfg
         self._standings: dict[RunnerId, Standing] = {}
-        self._in_flight: dict[RunnerId, int] = {}
+        self._in_use: dict[RunnerId, list[Slot]] = {}
         self._reports: dict[InstanceId, _Report] = {}
         self._freed = anyio.Event()
+        self._capacity = 0
+        self._capacity_until_ms: Millis = 0
 
     def capacity(self, runners: Sequence[Runner]) -> int:
         """Slots that this instance may use now.
 
         :param runners: the runners that may get work.
-        :returns: its part of their slots, and what it may go beyond it.
+        :returns: its part of their slots, and what it may go beyond it, as
+            it was a moment ago at most.
         """
+        now_ms = self._clock.boot_ms()
+        if now_ms >= self._capacity_until_ms:
+            self._capacity = self._count_capacity(runners)
+            self._capacity_until_ms = now_ms + _CAPACITY_MS
+        return self._capacity
+
+    def _count_capacity(self, runners: Sequence[Runner]) -> int:
         return sum(self._limit(runner.runner_id) for runner in runners)
 
     def choose(
@@ -94,14 +106,16 @@
         avoid: Collection[RunnerId] = (),
         *,
         trial: bool,
-    ) -> Runner | Scarcity:
-        """Choose a runner that has a slot to spare.
+        usual_ms: float = 0,
+    ) -> 'Slot | Scarcity':
+        """Choose a runner that has a slot to spare, and take the slot.
 
         :param runners: the runners that may get work.
         :param avoid: ids of runners not to take.
         :param trial: whether the request may try out a runner that was set
             aside, because it may run more than once.
-        :returns: the runner, or why there is none.
+        :param usual_ms: usual time of the class, in ms; 0 if unknown.
+        :returns: the slot, to be given back; or why there is none.
         """
         sound = [
             runner
@@ -113,34 +127,33 @@
         free = [runner for runner in sound if self._has_slot(runner)]
         if not free:
             return Scarcity.BUSY
-        return self._best(free)
-
-    def start(self, runner: Runner) -> None:
-        """Count an attempt as in flight.
+        return self._take(self._best(free), usual_ms)
 
-        :param runner: the runner it goes to.
-        """
-        used = self._in_flight.get(runner.runner_id, 0)
-        self._in_flight[runner.runner_id] = used + 1
-        self._standing(runner).start(self._clock.boot_ms())
+    def _take(self, runner: Runner, usual_ms: float) -> 'Slot':
+        now_ms = self._clock.boot_ms()
+        slot = Slot(self, runner, now_ms, usual_ms)
+        self._in_use.setdefault(runner.runner_id, []).append(slot)
+        self._standing(runner).start(now_ms)
+        return slot
 
     def finish(
-        self, runner: Runner, verdict: Verdict, slowness: float | None = None
+        self, slot: 'Slot', verdict: Verdict, slowness: float | None
     ) -> None:
-        """Count an attempt as over.
+        """Count an attempt as over; called by its slot.
 
-        :param runner: the runner it went to.
+        :param slot: the slot it had.
         :param verdict: how the runner did.
         :param slowness: its time as a multiple of the usual for the class,
             if it answered.
         """
-        left = self._in_flight[runner.runner_id] - 1
-        self._in_flight[runner.runner_id] = left
-        if not left:
-            self._in_flight.pop(runner.runner_id)
+        runner = slot.runner
+        self._in_use[runner.runner_id].remove(slot)
+        if not self._in_use[runner.runner_id]:
+            self._in_use.pop(runner.runner_id)
         now_ms = self._clock.boot_ms()
         standing = self._standing(runner)
-        standing.finish(verdict, now_ms, self._usual_failures())
+        usual = _usual_failures(self._standings.values())
+        standing.finish(verdict, now_ms, usual)
         if slowness is not None:
             standing.learn(slowness, now_ms)
         self._freed.set()
@@ -162,7 +175,9 @@
 
     def in_flight(self) -> dict[RunnerId, int]:
         """This instance's attempts in flight by runner, for its peers."""
-        return dict(self._in_flight)
+        return {
+            runner_id: len(slots) for runner_id, slots in self._in_use.items()
+        }
 
     def retain(self, runners: Collection[Runner]) -> None:
         """Forget runners that are gone.
@@ -173,7 +188,7 @@
         self._standings = {
             runner_id: standing
             for runner_id, standing in self._standings.items()
-            if runner_id in kept or runner_id in self._in_flight
+            if runner_id in kept or runner_id in self._in_use
         }
 
     def _standing(self, runner: Runner) -> Standing:
@@ -186,13 +201,8 @@
     def _is_open(self, runner: Runner, trial: bool) -> bool:
         return self._standing(runner).is_open(self._clock.boot_ms(), trial)
 
-    def _usual_failures(self) -> float:
-        # The better runners show what failures the requests bring along.
-        ratios = sorted(item.failures for item in self._standings.values())
-        return ratios[len(ratios) // 4]
-
     def _has_slot(self, runner: Runner) -> bool:
-        own = self._in_flight.get(runner.runner_id, 0)
+        own = len(self._in_use.get(runner.runner_id, ()))
         return own < self._limit(runner.runner_id)
 
     def _limit(self, runner_id: RunnerId) -> int:
@@ -226,8 +236,69 @@
         return min(sampled, key=self._expected)
 
     def _expected(self, runner: Runner) -> float:
-        runner_id = runner.runner_id
-        own = self._in_flight.get(runner_id, 0)
-        used = own + self._peer_use(runner_id)
-        slowness = self._standing(runner).slowness(self._clock.boot_ms())
+        now_ms = self._clock.boot_ms()
+        slots = self._in_use.get(runner.runner_id, ())
+        used = len(slots) + self._peer_use(runner.runner_id)
+        slowness = self._standing(runner).slowness(now_ms)
+        for slot in slots:
+            # An attempt that still runs has taken this long at least.
+            slowness = max(slowness, slot.slowness(now_ms))
         return slowness * (1 + used / self._cfg.slots)
+
+
+class Slot:
+    """A slot at a runner, taken for one attempt.
+
+    :ivar runner: the runner.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        runner: Runner,
+        since_ms: Millis,
+        usual_ms: float,
+    ) -> None:
+        """Take the slot.
+
+        :param chooser: counts it.
+        :param runner: the runner.
+        :param since_ms: when it was taken, on the boot clock.
+        :param usual_ms: usual time of the class, in ms; 0 if unknown.
+        """
+        self.runner = runner
+        self._chooser = chooser
+        self._since_ms = since_ms
+        self._usual_ms = usual_ms
+        self._taken = True
+
+    def slowness(self, now_ms: Millis) -> float:
+        """Time it has been taken as a multiple of the usual for the class.
+
+        :param now_ms: the time on the boot clock.
+        :returns: the multiple; 0 if the usual time is unknown.
+        """
+        if not self._usual_ms:
+            return 0
+        return (now_ms - self._since_ms) / self._usual_ms
+
+    def free(
+        self,
+        verdict: Verdict = Verdict.NEUTRAL,
+        slowness: float | None = None,
+    ) -> None:
+        """Give the slot back; only the first call counts.
+
+        :param verdict: how the runner did.
+        :param slowness: its time as a multiple of the usual for the class,
+            if it answered.
+        """
+        if self._taken:
+            self._taken = False
+            self._chooser.finish(self, verdict, slowness)
+
+
+def _usual_failures(standings: Collection[Standing]) -> float:
+    # The better runners show what failures the requests bring along.
+    ratios = sorted(standing.failures for standing in standings)
+    return ratios[len(ratios) // 4]
--- a/packages/daemon/swifthoistd/connections.py
+++ b/packages/daemon/swifthoistd/connections.py
@@ -56,8 +56,8 @@
     """
 
     per_runner: int = 64
-    trust_ms: Millis = 1_000
-    probe_every_ms: Millis = 500
+    trust_ms: Millis = 1_500
+    probe_every_ms: Millis = 1_000
     probe_timeout_ms: Millis = 700
 
 
@@ -137,7 +137,7 @@
         :param fresh: whether to use a new connection in any case.
         :returns: what is known afterwards.
         """
-        conn = await self._take(runner, fresh)
+        conn = await self._take(runner, sending, fresh)
         if conn is None:
             return NotSent('connections')
         return await self._exchange_over(conn, call, sending)
@@ -186,13 +186,16 @@
             case Broken(dropped=cause) if cause is not None:
                 self._counters.count_dropped(cause)
 
-    async def _take(self, runner: Runner, fresh: bool) -> _Connection | None:
+    async def _take(
+        self, runner: Runner, sending: Sending, fresh: bool
+    ) -> _Connection | None:
         share = self._shares.part(self._cfg.per_runner, runner.runner_id)
         idle = self._idle(runner.runner_id)
         if not fresh:
             for conn in idle:
                 if self._is_trusted(conn, runner):
                     conn.busy = True
+                    sending.on_kept = True
                     return conn
         if self.held(runner.runner_id) >= share:
             if not idle:
--- a/packages/daemon/swifthoistd/exchange.py
+++ b/packages/daemon/swifthoistd/exchange.py
@@ -97,6 +97,7 @@
     """How far one request has got.
 
     :ivar sent: whether its first byte may have left.
+    :ivar on_kept: whether its connection has served others before.
     """
 
     def __init__(self, guard: Callable[[], None] | None = None) -> None:
@@ -106,6 +107,7 @@
             :class:`SendingRefusedError` when it is too late to send.
         """
         self.sent = False
+        self.on_kept = False
         self._guard = guard
 
     async def trace(self, event: str, details: object) -> None:
--- a/packages/daemon/swifthoistd/limits.py
+++ b/packages/daemon/swifthoistd/limits.py
@@ -107,7 +107,7 @@
         refusal = self._refuse_early(entry, usage, until_ms)
         if refusal is not None:
             return refusal
-        waiter = Waiter(entry, until_ms - round(usage.hold_ms))
+        waiter = Waiter(entry, until_ms)
         self._turns.add(waiter)
         usage.queued += 1
         self.wake()
@@ -124,41 +124,51 @@
 
     def wake(self) -> None:
         """Admit as many waiting requests as there is capacity for."""
-        while self._in_progress < self._capacity():
+        capacity = self._capacity()
+        while self._in_progress < capacity:
             waiter = self._turns.take(self._may_start)
             if waiter is None:
                 return
-            usage = self._usage_of(waiter.entry)
-            usage.queued -= 1
+            self._start(waiter)
+
+    def _start(self, waiter: Waiter) -> None:
+        usage = self._usage_of(waiter.entry)
+        usage.queued -= 1
+        if self._left_ms(usage, waiter) > 0 or not usage.in_progress:
+            waiter.admitted = True
             usage.in_progress += 1
             self._in_progress += 1
-            waiter.woken.set()
+        waiter.woken.set()
+
+    def _left_ms(self, usage: _Usage, waiter: Waiter) -> Millis:
+        latest_ms = waiter.until_ms - round(usage.hold_ms)
+        return latest_ms - self._clock.boot_ms()
 
     async def _wait(self, usage: _Usage, waiter: Waiter) -> Permit | Refusal:
         entry = waiter.entry
         waited = False
         try:
-            waited = await self._wait_woken(waiter)
+            waited = await self._wait_woken(usage, waiter)
         finally:
             if not waited:
                 self._abandon(usage, waiter)
-        if not waiter.woken.is_set():
+        if not waiter.admitted:
             wait_ms = self._expected_wait_ms(entry, usage)
             return Refusal('overload', wait_ms)
         return Permit(entry.owner, entry.class_name, self._clock.boot_ms())
 
-    async def _wait_woken(self, waiter: Waiter) -> bool:
-        left_ms = waiter.latest_ms - self._clock.boot_ms()
+    async def _wait_woken(self, usage: _Usage, waiter: Waiter) -> bool:
+        left_ms = self._left_ms(usage, waiter)
         with anyio.move_on_after(max(0, left_ms) / _MS_PER_S):
             await waiter.woken.wait()
         return waiter.woken.is_set()
 
     def _abandon(self, usage: _Usage, waiter: Waiter) -> None:
-        if waiter.woken.is_set():
+        if waiter.admitted:
             self._end(usage)
-            return
-        self._turns.remove(waiter)
-        usage.queued -= 1
+        elif not waiter.woken.is_set():
+            self._turns.remove(waiter)
+            usage.queued -= 1
 
     def _end(self, usage: _Usage) -> None:
         usage.in_progress -= 1
@@ -172,6 +182,8 @@
     def _refuse_early(
         self, entry: Entry, usage: _Usage, until_ms: Millis
     ) -> Refusal | None:
+        if not self._capacity():
+            return Refusal('no-capacity', self._shares.settling_ms())
         now_ms = self._clock.boot_ms()
         limits = self._limits_here(entry)
         usage.refill(now_ms, limits)
--- a/packages/daemon/swifthoistd/race.py
+++ b/packages/daemon/swifthoistd/race.py
@@ -5,11 +5,10 @@
 
 from swifthoist_core.types import Millis, RunnerId
 from swifthoistd.attempts import Attempts, Job
-from swifthoistd.choice import Scarcity
+from swifthoistd.choice import Scarcity, Slot
 from swifthoistd.counters import Counters, Extra
 from swifthoistd.exchange import Answered, Broken, Declined, NotSent, Reply
 from swifthoistd.retries import RetryPolicy
-from swifthoistd.runners import Runner
 from swifthoistd.work import Done, NotRun, Outcome, Unknown
 
 _MS_PER_S = 1_000
@@ -38,7 +37,15 @@
         self._policy = policy
         self._counters = counters
         self._tried: list[RunnerId] = []
+        self._slots: list[Slot] = []
         self._running = 0
+        self._paid = False
+        self._latest = anyio.CancelScope()
+        class_name = job.req.class_name
+        self._silent_ms = policy.silent_after_ms(class_name)
+        self._hedge_ms = policy.hedge_after_ms(
+            class_name, job.entry.urgency, self._silent_ms
+        )
         self._reason = 'no-runner'
         self._retry_ms: Millis = _RETRY_MS
         limit = policy.cfg.max_attempts
@@ -51,43 +58,49 @@
 
         :returns: the outcome, at the request's deadline at the latest.
         """
-        with self._sender, self._replies:
+        try:
             async with anyio.create_task_group() as tasks:
                 outcome = await self._run(tasks)
                 tasks.cancel_scope.cancel()
+        finally:
+            self._clean_up()
         return outcome
 
+    def _clean_up(self) -> None:
+        self._sender.close()
+        self._replies.close()
+        for slot in self._slots:
+            # An attempt that was cancelled before it began has kept its.
+            slot.free()
+
     async def _run(self, tasks: TaskGroup) -> Outcome:
         first = await self._attempts.choose_in_turn(self._job)
         if not isinstance(first, Scarcity):
             self._launch(tasks, first, fresh=False)
-        wait_ms = self._first_wait_ms()
+        wait_ms = self._hedge_ms or self._silent_ms
         while self._running:
             reply = await self._next_reply(wait_ms)
             if isinstance(reply, Answered):
                 return Done(reply.status, reply.body, reply.content_type)
-            self._note(reply)
-            self._go_on(tasks, reply)
-            wait_ms = self._silent_ms()
+            if reply is None:
+                self._hurry(tasks, wait_ms)
+            else:
+                self._note(reply)
+                await self._try_again(tasks)
+            wait_ms = self._silent_ms
         return self._conclude()
 
-    def _first_wait_ms(self) -> Millis:
-        urgency = self._job.entry.urgency
-        hedge_ms = self._policy.hedge_after_ms(
-            self._job.req.class_name, urgency
-        )
-        return hedge_ms or self._silent_ms()
-
-    def _silent_ms(self) -> Millis:
-        return self._policy.silent_after_ms(self._job.req.class_name)
-
-    def _launch(self, tasks: TaskGroup, runner: Runner, *, fresh: bool) -> None:
+    def _launch(self, tasks: TaskGroup, slot: Slot, *, fresh: bool) -> None:
         self._running += 1
-        self._tried.append(runner.runner_id)
-        tasks.start_soon(self._attempt, runner, fresh)
-
-    async def _attempt(self, runner: Runner, fresh: bool) -> None:
-        reply = await self._attempts.make(self._job, runner, fresh=fresh)
+        self._slots.append(slot)
+        self._tried.append(slot.runner.runner_id)
+        tasks.start_soon(self._attempt, slot, fresh)
+
+    async def _attempt(self, slot: Slot, fresh: bool) -> None:
+        reply: Reply = Broken('silent')
+        with anyio.CancelScope() as scope:
+            self._latest = scope
+            reply = await self._attempts.make(self._job, slot, fresh=fresh)
         self._sender.send_nowait(reply)
 
     async def _next_reply(self, wait_ms: Millis) -> Reply | None:
@@ -95,9 +108,7 @@
             return await self._replies.receive()
         return None
 
-    def _note(self, reply: Reply | None) -> None:
-        if reply is None:
-            return
+    def _note(self, reply: Reply) -> None:
         self._running -= 1
         match reply:
             case Declined(retry_after_ms):
@@ -106,19 +117,42 @@
             case NotSent(reason) | Broken(reason):
                 self._reason = reason
 
-    def _go_on(self, tasks: TaskGroup, reply: Reply | None) -> None:
-        if reply is not None and self._running:
+    def _hurry(self, tasks: TaskGroup, waited_ms: Millis) -> None:
+        if not self._may_add():
             return
-        if len(self._tried) >= self._policy.cfg.max_attempts:
+        silent = waited_ms >= self._silent_ms and self._running == 1
+        if silent and self._job.is_on_kept_connection:
+            # Such a connection may have gone silent; a new one may not.  The
+            # attempt gives its slot back, or there might be no free one.
+            if self._policy.spend():
+                self._paid = True
+                self._latest.cancel()
+            return
+        slot = self._attempts.choose(self._job, self._tried)
+        if isinstance(slot, Scarcity):
+            return
+        if not self._policy.spend():
+            slot.free()
             return
-        if not self._attempts.left_ms(self._job):
+        hedge = waited_ms < self._silent_ms
+        self._counters.count_extra(Extra.HEDGE if hedge else Extra.RETRY)
+        self._launch(tasks, slot, fresh=True)
+
+    async def _try_again(self, tasks: TaskGroup) -> None:
+        if self._running or not self._may_add():
             return
-        runner = self._attempts.choose(self._job, self._tried)
-        if isinstance(runner, Scarcity) or not self._policy.spend():
+        if not self._paid and not self._policy.spend():
             return
-        extra = Extra.HEDGE if reply is None else Extra.RETRY
-        self._counters.count_extra(extra)
-        self._launch(tasks, runner, fresh=True)
+        self._paid = False
+        slot = await self._attempts.choose_in_turn(self._job, self._tried)
+        if not isinstance(slot, Scarcity):
+            self._counters.count_extra(Extra.RETRY)
+            self._launch(tasks, slot, fresh=True)
+
+    def _may_add(self) -> bool:
+        if len(self._tried) >= self._policy.cfg.max_attempts:
+            return False
+        return self._attempts.left_ms(self._job) > 0
 
     def _conclude(self) -> Outcome:
         if self._job.may_have_run:
--- a/packages/daemon/swifthoistd/recorded.py
+++ b/packages/daemon/swifthoistd/recorded.py
@@ -108,12 +108,13 @@
 
     async def _send(self) -> Outcome:
         while True:
-            runner = await self._attempts.choose_in_turn(self._job, self._tried)
-            if isinstance(runner, Scarcity):
+            slot = await self._attempts.choose_in_turn(self._job, self._tried)
+            if isinstance(slot, Scarcity):
                 return NotRun('no-runner', _RETRY_MS)
-            self._tried.append(runner.runner_id)
+            self._tried.append(slot.runner.runner_id)
+            # A kept connection may have gone silent or be about to close.
             reply = await self._attempts.make(
-                self._job, runner, guard=self._check_valid
+                self._job, slot, fresh=True, guard=self._check_valid
             )
             if not self._may_go_on(reply):
                 return _conclude(reply)
--- a/packages/daemon/swifthoistd/retries.py
+++ b/packages/daemon/swifthoistd/retries.py
@@ -11,6 +11,7 @@
 _DIGITS = 2
 _HEDGE_PERCENTILE = 95.0
 _WINDOW = 512
+_REFRESH = 16
 _MEAN_WEIGHT = 0.05
 
 
@@ -21,17 +22,20 @@
     :ivar burst: how many may be saved up.
     :ivar max_attempts: attempts for one request, the first included.
     :ivar hedge_min_ms: no hedge is sent earlier, in ms.
-    :ivar silent_ms: an idempotent attempt without an answer for this long is
-        tried on a fresh connection, in ms; longer for slow classes.
-    :ivar silent_factor: the same as a multiple of the class's usual time.
+    :ivar silent_min_ms: an idempotent attempt without an answer for this
+        long may be tried on a fresh connection, in ms.
+    :ivar silent_factor: the same as a multiple of the class's usual time;
+        the longer of the two counts.
+    :ivar silent_unknown_ms: the same while no usual time is known, in ms.
     """
 
     ratio: float = 0.1
-    burst: float = 32.0
+    burst: float = 64.0
     max_attempts: int = 3
     hedge_min_ms: Millis = 20
-    silent_ms: Millis = 1_500
-    silent_factor: float = 4.0
+    silent_min_ms: Millis = 500
+    silent_factor: float = 8.0
+    silent_unknown_ms: Millis = 1_500
 
 
 DEFAULT_RETRIES = RetryConfig()
@@ -42,26 +46,28 @@
 
     def __init__(self) -> None:
         self.mean_ms = float(0)
+        self.high_ms: Millis = 0
         self._now = HdrHistogram(1, _MAX_TRACKED_MS, _DIGITS)
-        self._before: HdrHistogram | None = None
-        self._high_ms = 0
+        self._recorded = 0
+        self._before_ms: Millis = 0
 
     def record(self, elapsed_ms: float) -> None:
         if not self.mean_ms:
             self.mean_ms = elapsed_ms
         self.mean_ms += _MEAN_WEIGHT * (elapsed_ms - self.mean_ms)
         self._now.record_value(min(max(1, round(elapsed_ms)), _MAX_TRACKED_MS))
-        if self._now.get_total_count() < _WINDOW:
-            return
-        self._before = self._now
-        self._now = HdrHistogram(1, _MAX_TRACKED_MS, _DIGITS)
-        self._high_ms = self._before.get_value_at_percentile(_HEDGE_PERCENTILE)
+        self._recorded += 1
+        if self._recorded % _REFRESH == 1:
+            self._refresh()
 
-    def high_ms(self) -> Millis:
-        if self._before is not None:
-            return self._high_ms
+    def _refresh(self) -> None:
+        # Reading a percentile is slow, and it moves little between reads.
         high: int = self._now.get_value_at_percentile(_HEDGE_PERCENTILE)
-        return high
+        self.high_ms = max(self._before_ms, high)
+        if self._recorded >= _WINDOW:
+            self._before_ms = high
+            self._now = HdrHistogram(1, _MAX_TRACKED_MS, _DIGITS)
+            self._recorded = 0
 
 
 class RetryPolicy:
@@ -121,21 +127,23 @@
         :returns: the 95th percentile of late, in ms; 0 if none is known.
         """
         latency = self._latency.get(class_name)
-        return latency.high_ms() if latency else 0
+        return latency.high_ms if latency else 0
 
     def hedge_after_ms(
-        self, class_name: ClassName, urgency: Urgency
+        self, class_name: ClassName, urgency: Urgency, silent_ms: Millis
     ) -> Millis | None:
         """When to send a second attempt beside the first.
 
         :param class_name: class of work.
         :param urgency: order of service; only urgent work is hedged.
+        :param silent_ms: when the attempt is taken to be silent.
         :returns: the delay in ms, or ``None`` for no hedge.
         """
         usual_ms = self.usual_ms(class_name)
         if urgency is not Urgency.URGENT or not usual_ms:
             return None
-        return max(self.cfg.hedge_min_ms, usual_ms)
+        delay_ms = max(self.cfg.hedge_min_ms, usual_ms)
+        return delay_ms if delay_ms < silent_ms else None
 
     def silent_after_ms(self, class_name: ClassName) -> Millis:
         """When an idempotent attempt is taken to be on a silent connection.
@@ -143,5 +151,8 @@
         :param class_name: class of work.
         :returns: the time without an answer, in ms.
         """
-        scaled = self.usual_ms(class_name) * self.cfg.silent_factor
-        return max(self.cfg.silent_ms, round(scaled))
+        usual_ms = self.usual_ms(class_name)
+        if not usual_ms:
+            return self.cfg.silent_unknown_ms
+        scaled_ms = round(usual_ms * self.cfg.silent_factor)
+        return max(self.cfg.silent_min_ms, scaled_ms)
--- a/packages/daemon/swifthoistd/shares.py
+++ b/packages/daemon/swifthoistd/shares.py
@@ -14,6 +14,7 @@
 from swifthoist_core.types import InstanceId, Millis, RunnerId
 
 DEFAULT_SETTLE_MS = 5_000
+_MOMENT_MS = 250
 
 
 class _View(NamedTuple):
@@ -45,6 +46,7 @@
         self._settle_ms = settle_ms
         self._members: tuple[InstanceId, ...] = ()
         self._past: list[_View] = []
+        self._parts: dict[tuple[int, RunnerId], int] = {}
 
     def update(self, members: Iterable[InstanceId]) -> None:
         """Take in the live set; call it whenever the set is heard.
@@ -57,11 +59,21 @@
         until_ms = self._clock.boot_ms() + self._settle_ms
         self._past.append(_View(self._members, until_ms))
         self._members = current
+        self._parts.clear()
 
     def members(self) -> int:
         """Number of entry instances in the live set."""
         return max(1, len(self._members))
 
+    def settling_ms(self) -> Millis:
+        """Time until this instance may use its part under the present set.
+
+        :returns: the time in ms, at least a moment.
+        """
+        now_ms = self._clock.boot_ms()
+        ends = [view.until_ms - now_ms for view in self._past]
+        return max(_MOMENT_MS, *ends) if ends else _MOMENT_MS
+
     def part(self, total: int, item: RunnerId) -> int:
         """This instance's part of something every instance uses.
 
@@ -73,7 +85,16 @@
         :returns: how many of them this instance may use.
         """
         now_ms = self._clock.boot_ms()
-        self._past = [view for view in self._past if view.until_ms > now_ms]
+        if self._past and self._past[0].until_ms <= now_ms:
+            self._past = [past for past in self._past if past.until_ms > now_ms]
+            self._parts.clear()
+        found = self._parts.get((total, item))
+        if found is None:
+            found = self._least_part(total, item)
+            self._parts[total, item] = found
+        return found
+
+    def _least_part(self, total: int, item: RunnerId) -> int:
         views = [view.members for view in self._past]
         views.append(self._members)
         return min(self._part_of(total, item, view) for view in views)
--- a/packages/daemon/swifthoistd/standing.py
+++ b/packages/daemon/swifthoistd/standing.py
@@ -5,8 +5,8 @@
 
 from swifthoist_core.types import Millis
 
-_WEIGHT = 0.2
-_FORGET_MS = 10_000
+_WEIGHT = 0.3
+_FORGET_MS = 20_000
 _MIN_FAILURES = 3
 _WORSE_BY = 0.4
 _FIRST_ASIDE_MS = 1_000
--- a/packages/daemon/swifthoistd/turns.py
+++ b/packages/daemon/swifthoistd/turns.py
@@ -20,19 +20,21 @@
     """One request in the queue.
 
     :ivar entry: the entry that it belongs to.
-    :ivar latest_ms: when it is too late to start, on the boot clock.
+    :ivar until_ms: its deadline on the boot clock.
     :ivar woken: set when its turn has come.
+    :ivar admitted: whether it may start; else it is too late.
     """
 
-    def __init__(self, entry: Entry, latest_ms: Millis) -> None:
+    def __init__(self, entry: Entry, until_ms: Millis) -> None:
         """Start to wait.
 
         :param entry: the entry that it belongs to.
-        :param latest_ms: when it is too late to start, on the boot clock.
+        :param until_ms: its deadline on the boot clock.
         """
         self.entry = entry
-        self.latest_ms = latest_ms
+        self.until_ms = until_ms
         self.woken = anyio.Event()
+        self.admitted = False
 
 
 _Classes: TypeAlias = OrderedDict[ClassName, deque[Waiter]]
