--- a/packages/daemon/swifthoistd/choice.py
+++ b/packages/daemon/swifthoistd/choice.py
@@ -117,10 +117,12 @@
         :param usual_ms: usual time of the class, in ms; 0 if unknown.
         :returns: the slot, to be given back; or why there is none.
         """
+        now_ms = self._clock.boot_ms()
         sound = [
             runner
             for runner in runners
-            if runner.runner_id not in avoid and self._is_open(runner, trial)
+            if runner.runner_id not in avoid
+            and self._standing(runner).is_open(now_ms, trial)
         ]
         if not sound:
             return Scarcity.NONE
@@ -198,9 +200,6 @@
             self._standings[runner.runner_id] = standing
         return standing
 
-    def _is_open(self, runner: Runner, trial: bool) -> bool:
-        return self._standing(runner).is_open(self._clock.boot_ms(), trial)
-
     def _has_slot(self, runner: Runner) -> bool:
         own = len(self._in_use.get(runner.runner_id, ()))
         return own < self._limit(runner.runner_id)
--- a/packages/daemon/swifthoistd/dispatch.py
+++ b/packages/daemon/swifthoistd/dispatch.py
@@ -18,6 +18,7 @@
 from swifthoistd.work import Intents, NotRun, Outcome, WorkRequest
 
 _DRAINING_RETRY_MS = 10
+_TEND_S = 0.05
 
 
 class Parts(NamedTuple):
@@ -90,6 +91,16 @@
             self._count(req, outcome)
         return outcome
 
+    async def run(self) -> None:
+        """Look after connections and waiting requests, without end."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._parts.connections.run)
+            while True:
+                # Capacity also appears with time or with a new list.
+                self._parts.limiter.wake()
+                self._parts.chooser.retain(self._parts.runners.listed())
+                await anyio.sleep(_TEND_S)
+
     async def drain(self) -> None:
         """Take in no new request, and wait for those in progress."""
         self._draining = True
--- a/packages/daemon/swifthoistd/exchange.py
+++ b/packages/daemon/swifthoistd/exchange.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple, TypeAlias
 
-import anyio
 import httpx
 
 from swifthoist_core.errors import SwifthoistError
@@ -159,8 +158,7 @@
     try:
         body = await _read(response)
     finally:
-        with anyio.CancelScope(shield=True):
-            await response.aclose()
+        await response.aclose()
     return _judge(call, response, body)
 
 
--- a/packages/daemon/swifthoistd/limits.py
+++ b/packages/daemon/swifthoistd/limits.py
@@ -14,6 +14,7 @@
 _MS_PER_S = 1_000
 _MIN_RETRY_MS = 10
 _HOLD_WEIGHT = 0.05
+_MARGIN = 1.25
 _LEAST_RATE = 0.001
 
 
@@ -111,6 +112,8 @@
         self._turns.add(waiter)
         usage.queued += 1
         self.wake()
+        if waiter.admitted:
+            return self._permit(entry)
         return await self._wait(usage, waiter)
 
     def release(self, permit: Permit) -> None:
@@ -141,7 +144,7 @@
         waiter.woken.set()
 
     def _left_ms(self, usage: _Usage, waiter: Waiter) -> Millis:
-        latest_ms = waiter.until_ms - round(usage.hold_ms)
+        latest_ms = waiter.until_ms - round(usage.hold_ms * _MARGIN)
         return latest_ms - self._clock.boot_ms()
 
     async def _wait(self, usage: _Usage, waiter: Waiter) -> Permit | Refusal:
@@ -155,6 +158,9 @@
         if not waiter.admitted:
             wait_ms = self._expected_wait_ms(entry, usage)
             return Refusal('overload', wait_ms)
+        return self._permit(entry)
+
+    def _permit(self, entry: Entry) -> Permit:
         return Permit(entry.owner, entry.class_name, self._clock.boot_ms())
 
     async def _wait_woken(self, usage: _Usage, waiter: Waiter) -> bool:
@@ -190,7 +196,8 @@
         wait_ms = self._expected_wait_ms(entry, usage)
         if usage.queued >= limits.queue:
             return Refusal('queue', wait_ms)
-        if usage.queued and now_ms + wait_ms + usage.hold_ms >= until_ms:
+        end_ms = now_ms + wait_ms + usage.hold_ms * _MARGIN
+        if usage.queued and end_ms >= until_ms:
             return Refusal('overload', wait_ms)
         if usage.tokens < 1:
             rate = max(limits.rate_per_s, _LEAST_RATE)
--- a/packages/daemon/swifthoistd/race.py
+++ b/packages/daemon/swifthoistd/race.py
@@ -124,7 +124,7 @@
         if silent and self._job.is_on_kept_connection:
             # Such a connection may have gone silent; a new one may not.  The
             # attempt gives its slot back, or there might be no free one.
-            if self._policy.spend():
+            if self._policy.spend_on_silence():
                 self._paid = True
                 self._latest.cancel()
             return
--- a/packages/daemon/swifthoistd/retries.py
+++ b/packages/daemon/swifthoistd/retries.py
@@ -20,6 +20,9 @@
 
     :ivar ratio: retries and hedges allowed for each request.
     :ivar burst: how many may be saved up.
+    :ivar silent_ratio: retries after silence allowed for each request.
+    :ivar silent_burst: how many of those may be saved up; every connection
+        may go silent at once.
     :ivar max_attempts: attempts for one request, the first included.
     :ivar hedge_min_ms: no hedge is sent earlier, in ms.
     :ivar silent_min_ms: an idempotent attempt without an answer for this
@@ -30,7 +33,9 @@
     """
 
     ratio: float = 0.1
-    burst: float = 64.0
+    burst: float = 6.0
+    silent_ratio: float = 0.05
+    silent_burst: float = 64.0
     max_attempts: int = 3
     hedge_min_ms: Millis = 20
     silent_min_ms: Millis = 500
@@ -73,9 +78,9 @@
 class RetryPolicy:
     """The aggregate that allows or denies every attempt after the first.
 
-    One budget covers retries and hedges: each request earns a fraction of an
-    attempt, so that attempts stay a bounded multiple of requests whatever
-    fails.
+    One budget covers retries and hedges, another retries from a kept
+    connection that went silent.  Each request earns a fraction of an attempt,
+    so that attempts stay a bounded multiple of requests whatever fails.
 
     :ivar cfg: the settings.
     """
@@ -87,11 +92,15 @@
         """
         self.cfg = cfg
         self._tokens = cfg.burst
+        self._silent_tokens = cfg.silent_burst
         self._latency: dict[ClassName, _Latency] = {}
 
     def earn(self) -> None:
-        """Count a new request towards the budget."""
-        self._tokens = min(self.cfg.burst, self._tokens + self.cfg.ratio)
+        """Count a new request towards the budgets."""
+        cfg = self.cfg
+        self._tokens = min(cfg.burst, self._tokens + cfg.ratio)
+        silent_tokens = self._silent_tokens + cfg.silent_ratio
+        self._silent_tokens = min(cfg.silent_burst, silent_tokens)
 
     def spend(self) -> bool:
         """Take one further attempt out of the budget.
@@ -103,6 +112,16 @@
         self._tokens -= 1
         return True
 
+    def spend_on_silence(self) -> bool:
+        """Take an attempt that replaces one on a silent connection.
+
+        :returns: ``False`` when that budget is used up.
+        """
+        if self._silent_tokens < 1:
+            return False
+        self._silent_tokens -= 1
+        return True
+
     def record(self, class_name: ClassName, elapsed_ms: float) -> None:
         """Learn from a whole answer.
 
--- a/packages/daemon/swifthoistd/standing.py
+++ b/packages/daemon/swifthoistd/standing.py
@@ -7,7 +7,7 @@
 
 _WEIGHT = 0.3
 _FORGET_MS = 20_000
-_MIN_FAILURES = 3
+_MIN_FAILURES = 2
 _WORSE_BY = 0.4
 _FIRST_ASIDE_MS = 1_000
 _LONGEST_ASIDE_MS = 30_000
--- a/tests/daemon/fake_runners.py
+++ b/tests/daemon/fake_runners.py
@@ -181,6 +181,7 @@
         self.delay_s: float = 0
         self.error: Exception | None = None
         self.closed: list[Outcome] = []
+        self.closed_by_key: dict[str, Outcome] = {}
 
     async def open(self, req: WorkRequest) -> Permission:
         await anyio.sleep(self.delay_s)
@@ -191,6 +192,7 @@
         if self.error is not None:
             raise self.error
         self.closed.append(outcome)
+        self.closed_by_key[req.key] = outcome
 
 
 class Instance:
