--- a/packages/daemon/swifthoistd/exchange.py
+++ b/packages/daemon/swifthoistd/exchange.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple, TypeAlias
 
-import anyio
 import httpx
 
 from swifthoist_core.errors import SwifthoistError
@@ -97,6 +96,7 @@
     """How far one request has got.
 
     :ivar sent: whether its first byte may have left.
+    :ivar on_kept: whether its connection has served others before.
     """
 
     def __init__(self, guard: Callable[[], None] | None = None) -> None:
@@ -106,6 +106,7 @@
             :class:`SendingRefusedError` when it is too late to send.
         """
         self.sent = False
+        self.on_kept = False
         self._guard = guard
 
     async def trace(self, event: str, details: object) -> None:
@@ -157,8 +158,7 @@
     try:
         body = await _read(response)
     finally:
-        with anyio.CancelScope(shield=True):
-            await response.aclose()
+        await response.aclose()
     return _judge(call, response, body)
 
 
