--- a/packages/cli/swifthoist_cli/commands.py
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -1,17 +1,22 @@
 """The command line, as fire shows it."""
 
+import sys
 from pathlib import Path
 
 import anyio
+import httpx
 
 from swifthoist_cli import demo as demo_play
-from swifthoist_cli.output import ExitCode, print_text
+from swifthoist_cli.inputs import read_target
+from swifthoist_cli.load import LoadPlan, LoadSummary, Progress, play
+from swifthoist_cli.output import ExitCode, print_json, print_text
 from swifthoist_cli.rendering import Format, render
 from swifthoist_cli.verbs import verb
 from swifthoist_cli.verbs_catalogue import CatalogueVerbs
 from swifthoist_cli.verbs_jobs import JobVerbs
 from swifthoist_cli.verbs_reports import ReportVerbs
 from swifthoist_core.errors import Finding, InvalidInputError
+from swifthoist_core.plain import plain_of
 from swifthoist_core.tokens import Identity, Role, make_token
 from swifthoist_standins import processes
 
@@ -48,6 +53,36 @@
         """
         anyio.run(processes.run, kind, options)
 
+    @verb
+    def load(
+        self,
+        mix: str,
+        rate: float = 10,
+        total: int = 100,
+        seconds: float = 30,
+        allow_remote: bool = False,
+    ) -> None:
+        """Play a user's mix against the instances at --url, open loop.
+
+        :param mix: pilha-certa or saltamontes.
+        :param rate: requests and jobs a second.
+        :param total: at most so many in all.
+        :param seconds: send for no longer, in seconds.
+        :param allow_remote: send beyond loopback as well.
+        """
+        target = read_target(self._url, self._token)
+        addresses = tuple(url.partition('://')[2] for url in target.urls)
+        plan = LoadPlan(
+            addresses,
+            target.token,
+            mix,
+            rate,
+            total,
+            seconds,
+            allow_remote,
+        )
+        print_json(plain_of(anyio.run(_play_load, plan)))
+
     @verb
     def demo(self, scene: str) -> int:
         """Play the demo's load against running instances and check it.
@@ -68,3 +103,13 @@
                 print_text(f'  {detail}')
             broken = broken or bool(check.broken)
         return ExitCode.REFUSED if broken else ExitCode.OK
+
+
+async def _play_load(plan: LoadPlan) -> LoadSummary:
+    limits = httpx.Limits(max_connections=plan.in_flight)
+    async with httpx.AsyncClient(limits=limits, trust_env=False) as http:
+        return await play(plan, http, _print_progress)
+
+
+def _print_progress(progress: Progress) -> None:
+    sys.stderr.write(f'{progress.ended} of {progress.scheduled}\n')
--- a/packages/cli/swifthoist_cli/demo_catalogue.py
+++ b/packages/cli/swifthoist_cli/demo_catalogue.py
@@ -40,6 +40,7 @@
     :ivar charge: class of its requests that run at most once.
     :ivar plan: class of its gang jobs.
     :ivar batch: class of its small jobs.
+    :ivar others: further classes of idempotent requests.
     """
 
     service: str
@@ -48,6 +49,7 @@
     charge: str
     plan: str
     batch: str
+    others: tuple[str, ...] = ()
 
 
 USERS: tuple[User, ...] = (
@@ -62,10 +64,11 @@
     User(
         'booking',
         ('santiago', 'valparaiso', 'rancagua', 'talca'),
-        'party-confirm',
+        'party-confirmation',
         'deposit-charge',
         'capacity-plan',
-        'waiver-match',
+        'nightly-batch',
+        ('waiver-match',),
     ),
 )
 
@@ -90,7 +93,12 @@
 ) -> tuple[EntryDocument, ...]:
     shape = PLAN_SHAPE if is_large else SINGLE_SHAPE
     copies = 2 if is_large else 1
+    others = (
+        _request_entry(user, team, name, within_ms=2_000)
+        for name in user.others
+    )
     return (
+        *others,
         _request_entry(user, team, user.check, within_ms=1_500),
         _request_entry(user, team, user.charge, within_ms=2_000),
         EntryDocument(
