Refuse at once what needs a record while the log is down

Cause: an intent waited for the log until the caller's deadline, and the request path then no longer knew whether it had been recorded: a request that nobody had sent ended as unknown. Ruled out: the intent's own fate; it was withdrawn from the queue. Change: an intent waits a little less than the deadline, and not at all once the log has been silent for 4 s. Before: tests.daemon.test_program OutageTest failed with 'unknown' != 'not_run'; after: it passes.

--- a/packages/cli/swifthoist_cli/main.py
+++ b/packages/cli/swifthoist_cli/main.py
@@ -6,7 +6,7 @@
 
 from swifthoist_cli.commands import Commands
 
-_HELP = (['--help'], ['-h'], ['help'], [])
+_HELP: tuple[list[str], ...] = (['--help'], ['-h'], ['help'], [])
 
 
 def main() -> int:
--- a/packages/daemon/swifthoistd/application.py
+++ b/packages/daemon/swifthoistd/application.py
@@ -136,7 +136,7 @@
                 self._chooser,
                 limiter,
                 RetryPolicy(),
-                Permissions(self._intents, self._clock),
+                Permissions(self._intents, self._follower, self._clock),
                 self._clock,
                 self._counters,
             )
--- a/packages/daemon/swifthoistd/permissions.py
+++ b/packages/daemon/swifthoistd/permissions.py
@@ -10,6 +10,7 @@
 from swifthoist_core.requests import Phase
 from swifthoist_core.types import Millis
 from swifthoistd import intents, work
+from swifthoistd.follower import Follower
 
 VALID_MS: Millis = 5_000
 """How long a granted intent may wait to be sent, in ms."""
@@ -18,6 +19,15 @@
 _NOT_KEPT = b'{"outcome":"done","reason":"the answer was too large to keep"}'
 
 
+ANSWER_MS: Millis = 100
+"""Time kept back to answer the caller within its deadline, in ms."""
+
+LOG_DOWN_MS: Millis = 4_000
+"""After this silence the log counts as down; a read waits 1 s, in ms."""
+
+RETRY_AFTER_MS: Millis = 1_000
+
+
 class _KeptAnswer(NamedTuple):
     content_type: str
     body: bytes
@@ -26,13 +36,17 @@
 class Permissions:
     """Turns the outcomes of the log into those of the request path."""
 
-    def __init__(self, recorded: intents.Intents, clock: Clock) -> None:
+    def __init__(
+        self, recorded: intents.Intents, follower: Follower, clock: Clock
+    ) -> None:
         """Wire the parts.
 
         :param recorded: the intents of this instance.
+        :param follower: the reader of records.
         :param clock: clocks of the machine.
         """
         self._recorded = recorded
+        self._follower = follower
         self._clock = clock
 
     async def open(self, req: work.WorkRequest) -> work.Permission:
@@ -41,10 +55,13 @@
         :param req: the request.
         :returns: whether it may be sent.
         """
+        if self._log_is_down() and not self._is_known(req):
+            # Waiting for a log that has been silent for long would only
+            # bring the same answer later.
+            return work.Refused('the log is down', RETRY_AFTER_MS)
         now_ms = self._clock.boot_ms()
-        found = await self._recorded.open(
-            _intent(req), now_ms + req.deadline_ms
-        )
+        wait_ms = max(req.deadline_ms - ANSWER_MS, req.deadline_ms // 2)
+        found = await self._recorded.open(_intent(req), now_ms + wait_ms)
         match found:
             case intents.Granted(until_ms):
                 return work.Granted(until_ms - now_ms)
@@ -53,6 +70,14 @@
             case intents.Settled(phase, status, answer):
                 return work.Settled(_outcome(phase, status, answer))
 
+    def _log_is_down(self) -> bool:
+        freshness_ms = self._follower.freshness_ms
+        return freshness_ms is None or freshness_ms > LOG_DOWN_MS
+
+    def _is_known(self, req: work.WorkRequest) -> bool:
+        known = self._follower.ledger.requests.get(req.owner, req.key)
+        return known is not None
+
     async def close(self, req: work.WorkRequest, outcome: work.Outcome) -> None:
         """Record what became of a request.
 
