Keep the account in plain containers of immutable values

Change: holdings and shortfalls stand beside the account in the ledger; sums and groups that can be computed anew are named in DERIVED and come back by rebuild(). A series is packed bytes and adding to it gives a new one. Spans are dropped 1,000 at a time. Counts and waiting times without sense are bounded.

Ruled out: state() and constructors for each aggregate (a second way to carry the state, 120 lines more).

--- a/bench/control_state.py
+++ b/bench/control_state.py
@@ -1,6 +1,7 @@
 """Ledgers of several sizes, built through the fold from encoded records."""
 
 import time
+import zlib
 from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
@@ -213,15 +214,19 @@
 
 
 def snapshot(ledger: Ledger) -> bytes:
-    """Encode what a snapshot has to carry, by and large."""
-    return msgspec.msgpack.encode(
+    """Encode and compress what a snapshot has to carry, by and large."""
+    packed = msgspec.msgpack.encode(
         (
             tuple(ledger.jobs.all_jobs()),
             ledger.fleet.specs(),
-            ledger.account.state(),
+            ledger.account.lines(),
+            ledger.account.spans(),
+            tuple(vars(ledger.account)['_series'].values()),
+            tuple(vars(ledger.holdings)['_held'].values()),
             ledger.catalogue.entries(),
         )
     )
+    return zlib.compress(packed, level=1)
 
 
 def weigh(size: Size) -> tuple[Builder, Built]:
--- a/packages/core/swifthoist_core/account.py
+++ b/packages/core/swifthoist_core/account.py
@@ -1,23 +1,19 @@
 """The account of who got which accelerators, when, and what was refused."""
 
-from collections import deque
 from typing import NamedTuple
 
 from swifthoist_core.histograms import add_wait, merge
-from swifthoist_core.holdings import Holdings, HoldingsState
 from swifthoist_core.lines import Line, LineKey, empty_line
-from swifthoist_core.months import month_of, pieces
+from swifthoist_core.months import month_of, oldest_kept, pieces
 from swifthoist_core.records import PartUsage, Tally
-from swifthoist_core.series import Outcomes, Series, SeriesState
-from swifthoist_core.shortfalls import Shortfalls, ShortfallsState
+from swifthoist_core.series import EMPTY, Outcomes, Series
 from swifthoist_core.spans import Span, SpanKey
 from swifthoist_core.types import ClassName, Millis, OwnerId
 
 KEEP_SPANS = 20_000
-"""How many of the latest spans are kept one by one."""
+"""How many of the latest spans are kept one by one, at least."""
 
-KEEP_MONTHS = 3
-"""How many months have totals, the current one included."""
+_DROP_SPANS = 1_000
 
 NEVER_FITS = 'no workers could ever hold this shape'
 """The one refusal that breaks no promise: the job could not run anywhere."""
@@ -34,76 +30,18 @@
     class_name: ClassName
 
 
-class NamedSeries(NamedTuple):
-    """A series with its name, for snapshots.
-
-    :ivar key: owner and class.
-    :ivar series: its content.
-    """
-
-    key: SeriesKey
-    series: SeriesState
-
-
-class AccountState(NamedTuple):
-    """Content of the account, for snapshots.
-
-    :ivar lines: totals.
-    :ivar spans: the latest spans, oldest first.
-    :ivar dropped: how many older spans are gone.
-    :ivar series: outcomes over time.
-    :ivar holdings: who holds how much.
-    :ivar shortfalls: guarantees asked for and not given.
-    """
-
-    lines: tuple[Line, ...]
-    spans: tuple[Span, ...]
-    dropped: int
-    series: tuple[NamedSeries, ...]
-    holdings: HoldingsState
-    shortfalls: ShortfallsState
-
-
 class Account:
     """The aggregate of totals by month, owner and class.
 
-    :ivar holdings: who holds how much now, and who lent it.
-    :ivar shortfalls: guarantees asked for and not given.
     :ivar dropped: how many spans are no longer kept one by one.
     """
 
-    def __init__(self, state: AccountState | None = None) -> None:
-        """Start from a snapshot.
-
-        :param state: content of a snapshot; none for an empty account.
-        """
-        self.holdings = Holdings(state.holdings if state else None)
-        self.shortfalls = Shortfalls(state.shortfalls if state else None)
-        self.dropped = state.dropped if state else 0
+    def __init__(self) -> None:
+        """Start with nothing on the account."""
+        self.dropped = 0
         self._lines: dict[LineKey, Line] = {}
-        self._spans = deque(state.spans if state else ())
+        self._spans: list[Span] = []
         self._series: dict[SeriesKey, Series] = {}
-        for line in state.lines if state else ():
-            self._put(line)
-        for named in state.series if state else ():
-            self._series[named.key] = Series(named.series)
-
-    def state(self) -> AccountState:
-        """Content of the account, for a snapshot."""
-        series = tuple(
-            NamedSeries(key, item.state())
-            for key, item in sorted(
-                self._series.items(), key=lambda pair: pair[0]
-            )
-        )
-        return AccountState(
-            self.lines(),
-            self.spans(),
-            self.dropped,
-            series,
-            self.holdings.state(),
-            self.shortfalls.state(),
-        )
 
     def lines(self) -> tuple[Line, ...]:
         """All lines, by month, owner and class."""
@@ -128,8 +66,8 @@
         :param length_ms: length of the window, in ms.
         :returns: how many were good and how many were not.
         """
-        series = self._series.get(SeriesKey(owner, class_name))
-        return series.window(time_ms, length_ms) if series else Outcomes()
+        series = self._series.get(SeriesKey(owner, class_name), EMPTY)
+        return series.window(time_ms, length_ms)
 
     def add_span(self, span: Span, time_ms: Millis) -> None:
         """Note that a part ran.
@@ -142,9 +80,9 @@
         """
         bounded = span.ended_by(time_ms)
         self._spans.append(bounded)
-        if len(self._spans) > KEEP_SPANS:
-            self._spans.popleft()
-            self.dropped += 1
+        if len(self._spans) >= KEEP_SPANS + _DROP_SPANS:
+            del self._spans[:_DROP_SPANS]
+            self.dropped += _DROP_SPANS
         self._count_span(bounded, sign=1)
 
     def correct_span(
@@ -218,7 +156,8 @@
         if not outcomes.total:
             return
         key = SeriesKey(owner, class_name)
-        self._series.setdefault(key, Series()).add(time_ms, outcomes)
+        series = self._series.get(key, EMPTY)
+        self._series[key] = series.add(time_ms, outcomes)
 
     def add_refusal(
         self,
@@ -301,12 +240,10 @@
         self._lines[key] = line
 
     def _drop_months(self, new_month: str) -> None:
-        months = sorted({new_month, *(key.month for key in self._lines)})
-        oldest = months[-KEEP_MONTHS:][0]
+        oldest = oldest_kept((new_month, *(key.month for key in self._lines)))
         old = [key for key in self._lines if key.month < oldest]
         for key in old:
             self._lines.pop(key)
-        self.holdings.forget(oldest)
 
 
 def _plus(one: dict[str, int], other: dict[str, int]) -> dict[str, int]:
--- a/packages/core/swifthoist_core/accounting.py
+++ b/packages/core/swifthoist_core/accounting.py
@@ -26,12 +26,12 @@
 
     :param ledger: the ledger, at the time of the record.
     """
-    opened = ledger.account.shortfalls.opened()
+    opened = ledger.shortfalls.opened()
     if not opened:
         return
     if ledger.cell.state.lease_until_ms < ledger.time_ms:
         causes = {item.ask.job_id: NO_HOLDER for item in opened}
-        ledger.account.shortfalls.note(causes)
+        ledger.shortfalls.note(causes)
 
 
 def note(ledger: 'Ledger', record: records.Record) -> None:
@@ -43,11 +43,11 @@
     match record:
         case records.EntryChanged():
             _settle(ledger)
-            ledger.account.holdings.promise(_promises(ledger.catalogue))
-            _review(ledger, ledger.account.shortfalls.owners())
+            ledger.holdings.promise(_promises(ledger.catalogue))
+            _review(ledger, ledger.shortfalls.owners())
         case records.WorkerJoined() | records.WorkerLeft():
             _settle(ledger)
-            ledger.account.holdings.fleet = _accelerators(ledger.fleet)
+            ledger.holdings.fleet = _accelerators(ledger.fleet)
         case records.JobSubmitted(spec=spec):
             _note_job(ledger, spec.job_id)
         case (
@@ -64,7 +64,7 @@
 
 
 def _settle(ledger: 'Ledger') -> None:
-    ledger.account.holdings.settle(ledger.time_ms)
+    ledger.holdings.settle(ledger.time_ms)
 
 
 def _note_job(ledger: 'Ledger', job_id: JobId) -> None:
@@ -74,7 +74,7 @@
     _settle(ledger)
     _note_place(ledger, job)
     spec = job.spec
-    shortfalls = ledger.account.shortfalls
+    shortfalls = ledger.shortfalls
     if job.status is Status.WAITING:
         needs = spec.shape.total_accelerators
         ask = Ask(spec.owner, spec.class_name, job_id, needs)
@@ -87,7 +87,7 @@
 
 
 def _note_place(ledger: 'Ledger', job: Job) -> None:
-    holdings = ledger.account.holdings
+    holdings = ledger.holdings
     job_id = job.spec.job_id
     if job.status not in PLACED:
         holdings.release(job_id)
@@ -117,20 +117,19 @@
 
 
 def _review(ledger: 'Ledger', owners: tuple[OwnerId, ...]) -> None:
-    account = ledger.account
     for owner in owners:
-        left = account.holdings.left(owner)
-        account.shortfalls.review(owner, left, ledger.time_ms)
+        left = ledger.holdings.left(owner)
+        ledger.shortfalls.review(owner, left, ledger.time_ms)
 
 
 def _note_causes(ledger: 'Ledger') -> None:
-    opened = ledger.account.shortfalls.opened()
+    opened = ledger.shortfalls.opened()
     if not opened:
         return
     reclaiming = {job.beneficiary for job in ledger.jobs.open_jobs()}
     free = ledger.fleet.free_accelerators()
-    short = _usable(ledger.fleet) < ledger.account.holdings.promised()
-    ledger.account.shortfalls.note(
+    short = _usable(ledger.fleet) < ledger.holdings.promised()
+    ledger.shortfalls.note(
         {
             item.ask.job_id: _cause(item, reclaiming, free, short=short)
             for item in opened
--- a/packages/core/swifthoist_core/histograms.py
+++ b/packages/core/swifthoist_core/histograms.py
@@ -77,7 +77,7 @@
     """
     histogram = HdrHistogram(1, MAX_WAIT_MS, SIGNIFICANT_DIGITS)
     for bucket, times in counts.items():
-        histogram.record_value(min(bucket, MAX_WAIT_MS), times)
+        histogram.record_value(bucket_of(bucket), max(0, times))
     ranks = (50, 90, 99, 100)
     waits = (int(histogram.get_value_at_percentile(rank)) for rank in ranks)
     return Percentiles(int(histogram.get_total_count()), *waits)
--- a/packages/core/swifthoist_core/holdings.py
+++ b/packages/core/swifthoist_core/holdings.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from swifthoist_core.months import pieces
+from swifthoist_core.months import month_of, oldest_kept, pieces
 from swifthoist_core.types import JobId, Millis, OwnerId
 
 
@@ -64,57 +64,30 @@
     owner: OwnerId
 
 
-class HoldingsState(NamedTuple):
-    """Content of the holdings, for snapshots.
-
-    :ivar held: what each attempt holds.
-    :ivar promises: what each owner is guaranteed.
-    :ivar fleet: accelerators of all workers together.
-    :ivar lendings: what was lent up to ``since_ms``.
-    :ivar since_ms: log time up to which lending is settled.
-    """
-
-    held: tuple[Holding, ...] = ()
-    promises: tuple[Promise, ...] = ()
-    fleet: int = 0
-    lendings: tuple[Lending, ...] = ()
-    since_ms: Millis = 0
-
-
 class Holdings:
     """The aggregate of what is held, borrowed and lent now.
 
     :ivar fleet: accelerators of all workers together.
     """
 
-    def __init__(self, state: HoldingsState | None = None) -> None:
-        """Start from a snapshot.
+    DERIVED = frozenset(('_within', '_borrowed'))
 
-        :param state: content of a snapshot; none for an empty fleet.
-        """
-        state = state or HoldingsState()
-        self.fleet = state.fleet
-        self._since_ms = state.since_ms
+    def __init__(self) -> None:
+        """Start with an empty fleet."""
+        self.fleet = 0
+        self._since_ms: Millis = 0
         self._held: dict[JobId, Holding] = {}
+        self._promised: dict[OwnerId, int] = {}
+        self._lent: dict[LendingKey, int] = {}
         self._within: dict[OwnerId, int] = {}
         self._borrowed = 0
-        for holding in state.held:
-            self.hold(holding)
-        self._promised = dict(state.promises)
-        self._lent = {
-            LendingKey(item.month, item.owner): item.lent_ms
-            for item in state.lendings
-        }
 
-    def state(self) -> HoldingsState:
-        """Content of the holdings, for a snapshot."""
-        return HoldingsState(
-            tuple(self._held.values()),
-            tuple(Promise(*pair) for pair in sorted(self._promised.items())),
-            self.fleet,
-            _lendings(self._lent),
-            self._since_ms,
-        )
+    def rebuild(self) -> None:
+        """Compute the sums anew from what is held."""
+        self._within = {}
+        self._borrowed = 0
+        for holding in self._held.values():
+            self._add(holding, holding.accelerators)
 
     def get(self, job_id: JobId) -> Holding | None:
         """Find what a job holds.
@@ -172,7 +145,9 @@
 
         :param time_ms: log time now.
         """
-        self._lent = self._settled(time_ms)
+        lent = self._settled(time_ms)
+        oldest = oldest_kept((*(key.month for key in lent), month_of(time_ms)))
+        self._lent = {key: lent[key] for key in lent if key.month >= oldest}
         self._since_ms = max(self._since_ms, time_ms)
 
     def lendings(self, time_ms: Millis) -> tuple[Lending, ...]:
@@ -181,18 +156,8 @@
         :param time_ms: log time now.
         :returns: the lendings, by month and owner.
         """
-        return _lendings(self._settled(time_ms))
-
-    def forget(self, oldest_month: str) -> None:
-        """Drop the months before one.
-
-        :param oldest_month: the oldest month to keep.
-        """
-        self._lent = {
-            key: lent_ms
-            for key, lent_ms in self._lent.items()
-            if key.month >= oldest_month
-        }
+        lent = self._settled(time_ms)
+        return tuple(Lending(*key, lent[key]) for key in sorted(lent))
 
     def shares(self) -> tuple[Promise, ...]:
         """How many borrowed accelerators each owner lends now.
@@ -231,9 +196,6 @@
         if holding.lent:
             self._borrowed += change
             return
-        owner = holding.owner
-        self._within[owner] = self._within.get(owner, 0) + change
-
-
-def _lendings(lent: Mapping[LendingKey, int]) -> tuple[Lending, ...]:
-    return tuple(Lending(*key, lent[key]) for key in sorted(lent))
+        within = self._within.pop(holding.owner, 0) + change
+        if within:
+            self._within[holding.owner] = within
--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -9,9 +9,11 @@
 from swifthoist_core.cells import Cell
 from swifthoist_core.fleet import Fleet
 from swifthoist_core.guarantees import admission_findings
+from swifthoist_core.holdings import Holdings
 from swifthoist_core.jobs import ENDED, PLACED, Job, Jobs
 from swifthoist_core.records import Author, Envelope, Record
 from swifthoist_core.requests import Requests
+from swifthoist_core.shortfalls import Shortfalls
 from swifthoist_core.spans import SpanKey, span_of
 from swifthoist_core.types import Epoch, Millis, Offset
 
@@ -52,6 +54,8 @@
     :ivar jobs: jobs.
     :ivar requests: non-idempotent requests.
     :ivar account: who got what.
+    :ivar holdings: who holds how much now, and who lent it.
+    :ivar shortfalls: guarantees asked for and not given.
     """
 
     def __init__(self) -> None:
@@ -65,6 +69,8 @@
         self.jobs = Jobs()
         self.requests = Requests()
         self.account = Account()
+        self.holdings = Holdings()
+        self.shortfalls = Shortfalls()
         self._forgot_ms: Millis = 0
 
     def fold(
--- a/packages/core/swifthoist_core/months.py
+++ b/packages/core/swifthoist_core/months.py
@@ -2,11 +2,14 @@
 
 import datetime as dt
 import functools
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from swifthoist_core.types import Millis
 
+KEEP_MONTHS = 3
+"""How many months have totals, the current one included."""
+
 _MS_PER_S = 1_000
 _MS_PER_HOUR = 3_600_000
 _MAX_PIECES = 24
@@ -33,6 +36,15 @@
     return _month_of_hour(time_ms // _MS_PER_HOUR)
 
 
+def oldest_kept(months: Iterable[str]) -> str:
+    """Tell from which month on totals are kept.
+
+    :param months: at least one month with totals, in any order.
+    :returns: the oldest month to keep.
+    """
+    return sorted(set(months))[-KEEP_MONTHS:][0]
+
+
 def pieces(started_ms: Millis, stopped_ms: Millis) -> Iterator[MonthPiece]:
     """Split a period at the ends of months.
 
--- a/packages/core/swifthoist_core/reports.py
+++ b/packages/core/swifthoist_core/reports.py
@@ -139,7 +139,7 @@
         _asked(tuple(_running(ledger)), question),
         account.dropped,
         tuple(_shortfalls(ledger, question)),
-        account.shortfalls.dropped,
+        ledger.shortfalls.dropped,
     )
 
 
@@ -165,7 +165,7 @@
 
 
 def _lendings(ledger: Ledger, question: _Question) -> Iterator[LendingLine]:
-    for item in ledger.account.holdings.lendings(ledger.time_ms):
+    for item in ledger.holdings.lendings(ledger.time_ms):
         if not question.wants(item.owner):
             continue
         if question.month in {None, item.month}:
@@ -184,7 +184,7 @@
 
 def _running(ledger: Ledger) -> Iterator[Span]:
     for job in ledger.jobs.open_jobs():
-        holding = ledger.account.holdings.get(job.spec.job_id)
+        holding = ledger.holdings.get(job.spec.job_id)
         if holding is None or job.status not in PLACED:
             continue
         yield from _open_spans(job, holding, ledger.time_ms)
@@ -208,7 +208,7 @@
 
 
 def _shortfalls(ledger: Ledger, question: _Question) -> Iterator[Shortfall]:
-    for item in ledger.account.shortfalls.all_items():
+    for item in ledger.shortfalls.all_items():
         until_ms = item.until_ms or ledger.time_ms
         if not question.wants(item.ask.owner):
             continue
--- a/packages/core/swifthoist_core/series.py
+++ b/packages/core/swifthoist_core/series.py
@@ -1,7 +1,10 @@
-"""Counts of good and bad outcomes in buckets of log time."""
+"""Counts of good and bad outcomes in buckets of log time.
 
-from array import array
-from collections.abc import Iterable
+The counts are packed, four bytes each, so that a series is small, a snapshot
+can share it, and adding to it copies a few kilobytes only.
+"""
+
+import struct
 from typing import NamedTuple
 
 from swifthoist_core.types import Millis
@@ -21,8 +24,7 @@
 LONG_BUCKETS = 720
 """How many wide buckets are kept: thirty days."""
 
-
-_COUNT_BYTES = array('I').itemsize
+_COUNT = struct.Struct('<I')
 _FULL = 2**32 - 1
 
 
@@ -41,73 +43,43 @@
         """All outcomes together."""
         return self.good + self.bad
 
-    def plus(self, other: 'Outcomes') -> 'Outcomes':
-        """Add counts up.
-
-        :param other: more outcomes.
-        :returns: the sums.
-        """
-        return Outcomes(self.good + other.good, self.bad + other.bad)
-
 
-class RingState(NamedTuple):
-    """Content of a ring, for snapshots.
+class Ring(NamedTuple):
+    """The latest buckets of one width, in a fixed amount of memory.
 
     :ivar step_ms: width of a bucket, in ms.
     :ivar latest: number of the latest bucket since the epoch.
-    :ivar good: good outcomes, in the order of the ring.
-    :ivar bad: bad outcomes, in the order of the ring.
+    :ivar good: packed counts of good outcomes, in the order of the ring.
+    :ivar bad: packed counts of bad outcomes, in the order of the ring.
     """
 
     step_ms: Millis
     latest: int
-    good: tuple[int, ...]
-    bad: tuple[int, ...]
-
-
-class Ring:
-    """The latest buckets of one width, in a fixed amount of memory."""
+    good: bytes
+    bad: bytes
 
-    def __init__(self, step_ms: Millis, size: int) -> None:
-        """Start with nothing counted.
-
-        :param step_ms: width of a bucket, in ms.
-        :param size: how many buckets are kept.
-        """
-        self._step_ms = step_ms
-        self._latest = 0
-        self._good = array('I', bytes(size * _COUNT_BYTES))
-        self._bad = array('I', bytes(size * _COUNT_BYTES))
-
-    @classmethod
-    def of(cls, state: RingState) -> 'Ring':
-        """Restore a ring.
-
-        :param state: content of a snapshot.
-        :returns: the ring.
-        """
-        ring = cls(state.step_ms, 0)
-        ring._latest = state.latest
-        ring._good = array('I', state.good)
-        ring._bad = array('I', state.bad)
-        return ring
-
-    def state(self) -> RingState:
-        """Content of the ring, for a snapshot."""
-        return RingState(
-            self._step_ms, self._latest, tuple(self._good), tuple(self._bad)
-        )
+    @property
+    def size(self) -> int:
+        """How many buckets the ring has."""
+        return len(self.good) // _COUNT.size
 
-    def add(self, time_ms: Millis, outcomes: Outcomes) -> None:
+    def add(self, time_ms: Millis, outcomes: Outcomes) -> 'Ring':
         """Count outcomes.
 
         :param time_ms: log time, which does not go back.
         :param outcomes: what came out.
+        :returns: the ring with them.
         """
-        self._advance(time_ms // self._step_ms)
-        slot = self._latest % len(self._good)
-        self._good[slot] = min(_FULL, self._good[slot] + outcomes.good)
-        self._bad[slot] = min(_FULL, self._bad[slot] + outcomes.bad)
+        latest = max(self.latest, time_ms // self.step_ms)
+        first = max(self.latest + 1, latest - self.size + 1)
+        passed = [bucket % self.size for bucket in range(first, latest + 1)]
+        slot = latest % self.size
+        return Ring(
+            self.step_ms,
+            latest,
+            _plus(self.good, passed, slot, outcomes.good),
+            _plus(self.bad, passed, slot, outcomes.bad),
+        )
 
     def window(self, time_ms: Millis, length_ms: Millis) -> Outcomes:
         """Add up the outcomes of a window that ends now.
@@ -119,59 +91,33 @@
         :param length_ms: length of the window, in ms.
         :returns: the sums.
         """
-        current = time_ms // self._step_ms
-        size = len(self._good)
-        count = min(size, length_ms // self._step_ms)
-        first = max(current - count + 1, self._latest - size + 1, 0)
-        slots = [bucket % size for bucket in range(first, self._latest + 1)]
-        return Outcomes(_sum(self._good, slots), _sum(self._bad, slots))
-
-    def _advance(self, bucket: int) -> None:
-        size = len(self._good)
-        first = max(self._latest + 1, bucket - size + 1)
-        for passed in range(first, bucket + 1):
-            self._good[passed % size] = 0
-            self._bad[passed % size] = 0
-        self._latest = max(self._latest, bucket)
+        current = time_ms // self.step_ms
+        count = min(self.size, length_ms // self.step_ms)
+        first = max(current - count + 1, self.latest - self.size + 1, 0)
+        slots = [bucket % self.size for bucket in range(first, self.latest + 1)]
+        return Outcomes(_sum(self.good, slots), _sum(self.bad, slots))
 
 
-class SeriesState(NamedTuple):
-    """Content of a series, for snapshots.
+class Series(NamedTuple):
+    """Outcomes of one owner and class over thirty days.
 
     :ivar short: narrow buckets.
     :ivar long: wide buckets.
     """
 
-    short: RingState
-    long: RingState
-
-
-class Series:
-    """Outcomes of one owner and class over thirty days."""
-
-    def __init__(self, state: SeriesState | None = None) -> None:
-        """Start from a snapshot.
-
-        :param state: content of a snapshot; none for a new series.
-        """
-        self._short = Ring(SHORT_STEP_MS, SHORT_BUCKETS)
-        self._long = Ring(LONG_STEP_MS, LONG_BUCKETS)
-        if state is not None:
-            self._short = Ring.of(state.short)
-            self._long = Ring.of(state.long)
-
-    def state(self) -> SeriesState:
-        """Content of the series, for a snapshot."""
-        return SeriesState(self._short.state(), self._long.state())
+    short: Ring
+    long: Ring
 
-    def add(self, time_ms: Millis, outcomes: Outcomes) -> None:
+    def add(self, time_ms: Millis, outcomes: Outcomes) -> 'Series':
         """Count outcomes.
 
         :param time_ms: log time, which does not go back.
         :param outcomes: what came out.
+        :returns: the series with them.
         """
-        self._short.add(time_ms, outcomes)
-        self._long.add(time_ms, outcomes)
+        return Series(
+            self.short.add(time_ms, outcomes), self.long.add(time_ms, outcomes)
+        )
 
     def window(self, time_ms: Millis, length_ms: Millis) -> Outcomes:
         """Add up a window that ends now, from the narrowest buckets.
@@ -181,9 +127,33 @@
         :returns: the sums.
         """
         narrow = length_ms <= SHORT_STEP_MS * SHORT_BUCKETS
-        ring = self._short if narrow else self._long
+        ring = self.short if narrow else self.long
         return ring.window(time_ms, length_ms)
 
 
-def _sum(counts: 'array[int]', slots: Iterable[int]) -> int:
-    return sum(counts[slot] for slot in slots)
+def _empty(step_ms: Millis, size: int) -> Ring:
+    nothing = bytes(size * _COUNT.size)
+    return Ring(step_ms, 0, nothing, nothing)
+
+
+EMPTY = Series(
+    _empty(SHORT_STEP_MS, SHORT_BUCKETS), _empty(LONG_STEP_MS, LONG_BUCKETS)
+)
+"""A series with nothing counted."""
+
+
+def _plus(packed: bytes, passed: list[int], slot: int, more: int) -> bytes:
+    if not passed and not more:
+        return packed
+    counts = bytearray(packed)
+    for old in passed:
+        _COUNT.pack_into(counts, old * _COUNT.size, 0)
+    place = slot * _COUNT.size
+    count = _COUNT.unpack_from(counts, place)[0] + max(0, more)
+    _COUNT.pack_into(counts, place, min(_FULL, count))
+    return bytes(counts)
+
+
+def _sum(packed: bytes, slots: list[int]) -> int:
+    places = (slot * _COUNT.size for slot in slots)
+    return sum(_COUNT.unpack_from(packed, place)[0] for place in places)
--- a/packages/core/swifthoist_core/shortfalls.py
+++ b/packages/core/swifthoist_core/shortfalls.py
@@ -1,6 +1,5 @@
 """Shortfalls: guarantees that were asked for and not given, and why."""
 
-from collections import deque
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
@@ -44,67 +43,43 @@
     causes: tuple[str, ...] = ()
 
 
-class ShortfallsState(NamedTuple):
-    """Content of the shortfalls, for snapshots.
-
-    :ivar asks: jobs that wait, in order.
-    :ivar opened: shortfalls that last.
-    :ivar closed: the latest that are over, oldest first.
-    :ivar dropped: how many older ones are gone.
-    """
-
-    asks: tuple[Ask, ...] = ()
-    opened: tuple[Shortfall, ...] = ()
-    closed: tuple[Shortfall, ...] = ()
-    dropped: int = 0
-
-
 class Shortfalls:
     """The aggregate of guarantees asked for and not given.
 
     :ivar dropped: how many closed ones are no longer kept.
     """
 
-    def __init__(self, state: ShortfallsState | None = None) -> None:
-        """Start from a snapshot.
+    DERIVED = frozenset(('_by_owner',))
 
-        :param state: content of a snapshot; none for a new account.
-        """
-        state = state or ShortfallsState()
-        self.dropped = state.dropped
-        self._asks: dict[OwnerId, dict[JobId, Ask]] = {}
-        for ask in state.asks:
-            self.ask(ask)
-        self._open = {item.ask.job_id: item for item in state.opened}
-        self._closed = deque(state.closed)
-
-    def state(self) -> ShortfallsState:
-        """Content of the shortfalls, for a snapshot."""
-        asks = (
-            ask for waiting in self._asks.values() for ask in waiting.values()
-        )
-        return ShortfallsState(
-            tuple(asks), self.opened(), self.closed(), self.dropped
-        )
+    def __init__(self) -> None:
+        """Start with nobody waiting."""
+        self.dropped = 0
+        self._asks: dict[JobId, Ask] = {}
+        self._open: dict[JobId, Shortfall] = {}
+        self._closed: list[Shortfall] = []
+        self._by_owner: dict[OwnerId, dict[JobId, Ask]] = {}
+
+    def rebuild(self) -> None:
+        """Group by owner anew who waits."""
+        self._by_owner = {}
+        for ask in self._asks.values():
+            self._by_owner.setdefault(ask.owner, {})[ask.job_id] = ask
 
     def opened(self) -> tuple[Shortfall, ...]:
         """Shortfalls that last, oldest first."""
         return tuple(self._open.values())
 
-    def closed(self) -> tuple[Shortfall, ...]:
-        """The latest shortfalls that are over, oldest first."""
-        return tuple(self._closed)
-
     def owners(self) -> tuple[OwnerId, ...]:
         """Owners with a job that waits, in order."""
-        return tuple(sorted(self._asks))
+        return tuple(sorted(self._by_owner))
 
     def ask(self, ask: Ask) -> None:
         """Note that a job waits.
 
         :param ask: the job.
         """
-        self._asks.setdefault(ask.owner, {})[ask.job_id] = ask
+        self._asks[ask.job_id] = ask
+        self._by_owner.setdefault(ask.owner, {})[ask.job_id] = ask
 
     def settle(self, owner: OwnerId, job_id: JobId, time_ms: Millis) -> None:
         """Note that a job waits no more.
@@ -113,10 +88,11 @@
         :param job_id: the job.
         :param time_ms: time of the record in the log.
         """
-        waiting = self._asks.get(owner, {})
+        self._asks.pop(job_id, None)
+        waiting = self._by_owner.get(owner, {})
         waiting.pop(job_id, None)
         if not waiting:
-            self._asks.pop(owner, None)
+            self._by_owner.pop(owner, None)
         self._close(job_id, time_ms)
 
     def review(self, owner: OwnerId, left: int, time_ms: Millis) -> None:
@@ -129,7 +105,7 @@
         :param left: accelerators of its guarantee that it does not hold.
         :param time_ms: time of the record in the log.
         """
-        for ask in tuple(self._asks.get(owner, {}).values()):
+        for ask in tuple(self._by_owner.get(owner, {}).values()):
             if not 0 < ask.accelerators <= left:
                 self._close(ask.job_id, time_ms)
                 continue
@@ -161,5 +137,5 @@
             return
         self._closed.append(found._replace(until_ms=time_ms))
         if len(self._closed) > KEEP_SHORTFALLS:
-            self._closed.popleft()
+            self._closed.pop(0)
             self.dropped += 1
