Follow places that lose their guarantee; guard against parts that are not there

Cause: a place can turn from guaranteed to lent while it is held, and a report of a part that the gang does not have raised an error after the job had ended.

Change: holdings follow the job at each change of catalogue or workers; such parts are left out. The fold notes an accepted record in one place.

--- a/packages/core/swifthoist_core/accounting.py
+++ b/packages/core/swifthoist_core/accounting.py
@@ -44,10 +44,12 @@
         case records.EntryChanged():
             _settle(ledger)
             ledger.holdings.promise(_promises(ledger.catalogue))
+            _hold_again(ledger)
             _review(ledger, ledger.shortfalls.owners())
         case records.WorkerJoined() | records.WorkerLeft():
             _settle(ledger)
             ledger.holdings.fleet = _accelerators(ledger.fleet)
+            _hold_again(ledger)
         case records.JobSubmitted(spec=spec):
             _note_job(ledger, spec.job_id)
         case (
@@ -100,6 +102,15 @@
     )
 
 
+def _hold_again(ledger: 'Ledger') -> None:
+    """Follow places that are no longer covered by a guarantee, or are now."""
+    for job in ledger.jobs.open_jobs():
+        holding = ledger.holdings.get(job.spec.job_id)
+        if holding is not None and holding.lent != job.lent:
+            ledger.holdings.release(holding.job_id)
+            ledger.holdings.hold(holding._replace(lent=job.lent))
+
+
 def _note_outcome(ledger: 'Ledger', job: Job) -> None:
     spec = job.spec
     if job.status in {Status.CANCELLED, Status.REFUSED}:
--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -94,10 +94,7 @@
             return Verdict(author, seq, offset, 'duplicate')
         if record is None:
             return Verdict(author, seq, offset, 'unknown kind of record')
-        accounting.note_silence(self)
-        reason = self._apply(author, record, offset)
-        if not reason:
-            accounting.note(self, record)
+        reason = self._apply_and_note(author, record, offset)
         version = 0 if reason else self._version(record)
         return Verdict(author, seq, offset, reason, version)
 
@@ -109,6 +106,15 @@
         self.requests.forget(self.time_ms)
         self.jobs.forget(self.time_ms)
 
+    def _apply_and_note(
+        self, author: Author, record: Record, offset: Offset
+    ) -> str:
+        accounting.note_silence(self)
+        reason = self._apply(author, record, offset)
+        if not reason:
+            accounting.note(self, record)
+        return reason
+
     def _apply(self, author: Author, record: Record, offset: Offset) -> str:
         match record:
             case records.EntryChanged() | records.PolicyChanged():
@@ -258,7 +264,7 @@
             return reason
         self.fleet.vacate(job.spec.shape, job.parts)
         for use in record.usage:
-            if use.started_ms:
+            if use.started_ms and 0 <= use.part < len(job.parts):
                 self._note_use(job, use, record.outcome)
         after = self.jobs.get(record.job_id)
         if after is not None:
--- a/tests/core/test_reports.py
+++ b/tests/core/test_reports.py
@@ -105,6 +105,27 @@
             read = msgspec.json.decode(packed, type=type(report))
             self.assertEqual(read, report)
 
+    def test_a_place_that_loses_its_guarantee_counts_as_borrowed(self) -> None:
+        """From the change on, the other owner lends."""
+        book = reclaimed_book()
+        jobs = book.ledger.jobs.__dict__['_jobs']
+        jobs['ja'] = jobs['ja']._replace(lent=True)
+        book.publish(job_entry('c'))
+        self.assertTrue(book.ledger.holdings.get('ja').lent)
+        self.assertEqual(book.ledger.holdings.left('a'), 8)
+
+    def test_a_part_that_the_gang_does_not_have_is_not_accounted(self) -> None:
+        """The rest of the report is taken."""
+        book = Book().staffed(workers=1)
+        book.publish(job_entry('b'))
+        book.append(records.JobSubmitted(spec('j', 'b', WHOLE), 'k'))
+        book.append(records.JobPlaced(1, 'j', 1, PLACE, True))
+        uses = tuple(
+            PartUsage(part, 'w0', 8, 500, 1_000) for part in (0, 1, -1)
+        )
+        book.append(records.JobEnded(1, 'j', 1, 'done', uses))
+        self.assertEqual(usage_report(book.ledger).lines[0].borrowed_s, 4)
+
     def test_a_question_for_one_owner_and_month_gets_only_that(self) -> None:
         """Other owners and other months are left out."""
         ledger = reclaimed_book().ledger
