--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -9,9 +9,11 @@
 from swifthoist_core.cells import Cell
 from swifthoist_core.fleet import Fleet
 from swifthoist_core.guarantees import admission_findings
+from swifthoist_core.holdings import Holdings
 from swifthoist_core.jobs import ENDED, PLACED, Job, Jobs
 from swifthoist_core.records import Author, Envelope, Record
 from swifthoist_core.requests import Requests
+from swifthoist_core.shortfalls import Shortfalls
 from swifthoist_core.spans import SpanKey, span_of
 from swifthoist_core.types import Epoch, Millis, Offset
 
@@ -55,7 +57,12 @@
     :ivar jobs: jobs.
     :ivar requests: non-idempotent requests.
     :ivar account: who got what.
+<<<<<<< HEAD
     :ivar passed_over: entries that were no record or had senseless content.
+=======
+    :ivar holdings: who holds how much now, and who lent it.
+    :ivar shortfalls: guarantees asked for and not given.
+>>>>>>> reports
     """
 
     def __init__(self) -> None:
@@ -69,7 +76,12 @@
         self.jobs = Jobs()
         self.requests = Requests()
         self.account = Account()
+<<<<<<< HEAD
         self.passed_over = 0
+=======
+        self.holdings = Holdings()
+        self.shortfalls = Shortfalls()
+>>>>>>> reports
         self._forgot_ms: Millis = 0
 
     def fold(
@@ -117,6 +129,17 @@
         self.offset = offset + 1
         self.time_ms = max(self.time_ms, time_ms)
         self._forget()
+<<<<<<< HEAD
+=======
+        author, seq, record = envelope
+        if not self.authors.add(author, seq, self.time_ms):
+            return Verdict(author, seq, offset, 'duplicate')
+        if record is None:
+            return Verdict(author, seq, offset, 'unknown kind of record')
+        reason = self._apply_and_note(author, record, offset)
+        version = 0 if reason else self._version(record)
+        return Verdict(author, seq, offset, reason, version)
+>>>>>>> reports
 
     def _forget(self) -> None:
         if self.time_ms - self._forgot_ms < _FORGET_EVERY_MS:
@@ -126,6 +149,15 @@
         self.requests.forget(self.time_ms)
         self.jobs.forget(self.time_ms)
 
+    def _apply_and_note(
+        self, author: Author, record: Record, offset: Offset
+    ) -> str:
+        accounting.note_silence(self)
+        reason = self._apply(author, record, offset)
+        if not reason:
+            accounting.note(self, record)
+        return reason
+
     def _apply(self, author: Author, record: Record, offset: Offset) -> str:
         match record:
             case records.EntryChanged() | records.PolicyChanged():
@@ -275,7 +307,7 @@
             return reason
         self.fleet.vacate(job.spec.shape, job.parts)
         for use in record.usage:
-            if use.started_ms:
+            if use.started_ms and 0 <= use.part < len(job.parts):
                 self._note_use(job, use, record.outcome)
         after = self.jobs.get(record.job_id)
         if after is not None:
--- a/tests/core/test_reports.py
+++ b/tests/core/test_reports.py
@@ -7,6 +7,7 @@
 from swifthoist_core import accounting, records
 from swifthoist_core.account import NEVER_FITS
 from swifthoist_core.burn import burn_report
+from swifthoist_core.histograms import MAX_WAIT_MS
 from swifthoist_core.ledger import Ledger
 from swifthoist_core.records import PartPlacement, PartUsage
 from swifthoist_core.reports import usage_report
@@ -78,13 +79,20 @@
             one.ask.job_id for one in usage_report(book.ledger).shortfalls
         ]
         self.assertEqual(waiting, ['j1'])
+        book.now_ms += 100
+        book.ledger.shortfalls.rebuild()
+        book.append(records.JobCancelled('j1', 'a'))
+        lasting = book.ledger.shortfalls.opened()
+        self.assertEqual([one.ask.job_id for one in lasting], ['j2'])
 
     def test_any_instance_gives_the_same_answer_for_an_offset(self) -> None:
-        """Another fold of the same records encodes to the same bytes."""
+        """Another fold, restored after each record, gives equal bytes."""
         book = reclaimed_book()
         other = Ledger()
         for offset, (time_ms, envelope) in enumerate(book.log):
             other.fold(offset, time_ms, envelope)
+            other.holdings.rebuild()
+            other.shortfalls.rebuild()
         mine = msgspec.json.encode(usage_report(book.ledger))
         self.assertEqual(mine, msgspec.json.encode(usage_report(other)))
         self.assertEqual(usage_report(other).offset, len(book.log))
@@ -97,6 +105,27 @@
             read = msgspec.json.decode(packed, type=type(report))
             self.assertEqual(read, report)
 
+    def test_a_place_that_loses_its_guarantee_counts_as_borrowed(self) -> None:
+        """From the change on, the other owner lends."""
+        book = reclaimed_book()
+        jobs = book.ledger.jobs.__dict__['_jobs']
+        jobs['ja'] = jobs['ja']._replace(lent=True)
+        book.publish(job_entry('c'))
+        self.assertTrue(book.ledger.holdings.get('ja').lent)
+        self.assertEqual(book.ledger.holdings.left('a'), 8)
+
+    def test_a_part_that_the_gang_does_not_have_is_not_accounted(self) -> None:
+        """The rest of the report is taken."""
+        book = Book().staffed(workers=1)
+        book.publish(job_entry('b'))
+        book.append(records.JobSubmitted(spec('j', 'b', WHOLE), 'k'))
+        book.append(records.JobPlaced(1, 'j', 1, PLACE, True))
+        uses = tuple(
+            PartUsage(part, 'w0', 8, 500, 1_000) for part in (0, 1, -1)
+        )
+        book.append(records.JobEnded(1, 'j', 1, 'done', uses))
+        self.assertEqual(usage_report(book.ledger).lines[0].borrowed_s, 4)
+
     def test_a_question_for_one_owner_and_month_gets_only_that(self) -> None:
         """Other owners and other months are left out."""
         ledger = reclaimed_book().ledger
@@ -115,6 +144,16 @@
         self.assertEqual(line.refused, {NEVER_FITS: 1})
         self.assertEqual(set(line.waiting), {0})
 
+    def test_senseless_counts_do_not_break_the_report(self) -> None:
+        """Waiting times beyond all bounds are counted at the bounds."""
+        book = Book()
+        waits = {-5: 3, 10**15: 1, 7: -2}
+        tally = records.Tally('a', 'c', -1, 0, 0, {}, waits)
+        book.append(records.RequestsCounted((tally,)))
+        line = usage_report(book.ledger).lines[0]
+        self.assertEqual(line.waiting.total, 4)
+        self.assertGreaterEqual(line.waiting.max_ms, MAX_WAIT_MS)
+
     def test_an_estimate_is_marked_until_the_worker_reports(self) -> None:
         """The correction goes through the fold."""
         book = Book().staffed(workers=1)
