--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -57,12 +57,6 @@
     :ivar jobs: jobs.
     :ivar requests: non-idempotent requests.
     :ivar account: who got what.
-<<<<<<< HEAD
-    :ivar passed_over: entries that were no record or had senseless content.
-=======
-    :ivar holdings: who holds how much now, and who lent it.
-    :ivar shortfalls: guarantees asked for and not given.
->>>>>>> reports
     """
 
     def __init__(self) -> None:
@@ -76,12 +70,9 @@
         self.jobs = Jobs()
         self.requests = Requests()
         self.account = Account()
-<<<<<<< HEAD
-        self.passed_over = 0
-=======
         self.holdings = Holdings()
         self.shortfalls = Shortfalls()
->>>>>>> reports
+        self.passed_over = 0
         self._forgot_ms: Millis = 0
 
     def fold(
@@ -102,15 +93,12 @@
             return Verdict(author, seq, offset, reason)
         if record is None:
             return Verdict(author, seq, offset, 'unknown kind of record')
-        accounting.note_silence(self)
         try:
-            reason = self._apply(author, record, offset)
-            if not reason:
-                accounting.note(self, record)
+            reason = self._apply_and_note(author, record, offset)
         except _FAULTS as exc:
             self.passed_over += 1
             reason = f'faulty record: {exc!r}'
-        version = 0 if reason else self._version(record)
+        version = 0 if reason else _version(self.catalogue, record)
         return Verdict(author, seq, offset, reason, version)
 
     def pass_over(self, offset: Offset, time_ms: Millis) -> None:
@@ -129,17 +117,6 @@
         self.offset = offset + 1
         self.time_ms = max(self.time_ms, time_ms)
         self._forget()
-<<<<<<< HEAD
-=======
-        author, seq, record = envelope
-        if not self.authors.add(author, seq, self.time_ms):
-            return Verdict(author, seq, offset, 'duplicate')
-        if record is None:
-            return Verdict(author, seq, offset, 'unknown kind of record')
-        reason = self._apply_and_note(author, record, offset)
-        version = 0 if reason else self._version(record)
-        return Verdict(author, seq, offset, reason, version)
->>>>>>> reports
 
     def _forget(self) -> None:
         if self.time_ms - self._forgot_ms < _FORGET_EVERY_MS:
@@ -204,15 +181,6 @@
                 self.catalogue.put(record.entry_id, record.entry)
                 return ''
 
-    def _version(self, record: Record) -> int:
-        match record:
-            case records.EntryChanged(entry_id=entry_id):
-                return self.catalogue.version(entry_id)
-            case records.PolicyChanged():
-                return self.catalogue.policy_version
-            case _:
-                return 0
-
     def _apply_decision(
         self, author: Author, record: Record, offset: Offset
     ) -> str:
@@ -333,3 +301,13 @@
             job.spec.class_name,
             job.status.value,
         )
+
+
+def _version(catalogue: Catalogue, record: Record) -> int:
+    match record:
+        case records.EntryChanged(entry_id=entry_id):
+            return catalogue.version(entry_id)
+        case records.PolicyChanged():
+            return catalogue.policy_version
+        case _:
+            return 0
