Reconcile the account with late usage; prove gangs under failure

A part of a silent worker is accounted as an estimate, and the holder replaces it by the worker's own report when that comes. Any instance shows the differences on demand, so nothing is hidden and no state is kept for it.

--- a/packages/cli/swifthoist_cli/demo.py
+++ b/packages/cli/swifthoist_cli/demo.py
@@ -222,6 +222,7 @@
         records = await self._read_records()
         self.usage = await self._read_report(USAGE, UsageReport)
         self.burn = await self._read_report(BURN, BurnReport)
+        differences = await self._read('/v1/reports/differences')
         attempts = self._callers.attempts
         endings = Counter(item.ending.value for item in attempts)
         _say(f'requests ended: {dict(endings)}')
@@ -234,6 +235,11 @@
             demo_checks.Check(
                 'every job came to an end', tuple(left), len(self._sizes)
             ),
+            demo_checks.Check(
+                'the account differs in nothing from late usage reports',
+                tuple(str(item) for item in differences['differences']),
+                len(self.usage.spans),
+            ),
             _wanted('the impossible job was refused', len(self._refused)),
             _wanted('a guarantee was reclaimed', reclaims),
         ]
--- a/packages/cli/swifthoist_cli/verbs_reports.py
+++ b/packages/cli/swifthoist_cli/verbs_reports.py
@@ -2,7 +2,12 @@
 
 from pathlib import Path
 
-from swifthoist_cli.output import print_json, print_table, print_text
+from swifthoist_cli.output import (
+    ExitCode,
+    print_json,
+    print_table,
+    print_text,
+)
 from swifthoist_cli.pages import usage_page
 from swifthoist_cli.rendering import Format, render
 from swifthoist_cli.verbs import Verbs, verb
@@ -12,6 +17,16 @@
 
 USAGE = '/v1/reports/usage'
 BURN = '/v1/reports/burn'
+_DIFFERENCE_COLUMNS = (
+    'job_id',
+    'attempt',
+    'part',
+    'worker',
+    'mismatch',
+    'accounted_ms',
+    'reported_ms',
+    'estimated',
+)
 
 
 class ReportVerbs(Verbs):
@@ -59,6 +74,20 @@
         print_text(render(burn, self._form(form), table).rstrip('\n'))
         return burn.exit_code
 
+    @verb
+    def differences(self) -> int:
+        """Show where the account differs from what workers report.
+
+        :returns: 0 if there is no difference, else 1.
+        """
+        content = self._api().get('/v1/reports/differences')
+        if self._json:
+            print_json(content)
+            return ExitCode.OK
+        found = [{**item, **item['key']} for item in content['differences']]
+        print_table(found, _DIFFERENCE_COLUMNS)
+        return ExitCode.REFUSED if found else ExitCode.OK
+
     @verb
     def instances(self) -> None:
         """List the entry instances."""
--- a/packages/daemon/swifthoistd/api_reports.py
+++ b/packages/daemon/swifthoistd/api_reports.py
@@ -14,6 +14,7 @@
 from swifthoist_core.tokens import Identity, Role
 from swifthoistd import replies
 from swifthoistd.callers import Gatekeeper
+from swifthoistd.usage import Reconciler
 
 MSGPACK = 'application/msgpack'
 
@@ -26,12 +27,14 @@
     The same question at the same offset has the same answer anywhere.
     """
 
-    def __init__(self, ledger: Ledger) -> None:
+    def __init__(self, ledger: Ledger, reconciler: Reconciler) -> None:
         """Wire the parts.
 
         :param ledger: the state.
+        :param reconciler: compares the account with the workers.
         """
         self._ledger = ledger
+        self._reconciler = reconciler
 
     def routes(self, gate: Gatekeeper) -> list[Route]:
         """The routes of this part of the API.
@@ -43,6 +46,10 @@
         return [
             Route('/v1/reports/usage', gate.allow(self.usage, *both)),
             Route('/v1/reports/burn', gate.allow(self.burn, *both)),
+            Route(
+                '/v1/reports/differences',
+                gate.allow(self.differences, Role.OPERATOR),
+            ),
         ]
 
     async def usage(self, request: Request, identity: Identity) -> Response:
@@ -69,6 +76,20 @@
         owner = _owner_asked(request, identity)
         return _reply(request, burn_report(self._ledger, owner))
 
+    async def differences(
+        self, request: Request, identity: Identity
+    ) -> Response:
+        """Show where the account differs from the workers' reports.
+
+        :param request: the call.
+        :param identity: the operator.
+        :returns: every difference, with the offset that it holds to.
+        """
+        offset = self._ledger.offset
+        found = await self._reconciler.differences()
+        content = {'offset': offset, 'differences': found}
+        return replies.json_reply(content)
+
 
 def _reply(request: Request, report: UsageReport | BurnReport) -> Response:
     """Reply in msgpack, field by field in order, if the caller wants that."""
--- a/packages/daemon/swifthoistd/application.py
+++ b/packages/daemon/swifthoistd/application.py
@@ -50,6 +50,7 @@
 from swifthoistd.shares import Shares
 from swifthoistd.tallies import Tallies
 from swifthoistd.tenure import Tenure
+from swifthoistd.usage import Reconciler, UsageReader
 from swifthoistd.workforce import Workforce
 
 FLUSH_S = 5.0
@@ -166,6 +167,9 @@
             self._clock,
             lease_ms,
         )
+        self._reconciler = Reconciler(
+            self._ledger, UsageReader(commands), self._clock
+        )
         self._workforce = Workforce(self._ledger, board, lease_ms)
         self._scheduler = Scheduler(
             self._follower,
@@ -200,7 +204,7 @@
             *requests.routes(gate),
             *JobApi(self._follower, self._journal).routes(gate),
             *CatalogueApi(self._ledger, self._journal).routes(gate),
-            *ReportApi(self._ledger).routes(gate),
+            *ReportApi(self._ledger, self._reconciler).routes(gate),
             *status.routes(gate),
         ]
         self._app = Starlette(routes=routes)
@@ -231,6 +235,7 @@
         group.start_soon(self._renewals.run)
         group.start_soon(self._scheduler.run)
         group.start_soon(self._tallies.run)
+        group.start_soon(self._reconciler.run, self._journal, self._tenure)
         group.start_soon(self._shut_down_on_signal)
 
     async def _shut_down_on_signal(self) -> None:
--- a/packages/daemon/swifthoistd/gangs.py
+++ b/packages/daemon/swifthoistd/gangs.py
@@ -219,7 +219,8 @@
         # renewal, so that is when it ended at the latest.
         silent_ms = self._board.silent_ms(part.worker)
         end_ms = self._clock.wall_ms() - silent_ms + self._lease_ms
-        return usage_of(state._replace(stopped_ms=end_ms), part.worker)
+        estimate = usage_of(state._replace(stopped_ms=end_ms), part.worker)
+        return estimate._replace(estimated=True)
 
     async def _commit(self, record: JobStarted | JobEnded) -> None:
         """Commit a record, however long the log is down.
--- a/tests/daemon/sites.py
+++ b/tests/daemon/sites.py
@@ -91,14 +91,25 @@
         assert job is not None
         return job
 
+    async def fault(self, name: str, **faults: bool) -> None:
+        """Let a worker misbehave."""
+        address = self.address(name)
+        reply = await self.http.post(f'http://{address}/faults', json=faults)
+        reply.raise_for_status()
+
+    def address(self, name: str) -> str:
+        """Find where a worker is."""
+        spec = self.book.ledger.fleet.spec(name)
+        assert spec is not None
+        return spec.address
+
     async def runs(self, name: str) -> list[dict[str, int | str]]:
         """Read what a worker recorded."""
-        address = self.book.ledger.fleet.specs()[int(name[1:])].address
-        reply = await self.http.get(f'http://{address}/record')
+        reply = await self.http.get(f'http://{self.address(name)}/record')
         lines: list[dict[str, int | str]] = reply.json()
         return lines
 
-    async def renew(self, only: str = '') -> None:
+    async def renew(self, only: str = '', epoch: int = 1) -> None:
         """Renew every running part once and note what the workers say."""
         ledger = self.book.ledger
         for worker in ledger.fleet.specs():
@@ -111,7 +122,7 @@
                 for index, part in enumerate(job.parts)
                 if part.worker == worker.worker
             )
-            states = await client.renew(RenewOrder(1, keys, LEASE_MS))
+            states = await client.renew(RenewOrder(epoch, keys, LEASE_MS))
             self.board.note(WorkerAnswer(worker.worker, True, states))
 
 
--- a/tests/daemon/test_gangs.py
+++ b/tests/daemon/test_gangs.py
@@ -6,7 +6,7 @@
 
 from swifthoist_core import records
 from swifthoist_core.jobs import Status
-from tests.daemon.sites import Site, play
+from tests.daemon.sites import LEASE_MS, Site, play
 
 
 class GangTest(unittest.TestCase):
@@ -59,10 +59,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(site.gangs.run, 1, job)
                 await anyio.sleep(1)
-                spec = site.book.ledger.fleet.specs()[1]
-                faults = {'fail_all': True}
-                url = f'http://{spec.address}/faults'
-                await site.http.post(url, json=faults)
+                await site.fault('w1', fail_all=True)
                 for _ in range(8):
                     await anyio.sleep(1)
                     await site.renew(only='w0')
@@ -72,6 +69,54 @@
 
         play(scene)
 
+    def test_a_silent_worker_ends_the_gang_within_a_lease(self) -> None:
+        """Both parts end on their own or by order; one is an estimate."""
+
+        async def scene() -> None:
+            site = Site()
+            job = site.place('j', 'run_ms=60000')
+            async with anyio.create_task_group() as group:
+                group.start_soon(site.gangs.run, 1, job)
+                await anyio.sleep(1)
+                await site.renew()
+                await site.fault('w1', silent=True)
+                for _ in range(12):
+                    await anyio.sleep(1)
+                    await site.renew(only='w0')
+            await site.fault('w1', silent=False)
+            ends = [
+                int(line['ended_ms']) - int(line['started_ms'])
+                for name in ('w0', 'w1')
+                for line in await site.runs(name)
+            ]
+            self.assertEqual(len(ends), 2)
+            self.assertLessEqual(max(ends), 3 * LEASE_MS)
+            self.assertEqual(site.job('j').status, Status.WAITING)
+            spans = site.book.ledger.account.spans()
+            self.assertEqual([span.estimated for span in spans], [False, True])
+
+        play(scene)
+
+    def test_the_next_holder_carries_a_gang_on(self) -> None:
+        """A holder that died between hold and start leaves nothing behind."""
+
+        async def scene() -> None:
+            site = Site()
+            job = site.place('j', 'run_ms=2000')
+            await site.commands.hold(1, job)
+            site.book.now_ms += 10_000
+            site.book.append(records.CellClaimed(2, 'entry-1', 3_000))
+            async with anyio.create_task_group() as group:
+                group.start_soon(site.gangs.run, 2, job)
+                await anyio.sleep(2.5)
+                await site.renew(epoch=2)
+            self.assertEqual(site.job('j').status, Status.DONE)
+            refused = await site.commands.stop(1, job, 'late')
+            reasons = {failure.reason for failure in refused}
+            self.assertEqual(reasons, {'stale epoch'})
+
+        play(scene)
+
     def test_a_reclaim_at_the_start_is_accounted_for(self) -> None:
         """Parts that started and stopped unseen by a renewal still count."""
 
