--- a/packages/standins/swifthoist_standins/gate.py
+++ b/packages/standins/swifthoist_standins/gate.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+import anyio
 import msgspec
 from starlette.applications import Starlette
 from starlette.exceptions import HTTPException
@@ -69,6 +70,7 @@
         """
         self.board = board
         self._app = app
+        self._open: set[anyio.CancelScope] = set()
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -82,14 +84,28 @@
         if scope['type'] != 'http' or scope['path'] in _OPEN_PATHS:
             await self._app(scope, receive, send)
             return
-        exchange = Exchange(scope, receive, send)
-        self.board.note(scope['client'])
-        if self.board.is_silent(scope['client']):
-            await _swallow(receive)
+        cancel_scope = anyio.CancelScope()
+        self._open.add(cancel_scope)
+        try:
+            with cancel_scope:
+                await self._pass(Exchange(scope, receive, send))
+        finally:
+            self._open.discard(cancel_scope)
+
+    def close(self) -> None:
+        """End every call that is open, without its reply."""
+        for cancel_scope in tuple(self._open):
+            cancel_scope.cancel()
+
+    async def _pass(self, exchange: Exchange) -> None:
+        peer = exchange.scope['client']
+        self.board.note(peer)
+        if self.board.is_silent(peer):
+            await _swallow(exchange.receive)
             return
         await self.board.wait_awake()
         if self.board.is_down():
-            await _NOT_SERVED(scope, receive, send)
+            await _NOT_SERVED(*exchange)
             return
         await self.board.wait_slow()
         await self._reply(exchange, await self._serve(exchange))
--- a/packages/standins/swifthoist_standins/server.py
+++ b/packages/standins/swifthoist_standins/server.py
@@ -9,7 +9,8 @@
 import sniffio
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework
-from starlette.types import ASGIApp
+
+from swifthoist_standins.gate import FaultGate
 
 _BACKLOG = 256
 _GRACEFUL_S = 1
@@ -37,13 +38,22 @@
     return f'{host}:{port}'
 
 
-async def serve(app: ASGIApp, sock: socket.socket, stop: anyio.Event) -> None:
+async def serve(app: FaultGate, sock: socket.socket, stop: anyio.Event) -> None:
     """Serve an application until it is told to stop.
 
     :param app: the application.
     :param sock: its listening socket, which is closed in the end.
-    :param stop: set to end.
+    :param stop: set to end, whereupon open calls end without a reply.
     """
+    async with anyio.create_task_group() as group:
+        group.start_soon(_serve, app, sock, stop)
+        await stop.wait()
+        app.close()
+
+
+async def _serve(
+    app: FaultGate, sock: socket.socket, stop: anyio.Event
+) -> None:
     cfg = Config()
     cfg.bind = [f'fd://{sock.detach()}']
     cfg.loglevel = 'WARNING'
@@ -63,7 +73,7 @@
 
 
 @asynccontextmanager
-async def serving(app: ASGIApp, port: int = 0) -> AsyncIterator[str]:
+async def serving(app: FaultGate, port: int = 0) -> AsyncIterator[str]:
     """Serve an application on loopback for the length of a block.
 
     :param app: the application.
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,73 @@
+"""Support for tests that talk to stand-ins over loopback."""
+
+import unittest
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import httpx
+
+from swifthoist_standins.gate import FaultGate
+from swifthoist_standins.server import serving
+
+PATIENT_S = 20.0
+"""Time for calls that must succeed, in seconds."""
+
+HASTY_S = 0.2
+"""Time for calls that never get an answer, in seconds."""
+
+LONG_MS = 600_000
+"""A fault that lasts for the whole test, in ms."""
+
+
+class Target:
+    """A stand-in that is being served.
+
+    :ivar address: its ``host:port``.
+    :ivar url: its URL.
+    :ivar http: a client for it.
+    """
+
+    def __init__(self, address: str, http: httpx.AsyncClient) -> None:
+        """Keep the parts."""
+        self.address = address
+        self.url = f'http://{address}'
+        self.http = http
+
+    async def fault(self, **faults: int) -> None:
+        """Set faults, over a connection of its own."""
+        async with httpx.AsyncClient(trust_env=False) as control:
+            reply = await control.post(f'{self.url}/faults', json=faults)
+            reply.raise_for_status()
+
+    async def record(self) -> Any:
+        """Read what ran, over a connection of its own."""
+        async with httpx.AsyncClient(trust_env=False) as control:
+            return (await control.get(f'{self.url}/record')).json()
+
+
+@asynccontextmanager
+async def reaching(app: FaultGate) -> AsyncIterator[Target]:
+    """Serve an application and make a client for it."""
+    async with (
+        serving(app) as address,
+        httpx.AsyncClient(trust_env=False, timeout=PATIENT_S) as http,
+    ):
+        yield Target(address, http)
+
+
+class LoopbackTest(unittest.TestCase):
+    """Base of tests that serve one stand-in each."""
+
+    def build(self) -> FaultGate:
+        """Build the stand-in."""
+        raise NotImplementedError
+
+    def play(self, scene: Callable[[Target], Awaitable[None]]) -> None:
+        """Serve the stand-in and play a scene with it."""
+        anyio.run(self._play, scene)
+
+    async def _play(self, scene: Callable[[Target], Awaitable[None]]) -> None:
+        async with reaching(self.build()) as target:
+            await scene(target)
