--- a/packages/core/swifthoist_core/requests.py
+++ b/packages/core/swifthoist_core/requests.py
@@ -1,17 +1,37 @@
-"""Non-idempotent requests: each key runs at most once."""
+"""Non-idempotent requests: each key runs at most once.
+
+A settled key keeps its answer for some minutes. After that only a hash of
+the key and whether it was done remain, for a day, so that a retry is still
+refused. A key that was not run is free again and is dropped early.
+"""
 
 import enum
+import itertools
 from typing import NamedTuple
 
+from swifthoist_core.keysets import KeySets, Mark
 from swifthoist_core.records import Author, RequestClosed, RequestIntended
 from swifthoist_core.types import Millis, OwnerId, RequestKey
 
+FULL_MS = 10 * 60_000
+"""How long a settled key keeps its answer, in ms of log time."""
+
+MAX_FULL = 20_000
+"""How many settled keys keep their answers."""
+
+_COMPACT_BATCH = 2_000
+
 KEEP_MS = 24 * 3_600_000
-"""How long a key is remembered after its last record, in ms of log time."""
+"""How long a settled key is remembered at all, in ms of log time."""
+
+MAX_COMPACT = 2_000_000
+"""How many keys are remembered without answers; more intents are refused."""
 
 ORPHAN_MS = 60_000
 """How long after its validity an open intent may be called unknown, in ms."""
 
+_NOBODY = Author('', 0)
+
 
 class Phase(enum.StrEnum):
     """What is known of a request."""
@@ -27,7 +47,7 @@
 
     :ivar phase: what is known.
     :ivar author: the instance that may send it.
-    :ivar digest: hash of the request.
+    :ivar digest: hash of the request; empty once it is no longer kept.
     :ivar at_ms: log time of its last record.
     :ivar valid_ms: the author had to send it within this time, in ms.
     :ivar status: status of the runner's answer, 0 for none.
@@ -54,6 +74,12 @@
     key: RequestKey
 
 
+_COMPACTED = {
+    Mark.DONE: RequestState(Phase.DONE, _NOBODY, '', 0, 0),
+    Mark.UNKNOWN: RequestState(Phase.UNKNOWN, _NOBODY, '', 0, 0),
+}
+
+
 class Requests:
     """The aggregate of non-idempotent requests."""
 
@@ -61,10 +87,12 @@
         """Start with no request known."""
         self._states: dict[RequestId, RequestState] = {}
         self._open: dict[RequestId, None] = {}
+        self._settled: dict[RequestId, None] = {}
+        self._compact: dict[int, bytes] = {}
 
     def __len__(self) -> int:
         """Count the keys that are remembered."""
-        return len(self._states)
+        return len(self._states) + len(KeySets(self._compact))
 
     def get(self, owner: OwnerId, key: RequestKey) -> RequestState | None:
         """Find what is known of a request.
@@ -73,7 +101,11 @@
         :param key: its idempotency key.
         :returns: the state, or ``None`` if the key is not known.
         """
-        return self._states.get(RequestId(owner, key))
+        known = self._states.get(RequestId(owner, key))
+        if known is not None:
+            return known
+        mark = KeySets(self._compact).find(owner, key)
+        return None if mark is None else _COMPACTED[mark]
 
     def intend(
         self, author: Author, record: RequestIntended, time_ms: Millis
@@ -86,14 +118,17 @@
         :returns: why it is rejected, empty if accepted.
         """
         known = self.get(record.owner, record.key)
-        if known is not None and known.digest != record.digest:
+        if known is not None and known.digest not in {'', record.digest}:
             return 'key reused for another request'
         if known is not None and known.phase is not Phase.NOT_RUN:
             return known.phase.value
+        if len(self) >= MAX_COMPACT:
+            return 'too many keys are remembered'
         request_id = RequestId(record.owner, record.key)
         self._states[request_id] = RequestState(
             Phase.OPEN, author, record.digest, time_ms, record.valid_ms
         )
+        self._settled.pop(request_id, None)
         self._open[request_id] = None
         return ''
 
@@ -110,7 +145,8 @@
         :param time_ms: time of the record in the log.
         :returns: why it is rejected, empty if accepted.
         """
-        known = self.get(record.owner, record.key)
+        request_id = RequestId(record.owner, record.key)
+        known = self._states.get(request_id)
         if known is None or known.phase in {Phase.DONE, Phase.NOT_RUN}:
             return 'not open'
         phase = Phase(record.outcome)
@@ -120,13 +156,14 @@
             early = time_ms < _orphan_ms(known)
             if phase is not Phase.UNKNOWN or early:
                 return 'not the author of the intent'
-        request_id = RequestId(record.owner, record.key)
-        self._open.pop(request_id, None)
-        self._states[request_id] = known._replace(
-            phase=phase,
-            at_ms=time_ms,
-            status=record.status,
-            answer=record.answer,
+        self._settle(
+            request_id,
+            known._replace(
+                phase=phase,
+                at_ms=time_ms,
+                status=record.status,
+                answer=record.answer,
+            ),
         )
         return ''
 
@@ -143,18 +180,42 @@
         )
 
     def forget(self, time_ms: Millis) -> None:
-        """Drop the keys that are too old to be asked for again.
+        """Keep less of what was settled long ago, and in time nothing.
+
+        An open key is never dropped; somebody closes it first.
 
         :param time_ms: time of the log now.
         """
-        old = [
-            request_id
-            for request_id, known in self._states.items()
-            if known.at_ms + KEEP_MS < time_ms
-        ]
+        before_ms = time_ms - FULL_MS
+        old = itertools.takewhile(
+            lambda settled: self._states[settled].at_ms < before_ms,
+            self._settled,
+        )
+        self._shrink(list(old), time_ms)
+        KeySets(self._compact).drop_before(time_ms - KEEP_MS)
+
+    def _settle(self, request_id: RequestId, state: RequestState) -> None:
+        self._states[request_id] = state
+        self._open.pop(request_id, None)
+        self._settled.pop(request_id, None)
+        self._settled[request_id] = None
+        if len(self._settled) >= MAX_FULL + _COMPACT_BATCH:
+            old = list(self._settled)[:_COMPACT_BATCH]
+            self._shrink(old, state.at_ms)
+
+    def _shrink(self, old: list[RequestId], time_ms: Millis) -> None:
+        done: list[RequestId] = []
+        unknown: list[RequestId] = []
         for request_id in old:
-            self._states.pop(request_id)
-            self._open.pop(request_id, None)
+            self._settled.pop(request_id)
+            match self._states.pop(request_id).phase:
+                case Phase.DONE:
+                    done.append(request_id)
+                case Phase.UNKNOWN:
+                    unknown.append(request_id)
+        compact = KeySets(self._compact)
+        compact.add(done, Mark.DONE, time_ms)
+        compact.add(unknown, Mark.UNKNOWN, time_ms)
 
 
 def _orphan_ms(known: RequestState) -> Millis:
--- a/packages/daemon/swifthoistd/follower.py
+++ b/packages/daemon/swifthoistd/follower.py
@@ -8,7 +8,7 @@
 import anyio.lowlevel
 import msgspec
 
-from swifthoist_core import codec
+from swifthoist_core import codec, snapshots
 from swifthoist_core.clock import Clock
 from swifthoist_core.errors import LogExpiredError, LogUnavailableError
 from swifthoist_core.ledger import Ledger, Verdict
@@ -49,6 +49,7 @@
     :ivar ledger: the state at the offset that was folded last.
     :ivar expired: the oldest offset that the log holds, when that is beyond
         the ledger and no snapshot was found yet; else 0.
+    :ivar resets: how often a snapshot turned out not to match the log.
     """
 
     def __init__(
@@ -70,6 +71,8 @@
         """
         self.ledger = ledger
         self.expired: Offset = 0
+        self.resets = 0
+        self._unchecked = False
         self._log = log
         self._clock = clock
         self._bootstrap = bootstrap
@@ -118,41 +121,65 @@
 
     async def run(self) -> None:
         """Read and fold, for as long as the instance lives."""
+        await self._restored()
         while True:
             asked_ms = self._clock.boot_ms()
-            entries = await self._read()
+            entries = await self._try_read()
             if entries is None:
                 continue
             await self._fold_all(entries)
             if len(entries) < READ_LIMIT:
                 self._at_end_ms = asked_ms
 
-    async def _read(self) -> Sequence[LogEntry] | None:
+    async def _try_read(self) -> Sequence[LogEntry] | None:
+        """Read the next entries, or wait a while after a failure."""
         entries: Sequence[LogEntry] | None = None
-        wait_s = 0 if self._at_end_ms is None else READ_WAIT_S
-        with anyio.move_on_after(READ_WAIT_S + READ_SLACK_S):
-            try:
-                entries = await self._log.read(
-                    LEDGER_STREAM, self.ledger.offset, READ_LIMIT, wait_s
-                )
-            except LogExpiredError as expired:
-                self.expired = expired.earliest
-            except LogUnavailableError:
-                entries = None
+        try:
+            with anyio.move_on_after(READ_WAIT_S + READ_SLACK_S):
+                entries = await self._read()
+        except LogExpiredError as expired:
+            self.expired = expired.earliest
+        except LogUnavailableError:
+            entries = None
         if entries is not None:
             self._backoff_s = BACKOFF_S
             return entries
-        if self.expired and await self._restored():
-            return None
-        await self._back_off()
+        lost = self.expired or self._at_end_ms is None
+        if not (lost and await self._restored()):
+            await self._back_off()
         return None
 
+    async def _read(self) -> Sequence[LogEntry]:
+        if self._unchecked:
+            await self._check()
+        wait_s = 0 if self._at_end_ms is None else READ_WAIT_S
+        return await self._log.read(
+            LEDGER_STREAM, self.ledger.offset, READ_LIMIT, wait_s
+        )
+
+    async def _check(self) -> None:
+        """Compare a snapshot's last record with the log; drop a wrong one."""
+        last = self.ledger.offset - 1
+        bounds = await self._log.bounds(LEDGER_STREAM)
+        sound = bounds.end > last
+        if sound and last >= bounds.earliest:
+            entries = await self._log.read(LEDGER_STREAM, last, 1, 0)
+            sound = [entry.time_ms for entry in entries] == [
+                self.ledger.time_ms
+            ]
+        if not sound:
+            self.resets += 1
+            snapshots.reset(self.ledger)
+            self._announce_jump()
+        self._unchecked = False
+
     async def _restored(self) -> bool:
         if self._bootstrap is None:
             return False
         if not await self._bootstrap.restore(self.ledger, self.expired):
             return False
         self.expired = 0
+        self._unchecked = True
         self._announce_jump()
         return True
 
--- a/packages/daemon/swifthoistd/intents.py
+++ b/packages/daemon/swifthoistd/intents.py
@@ -209,7 +209,7 @@
 ) -> Settled | Refused | None:
     if known is None:
         return None
-    if known.digest != intent.digest:
+    if known.digest not in {'', intent.digest}:
         return Refused('key reused for another request')
     if known.phase in {Phase.OPEN, Phase.NOT_RUN}:
         return None
--- a/packages/daemon/swifthoistd/journal.py
+++ b/packages/daemon/swifthoistd/journal.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from swifthoist_core.authors import DUPLICATE, OUT_OF_ORDER
+from swifthoist_core import authors
 from swifthoist_core.clock import Clock
 from swifthoist_core.errors import LogUnavailableError, OutcomeUnknownError
 from swifthoist_core.ledger import Verdict
@@ -145,9 +145,13 @@
         """
         if verdict.author != self.author:
             return
-        if verdict.reason in {DUPLICATE, OUT_OF_ORDER}:
-            return
-        self._outbox.folded(verdict.seq, verdict)
+        match verdict.reason:
+            case authors.DUPLICATE:
+                return
+            case authors.OUT_OF_ORDER:
+                self._outbox.overtook(verdict.seq)
+            case _:
+                self._outbox.folded(verdict.seq, verdict)
         self._stir()
 
     def settle(self, upto: int) -> None:
--- a/packages/daemon/swifthoistd/outbox.py
+++ b/packages/daemon/swifthoistd/outbox.py
@@ -161,6 +161,18 @@
                 pending.verdict = verdict
             pending.finished.set()
 
+    def overtook(self, seq: int) -> None:
+        """Note that a record reached the log ahead of an earlier one.
+
+        It has no effect there and must be sent again.
+
+        :param seq: its number.
+        """
+        for pending in self._window:
+            if pending.seq == seq:
+                pending.landed = False
+                pending.doubtful = True
+
     def _number(self, free: int) -> list[Pending]:
         fresh = list(itertools.islice(self._queue, max(free, 0)))
         for seq, pending in enumerate(fresh, self._next_seq):
--- a/tests/daemon/test_tenure.py
+++ b/tests/daemon/test_tenure.py
@@ -67,6 +67,47 @@
 
         run(main)
 
+    def test_who_cannot_read_does_not_take_a_held_cell(self) -> None:
+        """The fold judges by the log's time, not by the claimant's view."""
+
+        async def main() -> None:
+            log = FakeLog()
+            holder, late = Instance('e0', log), Instance('e1', log)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(holder.run)
+                await anyio.sleep(LEASE_S)
+                tasks.start_soon(late.run)
+                await anyio.sleep(LEASE_S)
+                late.link.lag_s = LEASE_S * 10
+                for _ in range(300):
+                    await anyio.sleep(0.1)
+                    self.assertEqual(await _holders([holder, late]), ['e0'])
+                self.assertEqual(holder.ledger.cell.state.epoch, 1)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
+    def test_a_holder_that_reads_late_stops_in_time(self) -> None:
+        """Its lease counts from before the renewal, not from its reply."""
+
+        async def main() -> None:
+            log = FakeLog()
+            entries = [Instance(f'e{index}', log) for index in range(5)]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(entries[0].run)
+                await anyio.sleep(LEASE_S)
+                entries[0].link.lag_s = LEASE_S * 0.15
+                for entry in entries[1:]:
+                    tasks.start_soon(entry.run)
+                await anyio.sleep(LEASE_S * 3.2)
+                entries[0].link.pause()
+                for _ in range(400):
+                    await anyio.sleep(0.02)
+                    self.assertLessEqual(len(await _holders(entries)), 1)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
     def test_a_released_cell_is_claimed_at_once(self) -> None:
         """A graceful shutdown does not cost a lease."""
 
