--- a/packages/daemon/swifthoistd/journal.py
+++ b/packages/daemon/swifthoistd/journal.py
@@ -17,7 +17,7 @@
 from swifthoist_core.errors import LogUnavailableError, OutcomeUnknownError
 from swifthoist_core.ledger import Verdict
 from swifthoist_core.records import Author, Record, RequestsCounted
-from swifthoistd.committing import Committer
+from swifthoistd.committing import Committer, Receipt
 from swifthoistd.outbox import Outbox, Pending
 
 MAX_QUEUE = 4_096
@@ -30,7 +30,8 @@
 """How long a record that was handed on may take to be folded, in ms."""
 
 LINGER_S = 0.001
-"""How long a group waits for more after the one before it."""
+"""How long a group waits for more after an append of its own; the call to
+the holder takes long enough by itself."""
 
 BACKOFF_S = 0.05
 MAX_BACKOFF_S = 2.0
@@ -211,7 +212,8 @@
             self._backoff_s = BACKOFF_S
             due_ms = self._clock.boot_ms() + RESEND_MS
             self._outbox.sent(batch, receipt, due_ms)
-            await anyio.sleep(self._linger_s)
+            if receipt is Receipt.APPENDED:
+                await anyio.sleep(self._linger_s)
 
     async def _back_off(self) -> None:
         pause_s = self._backoff_s * self._dice.uniform(0.5, 1)
--- a/packages/daemon/swifthoistd/snapshotting.py
+++ b/packages/daemon/swifthoistd/snapshotting.py
@@ -29,7 +29,7 @@
 EVERY_MS = 10 * 60_000
 """How often a snapshot is written while records come, in ms."""
 
-EVERY_RECORDS = 100_000
+EVERY_RECORDS = 50_000
 """After how many records one is written earlier."""
 
 APPEND_TIMEOUT_S = 5.0
--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -3,7 +3,7 @@
 import enum
 import random
 from collections.abc import Awaitable, Callable, Sequence
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import anyio
 import trio
@@ -13,21 +13,24 @@
     LogExpiredError,
     LogUnavailableError,
     OutcomeUnknownError,
+    UnreachableError,
 )
 from swifthoist_core.ledger import Ledger
 from swifthoist_core.records import Author, RequestIntended
-from swifthoistd.committing import Committer, DirectCommitter
+from swifthoistd.committing import Committer, DirectCommitter, Gather
 from swifthoistd.follower import Bootstrap, Follower
 from swifthoistd.intents import Intents
 from swifthoistd.journal import Journal
 from swifthoistd.logs import LEDGER_STREAM
 from swifthoistd.tenure import Tenure
 
+T = TypeVar('T')
 START_MS = 1_800_000_000_000
 _READ_S = 0.002
+_HOP_S = 0.001
 
 
-def run(main: Callable[[], Awaitable[object]], seed: int = 0) -> object:
+def run(main: Callable[[], Awaitable[T]], seed: int = 0) -> T:
     """Run a test on a clock that jumps, with the same order every time."""
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(seed)
@@ -256,6 +259,28 @@
         self.journal.settle(self.ledger.authors.upto(self.author))
 
 
+class Peers:
+    """Calls between instances in one process."""
+
+    def __init__(self) -> None:
+        """Start with no instance reachable."""
+        self.gathers: dict[str, Gather] = {}
+        self.silent = False
+
+    async def offer(
+        self, holder: str, payloads: Sequence[bytes], timeout_s: float
+    ) -> bool:
+        """Hand a group on; a silent peer never answers."""
+        await anyio.sleep(_HOP_S)
+        if holder not in self.gathers:
+            raise UnreachableError(holder)
+        if self.silent:
+            await anyio.sleep_forever()
+        queued = self.gathers[holder].offer(payloads)
+        await anyio.sleep(_HOP_S)
+        return queued
+
+
 def intent(key: str, digest: str = 'd') -> RequestIntended:
     """Build an intent of team ``a``."""
     return RequestIntended(key, 'a', 'sort', digest, 5_000)
--- a/tests/daemon/test_committing.py
+++ b/tests/daemon/test_committing.py
@@ -1,33 +1,12 @@
 """Tests of committing through the holder of the cell."""
 
 import unittest
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import anyio
 
-from swifthoist_core.errors import UnreachableError
 from swifthoistd.committing import DirectCommitter, Gather, PeerCommitter
-from tests.daemon.fakes import FakeLog, Instance, Mode, intent, run
-
-
-class Peers:
-    """Calls between instances in one process."""
-
-    def __init__(self) -> None:
-        """Start with no instance reachable."""
-        self.gathers: dict[str, Gather] = {}
-        self.silent = False
-
-    async def offer(
-        self, holder: str, payloads: Sequence[bytes], timeout_s: float
-    ) -> bool:
-        """Hand a group on; a silent peer never answers."""
-        await anyio.sleep(0.001)
-        if holder not in self.gathers:
-            raise UnreachableError(holder)
-        if self.silent:
-            await anyio.sleep_forever()
-        return self.gathers[holder].offer(payloads)
+from tests.daemon.fakes import FakeLog, Instance, Mode, Peers, intent, run
 
 
 class Team:
