Hold guarantees as virtual cells; reserve what a reclaim frees

Cause: guarantees were counted, so a promise of eight accelerators could be spread over eight workers; a place that drained for a reclaim could be taken by any other job; a scan of all jobs stood in each decision.

Weighed: counting per level of the topology (a lower bound only once racks of six and cores and memory come in), a fixed split per team (strands what is idle), and bound virtual cells after HiveD (OSDI 2020). Taken: the last. The bindings are disjoint, so they are the proof that every guaranteed shape fits at once; idle bindings move when that spares a borrower.

Change: virtual cells, bindings that move and mend, reservations made by the fold when it accepts a reclaim, run times from history, workers set aside on evidence of several owners, refusals with the reason, shortfalls.

Seen to fail with the mechanism taken out, then to pass: admission into the owner's cells, the check of reserved room, evacuation of leaving workers, mending, moving, the check of a reclaim, the choice by loss, retired cells, the limit on concurrency, owners of evidence, acquittal, retry, probation. With the planner blind to reservations, or released jobs left guaranteed, the tests came to no end (the planner is refused for ever).

The state machine found a reservation of a job that must not be stopped which outlived its guarantee; such a reservation is now released, and the job refused once no guarantee can hold it.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches of the project."""
--- a/packages/core/swifthoist_core/fleet.py
+++ b/packages/core/swifthoist_core/fleet.py
@@ -1,136 +1,48 @@
 """The fleet: workers, where they stand, and what is free on them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
+from swifthoist_core.buddies import best_slot, mask_of, slot_size
 from swifthoist_core.records import PartPlacement
-from swifthoist_core.shapes import Adjacency, Shape, WorkerSpec
+from swifthoist_core.room_index import Room
+from swifthoist_core.shapes import Adjacency, Shape
+from swifthoist_core.topology import domain
 from swifthoist_core.types import WorkerId
+from swifthoist_core.workers import Workers
 
 _NO_WORKERS: frozenset[WorkerId] = frozenset()
 
 
-class Room(NamedTuple):
-    """What is free on one worker.
+class Search(NamedTuple):
+    """What a search for a place must leave alone.
 
-    :ivar busy: bit mask of the accelerators in use, bit 0 the first.
-    :ivar cores: processor cores free.
-    :ivar memory_mib: memory free, in MiB.
+    :ivar banned: workers to leave out.
+    :ivar holds: room to leave free, by worker.
+    :ivar beside: a second fleet in which the place must be free as well.
     """
 
-    busy: int
-    cores: int
-    memory_mib: int
+    banned: frozenset[WorkerId] = _NO_WORKERS
+    holds: dict[WorkerId, Room] = {}  # noqa: RUF012
+    beside: 'Fleet | None' = None
 
 
-def slot_size(accelerators: int) -> int:
-    """Accelerators that a part takes from the buddy tree.
+_ANYWHERE = Search()
 
-    :param accelerators: how many it asked for.
-    :returns: the next power of two, 0 for none.
-    """
-    if accelerators == 0:
-        return 0
-    return 1 << (accelerators - 1).bit_length()
-
-
-def find_slot(spec: WorkerSpec, room: Room, shape: Shape) -> int | None:
-    """Find an aligned run of free accelerators for one part.
 
-    :param spec: the worker.
-    :param room: what is free on it.
-    :param shape: what the part needs.
-    :returns: index of the first accelerator, or ``None``.
-    """
-    if room.cores < shape.cores or room.memory_mib < shape.memory_mib:
-        return None
-    size = slot_size(shape.accelerators)
-    if size == 0:
-        return 0
-    mask = (1 << size) - 1
-    for first in range(0, spec.accelerators - size + 1, size):
-        if not room.busy & (mask << first):
-            return first
-    return None
-
-
-class Fleet:
+class Fleet(Workers):
     """The aggregate of workers and what is in use on them."""
 
-    def __init__(self) -> None:
-        """Start with no worker."""
-        self._specs: dict[WorkerId, WorkerSpec] = {}
-        self._rooms: dict[WorkerId, Room] = {}
-        self._leaving: set[WorkerId] = set()
-
     def copy(self) -> 'Fleet':
         """Copy the fleet, for trying a placement out."""
         twin = Fleet()
         twin._specs = dict(self._specs)
         twin._rooms = dict(self._rooms)
         twin._leaving = set(self._leaving)
+        twin._aside = set(self._aside)
+        twin.reindex()
         return twin
 
-    def spec(self, worker: WorkerId) -> WorkerSpec | None:
-        """Find a worker.
-
-        :param worker: id of the worker.
-        :returns: what is known of it, or ``None``.
-        """
-        return self._specs.get(worker)
-
-    def specs(self) -> tuple[WorkerSpec, ...]:
-        """All workers that are not lost, by id."""
-        return tuple(spec for _, spec in sorted(self._specs.items()))
-
-    def is_leaving(self, worker: WorkerId) -> bool:
-        """Tell whether a worker drains.
-
-        :param worker: id of the worker.
-        :returns: whether it takes no new work.
-        """
-        return worker in self._leaving
-
-    def join(self, spec: WorkerSpec) -> str:
-        """Take a worker in.
-
-        :param spec: the worker.
-        :returns: why it is rejected, empty if accepted.
-        """
-        known = self._specs.get(spec.worker)
-        if known is not None and known.incarnation >= spec.incarnation:
-            return 'worker already known'
-        if known is not None:
-            return 'an older life of the worker was not lost yet'
-        self._specs[spec.worker] = spec
-        self._rooms[spec.worker] = Room(0, spec.cores, spec.memory_mib)
-        self._leaving.discard(spec.worker)
-        return ''
-
-    def drain(self, worker: WorkerId) -> str:
-        """Give a worker no new work.
-
-        :param worker: id of the worker.
-        :returns: why it is rejected, empty if accepted.
-        """
-        if worker not in self._specs:
-            return 'unknown worker'
-        self._leaving.add(worker)
-        return ''
-
-    def lose(self, worker: WorkerId) -> str:
-        """Take a worker out; its parts must have been vacated.
-
-        :param worker: id of the worker.
-        :returns: why it is rejected, empty if accepted.
-        """
-        if worker not in self._specs:
-            return 'unknown worker'
-        self._specs.pop(worker)
-        self._rooms.pop(worker)
-        self._leaving.discard(worker)
-        return ''
-
     def occupy(self, shape: Shape, parts: Iterable[PartPlacement]) -> str:
         """Take the place of a gang, wholly or not at all.
 
@@ -139,21 +51,35 @@
         :returns: why it is rejected, empty if accepted.
         """
         rooms: dict[WorkerId, Room] = {}
+        reason = self._take(shape, parts, rooms)
+        if not reason:
+            for worker, room in rooms.items():
+                self._put(worker, room)
+        return reason
+
+    def check(self, shape: Shape, parts: Iterable[PartPlacement]) -> str:
+        """Tell whether a gang could take a place.
+
+        :param shape: what each part needs.
+        :param parts: a place for each part.
+        :returns: why not, empty if it could.
+        """
+        return self._take(shape, parts, {})
+
+    def _take(
+        self,
+        shape: Shape,
+        parts: Iterable[PartPlacement],
+        rooms: dict[WorkerId, Room],
+    ) -> str:
         for part in parts:
             room = rooms.get(part.worker) or self._rooms.get(part.worker)
-            if room is None or part.worker in self._leaving:
+            if room is None or not self.is_open(part.worker):
                 return f'worker {part.worker} takes no work'
-            taken = _mask(part)
-            if room.busy & taken or room.cores < shape.cores:
+            left = room.less(mask_of(part.first, part.accelerators), shape)
+            if left is None or not self._is_slot(shape, part):
                 return f'no room on worker {part.worker}'
-            if room.memory_mib < shape.memory_mib:
-                return f'no memory on worker {part.worker}'
-            rooms[part.worker] = Room(
-                room.busy | taken,
-                room.cores - shape.cores,
-                room.memory_mib - shape.memory_mib,
-            )
-        self._rooms.update(rooms)
+            rooms[part.worker] = left
         return ''
 
     def vacate(self, shape: Shape, parts: Iterable[PartPlacement]) -> None:
@@ -164,31 +90,34 @@
         """
         for part in parts:
             room = self._rooms.get(part.worker)
-            if room is None:
-                continue
-            self._rooms[part.worker] = Room(
-                room.busy & ~_mask(part),
-                room.cores + shape.cores,
-                room.memory_mib + shape.memory_mib,
-            )
+            if room is not None:
+                taken = mask_of(part.first, part.accelerators)
+                self._put(part.worker, room.plus(taken, shape))
+
+    def is_near(self, shape: Shape, parts: Iterable[PartPlacement]) -> bool:
+        """Tell whether parts are as near to each other as a shape asks.
+
+        :param shape: the shape.
+        :param parts: a place for each part, on known workers.
+        :returns: whether one domain of the topology holds them all.
+        """
+        specs = (self._specs[part.worker] for part in parts)
+        domains = {domain(spec, shape.adjacency) for spec in specs}
+        return len(domains) <= 1
 
     def find(
-        self, shape: Shape, banned: frozenset[WorkerId] = _NO_WORKERS
+        self, shape: Shape, search: Search = _ANYWHERE
     ) -> tuple[PartPlacement, ...]:
-        """Find a place for a whole gang.
+        """Find a place for a whole gang, where it leaves least in pieces.
 
         :param shape: what the gang needs.
-        :param banned: workers to leave out.
+        :param search: what to leave alone.
         :returns: a place for each part, empty if there is none.
         """
-        for group in self._groups(shape.adjacency):
-            open_workers = [
-                spec
-                for spec in group
-                if spec.worker not in self._leaving
-                and spec.worker not in banned
-            ]
-            parts = self._fill(shape, open_workers)
+        if shape.adjacency is Adjacency.ANY:
+            return self.find_within(shape, '', search)
+        for name in self._index.domains(shape):
+            parts = self.find_within(shape, name, search)
             if parts:
                 return parts
         return ()
@@ -199,53 +128,71 @@
         :param shape: what the gang needs.
         :returns: whether there is a place on the idle fleet.
         """
-        idle = Fleet()
-        for spec in self._specs.values():
-            idle.join(spec)
-        return bool(idle.find(shape))
-
-    def free_accelerators(self) -> int:
-        """Count the accelerators that are not in use."""
-        return sum(
-            spec.accelerators - self._rooms[worker].busy.bit_count()
-            for worker, spec in self._specs.items()
-        )
-
-    def _groups(self, adjacency: Adjacency) -> list[list[WorkerSpec]]:
-        groups: dict[str, list[WorkerSpec]] = {}
-        for spec in self.specs():
-            match adjacency:
-                case Adjacency.WORKER:
-                    key = spec.worker
-                case Adjacency.RACK:
-                    key = f'{spec.zone}/{spec.rack}'
-                case Adjacency.ZONE:
-                    key = spec.zone
-                case _:
-                    key = ''
-            groups.setdefault(key, []).append(spec)
-        return [group for _, group in sorted(groups.items())]
-
-    def _fill(
-        self, shape: Shape, group: list[WorkerSpec]
+        known = self._ever.get(shape)
+        if known is None:
+            known = bool(self.idle().find(shape))
+            self._ever[shape] = known
+        return known
+
+    def idle(self) -> 'Fleet':
+        """Copy the workers without what runs on them."""
+        twin = Fleet()
+        twin._specs = dict(self._specs)
+        twin._rooms = {
+            worker: Room(0, spec.cores, spec.memory_mib)
+            for worker, spec in sorted(self._specs.items())
+        }
+        twin.reindex()
+        return twin
+
+    def _is_slot(self, shape: Shape, part: PartPlacement) -> bool:
+        size = slot_size(shape.accelerators)
+        if part.accelerators != size or part.first < 0:
+            return False
+        end = part.first + size
+        aligned = size == 0 or part.first % size == 0
+        return aligned and end <= self._specs[part.worker].accelerators
+
+    def find_within(
+        self, shape: Shape, within: str, search: Search = _ANYWHERE
     ) -> tuple[PartPlacement, ...]:
+        """Find a place for a whole gang in one domain of the topology.
+
+        :param shape: what the gang needs.
+        :param within: name of the domain, empty for anywhere.
+        :param search: what to leave alone.
+        :returns: a place for each part, empty if there is none.
+        """
         parts: list[PartPlacement] = []
-        for spec in group:
-            room = self._rooms[spec.worker]
-            while len(parts) < shape.parts:
-                first = find_slot(spec, room, shape)
-                if first is None:
-                    break
-                size = slot_size(shape.accelerators)
-                part = PartPlacement(spec.worker, first, size)
-                parts.append(part)
-                room = Room(
-                    room.busy | _mask(part),
-                    room.cores - shape.cores,
-                    room.memory_mib - shape.memory_mib,
-                )
-        return tuple(parts) if len(parts) == shape.parts else ()
-
-
-def _mask(part: PartPlacement) -> int:
-    return ((1 << part.accelerators) - 1) << part.first
+        for worker in self._index.candidates(shape, within):
+            parts.extend(self._slots(worker, shape, search))
+            if len(parts) >= shape.parts:
+                return tuple(parts[: shape.parts])
+        return ()
+
+    def _slots(
+        self, worker: WorkerId, shape: Shape, search: Search
+    ) -> Iterator[PartPlacement]:
+        if worker in search.banned:
+            return
+        room = self._free(worker, search)
+        width = self._specs[worker].accelerators
+        size = slot_size(shape.accelerators)
+        for _ in range(shape.parts):
+            first = best_slot(room.busy, width, size)
+            if first is None:
+                return
+            left = room.less(mask_of(first, size), shape)
+            if left is None:
+                return
+            yield PartPlacement(worker, first, size)
+            room = left
+
+    def _free(self, worker: WorkerId, search: Search) -> Room:
+        room = self._rooms[worker]
+        held = search.holds.get(worker)
+        if held is not None:
+            room = room.without(held)
+        if search.beside is not None:
+            room = room.both(search.beside.room(worker))
+        return room
--- a/packages/core/swifthoist_core/jobs.py
+++ b/packages/core/swifthoist_core/jobs.py
@@ -1,123 +1,50 @@
 """Jobs: gangs that run whole or not at all."""
 
-import enum
-from collections.abc import Iterator
-from typing import NamedTuple
-
+from swifthoist_core.job_book import JobBook
+from swifthoist_core.job_states import ENDED as ENDED
+from swifthoist_core.job_states import PLACED as PLACED
+from swifthoist_core.job_states import Job as Job
+from swifthoist_core.job_states import Status as Status
 from swifthoist_core.records import (
     JobCancelled,
     JobEnded,
     JobPlaced,
     JobReclaimed,
-    JobSpec,
     JobStarted,
     JobSubmitted,
-    PartPlacement,
 )
-from swifthoist_core.types import JobId, Millis, Offset, OwnerId, RequestKey
+from swifthoist_core.types import (
+    JobId,
+    Millis,
+    Offset,
+)
 
 MAX_FAILURES = 3
 """An idempotent job that failed this often is not tried again."""
 
-KEEP_MS = 24 * 3_600_000
-"""How long an ended job can be looked up, in ms of log time."""
-
-
-class Status(enum.StrEnum):
-    """State of a job."""
-
-    WAITING = 'waiting'
-    STARTING = 'starting'
-    RUNNING = 'running'
-    STOPPING = 'stopping'
-    DONE = 'done'
-    FAILED = 'failed'
-    CANCELLED = 'cancelled'
-    REFUSED = 'refused'
-    UNKNOWN = 'unknown'
-
-
-ENDED = frozenset(
-    (
-        Status.DONE,
-        Status.FAILED,
-        Status.CANCELLED,
-        Status.REFUSED,
-        Status.UNKNOWN,
-    )
-)
-PLACED = frozenset((Status.STARTING, Status.RUNNING, Status.STOPPING))
-
-
-class Job(NamedTuple):
-    """One job at an offset.
-
-    :ivar spec: the job as its owner asked for it.
-    :ivar key: its idempotency key.
-    :ivar status: its state.
-    :ivar submitted_ms: log time of its submission.
-    :ivar changed_ms: log time of its last change.
-    :ivar attempt: number of the latest attempt, 0 before the first.
-    :ivar parts: its place while it has one.
-    :ivar lent: whether that place can be reclaimed.
-    :ivar offset: offset of the record that gave its place or took it.
-    :ivar failures: attempts that failed.
-    :ivar banned: workers on which it failed.
-    :ivar reason: why it waits or ended so.
-    :ivar beneficiary: the job for which its place is reclaimed.
-    :ivar cancelled: whether the owner took it back.
-    """
 
-    spec: JobSpec
-    key: RequestKey
-    status: Status
-    submitted_ms: Millis
-    changed_ms: Millis
-    attempt: int = 0
-    parts: tuple[PartPlacement, ...] = ()
-    lent: bool = False
-    offset: Offset = 0
-    failures: int = 0
-    banned: tuple[str, ...] = ()
-    reason: str = ''
-    beneficiary: JobId = ''
-    cancelled: bool = False
-
-
-class Jobs:
+class Jobs(JobBook):
     """The aggregate of jobs; the fleet's room is settled by the ledger."""
 
-    def __init__(self) -> None:
-        """Start with no job."""
-        self._jobs: dict[JobId, Job] = {}
-        self._keys: dict[tuple[OwnerId, RequestKey], JobId] = {}
-        self._open: dict[JobId, None] = {}
-
-    def get(self, job_id: JobId) -> Job | None:
-        """Find a job.
+    def demote(self, job_id: JobId) -> None:
+        """Turn a guaranteed place into a lent one.
 
-        :param job_id: id of the job.
-        :returns: the job, or ``None``.
+        :param job_id: a job whose guarantee was withdrawn.
         """
-        return self._jobs.get(job_id)
+        job = self._jobs[job_id]
+        if job.parts:
+            self._put(job._replace(lent=True))
 
-    def by_key(self, owner: OwnerId, key: RequestKey) -> Job | None:
-        """Find the job that an owner submitted under a key.
+    def refuse(self, job_id: JobId, reason: str, time_ms: Millis) -> None:
+        """Refuse a waiting job that can no longer run.
 
-        :param owner: the team.
-        :param key: the idempotency key.
-        :returns: the job, or ``None``.
+        :param job_id: id of the job.
+        :param reason: why it cannot.
+        :param time_ms: time of the log now.
         """
-        job_id = self._keys.get((owner, key))
-        return self._jobs.get(job_id) if job_id is not None else None
-
-    def open_jobs(self) -> Iterator[Job]:
-        """Go through the jobs that have not ended, by submission."""
-        return (self._jobs[job_id] for job_id in tuple(self._open))
-
-    def all_jobs(self) -> Iterator[Job]:
-        """Go through every job that is remembered, by submission."""
-        return iter(tuple(self._jobs.values()))
+        job = self._jobs[job_id]
+        refused = job._replace(status=Status.REFUSED, changed_ms=time_ms)
+        self._put(refused._replace(reason=reason))
 
     def submit(
         self, record: JobSubmitted, time_ms: Millis, refusal: str
@@ -191,21 +118,27 @@
         self._put(job._replace(status=Status.RUNNING, changed_ms=time_ms))
         return ''
 
+    def check_reclaim(self, record: JobReclaimed) -> str:
+        """Tell whether an attempt can be asked to stop.
+
+        :param record: the reclaim.
+        :returns: why not, empty if it can.
+        """
+        job = self._current(record.job_id, record.attempt)
+        if job is None or job.status is Status.STOPPING:
+            return 'attempt does not run'
+        return '' if job.lent else 'place is not lent'
+
     def reclaim(
         self, record: JobReclaimed, time_ms: Millis, offset: Offset
-    ) -> str:
+    ) -> None:
         """Ask an attempt on a lent place to stop.
 
-        :param record: the reclaim.
+        :param record: the reclaim, which was checked.
         :param time_ms: time of the record in the log.
         :param offset: offset of the record.
-        :returns: why it is rejected, empty if accepted.
         """
-        job = self._current(record.job_id, record.attempt)
-        if job is None or job.status is Status.STOPPING:
-            return 'attempt does not run'
-        if not job.lent:
-            return 'place is not lent'
+        job = self._jobs[record.job_id]
         self._put(
             job._replace(
                 status=Status.STOPPING,
@@ -215,7 +148,6 @@
                 reason=f'place reclaimed for job {record.beneficiary}',
             )
         )
-        return ''
 
     def cancel(
         self, record: JobCancelled, time_ms: Millis, offset: Offset
@@ -269,33 +201,6 @@
         self._put(after._replace(status=status, reason=_reason(record)))
         return ''
 
-    def forget(self, time_ms: Millis) -> None:
-        """Drop the jobs that ended long ago.
-
-        :param time_ms: time of the log now.
-        """
-        old = [
-            job
-            for job in self._jobs.values()
-            if job.status in ENDED and job.changed_ms + KEEP_MS < time_ms
-        ]
-        for job in old:
-            self._jobs.pop(job.spec.job_id)
-            self._keys.pop((job.spec.owner, job.key), None)
-
-    def _current(self, job_id: JobId, attempt: int) -> Job | None:
-        job = self._jobs.get(job_id)
-        if job is None or job.status not in PLACED:
-            return None
-        return job if job.attempt == attempt else None
-
-    def _put(self, job: Job) -> None:
-        self._jobs[job.spec.job_id] = job
-        if job.status in ENDED:
-            self._open.pop(job.spec.job_id, None)
-        else:
-            self._open[job.spec.job_id] = None
-
 
 def _after_attempt(job: Job, record: JobEnded) -> Status:
     if record.outcome == 'done':
--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -7,12 +7,28 @@
 from swifthoist_core.authors import Authors
 from swifthoist_core.catalogue import Catalogue
 from swifthoist_core.cells import Cell
+from swifthoist_core.estimates import Estimates
 from swifthoist_core.fleet import Fleet
-from swifthoist_core.guarantees import admission_findings
-from swifthoist_core.jobs import ENDED, PLACED, Job, Jobs
+from swifthoist_core.guarantees import propose
+from swifthoist_core.health import Health
+from swifthoist_core.jobs import ENDED, Job, Jobs
 from swifthoist_core.records import Author, Envelope, Record
 from swifthoist_core.requests import Requests
+from swifthoist_core.reservations import Reservations
+from swifthoist_core.settling import (
+    adopt,
+    claim_place,
+    drain_worker,
+    join_worker,
+    lose_worker,
+    note_attempt,
+    refusal_of,
+    reserve_place,
+    retry_workers,
+    unreserve,
+)
 from swifthoist_core.types import Epoch, Millis, Offset
+from swifthoist_core.virtual_cells import VirtualCells
 
 _FORGET_EVERY_MS = 60_000
 
@@ -48,6 +64,10 @@
     :ivar cell: who decides.
     :ivar catalogue: entries in force.
     :ivar fleet: workers and what is in use on them.
+    :ivar virtual_cells: guaranteed shapes and where they are bound.
+    :ivar reservations: places that are kept for waiting jobs.
+    :ivar estimates: run times from history.
+    :ivar health: evidence against workers.
     :ivar jobs: jobs.
     :ivar requests: non-idempotent requests.
     :ivar account: who got what.
@@ -61,6 +81,10 @@
         self.cell = Cell()
         self.catalogue = Catalogue()
         self.fleet = Fleet()
+        self.virtual_cells = VirtualCells()
+        self.reservations = Reservations()
+        self.estimates = Estimates()
+        self.health = Health()
         self.jobs = Jobs()
         self.requests = Requests()
         self.account = Account()
@@ -82,6 +106,7 @@
         self.offset = offset + 1
         self.time_ms = max(self.time_ms, time_ms)
         self._forget()
+        retry_workers(self)
         author, seq, record = envelope
         if not self.authors.add(author, seq, self.time_ms):
             return Verdict(author, seq, offset, 'duplicate')
@@ -137,12 +162,18 @@
                 version = self.catalogue.version(record.entry_id)
                 if record.expected_version != version:
                     return 'version conflict'
-                findings = admission_findings(
-                    self.catalogue, self.fleet, record.entry_id, record.entry
+                proposal = propose(
+                    self.catalogue,
+                    self.virtual_cells,
+                    record.entry_id,
+                    record.entry,
+                    self.time_ms,
                 )
-                if findings:
-                    return '; '.join(str(finding) for finding in findings)
+                if proposal.findings:
+                    found = proposal.findings
+                    return '; '.join(str(finding) for finding in found)
                 self.catalogue.put(record.entry_id, record.entry)
+                adopt(self, proposal)
                 return ''
 
     def _version(self, record: Record) -> int:
@@ -171,10 +202,10 @@
             case records.JobEnded():
                 return self._end(record)
             case records.WorkerJoined(spec=spec):
-                return self.fleet.join(spec)
+                return join_worker(self, spec)
             case records.WorkerLeft(worker=worker, lost=lost):
                 if not lost:
-                    return self.fleet.drain(worker)
+                    return drain_worker(self, worker)
                 return self._lose(worker)
             case _:
                 return 'not a decision'
@@ -184,10 +215,9 @@
         entry = self.catalogue.find(spec.owner, spec.class_name)
         if entry is None:
             return 'no catalogue entry for this owner and class'
-        refusal = ''
-        if not self.fleet.could_ever_fit(spec.shape):
-            refusal = 'no workers could ever hold this shape'
-        elif self._waiting(spec) >= entry.limits.queue:
+        refusal = refusal_of(self, spec)
+        load = self.jobs.load(spec.owner, spec.class_name)
+        if not refusal and load.waiting >= entry.limits.queue:
             refusal = 'queue of the owner is full'
         reason = self.jobs.submit(record, self.time_ms, refusal)
         if refusal and not reason:
@@ -196,18 +226,12 @@
             )
         return reason
 
-    def _waiting(self, spec: records.JobSpec) -> int:
-        return sum(
-            job.status not in PLACED
-            and job.spec.owner == spec.owner
-            and job.spec.class_name == spec.class_name
-            for job in self.jobs.open_jobs()
-        )
-
     def _cancel(self, record: records.JobCancelled, offset: Offset) -> str:
         reason = self.jobs.cancel(record, self.time_ms, offset)
         job = self.jobs.get(record.job_id)
         if not reason and job is not None:
+            if not job.parts:
+                unreserve(self, record.job_id)
             self._note_end(job)
         return reason
 
@@ -215,12 +239,13 @@
         job = self.jobs.get(record.job_id)
         if job is None:
             return 'unknown job'
-        reason = self.jobs.check_place(record)
+        reason = self.jobs.check_place(record) or self._check_limit(job)
         if reason:
             return reason
-        reason = self.fleet.occupy(job.spec.shape, record.parts)
+        reason = claim_place(self, job, record)
         if reason:
             return reason
+        self.fleet.occupy(job.spec.shape, record.parts)
         self.jobs.place(record, self.time_ms, offset)
         wait_ms = self.time_ms - job.submitted_ms
         if record.attempt == 1:
@@ -229,14 +254,28 @@
             )
         return ''
 
+    def _check_limit(self, job: Job) -> str:
+        spec = job.spec
+        entry = self.catalogue.find(spec.owner, spec.class_name)
+        if entry is None:
+            return 'no catalogue entry for this owner and class'
+        load = self.jobs.load(spec.owner, spec.class_name)
+        if load.placed >= entry.limits.concurrency:
+            return 'the owner runs as many jobs as its limits allow'
+        return ''
+
     def _reclaim(self, record: records.JobReclaimed, offset: Offset) -> str:
-        reason = self.jobs.reclaim(record, self.time_ms, offset)
+        reason = self.jobs.check_reclaim(record)
+        reason = reason or reserve_place(self, record)
+        if reason:
+            return reason
+        self.jobs.reclaim(record, self.time_ms, offset)
         job = self.jobs.get(record.job_id)
-        if not reason and job is not None:
+        if job is not None:
             self.account.add_reclaim(
                 self.time_ms, job.spec.owner, job.spec.class_name
             )
-        return reason
+        return ''
 
     def _end(self, record: records.JobEnded) -> str:
         job = self.jobs.get(record.job_id)
@@ -244,6 +283,7 @@
         if reason or job is None:
             return reason
         self.fleet.vacate(job.spec.shape, job.parts)
+        note_attempt(self, job, record)
         for use in record.usage:
             if use.started_ms:
                 self._note_use(job, use)
@@ -253,10 +293,9 @@
         return ''
 
     def _lose(self, worker: str) -> str:
-        for job in self.jobs.open_jobs():
-            if any(part.worker == worker for part in job.parts):
-                return f'job {job.spec.job_id} still holds it'
-        return self.fleet.lose(worker)
+        for job in self.jobs.on_worker(worker):
+            return f'job {job.spec.job_id} still holds it'
+        return lose_worker(self, worker)
 
     def _note_use(self, job: Job, use: records.PartUsage) -> None:
         spec = job.spec
--- a/packages/core/swifthoist_core/planner.py
+++ b/packages/core/swifthoist_core/planner.py
@@ -1,12 +1,19 @@
 """The planner: which jobs get a place next, and who must give way."""
 
+from collections.abc import Iterator
 from typing import NamedTuple, TypeAlias
 
-from swifthoist_core.fleet import Fleet
-from swifthoist_core.guarantees import is_guaranteed
-from swifthoist_core.jobs import Job, Status
+from swifthoist_core.bindings import move
+from swifthoist_core.fleet import Search
+from swifthoist_core.job_states import Job, Status
 from swifthoist_core.ledger import Ledger
 from swifthoist_core.records import PartPlacement
+from swifthoist_core.reservations import Reservation
+from swifthoist_core.targets import (
+    Target,
+    choose_aged,
+    choose_guaranteed,
+)
 from swifthoist_core.types import JobId
 
 
@@ -51,11 +58,7 @@
     :returns: decisions to be put on the log together, empty if none.
     """
     waiting = sorted(
-        (
-            job
-            for job in ledger.jobs.open_jobs()
-            if job.status is Status.WAITING
-        ),
+        (job for job in ledger.jobs.waiting() if _may_run(ledger, job)),
         key=_rank,
     )
     for job in waiting:
@@ -65,47 +68,89 @@
     return ()
 
 
+def _may_run(ledger: Ledger, job: Job) -> bool:
+    spec = job.spec
+    entry = ledger.catalogue.find(spec.owner, spec.class_name)
+    load = ledger.jobs.load(spec.owner, spec.class_name)
+    return entry is not None and load.placed < entry.limits.concurrency
+
+
 def _rank(job: Job) -> tuple[int, int, str]:
     return (job.spec.urgency, job.submitted_ms, job.spec.job_id)
 
 
 def _decide(ledger: Ledger, job: Job) -> tuple[Decision, ...]:
-    spec = job.spec
-    within = is_guaranteed(
-        ledger.catalogue, ledger.jobs, spec.owner, spec.shape
-    )
-    if not within and not spec.idempotent:
+    kept = ledger.reservations.get(job.spec.job_id)
+    if kept is not None:
+        return _use_reservation(ledger, job, kept)
+    own = choose_guaranteed(ledger, job)
+    if own is not None:
+        return _decide_own(ledger, job, own)
+    if not job.spec.idempotent:
         return ()
-    banned = frozenset(job.banned)
-    parts = ledger.fleet.find(spec.shape, banned)
+    parts = _find_lent(ledger, job)
     if parts:
-        lent = not within
-        return (Place(spec.job_id, job.attempt + 1, parts, lent),)
-    if not within or _awaits_reclaim(ledger, job):
-        return ()
-    return _reclaim(ledger, job, ledger.fleet.copy())
+        return (_place(job, parts, lent=True),)
+    aged = choose_aged(ledger, job)
+    return () if aged is None else _reclaims(ledger, job, aged.victims)
 
 
-def _awaits_reclaim(ledger: Ledger, job: Job) -> bool:
-    return any(
-        other.beneficiary == job.spec.job_id
-        for other in ledger.jobs.open_jobs()
-    )
+def _use_reservation(
+    ledger: Ledger, job: Job, kept: Reservation
+) -> tuple[Decision, ...]:
+    if not ledger.fleet.check(job.spec.shape, kept.parts):
+        return (_place(job, kept.parts, lent=kept.lent),)
+    return _reclaims(ledger, job, kept.victims)
+
+
+def _decide_own(ledger: Ledger, job: Job, own: Target) -> tuple[Decision, ...]:
+    if not own.victims:
+        return (_place(job, own.parts, lent=False),)
+    parts = _find_movable(ledger, job)
+    if parts:
+        return (_place(job, parts, lent=False),)
+    return _reclaims(ledger, job, own.victims)
 
 
-def _reclaim(ledger: Ledger, job: Job, trial: Fleet) -> tuple[Decision, ...]:
-    lent = [
-        other
-        for other in ledger.jobs.open_jobs()
-        if other.lent and other.status in {Status.STARTING, Status.RUNNING}
-    ]
-    lent.sort(key=lambda other: (-other.changed_ms, other.spec.job_id))
-    decisions: list[Decision] = []
-    for victim in lent:
-        trial.vacate(victim.spec.shape, victim.parts)
-        decisions.append(
-            Reclaim(victim.spec.job_id, victim.attempt, job.spec.job_id)
-        )
-        if trial.find(job.spec.shape, frozenset(job.banned)):
-            return tuple(decisions)
+def _find_movable(ledger: Ledger, job: Job) -> tuple[PartPlacement, ...]:
+    search = Search(frozenset(job.banned), ledger.reservations.holds())
+    shape = job.spec.shape
+    parts = ledger.fleet.find(shape, search)
+    cells, owner = ledger.virtual_cells, job.spec.owner
+    if parts and move(cells, owner, shape, parts, trial=True):
+        return parts
     return ()
+
+
+def _find_lent(ledger: Ledger, job: Job) -> tuple[PartPlacement, ...]:
+    shape = job.spec.shape
+    space = ledger.virtual_cells.space
+    for banned in dict.fromkeys((frozenset(job.banned), frozenset())):
+        holds = ledger.reservations.holds()
+        for beside in (space, None):
+            search = Search(banned, holds, beside)
+            parts = ledger.fleet.find(shape, search)
+            if parts:
+                return parts
+    return ()
+
+
+def _place(job: Job, parts: tuple[PartPlacement, ...], *, lent: bool) -> Place:
+    return Place(job.spec.job_id, job.attempt + 1, parts, lent)
+
+
+def _reclaims(
+    ledger: Ledger, job: Job, victims: tuple[JobId, ...]
+) -> tuple[Decision, ...]:
+    return tuple(_each_reclaim(ledger, job, victims))
+
+
+def _each_reclaim(
+    ledger: Ledger, job: Job, victims: tuple[JobId, ...]
+) -> Iterator[Reclaim]:
+    for victim in victims:
+        other = ledger.jobs.get(victim)
+        if other is None or not other.lent:
+            continue
+        if other.status in {Status.STARTING, Status.RUNNING}:
+            yield Reclaim(victim, other.attempt, job.spec.job_id)
--- a/packages/core/swifthoist_core/shapes.py
+++ b/packages/core/swifthoist_core/shapes.py
@@ -5,6 +5,9 @@
 
 from swifthoist_core.types import Millis
 
+MAX_PARTS = 128
+"""Most parts of one gang."""
+
 
 class Adjacency(enum.IntEnum):
     """The smallest part of the topology that must hold every part of a gang.
