--- a/packages/core/swifthoist_core/snapshots.py
+++ b/packages/core/swifthoist_core/snapshots.py
@@ -10,22 +10,15 @@
 
 import zlib
 from collections.abc import Iterable, Iterator, Sequence
+from operator import attrgetter
 from typing import Any, NamedTuple, get_origin
 
 import msgspec
 import xxhash
 
-from swifthoist_core.account import Line, LineKey, Span
-from swifthoist_core.authors import Seen
-from swifthoist_core.catalogue import Policy, Versioned
-from swifthoist_core.cells import CellState
 from swifthoist_core.errors import SwifthoistError
-from swifthoist_core.fleet import Room
-from swifthoist_core.jobs import Job
 from swifthoist_core.ledger import Ledger
-from swifthoist_core.records import Author
-from swifthoist_core.requests import RequestId, RequestState
-from swifthoist_core.shapes import WorkerSpec
+from swifthoist_core.snapshot_fields import FIELDS, Field
 from swifthoist_core.types import Millis, Offset
 
 VERSION = 1
@@ -63,45 +56,6 @@
         self.version = version
 
 
-class Field(NamedTuple):
-    """One attribute that belongs to the state.
-
-    :ivar path: attribute of the ledger that is the aggregate, empty for the
-        ledger itself.
-    :ivar name: attribute of the aggregate.
-    :ivar kind: type of its value.
-    """
-
-    path: str
-    name: str
-    kind: Any
-
-
-FIELDS: tuple[Field, ...] = (
-    Field('', 'offset', int),
-    Field('', 'time_ms', int),
-    Field('', 'passed_over', int),
-    Field('', '_forgot_ms', int),
-    Field('authors', '_seen', dict[Author, Seen]),
-    Field('cell', 'state', CellState),
-    Field('catalogue', 'policy', Policy),
-    Field('catalogue', 'policy_version', int),
-    Field('catalogue', '_entries', dict[str, Versioned]),
-    Field('catalogue', '_by_class', dict[tuple[str, str], str]),
-    Field('fleet', '_specs', dict[str, WorkerSpec]),
-    Field('fleet', '_rooms', dict[str, Room]),
-    Field('fleet', '_leaving', set[str]),
-    Field('jobs', '_jobs', dict[str, Job]),
-    Field('jobs', '_keys', dict[tuple[str, str], str]),
-    Field('jobs', '_open', dict[str, None]),
-    Field('requests', '_states', dict[RequestId, RequestState]),
-    Field('requests', '_open', dict[RequestId, None]),
-    Field('requests', '_settled', dict[RequestId, None]),
-    Field('requests', '_compact', dict[int, bytes]),
-    Field('account', '_lines', dict[LineKey, Line]),
-    Field('account', '_spans', list[Span]),
-)
-
 _PATHS = frozenset(field.path for field in FIELDS)
 
 
@@ -296,7 +250,7 @@
 
 
 def _owner(ledger: Ledger, path: str) -> Any:
-    return getattr(ledger, path) if path else ledger
+    return attrgetter(path)(ledger) if path else ledger
 
 
 def _check_declared(ledger: Ledger) -> None:
@@ -304,13 +258,23 @@
         owner = _owner(ledger, path)
         declared = {field.name for field in FIELDS if field.path == path}
         declared |= getattr(owner, 'DERIVED', frozenset())
-        declared |= _PATHS if owner is ledger else set()
+        declared |= _aggregates_of(path)
         missing = set(owner.__dict__) - declared
         if missing:
             names = ', '.join(sorted(missing))
             raise SnapshotError(f'not declared for snapshots: {path}.{names}')
 
 
+def _aggregates_of(path: str) -> set[str]:
+    """Name the attributes that are aggregates with fields of their own."""
+    prefix = f'{path}.' if path else ''
+    return {
+        other.removeprefix(prefix).partition('.')[0]
+        for other in _PATHS
+        if other.startswith(prefix)
+    }
+
+
 def _rows(ledger: Ledger, field: Field) -> tuple[Any, ...]:
     found = getattr(_owner(ledger, field.path), field.name)
     if get_origin(field.kind) is dict:
--- a/packages/daemon/swifthoistd/api_catalogue.py
+++ b/packages/daemon/swifthoistd/api_catalogue.py
@@ -21,7 +21,7 @@
     LogUnavailableError,
     OutcomeUnknownError,
 )
-from swifthoist_core.guarantees import admission_findings
+from swifthoist_core.guarantees import propose
 from swifthoist_core.ledger import Ledger, Verdict
 from swifthoist_core.records import EntryChanged, PolicyChanged, Record
 from swifthoist_core.tokens import Identity, Role
@@ -205,12 +205,14 @@
         return await self._commit(record)
 
     def _findings(self, entry: Entry) -> tuple[Finding, ...]:
-        return admission_findings(
+        proposal = propose(
             self._ledger.catalogue,
-            self._ledger.fleet,
+            self._ledger.virtual_cells,
             entry.entry_id,
             entry,
+            self._ledger.time_ms,
         )
+        return proposal.findings
 
     async def _commit(self, record: Record) -> Response:
         try:
--- a/tests/daemon/sites.py
+++ b/tests/daemon/sites.py
@@ -12,7 +12,7 @@
 from swifthoist_core.jobs import Job
 from swifthoist_core.ledger import Verdict
 from swifthoist_core.records import PartPlacement, Record
-from swifthoist_core.shapes import Shape, WorkerSpec
+from swifthoist_core.shapes import GuaranteedShape, Shape, WorkerSpec
 from swifthoist_platform.orders import PartKey, RenewOrder
 from swifthoist_standins.gate import FaultGate
 from swifthoist_standins.places import Capacity
@@ -79,11 +79,13 @@
     def place(self, job_id: str, steps: str, *, lent: bool = False) -> Job:
         """Submit a gang of two whole workers and give it its place."""
         shape = Shape(2, 8)
-        self.book.publish(job_entry('a'))
+        promised = () if lent else (GuaranteedShape(shape),)
+        self.book.publish(job_entry('a', *promised))
         job = spec(job_id, 'a', shape)._replace(steps=steps)
         self.book.append(records.JobSubmitted(job, job_id))
         parts = tuple(PartPlacement(f'w{index}', 0, 8) for index in range(2))
-        self.book.append(records.JobPlaced(1, job_id, 1, parts, lent))
+        placed = self.book.append(records.JobPlaced(1, job_id, 1, parts, lent))
+        assert placed.accepted, placed.reason
         return self.job(job_id)
 
     def job(self, job_id: str) -> Job:
