--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 thrift: setup  ## Generate the committed code of the peer protocol anew.
 	thrift --gen py:slots,package_prefix=swifthoistd.gen. \
 		-out packages/daemon/swifthoistd/gen packages/daemon/peer.thrift
+	rm -f packages/daemon/swifthoistd/gen/peer/Peer-remote
 
 bench-ledger: setup  ## Measure the order of decisions.
 	$(PY) bench/ledger.py
--- a/packages/daemon/peer.thrift
+++ b/packages/daemon/peer.thrift
@@ -15,6 +15,8 @@
   6: map<string, i32> in_flight
   // Epoch of the cell that the sender holds, 0 for none.
   7: i64 holds_epoch
+  // Runners that are known to leave, with the incarnation that ends.
+  8: map<string, i64> departed
 }
 
 struct PartReport {
@@ -40,18 +42,12 @@
   1: string holder
 }
 
-exception AppendFailed {
-  // Whether the records may be on the log all the same.
-  1: bool unknown
-  2: string reason
-}
-
 struct SnapshotPage {
-  // Offset that the snapshot holds to.
-  1: i64 offset
-  // Bytes of the whole snapshot.
-  2: i64 size
-  3: binary content
+  // Names the snapshot among those that the receiver keeps.
+  1: i64 token
+  // Number of chunks of the whole snapshot.
+  2: i32 total
+  3: list<binary> chunks
 }
 
 service Peer {
@@ -61,11 +57,11 @@
   // Pass on what workers said when their leases were renewed.
   void report(1: list<WorkerReport> workers) throws (1: NotHolder not_holder)
 
-  // Append encoded records for another instance.
-  i64 append(1: string stream, 2: list<binary> payloads, 3: i32 timeout_ms)
-    throws (1: NotHolder not_holder, 2: AppendFailed failed)
+  // Ask the holder of the cell to append encoded records of one author, in
+  // order; tells whether they are queued.
+  bool offer(1: list<binary> payloads) throws (1: NotHolder not_holder)
 
-  // Read a part of the receiver's snapshot, for an instance that starts
-  // while the log is down; offset -1 asks for the latest.
-  SnapshotPage snapshot(1: i64 offset, 2: i64 start)
+  // Read chunks of the receiver's state, for an instance that starts while
+  // the log is down; token 0 asks for a new snapshot.
+  SnapshotPage snapshot(1: i64 token, 2: i32 first)
 }
--- a/packages/daemon/swifthoistd/application.py
+++ b/packages/daemon/swifthoistd/application.py
@@ -1,7 +1,6 @@
 """Composition root: wires one entry instance, read from top to bottom."""
 
 import random
-import signal
 import socket
 import sys
 
@@ -15,7 +14,8 @@
 from swifthoist_core.counting import Counting
 from swifthoist_core.ledger import Ledger
 from swifthoist_core.records import Author
-from swifthoist_platform.instances import InstanceClient, Listed
+from swifthoist_core.types import InstanceId
+from swifthoist_platform.instances import InstanceClient
 from swifthoist_platform.log import LogClient
 from swifthoistd import http_server
 from swifthoistd.answers import Answers
@@ -27,7 +27,7 @@
 from swifthoistd.callers import Gatekeeper
 from swifthoistd.choice import Chooser
 from swifthoistd.commands import Commands
-from swifthoistd.committing import DirectCommitter
+from swifthoistd.committing import DirectCommitter, Gather, PeerCommitter
 from swifthoistd.connections import Connections
 from swifthoistd.counters import Counters
 from swifthoistd.directory import Directory
@@ -37,32 +37,26 @@
 from swifthoistd.intents import Intents
 from swifthoistd.journal import Journal
 from swifthoistd.limits import Limiter
-from swifthoistd.members import Heard, Member, Members
+from swifthoistd.members import Heard, Members
 from swifthoistd.metrics import Metrics
 from swifthoistd.parts import PartBoard
+from swifthoistd.peer_calls import PeerGroups, PeerStates
 from swifthoistd.peers import Peers
 from swifthoistd.permissions import Permissions
+from swifthoistd.presence import Addresses, Presence, Subjects
 from swifthoistd.renewals import Renewals
 from swifthoistd.retries import RetryPolicy
-from swifthoistd.runners import ListedRunner, Runners, RunnerState
+from swifthoistd.runners import Runners
 from swifthoistd.scheduling import Scheduler
 from swifthoistd.settings import Settings, Sourced
 from swifthoistd.shares import Shares
+from swifthoistd.shutdown import Leaving, Shutdown
+from swifthoistd.snapshotting import Restorer, SnapshotWriter
 from swifthoistd.tallies import Tallies
 from swifthoistd.tenure import Tenure
 from swifthoistd.usage import Reconciler, UsageReader
 from swifthoistd.workforce import Workforce
 
-FLUSH_S = 5.0
-"""How long a shutdown waits for the log, in seconds."""
-
-DRAIN_S = 30.0
-"""How long a shutdown waits for requests in progress, in seconds."""
-
-SHARE_S = 0.25
-"""Time between two looks at what peers said, in seconds."""
-
-_MS_PER_S = 1_000
 _LOG_CONNECTIONS = 8
 _WORKER_CONNECTIONS = 256
 
@@ -79,12 +73,11 @@
         self._cfg = cfg
         self._clock = SystemClock()
         self._me = Author(cfg.instance, self._clock.wall_ms())
-        self._stopped = anyio.Event()
-        self._peer_address = cfg.peer
         self._listener: socket.socket = http_server.open_listener(cfg.http)
 
-        self._wire_ledger()
         self._wire_members()
+        self._wire_ledger()
+        self._health = Health(self._follower, self._shares)
         self._wire_requests()
         self._wire_jobs()
         self._wire_api(sourced)
@@ -95,28 +88,48 @@
         self._log_http = _http_client(_LOG_CONNECTIONS)
         log = LogClient(self._log_http, cfg.log_url)
         self._ledger = Ledger()
-        self._follower = Follower(log, self._ledger, self._clock)
-        self._journal = Journal(DirectCommitter(log), self._me, self._clock)
+        states = PeerStates(self._ledger, self._peers, self._clock)
+        self._follower = Follower(
+            log,
+            self._ledger,
+            self._clock,
+            bootstrap=Restorer(log, states),
+        )
+        self._gather = Gather(log, self._clock)
+        groups = PeerGroups(
+            cfg.instance, self._holder, self._gather, self._peers
+        )
+        committer = PeerCommitter(
+            cfg.instance,
+            self._holder,
+            self._gather,
+            groups,
+            DirectCommitter(log),
+            self._clock,
+        )
+        self._journal = Journal(committer, self._me, self._clock)
         self._follower.on_verdict(self._journal.resolve)
+        self._follower.on_jump(self._settle_journal)
         self._tenure = Tenure(
             self._follower,
             self._journal,
             self._clock,
             lease_ms=cfg.cell_lease_ms,
         )
+        self._snapshots = SnapshotWriter(
+            log, self._ledger, self._tenure, self._clock
+        )
         self._intents = Intents(self._follower, self._journal, self._clock)
 
     def _wire_members(self) -> None:
         """The other instances and the platform's list."""
         cfg = self._cfg
         self._members = Members(self._me, self._clock)
-        self._peers = Peers(self._members, self._describe_heard, cfg.peer)
+        self._peers = Peers(self._members, self._presence_heard, cfg.peer)
         self._shares = Shares(cfg.instance, self._clock)
-        self._health = Health(self._follower, self._shares)
         self._list_http = _http_client(_LOG_CONNECTIONS)
         client = InstanceClient(self._list_http, cfg.list_url)
-        self._directory = Directory(client, self._describe_listed)
-        self._directory.on_list(self._note_listed)
+        self._directory = Directory(client)
 
     def _wire_requests(self) -> None:
         """The path of requests to runners."""
@@ -209,128 +222,92 @@
         ]
         self._app = Starlette(routes=routes)
 
+    def _wire_presence(self, addresses: Addresses) -> None:
+        """What others are told of this instance, once it listens."""
+        about = Subjects(
+            self._ledger,
+            self._tenure,
+            self._health,
+            self._members,
+            self._shares,
+            self._runners,
+            self._chooser,
+            self._workforce,
+        )
+        self._presence = Presence(self._cfg, self._me, addresses, about)
+        self._directory.on_list(self._presence.note_list)
+        leaving = Leaving(
+            self._health,
+            self._directory,
+            self._tenure,
+            self._dispatcher,
+            self._tallies,
+            self._journal,
+        )
+        self._shutdown = Shutdown(leaving, self._cfg.drain_ms)
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         async with anyio.create_task_group() as group:
-            self._peer_address = await self._peers.listen(group)
+            addresses = Addresses(
+                http_server.address_of(self._listener),
+                await self._peers.listen(group),
+            )
+            self._wire_presence(addresses)
             self._start_tasks(group)
             group.start_soon(self._serve_http, group)
-            self._announce()
+            self._announce(addresses)
         await self._close()
 
     async def _serve_http(self, group: TaskGroup) -> None:
         """Serve callers; when that ends, everything else ends too."""
-        await http_server.serve_http(self._app, self._listener, self._stopped)
+        await http_server.serve_http(
+            self._app, self._listener, self._shutdown.done
+        )
         group.cancel_scope.cancel()
 
     def _start_tasks(self, group: TaskGroup) -> None:
         group.start_soon(self._follower.run)
         group.start_soon(self._journal.run)
+        group.start_soon(self._gather.run)
+        group.start_soon(self._snapshots.run)
         group.start_soon(self._tenure.run)
         group.start_soon(self._intents.run, self._tenure)
-        group.start_soon(self._directory.run)
+        group.start_soon(self._directory.run, self._presence.listed)
         group.start_soon(self._peers.run, group)
-        group.start_soon(self._share_with_peers)
+        group.start_soon(self._presence.run)
         group.start_soon(self._connections.run)
         group.start_soon(self._renewals.run)
         group.start_soon(self._scheduler.run)
         group.start_soon(self._tallies.run)
         group.start_soon(self._reconciler.run, self._journal, self._tenure)
-        group.start_soon(self._shut_down_on_signal)
-
-    async def _shut_down_on_signal(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for _ in signals:
-                break
-        await self._shut_down()
-
-    async def _shut_down(self) -> None:
-        """Leave without cutting anything off.
-
-        The balancer and the other instances learn of it first, and until
-        they have let go, requests are served as before.
-        """
-        self._health.draining = True
-        await self._directory.leave()
-        await self._tenure.release(FLUSH_S)
-        await anyio.sleep(self._cfg.drain_ms / _MS_PER_S)
-        with anyio.move_on_after(DRAIN_S):
-            await self._dispatcher.drain()
-        await self._tallies.append()
-        await self._journal.flush(FLUSH_S)
-        self._stopped.set()
+        group.start_soon(self._shutdown.run)
 
     async def _close(self) -> None:
         await self._connections.aclose()
         for client in (self._log_http, self._list_http, self._worker_http):
             await client.aclose()
 
-    async def _share_with_peers(self) -> None:
-        """Tell the request path what the heartbeats of peers said."""
-        while True:
-            self._shares.update(self._members.live_ids())
-            for member in self._members.live():
-                if member.heard is not None:
-                    use = member.heard.in_flight
-                    self._chooser.note_peer_use(member.instance, use)
-            await anyio.sleep(SHARE_S)
+    def _presence_heard(self) -> Heard:
+        return self._presence.heard()
 
-    def _capacity(self) -> int:
-        return self._chooser.capacity(self._runners.available())
+    def _holder(self) -> InstanceId:
+        cell = self._ledger.cell.state
+        return cell.holder.instance
 
-    def _describe_heard(self) -> Heard:
-        return Heard(
-            self._me,
-            self._cfg.zone,
-            self._ledger.offset,
-            self._health.draining,
-            self._chooser.in_flight(),
-            self._tenure.epoch,
-        )
+    def _settle_journal(self) -> None:
+        """After a jump, learn which own records the snapshot has folded."""
+        self._journal.settle(self._ledger.authors.upto(self._me))
 
-    def _describe_listed(self) -> Listed:
-        return Listed(
-            self._cfg.instance,
-            'entry',
-            http_server.address_of(self._listener),
-            self._peer_address,
-            self._cfg.zone,
-            self._cfg.rack,
-            self._me.incarnation,
-            'leaving' if self._health.draining else 'live',
-        )
-
-    def _note_listed(self, listed: tuple[Listed, ...]) -> None:
-        self._members.note_listed(
-            Member(line.instance_id, line.peer_address)
-            for line in listed
-            if line.kind == 'entry'
-        )
-        self._workforce.note_listed(
-            [line for line in listed if line.kind == 'worker']
-        )
-        self._runners.replace(
-            ListedRunner(
-                line.instance_id,
-                line.address,
-                line.zone,
-                RunnerState(line.state),
-                line.incarnation,
-                line.service,
-            )
-            for line in listed
-            if line.kind == 'runner'
-        )
-        self._chooser.retain(self._runners.listed())
+    def _capacity(self) -> int:
+        return self._chooser.capacity(self._runners.available())
 
-    def _announce(self) -> None:
+    def _announce(self, addresses: Addresses) -> None:
         ready = {
             'kind': 'entry',
             'instance': self._cfg.instance,
-            'address': http_server.address_of(self._listener),
-            'peer_address': self._peer_address,
+            'address': addresses.http,
+            'peer_address': addresses.peer,
         }
         sys.stdout.write(f'{msgspec.json.encode(ready).decode()}\n')
         sys.stdout.flush()
--- a/packages/daemon/swifthoistd/directory.py
+++ b/packages/daemon/swifthoistd/directory.py
@@ -23,16 +23,13 @@
     While the list cannot be read, everybody goes on with the last one.
     """
 
-    def __init__(
-        self, client: InstanceClient, describe: Callable[[], Listed]
-    ) -> None:
+    def __init__(self, client: InstanceClient) -> None:
         """Start without a list.
 
         :param client: client of the list.
-        :param describe: gives this instance's line.
         """
         self._client = client
-        self._describe = describe
+        self._describe: Callable[[], Listed] | None = None
         self._listeners: list[Listener] = []
 
     def on_list(self, listener: Listener) -> None:
@@ -42,16 +39,23 @@
         """
         self._listeners.append(listener)
 
-    async def run(self) -> None:
-        """Register and read, for as long as the instance lives."""
+    async def run(self, describe: Callable[[], Listed]) -> None:
+        """Register and read, for as long as the instance lives.
+
+        :param describe: gives this instance's line.
+        """
+        self._describe = describe
         while True:
-            await self.refresh()
+            await self.refresh(describe())
             await anyio.sleep(READ_S)
 
-    async def refresh(self) -> None:
-        """Register this instance and read the list once."""
+    async def refresh(self, own: Listed) -> None:
+        """Register this instance and read the list once.
+
+        :param own: this instance's line.
+        """
         try:
-            await self._client.register(self._describe())
+            await self._client.register(own)
             listed = await self._client.list()
         except SwifthoistError as exc:
             _log.warning('list not read', extra={'error': str(exc)})
@@ -61,6 +65,8 @@
 
     async def leave(self) -> None:
         """Tell the platform that this instance leaves."""
+        if self._describe is None:
+            return
         try:
             await self._client.leaving(self._describe().instance_id)
         except SwifthoistError as exc:
--- a/packages/daemon/swifthoistd/gen/peer/Peer.py
+++ b/packages/daemon/swifthoistd/gen/peer/Peer.py
@@ -35,21 +35,19 @@
         """
         pass
 
-    def append(self, stream, payloads, timeout_ms):
+    def offer(self, payloads):
         """
         Parameters:
-         - stream
          - payloads
-         - timeout_ms
 
         """
         pass
 
-    def snapshot(self, offset, start):
+    def snapshot(self, token, first):
         """
         Parameters:
-         - offset
-         - start
+         - token
+         - first
 
         """
         pass
@@ -126,28 +124,24 @@
             raise result.not_holder
         return
 
-    def append(self, stream, payloads, timeout_ms):
+    def offer(self, payloads):
         """
         Parameters:
-         - stream
          - payloads
-         - timeout_ms
 
         """
-        self.send_append(stream, payloads, timeout_ms)
-        return self.recv_append()
+        self.send_offer(payloads)
+        return self.recv_offer()
 
-    def send_append(self, stream, payloads, timeout_ms):
-        self._oprot.writeMessageBegin('append', TMessageType.CALL, self._seqid)
-        args = append_args()
-        args.stream = stream
+    def send_offer(self, payloads):
+        self._oprot.writeMessageBegin('offer', TMessageType.CALL, self._seqid)
+        args = offer_args()
         args.payloads = payloads
-        args.timeout_ms = timeout_ms
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
 
-    def recv_append(self):
+    def recv_offer(self):
         iprot = self._iprot
         (fname, mtype, rseqid) = iprot.readMessageBegin()
         if mtype == TMessageType.EXCEPTION:
@@ -155,32 +149,30 @@
             x.read(iprot)
             iprot.readMessageEnd()
             raise x
-        result = append_result()
+        result = offer_result()
         result.read(iprot)
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
         if result.not_holder is not None:
             raise result.not_holder
-        if result.failed is not None:
-            raise result.failed
-        raise TApplicationException(TApplicationException.MISSING_RESULT, "append failed: unknown result")
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "offer failed: unknown result")
 
-    def snapshot(self, offset, start):
+    def snapshot(self, token, first):
         """
         Parameters:
-         - offset
-         - start
+         - token
+         - first
 
         """
-        self.send_snapshot(offset, start)
+        self.send_snapshot(token, first)
         return self.recv_snapshot()
 
-    def send_snapshot(self, offset, start):
+    def send_snapshot(self, token, first):
         self._oprot.writeMessageBegin('snapshot', TMessageType.CALL, self._seqid)
         args = snapshot_args()
-        args.offset = offset
-        args.start = start
+        args.token = token
+        args.first = first
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -207,7 +199,7 @@
         self._processMap = {}
         self._processMap["beat"] = Processor.process_beat
         self._processMap["report"] = Processor.process_report
-        self._processMap["append"] = Processor.process_append
+        self._processMap["offer"] = Processor.process_offer
         self._processMap["snapshot"] = Processor.process_snapshot
         self._on_message_begin = None
 
@@ -280,22 +272,19 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def process_append(self, seqid, iprot, oprot):
-        args = append_args()
+    def process_offer(self, seqid, iprot, oprot):
+        args = offer_args()
         args.read(iprot)
         iprot.readMessageEnd()
-        result = append_result()
+        result = offer_result()
         try:
-            result.success = self._handler.append(args.stream, args.payloads, args.timeout_ms)
+            result.success = self._handler.offer(args.payloads)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
         except NotHolder as not_holder:
             msg_type = TMessageType.REPLY
             result.not_holder = not_holder
-        except AppendFailed as failed:
-            msg_type = TMessageType.REPLY
-            result.failed = failed
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -304,7 +293,7 @@
             logging.exception('Unexpected exception in handler')
             msg_type = TMessageType.EXCEPTION
             result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("append", msg_type, seqid)
+        oprot.writeMessageBegin("offer", msg_type, seqid)
         result.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -315,7 +304,7 @@
         iprot.readMessageEnd()
         result = snapshot_result()
         try:
-            result.success = self._handler.snapshot(args.offset, args.start)
+            result.success = self._handler.snapshot(args.token, args.first)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -509,11 +498,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype19, _size16) = iprot.readListBegin()
-                    for _i20 in range(_size16):
-                        _elem21 = WorkerReport()
-                        _elem21.read(iprot)
-                        self.workers.append(_elem21)
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = WorkerReport()
+                        _elem37.read(iprot)
+                        self.workers.append(_elem37)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -530,8 +519,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter22 in self.workers:
-                iter22.write(oprot)
+            for iter38 in self.workers:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -637,26 +626,20 @@
 )
 
 
-class append_args(object):
+class offer_args(object):
     """
     Attributes:
-     - stream
      - payloads
-     - timeout_ms
 
     """
 
     __slots__ = (
-        'stream',
         'payloads',
-        'timeout_ms',
     )
 
 
-    def __init__(self, stream=None, payloads=None, timeout_ms=None,):
-        self.stream = stream
+    def __init__(self, payloads=None,):
         self.payloads = payloads
-        self.timeout_ms = timeout_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -668,25 +651,15 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.stream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
                 if ftype == TType.LIST:
                     self.payloads = []
-                    (_etype26, _size23) = iprot.readListBegin()
-                    for _i27 in range(_size23):
-                        _elem28 = iprot.readBinary()
-                        self.payloads.append(_elem28)
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = iprot.readBinary()
+                        self.payloads.append(_elem44)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.timeout_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -696,22 +669,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('append_args')
-        if self.stream is not None:
-            oprot.writeFieldBegin('stream', TType.STRING, 1)
-            oprot.writeString(self.stream.encode('utf-8') if sys.version_info[0] == 2 else self.stream)
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('offer_args')
         if self.payloads is not None:
-            oprot.writeFieldBegin('payloads', TType.LIST, 2)
+            oprot.writeFieldBegin('payloads', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.payloads))
-            for iter29 in self.payloads:
-                oprot.writeBinary(iter29)
+            for iter45 in self.payloads:
+                oprot.writeBinary(iter45)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.timeout_ms is not None:
-            oprot.writeFieldBegin('timeout_ms', TType.I32, 3)
-            oprot.writeI32(self.timeout_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -735,35 +700,30 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(append_args)
-append_args.thrift_spec = (
+all_structs.append(offer_args)
+offer_args.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'payloads', (TType.STRING, 'BINARY', False), None, ),  # 2
-    (3, TType.I32, 'timeout_ms', None, None, ),  # 3
+    (1, TType.LIST, 'payloads', (TType.STRING, 'BINARY', False), None, ),  # 1
 )
 
 
-class append_result(object):
+class offer_result(object):
     """
     Attributes:
      - success
      - not_holder
-     - failed
 
     """
 
     __slots__ = (
         'success',
         'not_holder',
-        'failed',
     )
 
 
-    def __init__(self, success=None, not_holder=None, failed=None,):
+    def __init__(self, success=None, not_holder=None,):
         self.success = success
         self.not_holder = not_holder
-        self.failed = failed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -775,8 +735,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 0:
-                if ftype == TType.I64:
-                    self.success = iprot.readI64()
+                if ftype == TType.BOOL:
+                    self.success = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 1:
@@ -784,11 +744,6 @@
                     self.not_holder = NotHolder.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRUCT:
-                    self.failed = AppendFailed.read(iprot)
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -798,19 +753,15 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('append_result')
+        oprot.writeStructBegin('offer_result')
         if self.success is not None:
-            oprot.writeFieldBegin('success', TType.I64, 0)
-            oprot.writeI64(self.success)
+            oprot.writeFieldBegin('success', TType.BOOL, 0)
+            oprot.writeBool(self.success)
             oprot.writeFieldEnd()
         if self.not_holder is not None:
             oprot.writeFieldBegin('not_holder', TType.STRUCT, 1)
             self.not_holder.write(oprot)
             oprot.writeFieldEnd()
-        if self.failed is not None:
-            oprot.writeFieldBegin('failed', TType.STRUCT, 2)
-            self.failed.write(oprot)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -834,31 +785,30 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(append_result)
-append_result.thrift_spec = (
-    (0, TType.I64, 'success', None, None, ),  # 0
+all_structs.append(offer_result)
+offer_result.thrift_spec = (
+    (0, TType.BOOL, 'success', None, None, ),  # 0
     (1, TType.STRUCT, 'not_holder', [NotHolder, None], None, ),  # 1
-    (2, TType.STRUCT, 'failed', [AppendFailed, None], None, ),  # 2
 )
 
 
 class snapshot_args(object):
     """
     Attributes:
-     - offset
-     - start
+     - token
+     - first
 
     """
 
     __slots__ = (
-        'offset',
-        'start',
+        'token',
+        'first',
     )
 
 
-    def __init__(self, offset=None, start=None,):
-        self.offset = offset
-        self.start = start
+    def __init__(self, token=None, first=None,):
+        self.token = token
+        self.first = first
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -871,12 +821,12 @@
                 break
             if fid == 1:
                 if ftype == TType.I64:
-                    self.offset = iprot.readI64()
+                    self.token = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.start = iprot.readI64()
+                if ftype == TType.I32:
+                    self.first = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -889,13 +839,13 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('snapshot_args')
-        if self.offset is not None:
-            oprot.writeFieldBegin('offset', TType.I64, 1)
-            oprot.writeI64(self.offset)
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 1)
+            oprot.writeI64(self.token)
             oprot.writeFieldEnd()
-        if self.start is not None:
-            oprot.writeFieldBegin('start', TType.I64, 2)
-            oprot.writeI64(self.start)
+        if self.first is not None:
+            oprot.writeFieldBegin('first', TType.I32, 2)
+            oprot.writeI32(self.first)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -923,8 +873,8 @@
 all_structs.append(snapshot_args)
 snapshot_args.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'offset', None, None, ),  # 1
-    (2, TType.I64, 'start', None, None, ),  # 2
+    (1, TType.I64, 'token', None, None, ),  # 1
+    (2, TType.I32, 'first', None, None, ),  # 2
 )
 
 
--- a/packages/daemon/swifthoistd/gen/peer/ttypes.py
+++ b/packages/daemon/swifthoistd/gen/peer/ttypes.py
@@ -26,6 +26,7 @@
      - leaving
      - in_flight
      - holds_epoch
+     - departed
 
     """
 
@@ -37,10 +38,11 @@
         'leaving',
         'in_flight',
         'holds_epoch',
+        'departed',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, zone=None, offset=None, leaving=None, in_flight=None, holds_epoch=None,):
+    def __init__(self, instance=None, incarnation=None, zone=None, offset=None, leaving=None, in_flight=None, holds_epoch=None, departed=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.zone = zone
@@ -48,6 +50,7 @@
         self.leaving = leaving
         self.in_flight = in_flight
         self.holds_epoch = holds_epoch
+        self.departed = departed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -99,6 +102,17 @@
                     self.holds_epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.MAP:
+                    self.departed = {}
+                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
+                    for _i11 in range(_size7):
+                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val13 = iprot.readI64()
+                        self.departed[_key12] = _val13
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -132,15 +146,23 @@
         if self.in_flight is not None:
             oprot.writeFieldBegin('in_flight', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.in_flight))
-            for kiter7, viter8 in self.in_flight.items():
-                oprot.writeString(kiter7.encode('utf-8') if sys.version_info[0] == 2 else kiter7)
-                oprot.writeI32(viter8)
+            for kiter14, viter15 in self.in_flight.items():
+                oprot.writeString(kiter14.encode('utf-8') if sys.version_info[0] == 2 else kiter14)
+                oprot.writeI32(viter15)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.holds_epoch is not None:
             oprot.writeFieldBegin('holds_epoch', TType.I64, 7)
             oprot.writeI64(self.holds_epoch)
             oprot.writeFieldEnd()
+        if self.departed is not None:
+            oprot.writeFieldBegin('departed', TType.MAP, 8)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.departed))
+            for kiter16, viter17 in self.departed.items():
+                oprot.writeString(kiter16.encode('utf-8') if sys.version_info[0] == 2 else kiter16)
+                oprot.writeI64(viter17)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -373,11 +395,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype12, _size9) = iprot.readListBegin()
-                    for _i13 in range(_size9):
-                        _elem14 = PartReport()
-                        _elem14.read(iprot)
-                        self.parts.append(_elem14)
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = PartReport()
+                        _elem23.read(iprot)
+                        self.parts.append(_elem23)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -402,8 +424,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.parts))
-            for iter15 in self.parts:
-                iter15.write(oprot)
+            for iter24 in self.parts:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -515,124 +537,26 @@
         return not (self == other)
 
 
-class AppendFailed(TException):
-    """
-    Attributes:
-     - unknown
-     - reason
-
-    """
-
-    __slots__ = (
-        'unknown',
-        'reason',
-    )
-
-
-    def __init__(self, unknown=None, reason=None,):
-        super(AppendFailed, self).__setattr__('unknown', unknown)
-        super(AppendFailed, self).__setattr__('reason', reason)
-
-    def __setattr__(self, *args):
-        raise TypeError("can't modify immutable instance")
-
-    def __delattr__(self, *args):
-        raise TypeError("can't modify immutable instance")
-
-    def __hash__(self):
-        return hash(self.__class__) ^ hash((self.unknown, self.reason, ))
-
-    @classmethod
-    def read(cls, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and cls.thrift_spec is not None:
-            return iprot._fast_decode(None, iprot, [cls, cls.thrift_spec])
-        iprot.readStructBegin()
-        unknown = None
-        reason = None
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.BOOL:
-                    unknown = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-        return cls(
-            unknown=unknown,
-            reason=reason,
-        )
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('AppendFailed')
-        if self.unknown is not None:
-            oprot.writeFieldBegin('unknown', TType.BOOL, 1)
-            oprot.writeBool(self.unknown)
-            oprot.writeFieldEnd()
-        if self.reason is not None:
-            oprot.writeFieldBegin('reason', TType.STRING, 2)
-            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __str__(self):
-        return repr(self)
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class SnapshotPage(object):
     """
     Attributes:
-     - offset
-     - size
-     - content
+     - token
+     - total
+     - chunks
 
     """
 
     __slots__ = (
-        'offset',
-        'size',
-        'content',
+        'token',
+        'total',
+        'chunks',
     )
 
 
-    def __init__(self, offset=None, size=None, content=None,):
-        self.offset = offset
-        self.size = size
-        self.content = content
+    def __init__(self, token=None, total=None, chunks=None,):
+        self.token = token
+        self.total = total
+        self.chunks = chunks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -645,17 +569,22 @@
                 break
             if fid == 1:
                 if ftype == TType.I64:
-                    self.offset = iprot.readI64()
+                    self.token = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.size = iprot.readI64()
+                if ftype == TType.I32:
+                    self.total = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.content = iprot.readBinary()
+                if ftype == TType.LIST:
+                    self.chunks = []
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = iprot.readBinary()
+                        self.chunks.append(_elem30)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -668,17 +597,20 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('SnapshotPage')
-        if self.offset is not None:
-            oprot.writeFieldBegin('offset', TType.I64, 1)
-            oprot.writeI64(self.offset)
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 1)
+            oprot.writeI64(self.token)
             oprot.writeFieldEnd()
-        if self.size is not None:
-            oprot.writeFieldBegin('size', TType.I64, 2)
-            oprot.writeI64(self.size)
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I32, 2)
+            oprot.writeI32(self.total)
             oprot.writeFieldEnd()
-        if self.content is not None:
-            oprot.writeFieldBegin('content', TType.STRING, 3)
-            oprot.writeBinary(self.content)
+        if self.chunks is not None:
+            oprot.writeFieldBegin('chunks', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.chunks))
+            for iter31 in self.chunks:
+                oprot.writeBinary(iter31)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -713,6 +645,7 @@
     (5, TType.BOOL, 'leaving', None, None, ),  # 5
     (6, TType.MAP, 'in_flight', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 6
     (7, TType.I64, 'holds_epoch', None, None, ),  # 7
+    (8, TType.MAP, 'departed', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 8
 )
 all_structs.append(PartReport)
 PartReport.thrift_spec = (
@@ -739,18 +672,12 @@
     None,  # 0
     (1, TType.STRING, 'holder', 'UTF8', None, ),  # 1
 )
-all_structs.append(AppendFailed)
-AppendFailed.thrift_spec = (
-    None,  # 0
-    (1, TType.BOOL, 'unknown', None, None, ),  # 1
-    (2, TType.STRING, 'reason', 'UTF8', None, ),  # 2
-)
 all_structs.append(SnapshotPage)
 SnapshotPage.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'offset', None, None, ),  # 1
-    (2, TType.I64, 'size', None, None, ),  # 2
-    (3, TType.STRING, 'content', 'BINARY', None, ),  # 3
+    (1, TType.I64, 'token', None, None, ),  # 1
+    (2, TType.I32, 'total', None, None, ),  # 2
+    (3, TType.LIST, 'chunks', (TType.STRING, 'BINARY', False), None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/daemon/swifthoistd/members.py
+++ b/packages/daemon/swifthoistd/members.py
@@ -25,6 +25,7 @@
     :ivar leaving: whether it takes no new work.
     :ivar in_flight: requests in progress at each runner.
     :ivar holds_epoch: epoch of the cell that it holds, 0 for none.
+    :ivar departed: runners that leave, with the incarnation that ends.
     """
 
     author: Author
@@ -33,6 +34,7 @@
     leaving: bool
     in_flight: dict[str, int]
     holds_epoch: Epoch
+    departed: dict[str, Millis]
 
 
 class Member(NamedTuple):
--- a/packages/daemon/swifthoistd/peers.py
+++ b/packages/daemon/swifthoistd/peers.py
@@ -39,6 +39,7 @@
         beat.leaving,
         dict(beat.in_flight or {}),
         beat.holds_epoch,
+        dict(beat.departed or {}),
     )
 
 
@@ -56,6 +57,7 @@
         heard.leaving,
         heard.in_flight,
         heard.holds_epoch,
+        heard.departed,
     )
 
 
@@ -183,6 +185,11 @@
             raise UnreachableError(f'{instance} is not known')
         return await link.call(name, *args, timeout_s=timeout_s)
 
+    def live_by_offset(self) -> tuple[InstanceId, ...]:
+        """Name the instances that live, the one furthest on first."""
+        live = sorted(self._members.live(), key=_offset_of, reverse=True)
+        return tuple(member.instance for member in live)
+
     async def listen(self, group: TaskGroup) -> str:
         """Serve the calls of other instances.
 
@@ -236,3 +243,7 @@
     async def _on_beat(self, sender: Heartbeat) -> Heartbeat:
         self._members.note_heard(to_heard(sender))
         return to_beat(self._beat())
+
+
+def _offset_of(member: Member) -> int:
+    return member.heard.offset if member.heard else 0
