--- a/packages/daemon/swifthoistd/peers.py
+++ b/packages/daemon/swifthoistd/peers.py
@@ -26,7 +26,7 @@
 _log = logging.getLogger(__name__)
 
 
-def to_heard(beat: Heartbeat) -> Heard:
+def heard_of(beat: Heartbeat) -> Heard:
     """Read a heartbeat from the wire.
 
     :param beat: the generated structure.
@@ -43,7 +43,7 @@
     )
 
 
-def to_beat(heard: Heard) -> Heartbeat:
+def beat_of(heard: Heard) -> Heartbeat:
     """Write a heartbeat for the wire.
 
     :param heard: what the sender says of itself.
@@ -136,13 +136,13 @@
     async def _beat_once(self) -> None:
         try:
             beat = await self.call(
-                'beat', to_beat(self._beat()), timeout_s=CALL_S
+                'beat', beat_of(self._beat()), timeout_s=CALL_S
             )
         except (UnreachableError, PeerError) as exc:
             _log.debug('heartbeat failed', extra={'error': str(exc)})
             await anyio.sleep(_BACKOFF_S * random.random())
             return
-        self._members.note_heard(to_heard(beat))
+        self._members.note_heard(heard_of(beat))
 
 
 class Peers:
@@ -241,8 +241,8 @@
                 _log.debug('peer connection ended', extra={'error': str(exc)})
 
     async def _on_beat(self, sender: Heartbeat) -> Heartbeat:
-        self._members.note_heard(to_heard(sender))
-        return to_beat(self._beat())
+        self._members.note_heard(heard_of(sender))
+        return beat_of(self._beat())
 
 
 def _offset_of(member: Member) -> int:
