Test workers, runners, the list and the processes over loopback

Cause: clients of workers and of the list, the runner's stand-in and the processes had no tests, and a refusal by the gate did not say that the call was not run as the runner's own refusals do.

Change: tests of each client against its stand-in with each fault; every reply to a call that surely took no effect (503, 413, malformed) now carries X-Not-Run; the processes are tested with both backends up to their end on SIGTERM.

--- a/packages/standins/swifthoist_standins/gate.py
+++ b/packages/standins/swifthoist_standins/gate.py
@@ -1,6 +1,6 @@
 """The gate in front of a stand-in, which shows its faults."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 import anyio
@@ -20,7 +20,10 @@
 _FAULTS_LIMIT = 4096
 _JSON = 'application/json'
 _MSGPACK = 'application/msgpack'
-_NOT_SERVED = Response(status_code=503)
+NOT_RUN: Mapping[str, str] = {'X-Not-Run': '1'}
+"""Header of each reply to a call that surely took no effect."""
+
+_NOT_SERVED = Response(status_code=503, headers=NOT_RUN)
 _LOST_HEAD: Message = {
     'type': 'http.response.start',
     'status': 200,
@@ -194,7 +197,7 @@
     async for chunk in request.stream():
         body += chunk
         if len(body) > limit:
-            raise HTTPException(413)
+            raise HTTPException(413, headers=NOT_RUN)
     return bytes(body)
 
 
@@ -209,7 +212,7 @@
     """
     text = request.query_params.get(name, str(default))
     if not text.isdecimal():
-        raise HTTPException(400, f'{name} must be a number')
+        raise HTTPException(400, f'{name} must be a number', NOT_RUN)
     return int(text)
 
 
--- a/packages/standins/swifthoist_standins/runner.py
+++ b/packages/standins/swifthoist_standins/runner.py
@@ -11,7 +11,13 @@
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import ClassName, Millis, OwnerId, RequestKey
 from swifthoist_standins.faults import FaultBoard, Faults
-from swifthoist_standins.gate import FaultGate, build, read_body, reply_json
+from swifthoist_standins.gate import (
+    NOT_RUN,
+    FaultGate,
+    build,
+    read_body,
+    reply_json,
+)
 
 BODY_LIMIT = 1024 * 1024
 """Greatest size of a request, in bytes."""
@@ -23,7 +29,6 @@
 """Longest service time that a request may ask for, in ms."""
 
 _MS_PER_S = 1000
-_NOT_RUN = {'X-Not-Run': '1'}
 _OK = 200
 _BAD_REQUEST = 400
 _TOO_MANY = 429
@@ -237,7 +242,7 @@
 
 
 def _refuse(status: int) -> Response:
-    return Response(status_code=status, headers=_NOT_RUN)
+    return Response(status_code=status, headers=NOT_RUN)
 
 
 def build_runner(clock: Clock, limits: RunnerLimits | None = None) -> FaultGate:
--- a/tests/clients/test_log.py
+++ b/tests/clients/test_log.py
@@ -151,6 +151,19 @@
 
         self.play(scene)
 
+    def test_a_call_does_not_outlive_its_listener(self) -> None:
+        """The server has nothing to break off when it stops."""
+
+        async def scene(target: Target) -> None:
+            log = LogClient(target.http, target.url)
+            await log.bounds('ledger')
+            await target.fault(late_ms=LONG_MS)
+            with self.assertRaises(OutcomeUnknownError):
+                await log.append('ledger', [b'one'], HASTY_S)
+
+        with self.assertNoLogs('asyncio', 'ERROR'):
+            self.play(scene)
+
     def test_a_slow_log_is_an_unknown_outcome_too(self) -> None:
         """The append may still come, so it is not said to be refused."""
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -17,6 +17,9 @@
 HASTY_S = 0.2
 """Time for calls that never get an answer, in seconds."""
 
+SCENE_S = 60.0
+"""Time for a whole scene, in seconds, so that none hangs."""
+
 LONG_MS = 600_000
 """A fault that lasts for the whole test, in ms."""
 
@@ -70,4 +73,5 @@
 
     async def _play(self, scene: Callable[[Target], Awaitable[None]]) -> None:
         async with reaching(self.build()) as target:
-            await scene(target)
+            with anyio.fail_after(SCENE_S):
+                await scene(target)
