--- a/packages/standins/swifthoist_standins/gate.py
+++ b/packages/standins/swifthoist_standins/gate.py
@@ -185,6 +185,16 @@
     return FaultGate(Starlette(routes=[*faults, *routes]), board)
 
 
+def refusal(status: int, problem: str = '') -> HTTPException:
+    """Make the refusal of a call that took no effect.
+
+    :param status: HTTP status.
+    :param problem: what is wrong, empty for the status's own phrase.
+    :returns: the exception to raise.
+    """
+    return HTTPException(status, problem or None, NOT_RUN)
+
+
 async def read_body(request: Request, limit: int) -> bytes:
     """Read the body of a call.
 
@@ -197,7 +207,7 @@
     async for chunk in request.stream():
         body += chunk
         if len(body) > limit:
-            raise HTTPException(413, headers=NOT_RUN)
+            raise refusal(413)
     return bytes(body)
 
 
@@ -212,7 +222,7 @@
     """
     text = request.query_params.get(name, str(default))
     if not text.isdecimal():
-        raise HTTPException(400, f'{name} must be a number', NOT_RUN)
+        raise refusal(400, f'{name} must be a number')
     return int(text)
 
 
--- a/packages/standins/swifthoist_standins/instances.py
+++ b/packages/standins/swifthoist_standins/instances.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 import msgspec
-from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
@@ -13,7 +12,7 @@
 from swifthoist_core.types import InstanceId, Millis
 from swifthoist_platform.instances import Listed, decode_listed, encode_list
 from swifthoist_standins.faults import FaultBoard, Faults
-from swifthoist_standins.gate import FaultGate, build, read_body
+from swifthoist_standins.gate import FaultGate, build, read_body, refusal
 
 LINE_LIMIT = 2048
 """Greatest number of lines on the list."""
@@ -164,7 +163,7 @@
         try:
             taken = self._lines.register(decode_listed(body))
         except msgspec.DecodeError as exc:
-            raise HTTPException(400, str(exc)) from exc
+            raise refusal(400, str(exc)) from exc
         return Response(status_code=_NO_CONTENT if taken else _CONFLICT)
 
     async def leave(self, request: Request) -> Response:
--- a/packages/standins/swifthoist_standins/leases.py
+++ b/packages/standins/swifthoist_standins/leases.py
@@ -101,8 +101,8 @@
         :raises WorkerRefusedError: when the order is stale, or the part is
             unknown, was stopped or has lapsed.
         """
-        check_lease(order.lease_ms)
         now_ms = self._enter(order)
+        check_lease(order.lease_ms)
         known = self._parts.get(_key(order))
         if known is not None and known.state in _STARTED:
             return
@@ -162,9 +162,9 @@
         :returns: every part, after the renewal.
         :raises WorkerRefusedError: when the epoch is stale.
         """
-        check_lease(order.lease_ms)
         now_ms = self._settle()
         self._admit(order.epoch)
+        check_lease(order.lease_ms)
         for key in order.leases:
             part = self._parts.get(key)
             if part is not None and part.is_running:
--- a/packages/standins/swifthoist_standins/log.py
+++ b/packages/standins/swifthoist_standins/log.py
@@ -2,7 +2,6 @@
 
 import anyio
 import msgspec
-from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
@@ -24,11 +23,12 @@
     build,
     read_body,
     read_number,
+    refusal,
     reply_msgpack,
 )
 from swifthoist_standins.streams import Retention, Stream
 
-STREAM_LIMIT = 64
+STREAM_LIMIT = 16
 """Greatest number of streams."""
 
 LONGEST_WAIT_MS = 60_000
@@ -117,7 +117,7 @@
 
     def _stream(self, name: str) -> Stream:
         if name not in self._streams and len(self._streams) >= STREAM_LIMIT:
-            raise HTTPException(403, 'too many streams')
+            raise refusal(403, 'too many streams')
         return self._streams.setdefault(name, Stream(self._retention))
 
 
@@ -136,9 +136,9 @@
         try:
             payloads = _payloads.decode(await read_body(request, _BODY_LIMIT))
         except msgspec.DecodeError as exc:
-            raise HTTPException(400, str(exc)) from exc
+            raise refusal(400, str(exc)) from exc
         if find_oversize(payloads):
-            raise HTTPException(413)
+            raise refusal(413)
         appended = self._service.append(_stream_of(request), payloads)
         return reply_msgpack(appended)
 
--- a/packages/standins/swifthoist_standins/worker.py
+++ b/packages/standins/swifthoist_standins/worker.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple, TypeVar
 
 import msgspec
-from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
@@ -29,6 +28,7 @@
     build,
     read_body,
     read_number,
+    refusal,
     reply_json,
     reply_msgpack,
 )
@@ -140,7 +140,7 @@
     try:
         return msgspec.msgpack.decode(body, type=kind)
     except msgspec.DecodeError as exc:
-        raise HTTPException(400, str(exc)) from exc
+        raise refusal(400, str(exc)) from exc
 
 
 def _obey(act: Callable[[_AnyOrder], None], order: _AnyOrder) -> Response:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,9 +1,10 @@
 """Support for tests that talk to stand-ins over loopback."""
 
+import functools
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, TypeAlias
 
 import anyio
 import httpx
@@ -24,6 +25,9 @@
 """A fault that lasts for the whole test, in ms."""
 
 
+Scene: TypeAlias = Callable[[Any, 'Target'], Awaitable[None]]
+
+
 class Target:
     """A stand-in that is being served.
 
@@ -67,11 +71,18 @@
         """Build the stand-in."""
         raise NotImplementedError
 
-    def play(self, scene: Callable[[Target], Awaitable[None]]) -> None:
+    async def play(self, act: Scene) -> None:
         """Serve the stand-in and play a scene with it."""
-        anyio.run(self._play, scene)
-
-    async def _play(self, scene: Callable[[Target], Awaitable[None]]) -> None:
         async with reaching(self.build()) as target:
             with anyio.fail_after(SCENE_S):
-                await scene(target)
+                await act(self, target)
+
+
+def scene(act: Scene) -> Callable[[LoopbackTest], None]:
+    """Make a test of a scene with the stand-in."""
+
+    @functools.wraps(act)
+    def test(case: LoopbackTest) -> None:
+        anyio.run(case.play, act)
+
+    return test
--- a/tests/standins/test_leases.py
+++ b/tests/standins/test_leases.py
@@ -13,7 +13,7 @@
     ThrottleOrder,
 )
 from swifthoist_standins.leases import REPORT_MS, LeaseTable
-from swifthoist_standins.places import Capacity
+from swifthoist_standins.places import LONGEST_LEASE_MS, Capacity
 
 LEASE_MS = 500
 HOLD = HoldOrder(
@@ -53,7 +53,7 @@
 class FenceTest(LeaseTest):
     """Orders of the past are refused."""
 
-    def test_an_older_epoch_is_refused_whatever_the_order(self) -> None:
+    def test_an_older_epoch_is_refused_whatever_the_order(self):
         """A renewal by a newer holder fences the older one out."""
         self.start()
         self.table.renew(RENEW._replace(epoch=2))
@@ -63,14 +63,20 @@
         self.assert_refused('stale epoch', self.table.hold, other)
         self.assertEqual(self.state(), 'running')
 
-    def test_an_older_offset_for_the_same_job_is_refused(self) -> None:
+    def test_a_refused_order_shows_its_epoch_too(self):
+        """A lease that is too long does not hide the newer holder."""
+        endless = RENEW._replace(epoch=2, lease_ms=LONGEST_LEASE_MS + 1)
+        self.assert_refused('malformed lease', self.table.renew, endless)
+        self.assert_refused('stale epoch', self.table.renew, RENEW)
+
+    def test_an_older_offset_for_the_same_job_is_refused(self):
         """A late order does not undo a newer one."""
         self.start()
         late = STOP._replace(offset=9)
         self.assert_refused('stale offset', self.table.stop, late)
         self.assertEqual(self.state(), 'running')
 
-    def test_a_stopped_part_is_not_revived(self) -> None:
+    def test_a_stopped_part_is_not_revived(self):
         """Neither start, hold nor renewal brings it back."""
         self.start()
         self.table.stop(STOP)
@@ -81,14 +87,14 @@
         self.table.renew(RENEW)
         self.assertEqual(self.state(), 'stopped')
 
-    def test_a_stop_that_overtakes_the_hold_keeps_it_out(self) -> None:
+    def test_a_stop_that_overtakes_the_hold_keeps_it_out(self):
         """The worker remembers the stop of a part it never saw."""
         self.table.stop(STOP)
         hold = HOLD._replace(offset=12)
         self.assert_refused('ended', self.table.hold, hold)
         self.assertEqual(self.state(), 'unknown')
 
-    def test_a_forgotten_part_stays_ended(self) -> None:
+    def test_a_forgotten_part_stays_ended(self):
         """Acknowledging the end does not let an old order in."""
         self.start()
         self.table.stop(STOP)
@@ -97,7 +103,7 @@
         hold = HOLD._replace(offset=12)
         self.assert_refused('ended', self.table.hold, hold)
 
-    def test_old_orders_stay_refused_beyond_the_memory_of_jobs(self) -> None:
+    def test_old_orders_stay_refused_beyond_the_memory_of_jobs(self):
         """More stopped jobs than are remembered let nothing old in."""
         for number in range(20):
             self.table.stop(STOP._replace(job_id=f'job-{number}', offset=50))
@@ -105,7 +111,7 @@
         self.assert_refused('stale offset', self.table.hold, old)
         self.table.hold(HOLD._replace(job_id='new', offset=51))
 
-    def test_a_newer_attempt_ends_the_older_one(self) -> None:
+    def test_a_newer_attempt_ends_the_older_one(self):
         """Two attempts of a job never run side by side."""
         self.start()
         newer = HOLD._replace(attempt=2, offset=20, first=4)
@@ -117,21 +123,21 @@
 class PlaceTest(LeaseTest):
     """A place is held once."""
 
-    def test_a_hold_on_busy_accelerators_is_refused(self) -> None:
+    def test_a_hold_on_busy_accelerators_is_refused(self):
         """One accelerator in common is enough."""
         self.table.hold(HOLD)
         other = HOLD._replace(job_id='other', first=3)
         self.assert_refused('busy', self.table.hold, other)
         self.table.hold(other._replace(first=4))
 
-    def test_memory_is_not_given_twice(self) -> None:
+    def test_memory_is_not_given_twice(self):
         """Parts without accelerators still need room."""
         big = HOLD._replace(accelerators=0, memory_mib=3000)
         self.table.hold(big)
         other = big._replace(job_id='other')
         self.assert_refused('busy', self.table.hold, other)
 
-    def test_accelerators_beyond_the_worker_are_refused(self) -> None:
+    def test_accelerators_beyond_the_worker_are_refused(self):
         """A place must exist."""
         wide = HOLD._replace(first=6)
         self.assert_refused('no such accelerators', self.table.hold, wide)
@@ -140,7 +146,7 @@
 class TimeTest(LeaseTest):
     """Leases end by the clock, whoever is awake."""
 
-    def test_a_hold_lapses_unless_it_is_started(self) -> None:
+    def test_a_hold_lapses_unless_it_is_started(self):
         """Neither a repeated hold nor a renewal extends it."""
         self.table.hold(HOLD)
         self.clock.advance(LEASE_MS - 1)
@@ -151,7 +157,7 @@
         self.assertEqual(self.state(), 'lapsed')
         self.assert_refused('ended', self.table.start, START)
 
-    def test_a_running_part_lapses_unless_it_is_renewed(self) -> None:
+    def test_a_running_part_lapses_unless_it_is_renewed(self):
         """It ends when its lease does, not when that is noticed."""
         self.start()
         self.clock.advance(LEASE_MS - 1)
@@ -164,7 +170,7 @@
         ran_ms = lapsed.stopped_ms - lapsed.started_ms
         self.assertEqual(ran_ms, LEASE_MS - 1 + LEASE_MS)
 
-    def test_a_repeated_start_changes_nothing(self) -> None:
+    def test_a_repeated_start_changes_nothing(self):
         """Also once the part has finished; the lease is not extended."""
         self.table.hold(HOLD._replace(steps='run_ms=400'))
         self.table.start(START)
@@ -175,7 +181,7 @@
         self.assertEqual(self.state(), 'done')
         self.assertEqual(len(self.table.runs()), 1)
 
-    def test_a_throttled_part_takes_longer(self) -> None:
+    def test_a_throttled_part_takes_longer(self):
         """Half the speed doubles the time that is left."""
         self.table.hold(HOLD._replace(steps='run_ms=200'))
         self.table.start(START)
@@ -186,7 +192,7 @@
         self.clock.advance(1)
         self.assertEqual(self.state(), 'done')
 
-    def test_an_ended_part_is_reported_for_a_minute(self) -> None:
+    def test_an_ended_part_is_reported_for_a_minute(self):
         """Then the worker drops it."""
         self.start()
         self.table.stop(STOP)
@@ -195,7 +201,7 @@
         self.clock.advance(1)
         self.assertEqual(self.state(), 'unknown')
 
-    def test_usage_comes_out_with_its_lag(self) -> None:
+    def test_usage_comes_out_with_its_lag(self):
         """And then once for each part that ran."""
         self.start()
         self.table.stop(STOP)
