--- a/packages/standins/swifthoist_standins/gate.py
+++ b/packages/standins/swifthoist_standins/gate.py
@@ -1,6 +1,6 @@
 """The gate in front of a stand-in, which shows its faults."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 import anyio
@@ -20,7 +20,10 @@
 _FAULTS_LIMIT = 4096
 _JSON = 'application/json'
 _MSGPACK = 'application/msgpack'
-_NOT_SERVED = Response(status_code=503)
+NOT_RUN: Mapping[str, str] = {'X-Not-Run': '1'}
+"""Header of each reply to a call that surely took no effect."""
+
+_NOT_SERVED = Response(status_code=503, headers=NOT_RUN)
 _LOST_HEAD: Message = {
     'type': 'http.response.start',
     'status': 200,
@@ -182,6 +185,16 @@
     return FaultGate(Starlette(routes=[*faults, *routes]), board)
 
 
+def refusal(status: int, problem: str = '') -> HTTPException:
+    """Make the refusal of a call that took no effect.
+
+    :param status: HTTP status.
+    :param problem: what is wrong, empty for the status's own phrase.
+    :returns: the exception to raise.
+    """
+    return HTTPException(status, problem or None, NOT_RUN)
+
+
 async def read_body(request: Request, limit: int) -> bytes:
     """Read the body of a call.
 
@@ -194,7 +207,7 @@
     async for chunk in request.stream():
         body += chunk
         if len(body) > limit:
-            raise HTTPException(413)
+            raise refusal(413)
     return bytes(body)
 
 
@@ -209,7 +222,7 @@
     """
     text = request.query_params.get(name, str(default))
     if not text.isdecimal():
-        raise HTTPException(400, f'{name} must be a number')
+        raise refusal(400, f'{name} must be a number')
     return int(text)
 
 
