Turn away documents and parameters that no record can hold

Cause: a whole number beyond 64 bits in expected_version or expected_ms passed the checks and failed only when the record was encoded, which ended the process; a caller that tried every instance brought down every one. Deeply nested JSON, numbers of more than 4,300 digits and a Content-Type that is not ASCII were answered with HTTP 500 without an outcome. A malformed policy could end in an InvalidInputError that nobody caught.

Ruled out: catching every error in the gate, which would hide faults.

Change: one reader of documents and one of whole numbers in the callers' module; the gate answers InvalidInputError with its findings, for every route.

--- a/packages/daemon/swifthoistd/api_catalogue.py
+++ b/packages/daemon/swifthoistd/api_catalogue.py
@@ -1,13 +1,10 @@
 """HTTP API of the catalogue, for operators."""
 
-import typing
-
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
 from swifthoist_core.catalogue import Entry, Versioned
-from swifthoist_core.checks import check_document, parse_json
 from swifthoist_core.documents import (
     ChangeDocument,
     PolicyChangeDocument,
@@ -17,7 +14,6 @@
 )
 from swifthoist_core.errors import (
     Finding,
-    InvalidInputError,
     LogUnavailableError,
     OutcomeUnknownError,
 )
@@ -26,7 +22,7 @@
 from swifthoist_core.records import EntryChanged, PolicyChanged, Record
 from swifthoist_core.tokens import Identity, Role
 from swifthoistd import replies
-from swifthoistd.callers import Gatekeeper, read_body
+from swifthoistd.callers import Gatekeeper, read_document, read_number
 from swifthoistd.journal import Journal
 
 COMMIT_S = 5.0
@@ -110,14 +106,8 @@
         :returns: the version in force, or every finding.
         """
         entry_id = request.path_params['entry_id']
-        content = await _read_document(request, ChangeDocument)
-        if isinstance(content, Response):
-            return content
-        document = typing.cast(ChangeDocument, content)
-        try:
-            entry = read_entry(entry_id, document['entry'], 'entry')
-        except InvalidInputError as exc:
-            return replies.invalid(exc.findings)
+        document: ChangeDocument = await read_document(request, ChangeDocument)
+        entry = read_entry(entry_id, document['entry'], 'entry')
         record = EntryChanged(
             entry_id, document['expected_version'], entry, identity.name
         )
@@ -130,13 +120,10 @@
         :param identity: the operator.
         :returns: the version in force.
         """
-        expected = request.query_params.get('expected_version', '')
-        if not expected.isdecimal():
-            problem = 'is missing or no number'
-            finding = Finding('expected_version', problem)
-            return replies.invalid((finding,))
+        name = 'expected_version'
+        expected = read_number(request.query_params.get(name, ''), name)
         entry_id = request.path_params['entry_id']
-        record = EntryChanged(entry_id, int(expected), None, identity.name)
+        record = EntryChanged(entry_id, expected, None, identity.name)
         return await self._change(record, None)
 
     async def validate(self, request: Request, identity: Identity) -> Response:
@@ -147,14 +134,8 @@
         :returns: every finding; none if it would be accepted now.
         """
         entry_id = request.path_params['entry_id']
-        content = await _read_document(request, ChangeDocument)
-        if isinstance(content, Response):
-            return content
-        document = typing.cast(ChangeDocument, content)
-        try:
-            entry = read_entry(entry_id, document['entry'], 'entry')
-        except InvalidInputError as exc:
-            return replies.invalid(exc.findings)
+        document: ChangeDocument = await read_document(request, ChangeDocument)
+        entry = read_entry(entry_id, document['entry'], 'entry')
         findings = self._findings(entry)
         if findings:
             return replies.invalid(findings)
@@ -186,10 +167,9 @@
         :param identity: the operator.
         :returns: the version in force, or every finding.
         """
-        content = await _read_document(request, PolicyChangeDocument)
-        if isinstance(content, Response):
-            return content
-        document = typing.cast(PolicyChangeDocument, content)
+        document: PolicyChangeDocument = await read_document(
+            request, PolicyChangeDocument
+        )
         policy = read_policy(document['policy'])
         expected = document['expected_version']
         record = PolicyChanged(expected, policy, identity.name)
@@ -239,17 +219,3 @@
         'version': item.version,
         'entry': entry_document(item.entry),
     }
-
-
-async def _read_document(request: Request, kind: type) -> object:
-    """Read a document from the body.
-
-    :returns: the checked document, or the reply that refuses it.
-    """
-    content = parse_json('body', await read_body(request))
-    if isinstance(content, Finding):
-        return replies.invalid((content,))
-    findings = check_document(kind, content)
-    if findings:
-        return replies.invalid(findings)
-    return content
--- a/packages/daemon/swifthoistd/api_jobs.py
+++ b/packages/daemon/swifthoistd/api_jobs.py
@@ -10,7 +10,6 @@
 
 from swifthoist_core import planner
 from swifthoist_core.catalogue import Entry, Work
-from swifthoist_core.checks import check_document, parse_json
 from swifthoist_core.documents import (
     JobDocument,
     ShapeDocument,
@@ -27,7 +26,7 @@
 from swifthoist_core.tokens import Identity, Role
 from swifthoist_core.types import JobId
 from swifthoistd import replies
-from swifthoistd.callers import Gatekeeper, read_body
+from swifthoistd.callers import Gatekeeper, read_document, read_number
 from swifthoistd.follower import Follower
 from swifthoistd.journal import Journal
 
@@ -94,13 +93,7 @@
         :param identity: the owner.
         :returns: the job.
         """
-        content = parse_json('body', await read_body(request))
-        if isinstance(content, Finding):
-            return replies.invalid((content,))
-        findings = check_document(JobDocument, content)
-        if findings:
-            return replies.invalid(findings)
-        document: JobDocument = content  # type: ignore[assignment]
+        document: JobDocument = await read_document(request, JobDocument)
         entry = self._ledger.catalogue.find(identity.name, document['class'])
         if entry is None or entry.work is not Work.JOB:
             problem = f'owner {identity.name} has no entry for it'
@@ -133,11 +126,8 @@
         if job is None:
             return _unknown_job()
         wait = request.query_params.get('wait_ms', '0')
-        if not wait.isdecimal():
-            problem = 'must be a number of ms'
-            return replies.invalid((Finding('wait_ms', problem),))
-        wait_ms = min(int(wait), MAX_WAIT_MS)
-        job = await self._changed(job, wait_ms)
+        wait_ms = read_number(wait, 'wait_ms')
+        job = await self._changed(job, min(wait_ms, MAX_WAIT_MS))
         return replies.json_reply(_job_reply(job, self._ledger.offset))
 
     async def delete(self, request: Request, identity: Identity) -> Response:
--- a/packages/daemon/swifthoistd/api_requests.py
+++ b/packages/daemon/swifthoistd/api_requests.py
@@ -2,7 +2,9 @@
 
 import functools
 import uuid
+from collections.abc import Iterator
 
+from starlette.datastructures import Headers
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
@@ -27,6 +29,7 @@
 from swifthoistd.work import Done, NotRun, Outcome, Unknown, WorkRequest
 
 MAX_KEY = 128
+_MAX_DIGITS = 18
 _SERVER_ERROR = 500
 
 
@@ -126,13 +129,22 @@
     if mark == 'false' and not key:
         problem = 'is missing; work that may run once only needs a key'
         findings.append(Finding('Idempotency-Key', problem))
-    deadline = headers.get('x-deadline-ms', '1')
-    if not deadline.isdecimal() or int(deadline) == 0:
-        problem = 'must be a number of ms above 0'
-        findings.append(Finding('X-Deadline-Ms', problem))
+    findings.extend(_check_plain(headers))
     return tuple(findings)
 
 
+def _check_plain(headers: Headers) -> Iterator[Finding]:
+    deadline = headers.get('x-deadline-ms', '1')
+    if not deadline.strip('0') or not deadline.isdecimal():
+        yield Finding('X-Deadline-Ms', 'must be a number of ms above 0')
+    elif len(deadline) > _MAX_DIGITS:
+        problem = f'must have {_MAX_DIGITS} digits at most'
+        yield Finding('X-Deadline-Ms', problem)
+    kind = headers.get('content-type', '')
+    if not (kind.isascii() and kind.isprintable()):
+        yield Finding('Content-Type', 'must be printable ASCII')
+
+
 def _work_request(request: Request, entry: Entry, body: bytes) -> WorkRequest:
     headers = request.headers
     request_id = uuid.uuid4().hex
--- a/packages/daemon/swifthoistd/callers.py
+++ b/packages/daemon/swifthoistd/callers.py
@@ -1,13 +1,19 @@
 """Callers of the HTTP API: who they are and what they send."""
 
-from collections.abc import Awaitable, Callable
-from typing import TypeAlias
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any, TypeAlias
 
 import anyio
 from starlette.requests import Request
 from starlette.responses import Response
 
-from swifthoist_core.errors import Finding, SwifthoistError
+from swifthoist_core.checks import check_document, parse_json
+from swifthoist_core.errors import (
+    Finding,
+    InvalidInputError,
+    SwifthoistError,
+    raise_findings,
+)
 from swifthoist_core.tokens import Identity, Role, read_token
 from swifthoistd import replies
 
@@ -17,6 +23,11 @@
 BODY_S = 10.0
 """How long a caller may take to send a body, in seconds."""
 
+MAX_NUMBER = (1 << 63) - 1
+"""Greatest whole number in a document; records on the log hold no greater."""
+
+_MAX_DIGITS = 18
+
 Endpoint: TypeAlias = Callable[[Request], Awaitable[Response]]
 Handler: TypeAlias = Callable[[Request, Identity], Awaitable[Response]]
 
@@ -56,6 +67,55 @@
     return bytes(chunks)
 
 
+async def read_document(request: Request, kind: type) -> Any:
+    """Read a document from the body and check it.
+
+    :param request: the call.
+    :param kind: the ``TypedDict`` that it must be.
+    :returns: the document.
+    :raises BodyError: when the body cannot be taken.
+    :raises InvalidInputError: with every finding.
+    """
+    try:
+        content = parse_json('body', await read_body(request))
+    except RecursionError:
+        content = Finding('body', 'is nested too deeply')
+    if isinstance(content, Finding):
+        raise InvalidInputError.of('body', (content,))
+    raise_findings('document', check_document(kind, content))
+    raise_findings('document', tuple(_too_great(content, '')))
+    return content
+
+
+def _too_great(content: object, place: str) -> Iterator[Finding]:
+    match content:
+        case dict():
+            for name, inner in content.items():
+                yield from _too_great(inner, f'{place}.{name}'.lstrip('.'))
+        case list():
+            for index, inner in enumerate(content):
+                yield from _too_great(inner, f'{place}[{index}]')
+        case int() if content > MAX_NUMBER:
+            yield Finding(place, f'must be at most {MAX_NUMBER}')
+
+
+def read_number(text: str, place: str) -> int:
+    """Read a whole number from a parameter.
+
+    :param text: the parameter as it came.
+    :param place: its name.
+    :returns: the number, 0 or more.
+    :raises InvalidInputError: when it is no such number.
+    """
+    if not (text.isascii() and text.isdecimal()):
+        finding = Finding(place, 'is missing or no whole number')
+        raise InvalidInputError.of('parameter', (finding,))
+    if len(text) > _MAX_DIGITS:
+        problem = f'must have {_MAX_DIGITS} digits at most'
+        raise InvalidInputError.of('parameter', (Finding(place, problem),))
+    return int(text)
+
+
 async def _collect(request: Request, chunks: bytearray) -> None:
     async for chunk in request.stream():
         chunks += chunk
@@ -94,6 +154,8 @@
                 return await handler(request, identity)
             except BodyError as exc:
                 return exc.reply
+            except InvalidInputError as exc:
+                return replies.invalid(exc.findings)
 
         return wrapper
 
