Prove each verb as processes; name a user's mistakes without traceback

Cause: each verb was run by hand with what users get wrong. A path that is not there, an address that cannot be bound, a URL or token that cannot be sent, a number that is none, and an answer that is not JSON ended in tracebacks. An id such as ../debug reached another route. A name such as 007 was read as the number 7, so its token was for another owner.

Ruled out: quoting ids in paths, since '..' stays what it is when quoted.

Change: ids, versions, numbers, targets and callers are checked before a call, with findings and exit code 2; a reply of 500 or more that does not say 'not run' is an unknown outcome, exit code 4.

--- a/packages/cli/swifthoist_cli/client.py
+++ b/packages/cli/swifthoist_cli/client.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Mapping
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, NamedTuple, TypedDict, TypeVar
 
 import httpx
 import msgspec
@@ -16,7 +16,7 @@
 MSGPACK = 'application/msgpack'
 
 _REFUSED_FROM = 400
-_UNKNOWN_OUTCOME = 504
+_FAULT_FROM = 500
 _Report = TypeVar('_Report')
 
 
@@ -158,15 +158,36 @@
         raise NoInstanceError(f'no instance answers at {", ".join(urls)}')
 
 
+class _FindingDocument(TypedDict):
+    place: str
+    problem: str
+
+
+class _Refusal(TypedDict, total=False):
+    outcome: str
+    reason: str
+    findings: list[_FindingDocument]
+
+
 def _document(reply: httpx.Response) -> Any:
-    content = reply.json() if reply.content else {}
-    if reply.status_code < _REFUSED_FROM:
-        return content
-    reason = content.get('reason', f'status {reply.status_code}')
-    if reply.status_code == _UNKNOWN_OUTCOME:
-        raise UnknownOutcomeError(reason)
-    findings = tuple(
-        Finding(item['place'], item['problem'])
-        for item in content.get('findings', ())
-    )
-    raise CallError(reply.status_code, reason, findings)
+    if reply.status_code >= _REFUSED_FROM:
+        raise _error_of(reply)
+    try:
+        return msgspec.json.decode(reply.content)
+    except msgspec.DecodeError as exc:
+        problem = f'{reply.url}: the answer is not of an instance'
+        raise UnknownOutcomeError(problem) from exc
+
+
+def _error_of(reply: httpx.Response) -> SwifthoistError:
+    """Tell what a refusal means; a fault tells nothing of the outcome."""
+    try:
+        refusal = msgspec.json.decode(reply.content, type=_Refusal)
+    except msgspec.DecodeError:
+        refusal = _Refusal()
+    reason = refusal.get('reason', f'status {reply.status_code}')
+    is_fault = reply.status_code >= _FAULT_FROM
+    if is_fault and refusal.get('outcome') != 'not_run':
+        return UnknownOutcomeError(reason)
+    findings = tuple(Finding(**item) for item in refusal.get('findings', ()))
+    return CallError(reply.status_code, reason, findings)
--- a/packages/cli/swifthoist_cli/commands.py
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -1,13 +1,18 @@
 """The command line, as fire shows it."""
 
 import sys
-from pathlib import Path
+from collections.abc import Iterator
 
 import anyio
 import httpx
 
 from swifthoist_cli import demo as demo_play
-from swifthoist_cli.inputs import read_target
+from swifthoist_cli.inputs import (
+    read_caller,
+    read_json_file,
+    read_number,
+    read_target,
+)
 from swifthoist_cli.load import LoadPlan, LoadSummary, Progress, play
 from swifthoist_cli.output import ExitCode, print_json, print_text
 from swifthoist_cli.rendering import Format, render
@@ -17,7 +22,7 @@
 from swifthoist_cli.verbs_reports import ReportVerbs
 from swifthoist_core.errors import Finding, InvalidInputError
 from swifthoist_core.plain import plain_of
-from swifthoist_core.tokens import Identity, Role, make_token
+from swifthoist_core.tokens import make_token
 from swifthoist_standins import processes
 
 
@@ -39,10 +44,7 @@
         :param name: name of the operator or id of the owner.
         :param secret: the key that the instances were given.
         """
-        if role not in set(Role):
-            finding = Finding('role', f'must be one of {", ".join(Role)}')
-            raise InvalidInputError.of('token', (finding,))
-        print_text(make_token(str(secret), Identity(Role(role), str(name))))
+        print_text(make_token(secret, read_caller(role, name, secret)))
 
     @verb
     def standins(self, kind: str, **options: object) -> None:
@@ -51,7 +53,13 @@
         :param kind: log, instances, workers, runners or all.
         :param options: settings, such as --workers=24.
         """
-        anyio.run(processes.run, kind, options)
+        try:
+            anyio.run(processes.run, kind, options)
+        except InvalidInputError:
+            raise
+        except ExceptionGroup as group:
+            findings = [Finding(kind, str(exc)) for exc in _bind_errors(group)]
+            raise InvalidInputError.of('stand-ins', findings) from group
 
     @verb
     def load(
@@ -76,9 +84,9 @@
             addresses,
             target.token,
             mix,
-            rate,
-            total,
-            seconds,
+            read_number('rate', rate),
+            int(read_number('total', total)),
+            read_number('seconds', seconds),
             allow_remote,
         )
         print_json(plain_of(anyio.run(_play_load, plan)))
@@ -91,7 +99,7 @@
         :returns: 0 if every promise was kept, else 1.
         """
         played = anyio.run(
-            demo_play.play, demo_play.read_scene(Path(scene).read_text())
+            demo_play.play, demo_play.read_scene(read_json_file(scene))
         )
         for report, table in played.summary():
             print_text(render(report, Format.TEXT, table))
@@ -105,6 +113,21 @@
         return ExitCode.REFUSED if broken else ExitCode.OK
 
 
+def _bind_errors(group: ExceptionGroup[Exception]) -> Iterator[Exception]:
+    """Find why listeners could not be opened.
+
+    :raises ExceptionGroup: when anything else failed.
+    """
+    for exc in group.exceptions:
+        match exc:
+            case ExceptionGroup():
+                yield from _bind_errors(exc)
+            case OSError() | OverflowError():
+                yield exc
+            case _:
+                raise group
+
+
 async def _play_load(plan: LoadPlan) -> LoadSummary:
     limits = httpx.Limits(max_connections=plan.in_flight)
     async with httpx.AsyncClient(limits=limits, trust_env=False) as http:
--- a/packages/cli/swifthoist_cli/demo.py
+++ b/packages/cli/swifthoist_cli/demo.py
@@ -5,7 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Mapping
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, NamedTuple, TypedDict, TypeVar
 
 import anyio
 import httpx
@@ -23,7 +23,9 @@
 )
 from swifthoist_cli.verbs_reports import BURN, USAGE
 from swifthoist_core.burn import BurnReport
+from swifthoist_core.checks import check_document
 from swifthoist_core.documents import JobDocument, ShapeDocument
+from swifthoist_core.errors import raise_findings
 from swifthoist_core.reports import UsageReport
 from swifthoist_core.tokens import Identity, Role
 
@@ -284,17 +286,26 @@
     return demo
 
 
-def read_scene(text: str) -> Scene:
+class _SceneDocument(TypedDict):
+    urls: tuple[str, ...]
+    secret: str
+    runners: tuple[str, ...]
+    workers: dict[str, str]
+
+
+def read_scene(content: object) -> Scene:
     """Read a scene that the demo's script wrote.
 
-    :param text: JSON with the fields of :class:`Scene`.
+    :param content: a document with the fields of :class:`Scene`.
     :returns: the scene.
+    :raises InvalidInputError: with every finding.
     """
-    content = msgspec.json.decode(text)
+    raise_findings('scene', check_document(_SceneDocument, content))
+    document = msgspec.convert(content, _SceneDocument)
     return Scene(
-        Site(tuple(content['urls']), content['secret']),
-        tuple(content['runners']),
-        content['workers'],
+        Site(document['urls'], document['secret']),
+        document['runners'],
+        document['workers'],
     )
 
 
--- a/packages/cli/swifthoist_cli/main.py
+++ b/packages/cli/swifthoist_cli/main.py
@@ -8,6 +8,8 @@
 
 _HELP: tuple[list[str], ...] = (['--help'], ['-h'], ['help'], [])
 
+_HELP_FLAGS = ('--help', '-h')
+
 
 def main() -> int:
     """Run the program.
@@ -19,6 +21,9 @@
         # Of an object, fire lists the verbs; of a class, only the flags.
         fire.Fire(Commands(), command=['--help'], name='swifthoist')
         return 0
+    if args[-1] in _HELP_FLAGS:
+        # Else a verb that takes any flag would take this one as well.
+        args = [*args[:-1], '--', '--help']
     fire.Fire(Commands, command=args, name='swifthoist')
     return 0
 
--- a/packages/cli/swifthoist_cli/verbs.py
+++ b/packages/cli/swifthoist_cli/verbs.py
@@ -1,15 +1,24 @@
 """What every verb of the command line shares."""
 
 import functools
+import inspect
 import sys
 from collections.abc import Callable
 from typing import Any
 
+from fire import decorators
+
 from swifthoist_cli.client import ApiClient
 from swifthoist_cli.inputs import read_target
 from swifthoist_cli.output import ExitCode, print_error
 from swifthoist_core.errors import SwifthoistError
 
+# The help shows members by the name that fire gives its marks; a name with an
+# underscore is left out.
+decorators.FIRE_METADATA = '_fire_metadata'
+
+_TEXTS = (str, str | None)
+
 
 def verb(command: Callable[..., int | None]) -> Callable[..., None]:
     """Make a method a verb: errors become messages and exit codes.
@@ -26,7 +35,19 @@
             code = print_error(exc)
         sys.exit(int(code or ExitCode.OK))
 
-    return wrapper
+    return _keep_texts(wrapper)
+
+
+def _keep_texts(command: Callable[..., None]) -> Callable[..., None]:
+    """Keep fire from reading a text such as 007 as a number."""
+    parameters = inspect.signature(command).parameters.values()
+    texts = {
+        parameter.name: str
+        for parameter in parameters
+        if parameter.annotation in _TEXTS
+    }
+    kept: Callable[..., None] = decorators.SetParseFns(**texts)(command)
+    return kept
 
 
 class Verbs:
@@ -44,8 +65,8 @@
         :param token: bearer token of an operator or owner.
         :param json: print documents instead of text.
         """
-        self._url = url
-        self._token = token
+        self._url = None if url is None else str(url)
+        self._token = None if token is None else str(token)
         self._json = json
 
     def _api(self) -> ApiClient:
--- a/packages/cli/swifthoist_cli/verbs_catalogue.py
+++ b/packages/cli/swifthoist_cli/verbs_catalogue.py
@@ -1,7 +1,19 @@
 """Verbs that show and change the catalogue."""
 
-from swifthoist_cli.inputs import read_entries, read_json_file
-from swifthoist_cli.output import print_json, print_table, print_text
+from swifthoist_cli.client import CallError
+from swifthoist_cli.inputs import (
+    read_entries,
+    read_id,
+    read_json_file,
+    read_version,
+)
+from swifthoist_cli.output import (
+    ExitCode,
+    print_json,
+    print_refusal,
+    print_table,
+    print_text,
+)
 from swifthoist_cli.verbs import Verbs, verb
 
 
@@ -35,29 +47,51 @@
 
         :param entry_id: id of the entry.
         """
-        print_json(self._api().get(f'/v1/catalogue/{entry_id}'))
+        path = _path_of(read_id('entry_id', entry_id))
+        print_json(self._api().get(path))
 
     @verb
-    def validate(self, file: str) -> None:
+    def validate(self, file: str) -> int:
         """Check a catalogue file against the catalogue, without a change.
 
+        Each entry is checked by itself beside what is in force.
+
         :param file: JSON object of entries by id.
+        :returns: 0 if every entry would be accepted, else 1.
         """
         entries = read_entries(file)
+        api = self._api()
+        refused = 0
         for named in entries:
             change = {'expected_version': 0, 'entry': named.entry}
-            path = f'/v1/catalogue/{named.entry_id}/validation'
-            self._api().call('POST', path, change)
+            path = f'{_path_of(named.entry_id)}/validation'
+            try:
+                api.call('POST', path, change)
+            except CallError as exc:
+                refused += 1
+                print_refusal(exc, named.entry_id)
+        if refused:
+            return ExitCode.REFUSED
         print_text(f'{len(entries)} entries are valid')
+        return ExitCode.OK
 
     @verb
-    def publish(self, file: str) -> None:
+    def publish(self, file: str) -> int:
         """Publish the entries of a catalogue file that are new.
 
+        An entry that is refused does not keep the others back.
+
         :param file: JSON object of entries by id.
+        :returns: 0 if every entry is in force, else 1.
         """
+        refused = 0
         for named in read_entries(file):
-            self._put(named.entry_id, named.entry, 0)
+            try:
+                self._put(named.entry_id, named.entry, 0)
+            except CallError as exc:
+                refused += 1
+                print_refusal(exc, named.entry_id)
+        return ExitCode.REFUSED if refused else ExitCode.OK
 
     @verb
     def change(self, entry_id: str, file: str, version: int) -> None:
@@ -67,7 +101,9 @@
         :param file: JSON of the entry's new content.
         :param version: the version that you saw.
         """
-        self._put(entry_id, read_json_file(file), version)
+        seen = read_version(version)
+        entry = read_json_file(file)
+        self._put(read_id('entry_id', entry_id), entry, seen)
 
     @verb
     def withdraw(self, entry_id: str, version: int) -> None:
@@ -76,11 +112,9 @@
         :param entry_id: id of the entry.
         :param version: the version that you saw.
         """
-        content = self._api().call(
-            'DELETE',
-            f'/v1/catalogue/{entry_id}',
-            params={'expected_version': version},
-        )
+        path = _path_of(read_id('entry_id', entry_id))
+        params = {'expected_version': read_version(version)}
+        content = self._api().call('DELETE', path, params=params)
         print_text(f'{entry_id}: withdrawn as version {content["version"]}')
 
     @verb
@@ -93,11 +127,15 @@
         if file is None:
             print_json(self._api().get('/v1/policy'))
             return
-        change = {'expected_version': version, 'policy': read_json_file(file)}
+        seen = read_version(version)
+        change = {'expected_version': seen, 'policy': read_json_file(file)}
         print_json(self._api().call('PUT', '/v1/policy', change))
 
     def _put(self, entry_id: str, entry: object, version: int) -> None:
         change = {'expected_version': version, 'entry': entry}
-        path = f'/v1/catalogue/{entry_id}'
-        content = self._api().call('PUT', path, change)
+        content = self._api().call('PUT', _path_of(entry_id), change)
         print_text(f'{entry_id}: version {content["version"]} is in force')
+
+
+def _path_of(entry_id: str) -> str:
+    return f'/v1/catalogue/{entry_id}'
--- a/packages/cli/swifthoist_cli/verbs_jobs.py
+++ b/packages/cli/swifthoist_cli/verbs_jobs.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from swifthoist_cli.inputs import read_json_file
+from swifthoist_cli.inputs import read_id, read_json_file
 from swifthoist_cli.output import ExitCode, print_json, print_table, print_text
 from swifthoist_cli.verbs import Verbs, verb
 
@@ -29,7 +29,7 @@
 
         :param job_id: id of the job.
         """
-        self._print_job(self._api().get(f'/v1/jobs/{job_id}'))
+        self._print_job(self._api().get(_path_of(job_id)))
 
     @verb
     def jobs(self) -> None:
@@ -47,10 +47,10 @@
         :param job_id: id of the job.
         :returns: 0 if it is done, else 1.
         """
-        job = self._api().get(f'/v1/jobs/{job_id}')
+        job = self._api().get(_path_of(job_id))
         self._print_job(job)
         while job['status'] not in _ENDED:
-            now = self._api().get(f'/v1/jobs/{job_id}', wait_ms=_WAIT_MS)
+            now = self._api().get(_path_of(job_id), wait_ms=_WAIT_MS)
             if now['status'] != job['status']:
                 self._print_job(now)
             job = now
@@ -63,7 +63,7 @@
 
         :param job_id: id of the job.
         """
-        self._print_job(self._api().call('DELETE', f'/v1/jobs/{job_id}'))
+        self._print_job(self._api().call('DELETE', _path_of(job_id)))
 
     @verb
     def explain(self, job_id: str) -> None:
@@ -71,7 +71,7 @@
 
         :param job_id: id of the job.
         """
-        print_json(self._api().get(f'/v1/jobs/{job_id}/explanation'))
+        print_json(self._api().get(f'{_path_of(job_id)}/explanation'))
 
     def _print_job(self, job: dict[str, Any]) -> None:
         if self._json:
@@ -79,3 +79,7 @@
             return
         reason = f' ({job["reason"]})' if job['reason'] else ''
         print_text(f'{job["job_id"]}: {job["status"]}{reason}')
+
+
+def _path_of(job_id: str) -> str:
+    return f'/v1/jobs/{read_id("job_id", job_id)}'
--- a/packages/cli/swifthoist_cli/verbs_reports.py
+++ b/packages/cli/swifthoist_cli/verbs_reports.py
@@ -1,7 +1,6 @@
 """Verbs that report, and show the state of instances."""
 
-from pathlib import Path
-
+from swifthoist_cli.inputs import write_file
 from swifthoist_cli.output import print_json, print_table, print_text
 from swifthoist_cli.pages import usage_page
 from swifthoist_cli.rendering import Format, render
@@ -34,15 +33,16 @@
         :param table: one table only; a CSV file holds one.
         :param html: file for one page with plots, instead of text.
         """
+        chosen = self._form(form)
         usage = self._api().get_report(
             USAGE, UsageReport, owner=owner, month=month
         )
         if html:
             burn = self._api().get_report(BURN, BurnReport, owner=owner)
-            Path(html).write_text(usage_page(usage, burn))
+            write_file(html, usage_page(usage, burn))
             print_text(f'wrote {html}')
             return
-        print_text(render(usage, self._form(form), table).rstrip('\n'))
+        print_text(render(usage, chosen, table).rstrip('\n'))
 
     @verb
     def burn(
@@ -55,8 +55,9 @@
         :param table: one table only; a CSV file holds one.
         :returns: 0 for no alert, 1 for a ticket, 2 for a page.
         """
+        chosen = self._form(form)
         burn = self._api().get_report(BURN, BurnReport, owner=owner)
-        print_text(render(burn, self._form(form), table).rstrip('\n'))
+        print_text(render(burn, chosen, table).rstrip('\n'))
         return burn.exit_code
 
     @verb
