--- a/packages/core/swifthoist_core/snapshots.py
+++ b/packages/core/swifthoist_core/snapshots.py
@@ -15,17 +15,22 @@
 import msgspec
 import xxhash
 
-from swifthoist_core.account import Line, LineKey, Span
+from swifthoist_core.account import SeriesKey
 from swifthoist_core.authors import Seen
 from swifthoist_core.catalogue import Policy, Versioned
 from swifthoist_core.cells import CellState
 from swifthoist_core.errors import SwifthoistError
 from swifthoist_core.fleet import Room
+from swifthoist_core.holdings import Holding, LendingKey
 from swifthoist_core.jobs import Job
 from swifthoist_core.ledger import Ledger
+from swifthoist_core.lines import Line, LineKey
 from swifthoist_core.records import Author
 from swifthoist_core.requests import RequestId, RequestState
+from swifthoist_core.series import Series
 from swifthoist_core.shapes import WorkerSpec
+from swifthoist_core.shortfalls import Ask, Shortfall
+from swifthoist_core.spans import Span
 from swifthoist_core.types import Millis, Offset
 
 VERSION = 1
@@ -98,8 +103,19 @@
     Field('requests', '_open', dict[RequestId, None]),
     Field('requests', '_settled', dict[RequestId, None]),
     Field('requests', '_compact', dict[int, bytes]),
+    Field('account', 'dropped', int),
     Field('account', '_lines', dict[LineKey, Line]),
     Field('account', '_spans', list[Span]),
+    Field('account', '_series', dict[SeriesKey, Series]),
+    Field('holdings', 'fleet', int),
+    Field('holdings', '_since_ms', int),
+    Field('holdings', '_held', dict[str, Holding]),
+    Field('holdings', '_promised', dict[str, int]),
+    Field('holdings', '_lent', dict[LendingKey, int]),
+    Field('shortfalls', 'dropped', int),
+    Field('shortfalls', '_asks', dict[str, Ask]),
+    Field('shortfalls', '_open', dict[str, Shortfall]),
+    Field('shortfalls', '_closed', list[Shortfall]),
 )
 
 _PATHS = frozenset(field.path for field in FIELDS)
--- a/tests/daemon/scenario.py
+++ b/tests/daemon/scenario.py
@@ -10,7 +10,6 @@
 import anyio
 
 from swifthoist_core import codec, records, requests, snapshots
-from swifthoist_core.account import BUCKETS
 from swifthoist_core.catalogue import Entry, Limits, Work
 from swifthoist_core.errors import LogUnavailableError, OutcomeUnknownError
 from swifthoist_core.ledger import Ledger, Verdict
@@ -274,8 +273,7 @@
     async def _count(self, entry: Instance) -> None:
         """Post counts all the time, under a name of this life."""
         name = _life(entry)
-        waits = (0,) * (len(BUCKETS) + 1)
-        tally = records.Tally(name, 'c', 1, 0, 0, {}, waits)
+        tally = records.Tally(name, 'c', 1, 0, 0, {}, {})
         with anyio.CancelScope() as scope:
             entry.on_kill(scope)
             while self._playing:
