--- a/packages/core/swifthoist_core/errors.py
+++ b/packages/core/swifthoist_core/errors.py
@@ -116,3 +116,25 @@
 
 class UnreachableError(SwifthoistError):
     """The other end was not reached, so the call did not take effect."""
+
+
+class SnapshotError(SwifthoistError):
+    """A snapshot or one of its chunks is damaged or incomplete."""
+
+
+class SnapshotVersionError(SnapshotError):
+    """A chunk was written by a newer version of the program.
+
+    :ivar version: format of the chunk.
+    """
+
+    def __init__(self, version: int, newest: int) -> None:
+        """Keep the format.
+
+        :param version: format of the chunk.
+        :param newest: newest format that this program reads.
+        """
+        super().__init__(
+            f'snapshot has format {version}, this program reads up to {newest}'
+        )
+        self.version = version
--- a/packages/core/swifthoist_core/snapshots.py
+++ b/packages/core/swifthoist_core/snapshots.py
@@ -3,38 +3,26 @@
 The aggregates keep their state in containers of immutable values, so a
 shallow copy of the containers is a consistent clone that can be encoded
 piece by piece while the fold goes on. What belongs to the state is declared
-in :data:`FIELDS`; an attribute that is missing there is an error, never a
-silent loss. An aggregate names what it can compute anew in a class attribute
-``DERIVED`` and does so in a method ``rebuild``.
+in :mod:`swifthoist_core.state`; an attribute that is missing there is an
+error, never a silent loss. An aggregate names what it can compute anew in a
+class attribute ``DERIVED`` and does so in a method ``rebuild``.
 """
 
 import zlib
 from collections.abc import Iterable, Iterator, Sequence
+from operator import attrgetter
 from typing import Any, NamedTuple, get_origin
 
 import msgspec
 import xxhash
 
-from swifthoist_core.account import SeriesKey
-from swifthoist_core.authors import Seen
-from swifthoist_core.catalogue import Policy, Versioned
-from swifthoist_core.cells import CellState
-from swifthoist_core.errors import SwifthoistError
-from swifthoist_core.fleet import Room
-from swifthoist_core.holdings import Holding, LendingKey
-from swifthoist_core.jobs import Job
+from swifthoist_core.errors import SnapshotError, SnapshotVersionError
 from swifthoist_core.ledger import Ledger
-from swifthoist_core.lines import Line, LineKey
-from swifthoist_core.records import Author
-from swifthoist_core.requests import RequestId, RequestState
-from swifthoist_core.series import Series
-from swifthoist_core.shapes import WorkerSpec
-from swifthoist_core.shortfalls import Ask, Shortfall
-from swifthoist_core.spans import Span
+from swifthoist_core.state import FIELDS, Field
 from swifthoist_core.types import Millis, Offset
 
 VERSION = 1
-"""Version of the format; grows with any change of :data:`FIELDS`."""
+"""Version of the format; grows with any change of its fields."""
 
 CHUNK_BYTES = 240 * 1024
 """Bytes of rows in one chunk before compression; a chunk stays below
@@ -47,77 +35,6 @@
 _MAX_BODY_BYTES = 1 << 22
 
 
-class SnapshotError(SwifthoistError):
-    """A snapshot or one of its chunks is damaged or incomplete."""
-
-
-class SnapshotVersionError(SnapshotError):
-    """A chunk was written by a newer version of the program.
-
-    :ivar version: the version of the chunk.
-    """
-
-    def __init__(self, version: int) -> None:
-        """Keep the version.
-
-        :param version: the version of the chunk.
-        """
-        super().__init__(
-            f'snapshot has format {version}, this program reads up to {VERSION}'
-        )
-        self.version = version
-
-
-class Field(NamedTuple):
-    """One attribute that belongs to the state.
-
-    :ivar path: attribute of the ledger that is the aggregate, empty for the
-        ledger itself.
-    :ivar name: attribute of the aggregate.
-    :ivar kind: type of its value.
-    """
-
-    path: str
-    name: str
-    kind: Any
-
-
-FIELDS: tuple[Field, ...] = (
-    Field('', 'offset', int),
-    Field('', 'time_ms', int),
-    Field('', 'passed_over', int),
-    Field('', '_forgot_ms', int),
-    Field('authors', '_seen', dict[Author, Seen]),
-    Field('cell', 'state', CellState),
-    Field('catalogue', 'policy', Policy),
-    Field('catalogue', 'policy_version', int),
-    Field('catalogue', '_entries', dict[str, Versioned]),
-    Field('catalogue', '_by_class', dict[tuple[str, str], str]),
-    Field('fleet', '_specs', dict[str, WorkerSpec]),
-    Field('fleet', '_rooms', dict[str, Room]),
-    Field('fleet', '_leaving', set[str]),
-    Field('jobs', '_jobs', dict[str, Job]),
-    Field('jobs', '_keys', dict[tuple[str, str], str]),
-    Field('jobs', '_open', dict[str, None]),
-    Field('requests', '_states', dict[RequestId, RequestState]),
-    Field('requests', '_open', dict[RequestId, None]),
-    Field('requests', '_settled', dict[RequestId, None]),
-    Field('requests', '_compact', dict[int, bytes]),
-    Field('account', 'dropped', int),
-    Field('account', '_lines', dict[LineKey, Line]),
-    Field('account', '_spans', list[Span]),
-    Field('account', '_series', dict[SeriesKey, Series]),
-    Field('holdings', 'fleet', int),
-    Field('holdings', '_since_ms', int),
-    Field('holdings', '_held', dict[str, Holding]),
-    Field('holdings', '_promised', dict[str, int]),
-    Field('holdings', '_lent', dict[LendingKey, int]),
-    Field('shortfalls', 'dropped', int),
-    Field('shortfalls', '_asks', dict[str, Ask]),
-    Field('shortfalls', '_open', dict[str, Shortfall]),
-    Field('shortfalls', '_closed', list[Shortfall]),
-)
-
 _PATHS = frozenset(field.path for field in FIELDS)
 
 
@@ -184,6 +101,7 @@
 _encode = msgspec.msgpack.Encoder().encode
 _frame_decoder = msgspec.msgpack.Decoder(_Frame)
 _chunk_decoder = msgspec.msgpack.Decoder(Chunk)
+_joined_decoder = msgspec.msgpack.Decoder(tuple[bytes, ...])
 
 
 def clone(ledger: Ledger) -> Clone:
@@ -228,6 +146,28 @@
     )
 
 
+def join(chunks: Sequence[bytes]) -> bytes:
+    """Put chunks into one string of bytes, to be sent in pages.
+
+    :param chunks: the chunks.
+    :returns: the bytes.
+    """
+    return _encode(chunks)
+
+
+def split(joined: bytes) -> tuple[bytes, ...]:
+    """Take chunks apart that were joined.
+
+    :param joined: bytes as :func:`join` made them.
+    :returns: the chunks.
+    :raises SnapshotError: when the bytes are damaged.
+    """
+    try:
+        return _joined_decoder.decode(joined)
+    except msgspec.DecodeError as exc:
+        raise SnapshotError(f'chunks are damaged: {exc}') from exc
+
+
 def open_chunk(payload: bytes) -> Chunk:
     """Read one chunk.
 
@@ -241,7 +181,7 @@
     except msgspec.DecodeError as exc:
         raise SnapshotError(f'chunk is damaged: {exc}') from exc
     if frame.version > VERSION:
-        raise SnapshotVersionError(frame.version)
+        raise SnapshotVersionError(frame.version, VERSION)
     if frame.version < OLDEST_VERSION:
         raise SnapshotError(f'format {frame.version} is no longer read')
     try:
@@ -312,7 +252,7 @@
 
 
 def _owner(ledger: Ledger, path: str) -> Any:
-    return getattr(ledger, path) if path else ledger
+    return attrgetter(path)(ledger) if path else ledger
 
 
 def _check_declared(ledger: Ledger) -> None:
@@ -320,13 +260,22 @@
         owner = _owner(ledger, path)
         declared = {field.name for field in FIELDS if field.path == path}
         declared |= getattr(owner, 'DERIVED', frozenset())
-        declared |= _PATHS if owner is ledger else set()
+        declared |= _inner(path)
         missing = set(owner.__dict__) - declared
         if missing:
             names = ', '.join(sorted(missing))
             raise SnapshotError(f'not declared for snapshots: {path}.{names}')
 
 
+def _inner(path: str) -> set[str]:
+    """Name the attributes of an aggregate that are aggregates themselves."""
+    return {
+        inner.removeprefix(path).strip('.').split('.')[0]
+        for inner in _PATHS
+        if inner.startswith(path) and inner != path
+    }
+
+
 def _rows(ledger: Ledger, field: Field) -> tuple[Any, ...]:
     found = getattr(_owner(ledger, field.path), field.name)
     if get_origin(field.kind) is dict:
--- a/packages/daemon/swifthoistd/snapshotting.py
+++ b/packages/daemon/swifthoistd/snapshotting.py
@@ -18,10 +18,11 @@
     LogExpiredError,
     LogUnavailableError,
     OutcomeUnknownError,
+    SnapshotError,
     UnreachableError,
 )
 from swifthoist_core.ledger import Ledger
-from swifthoist_core.snapshots import Chunk, SnapshotError
+from swifthoist_core.snapshots import Chunk
 from swifthoist_core.types import Millis, Offset
 from swifthoistd.logs import SNAPSHOT_STREAM, Log
 from swifthoistd.tenure import Tenure
--- a/tests/core/test_snapshots.py
+++ b/tests/core/test_snapshots.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from swifthoist_core import records, requests, snapshots
+from swifthoist_core import errors, records, requests, snapshots
 from swifthoist_core.codec import encode
 from swifthoist_core.ledger import Ledger
 from swifthoist_core.records import Author, Envelope, PartPlacement, PartUsage
@@ -25,7 +25,8 @@
     state = snapshots.clone(ledger)
     chunks = snapshots.seal(state, tuple(snapshots.pack(state)))
     twin = Ledger()
-    snapshots.restore(twin, map(snapshots.open_chunk, chunks))
+    pages = snapshots.split(snapshots.join(chunks))
+    snapshots.restore(twin, map(snapshots.open_chunk, pages))
     return twin
 
 
@@ -113,7 +114,7 @@
         """State that the format does not know is not lost in silence."""
         ledger = Ledger()
         ledger.jobs.extra = 1  # type: ignore[attr-defined]
-        with self.assertRaisesRegex(snapshots.SnapshotError, 'jobs.extra'):
+        with self.assertRaisesRegex(errors.SnapshotError, 'jobs.extra'):
             snapshots.clone(ledger)
 
     @FIXED
@@ -131,7 +132,7 @@
             piece[place] ^= data.draw(st.integers(1, 255))
             chunks.append(bytes(piece))
         twin = Ledger()
-        with self.assertRaises(snapshots.SnapshotError):
+        with self.assertRaises(errors.SnapshotError):
             snapshots.restore(
                 twin, [snapshots.open_chunk(chunk) for chunk in chunks]
             )
@@ -145,13 +146,13 @@
         opened = list(map(snapshots.open_chunk, chunks))
         foreign = list(snapshots.pack(other))
         opened[-1] = opened[-1]._replace(part=foreign[-3])
-        with self.assertRaises(snapshots.SnapshotError):
+        with self.assertRaises(errors.SnapshotError):
             snapshots.restore(Ledger(), opened)
 
     def test_a_newer_format_is_named_in_the_error(self) -> None:
         """An operator learns that the program is too old."""
         newer = b'\x92\x63\x90'
-        with self.assertRaisesRegex(snapshots.SnapshotVersionError, '99'):
+        with self.assertRaisesRegex(errors.SnapshotVersionError, '99'):
             snapshots.open_chunk(newer)
 
 
