--- a/packages/core/swifthoist_core/snapshots.py
+++ b/packages/core/swifthoist_core/snapshots.py
@@ -3,9 +3,9 @@
 The aggregates keep their state in containers of immutable values, so a
 shallow copy of the containers is a consistent clone that can be encoded
 piece by piece while the fold goes on. What belongs to the state is declared
-in :data:`FIELDS`; an attribute that is missing there is an error, never a
-silent loss. An aggregate names what it can compute anew in a class attribute
-``DERIVED`` and does so in a method ``rebuild``.
+in :mod:`swifthoist_core.state`; an attribute that is missing there is an
+error, never a silent loss. An aggregate names what it can compute anew in a
+class attribute ``DERIVED`` and does so in a method ``rebuild``.
 """
 
 import zlib
@@ -16,13 +16,13 @@
 import msgspec
 import xxhash
 
-from swifthoist_core.errors import SwifthoistError
+from swifthoist_core.errors import SnapshotError, SnapshotVersionError
 from swifthoist_core.ledger import Ledger
-from swifthoist_core.snapshot_fields import FIELDS, Field
+from swifthoist_core.state import FIELDS, Field
 from swifthoist_core.types import Millis, Offset
 
 VERSION = 1
-"""Version of the format; grows with any change of :data:`FIELDS`."""
+"""Version of the format; grows with any change of its fields."""
 
 CHUNK_BYTES = 240 * 1024
 """Bytes of rows in one chunk before compression; a chunk stays below
@@ -35,27 +35,6 @@
 _MAX_BODY_BYTES = 1 << 22
 
 
-class SnapshotError(SwifthoistError):
-    """A snapshot or one of its chunks is damaged or incomplete."""
-
-
-class SnapshotVersionError(SnapshotError):
-    """A chunk was written by a newer version of the program.
-
-    :ivar version: the version of the chunk.
-    """
-
-    def __init__(self, version: int) -> None:
-        """Keep the version.
-
-        :param version: the version of the chunk.
-        """
-        super().__init__(
-            f'snapshot has format {version}, this program reads up to {VERSION}'
-        )
-        self.version = version
-
-
 _PATHS = frozenset(field.path for field in FIELDS)
 
 
@@ -179,7 +158,7 @@
     except msgspec.DecodeError as exc:
         raise SnapshotError(f'chunk is damaged: {exc}') from exc
     if frame.version > VERSION:
-        raise SnapshotVersionError(frame.version)
+        raise SnapshotVersionError(frame.version, VERSION)
     if frame.version < OLDEST_VERSION:
         raise SnapshotError(f'format {frame.version} is no longer read')
     try:
@@ -258,20 +237,19 @@
         owner = _owner(ledger, path)
         declared = {field.name for field in FIELDS if field.path == path}
         declared |= getattr(owner, 'DERIVED', frozenset())
-        declared |= _aggregates_of(path)
+        declared |= _inner(path)
         missing = set(owner.__dict__) - declared
         if missing:
             names = ', '.join(sorted(missing))
             raise SnapshotError(f'not declared for snapshots: {path}.{names}')
 
 
-def _aggregates_of(path: str) -> set[str]:
-    """Name the attributes that are aggregates with fields of their own."""
-    prefix = f'{path}.' if path else ''
+def _inner(path: str) -> set[str]:
+    """Name the attributes of an aggregate that are aggregates themselves."""
     return {
-        other.removeprefix(prefix).partition('.')[0]
-        for other in _PATHS
-        if other.startswith(prefix)
+        inner.removeprefix(path).strip('.').split('.')[0]
+        for inner in _PATHS
+        if inner.startswith(path) and inner != path
     }
 
 
