--- a/tests/daemon/sites.py
+++ b/tests/daemon/sites.py
@@ -94,6 +94,10 @@
         assert job is not None
         return job
 
+    def cancel(self, job_id: str) -> None:
+        """Let the owner take a job back."""
+        self.book.append(records.JobCancelled(job_id, 'a'))
+
     async def fault(self, name: str, **faults: bool) -> None:
         """Let a worker misbehave."""
         address = self.address(name)
