Test connections, choice and requests under faults

Cause: silence, trust, share and choice had no tests, nor had the truth of outcomes under faults that come together. Idle connections are probed every 800 ms on a fixed beat, since a round that waited for silent ones delayed the next beyond two seconds. What is left of an old observation of slowness is dropped once negligible, as the runner otherwise lost every tie for good.

--- a/packages/daemon/swifthoistd/connections.py
+++ b/packages/daemon/swifthoistd/connections.py
@@ -51,14 +51,15 @@
     :ivar per_runner: connections that a runner serves, for all instances.
     :ivar trust_ms: a connection over which nothing was heard for longer is
         closed instead of used, in ms.
-    :ivar probe_every_ms: time between two looks at every runner, in ms.
+    :ivar probe_every_ms: time between two looks at every runner, in ms; one
+        and a half of it and the next are the bound on unnoticed silence.
     :ivar probe_timeout_ms: a probe without an answer fails after this, in ms.
     """
 
     per_runner: int = 64
     trust_ms: Millis = 1_500
-    probe_every_ms: Millis = 1_000
-    probe_timeout_ms: Millis = 700
+    probe_every_ms: Millis = 800
+    probe_timeout_ms: Millis = 600
 
 
 DEFAULT_CONNECTIONS = ConnectionConfig()
@@ -144,9 +145,11 @@
 
     async def run(self) -> None:
         """Probe and trim connections for as long as the process runs."""
-        while True:
-            await self.maintain()
-            await anyio.sleep(self._cfg.probe_every_ms / _MS_PER_S)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                # One round may wait for silent connections, the next not.
+                tasks.start_soon(self.maintain)
+                await anyio.sleep(self._cfg.probe_every_ms / _MS_PER_S)
 
     async def maintain(self) -> None:
         """Probe every runner once and close what is beyond the share."""
@@ -197,9 +200,7 @@
                     conn.busy = True
                     sending.on_kept = True
                     return conn
-        if self.held(runner.runner_id) >= share:
-            if not idle:
-                return None
+        if idle and self.held(runner.runner_id) >= share:
             await self._discard(idle[-1])
         if self.held(runner.runner_id) >= share:
             return None
@@ -254,7 +255,7 @@
     async def _look_at(self, runner: Runner) -> None:
         share = self._shares.part(self._cfg.per_runner, runner.runner_id)
         await self._trim(runner.runner_id, share)
-        oldest_ms = self._clock.boot_ms() - self._cfg.probe_every_ms
+        oldest_ms = self._clock.boot_ms() - self._cfg.probe_every_ms // 2
         stale = [
             conn
             for conn in self._idle(runner.runner_id)
--- a/packages/daemon/swifthoistd/standing.py
+++ b/packages/daemon/swifthoistd/standing.py
@@ -7,6 +7,7 @@
 
 _WEIGHT = 0.3
 _FORGET_MS = 20_000
+_NEGLIGIBLE = 0.05
 _MIN_FAILURES = 2
 _WORSE_BY = 0.4
 _FIRST_ASIDE_MS = 1_000
@@ -106,7 +107,8 @@
         :returns: the multiple, 1 without evidence.
         """
         age = (now_ms - self._learned_ms) / _FORGET_MS
-        return 1 + (self._slowness - 1) * math.exp(-age)
+        left = (self._slowness - 1) * math.exp(-age)
+        return 1 if abs(left) < _NEGLIGIBLE else 1 + left
 
     def _learn_good(self) -> None:
         self.failures -= _WEIGHT * self.failures
--- a/tests/daemon/fake_runners.py
+++ b/tests/daemon/fake_runners.py
@@ -10,7 +10,7 @@
 from trio.testing import MockClock
 
 from swifthoist_core.catalogue import Entry, Limits, Urgency, Work
-from swifthoistd.choice import Chooser
+from swifthoistd.choice import DEFAULT_CHOICE, ChoiceConfig, Chooser
 from swifthoistd.connections import Connections
 from swifthoistd.counters import Counters
 from swifthoistd.dispatch import Dispatcher, Parts
@@ -204,6 +204,7 @@
         name: str = 'i1',
         members: Sequence[str] = ('i1',),
         settle_ms: int = 0,
+        cfg: ChoiceConfig = DEFAULT_CHOICE,
     ) -> None:
         clock = LoopClock()
         self.counters = Counters()
@@ -218,7 +219,7 @@
             self.counters,
             FakeNetwork(runners).connect,
         )
-        self.chooser = Chooser('a', clock, self.shares, Random(7))
+        self.chooser = Chooser('a', clock, self.shares, Random(7), cfg)
         self.limiter = Limiter(
             clock,
             self.shares,
