Quote what callers put into headers

Cause: a letter beyond ASCII in an id or a media type raised from the client library in the middle of a request. Ids were quoted, the media type was not. The test was seen to fail first, and with each id's quoting taken out.

--- a/packages/daemon/swifthoistd/attempts.py
+++ b/packages/daemon/swifthoistd/attempts.py
@@ -29,6 +29,7 @@
 _MS_PER_S = 1_000
 _LOOK_AGAIN_S = 0.05
 _SAFE = ':/=@+,'
+_SAFE_IN_TYPE = ' !#$&\'*+/;="^`|,:@()<>?{}[]\\'
 
 
 class Job:
@@ -226,7 +227,7 @@
         'Idempotency-Key': quote(req.key, _SAFE),
         'X-Owner': quote(req.owner, _SAFE),
         'X-Deadline-Ms': str(left_ms),
-        'Content-Type': req.content_type,
+        'Content-Type': quote(req.content_type, _SAFE_IN_TYPE),
     }
     return Call(
         method='POST',
--- a/tests/daemon/test_dispatch.py
+++ b/tests/daemon/test_dispatch.py
@@ -188,6 +188,23 @@
         run_virtual(scenario)
         anyio.run(scenario)
 
+    def test_ids_of_callers_cannot_form_headers(self) -> None:
+        """Line breaks and letters beyond ASCII reach the runner quoted."""
+
+        async def scenario() -> None:
+            runner = FakeRunner('r1')
+            instance = Instance([runner])
+            req = make_request()._replace(
+                request_id='pedido-ção\r\n',
+                key='chave-ção\r\n',
+                content_type='text/plain; name=ção\r\n',
+            )
+            outcome = await instance.dispatcher.send(req, make_entry())
+            self.assertIsInstance(outcome, Done)
+            self.assertEqual(set(runner.ran), {'chave-%C3%A7%C3%A3o%0D%0A'})
+
+        run_virtual(scenario)
+
     def test_drain_waits_for_requests_in_progress(self) -> None:
         """What was taken in is answered; what comes later did not run."""
 
