Answer a reused idempotency key with 409, which no retry mends

Cause: another request under a used key was answered 503 without a time to come back, as if the service were down. Ruled out: 422, since the document is right. The test gave [200, 200, 503] before and gives [200, 200, 409] now.

--- a/packages/daemon/swifthoistd/api_requests.py
+++ b/packages/daemon/swifthoistd/api_requests.py
@@ -31,6 +31,8 @@
 MAX_KEY = 128
 _MAX_DIGITS = 18
 _SERVER_ERROR = 500
+_REUSED = 'key reused for another request'
+_LIMITS = frozenset(('rate', 'concurrency', 'queue', 'overload'))
 
 
 class RequestApi:
@@ -171,5 +173,6 @@
 
 
 def _status_of(reason: str) -> int:
-    limits = {'rate', 'concurrency', 'queue', 'overload'}
-    return replies.TOO_MANY if reason in limits else replies.UNAVAILABLE
+    if reason == _REUSED:
+        return replies.CONFLICT
+    return replies.TOO_MANY if reason in _LIMITS else replies.UNAVAILABLE
--- a/tests/daemon/test_api.py
+++ b/tests/daemon/test_api.py
@@ -170,6 +170,24 @@
         after = self.entry.call('GET', '/v1/debug').json()['attempts']
         self.assertEqual(after, before)
 
+    def test_a_key_gives_one_answer_and_serves_no_other_request(self) -> None:
+        """A retry hears the answer that was kept; another body is refused."""
+        headers = {'Idempotency-Key': 'lot-1', 'X-Idempotent': 'false'}
+        replies_of = [
+            self.entry.call(
+                'POST',
+                '/v1/requests/check',
+                OWNER,
+                headers=headers,
+                content=body,
+            )
+            for body in (b'lot', b'lot', b'other')
+        ]
+        statuses = [reply.status_code for reply in replies_of]
+        self.assertEqual(statuses, [200, 200, 409])
+        self.assertEqual(replies_of[0].content, replies_of[1].content)
+        self.assertEqual(replies_of[2].json()['outcome'], 'not_run')
+
     def test_an_unknown_owner_and_odd_ids_find_nothing(self) -> None:
         """Reserved characters lead to no other route."""
         stranger = Identity(Role.OWNER, 'nobody')
