--- a/packages/core/swifthoist_core/cell_book.py
+++ b/packages/core/swifthoist_core/cell_book.py
@@ -184,6 +184,15 @@
         """
         return tuple(sorted(slots_of(key, self._cells[key])))
 
+    def largest(self) -> Shape | None:
+        """Find the guaranteed shape with the most accelerators."""
+        shapes = {cell.shape for cell in self._cells.values()}
+        return max(
+            shapes,
+            key=lambda shape: (shape.total_accelerators, shape),
+            default=None,
+        )
+
     def short(self) -> tuple[CellKey, ...]:
         """List the cells that lack parts or did so until now, by key."""
         return tuple(sorted(self._short))
--- a/packages/core/swifthoist_core/estimates.py
+++ b/packages/core/swifthoist_core/estimates.py
@@ -48,6 +48,7 @@
     def __init__(self) -> None:
         """Start without history."""
         self._ran: dict[WorkKey, tuple[Millis, ...]] = {}
+        self._known: dict[WorkKey, Estimate] = {}
 
     def add(self, spec: JobSpec, ran_ms: Millis) -> None:
         """Note how long a job ran until it was done.
@@ -56,7 +57,8 @@
         :param ran_ms: its run time, in ms.
         """
         key = _key(spec)
-        self._ran[key] = (*self._ran.get(key, ()), ran_ms)[-HISTORY:]
+        self._ran[key] = (*self._ran.get(key, ()), max(1, ran_ms))[-HISTORY:]
+        self._known.pop(key, None)
 
     def of(self, spec: JobSpec) -> Estimate:
         """Estimate how long a job will run.
@@ -67,12 +69,18 @@
         :param spec: the job.
         :returns: the estimate.
         """
-        ran = self._ran.get(_key(spec), ())
+        key = _key(spec)
+        known = self._known.get(key)
+        if known is not None:
+            return known
+        ran = self._ran.get(key, ())
         declared = min(max(spec.expected_ms, _LEAST_MS), _MOST_MS)
         if not ran:
             return Estimate(declared, _MOST_MS, sure=False)
         expected = int(statistics.median_low(ran))
-        return Estimate(expected, max(ran), len(ran) >= MIN_HISTORY)
+        found = Estimate(expected, max(ran), len(ran) >= MIN_HISTORY)
+        self._known[key] = found
+        return found
 
     def remaining_ms(self, spec: JobSpec, elapsed_ms: Millis) -> Millis:
         """Estimate how long a job will still run.
--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -15,6 +15,7 @@
 from swifthoist_core.records import Author, Envelope, Record
 from swifthoist_core.requests import Requests
 from swifthoist_core.reservations import Reservations
+from swifthoist_core.rests import Planned
 from swifthoist_core.settling import (
     adopt,
     claim_place,
@@ -71,6 +72,7 @@
     :ivar jobs: jobs.
     :ivar requests: non-idempotent requests.
     :ivar account: who got what.
+    :ivar planned: what the planner remembers; no part of the state.
     """
 
     def __init__(self) -> None:
@@ -88,6 +90,7 @@
         self.jobs = Jobs()
         self.requests = Requests()
         self.account = Account()
+        self.planned = Planned()
         self._forgot_ms: Millis = 0
 
     def fold(
@@ -106,7 +109,7 @@
         self.offset = offset + 1
         self.time_ms = max(self.time_ms, time_ms)
         self._forget()
-        retry_workers(self)
+        self.planned.frees += retry_workers(self)
         author, seq, record = envelope
         if not self.authors.add(author, seq, self.time_ms):
             return Verdict(author, seq, offset, 'duplicate')
@@ -127,6 +130,7 @@
     def _apply(self, author: Author, record: Record, offset: Offset) -> str:
         match record:
             case records.EntryChanged() | records.PolicyChanged():
+                self.planned.frees += 1
                 return self._apply_catalogue(record)
             case records.CellClaimed():
                 return self.cell.claim(author, record, self.time_ms)
@@ -143,8 +147,10 @@
                     self.account.add_tally(self.time_ms, tally)
                 return ''
             case records.JobSubmitted():
+                self.planned.changes += 1
                 return self._submit(record)
             case records.JobCancelled():
+                self.planned.frees += 1
                 return self._cancel(record, offset)
             case _:
                 return self._apply_decision(author, record, offset)
@@ -189,6 +195,7 @@
         self, author: Author, record: Record, offset: Offset
     ) -> str:
         epoch: Epoch = getattr(record, 'epoch', 0)
+        self.planned.changes += 1
         stale = self.cell.check(author, epoch)
         if stale:
             return stale
@@ -198,12 +205,16 @@
             case records.JobStarted():
                 return self.jobs.start(record, self.time_ms)
             case records.JobReclaimed():
+                self.planned.frees += 1
                 return self._reclaim(record, offset)
             case records.JobEnded():
+                self.planned.frees += 1
                 return self._end(record)
             case records.WorkerJoined(spec=spec):
+                self.planned.frees += 1
                 return join_worker(self, spec)
             case records.WorkerLeft(worker=worker, lost=lost):
+                self.planned.frees += 1
                 if not lost:
                     return drain_worker(self, worker)
                 return self._lose(worker)
--- a/packages/core/swifthoist_core/planner.py
+++ b/packages/core/swifthoist_core/planner.py
@@ -4,17 +4,23 @@
 from typing import NamedTuple, TypeAlias
 
 from swifthoist_core.bindings import move
+from swifthoist_core.drains import Drains
+from swifthoist_core.explain import Explanation, explain_wait
 from swifthoist_core.fleet import Search
 from swifthoist_core.job_states import Job, Status
 from swifthoist_core.ledger import Ledger
+from swifthoist_core.ordering import rank_of
 from swifthoist_core.records import PartPlacement
 from swifthoist_core.reservations import Reservation
+from swifthoist_core.rests import REST_MS, Alike, Rest
 from swifthoist_core.targets import (
     Target,
     choose_aged,
     choose_guaranteed,
+    is_aged,
+    is_desperate,
 )
-from swifthoist_core.types import JobId
+from swifthoist_core.types import JobId, WorkerId
 
 
 class Place(NamedTuple):
@@ -57,17 +63,65 @@
     :param ledger: the state at an offset.
     :returns: decisions to be put on the log together, empty if none.
     """
+    rest = ledger.planned.rest
+    fresh = (
+        rest.frees != ledger.planned.frees or ledger.time_ms >= rest.until_ms
+    )
+    if not fresh and rest.changes == ledger.planned.changes:
+        return ()
+    failed = set() if fresh else set(rest.failed)
+    until_ms = ledger.time_ms + REST_MS if fresh else rest.until_ms
+    decisions = _first_decisions(ledger, failed)
+    changes = -1 if decisions else ledger.planned.changes
+    ledger.planned.rest = Rest(
+        ledger.planned.frees, changes, until_ms, frozenset(failed)
+    )
+    return decisions
+
+
+def explain(ledger: Ledger, job_id: JobId) -> Explanation:
+    """Explain what a job waits for.
+
+    :param ledger: the state.
+    :param job_id: id of the job.
+    :returns: what holds it, and when it is expected to start.
+    """
+    return explain_wait(ledger, job_id)
+
+
+def _first_decisions(
+    ledger: Ledger, failed: set[Alike]
+) -> tuple[Decision, ...]:
+    drains = Drains(ledger)
     waiting = sorted(
         (job for job in ledger.jobs.waiting() if _may_run(ledger, job)),
-        key=_rank,
+        key=lambda job: rank_of(ledger, job),
     )
     for job in waiting:
-        decisions = _decide(ledger, job)
-        if decisions:
-            return decisions
+        alike = _alike(ledger, job)
+        if alike not in failed:
+            decisions = _decide(ledger, job, drains)
+            if decisions:
+                return decisions
+            failed.add(alike)
+        drains.add(job)
     return ()
 
 
+def _alike(ledger: Ledger, job: Job) -> Alike:
+    spec = job.spec
+    reserved = ledger.reservations.get(spec.job_id) is not None
+    return Alike(
+        spec.owner,
+        spec.shape,
+        spec.idempotent,
+        job.banned,
+        spec.job_id if reserved else '',
+        is_aged(ledger, job),
+        spec.urgency,
+    )
+
+
 def _may_run(ledger: Ledger, job: Job) -> bool:
     spec = job.spec
     entry = ledger.catalogue.find(spec.owner, spec.class_name)
@@ -75,11 +129,7 @@
     return entry is not None and load.placed < entry.limits.concurrency
 
 
-def _rank(job: Job) -> tuple[int, int, str]:
-    return (job.spec.urgency, job.submitted_ms, job.spec.job_id)
-
-
-def _decide(ledger: Ledger, job: Job) -> tuple[Decision, ...]:
+def _decide(ledger: Ledger, job: Job, drains: Drains) -> tuple[Decision, ...]:
     kept = ledger.reservations.get(job.spec.job_id)
     if kept is not None:
         return _use_reservation(ledger, job, kept)
@@ -88,7 +138,7 @@
         return _decide_own(ledger, job, own)
     if not job.spec.idempotent:
         return ()
-    parts = _find_lent(ledger, job)
+    parts = _find_lent(ledger, job, drains)
     if parts:
         return (_place(job, parts, lent=True),)
     aged = choose_aged(ledger, job)
@@ -122,11 +172,15 @@
     return ()
 
 
-def _find_lent(ledger: Ledger, job: Job) -> tuple[PartPlacement, ...]:
+def _find_lent(
+    ledger: Ledger, job: Job, drains: Drains
+) -> tuple[PartPlacement, ...]:
     shape = job.spec.shape
     space = ledger.virtual_cells.space
-    for banned in dict.fromkeys((frozenset(job.banned), frozenset())):
-        holds = ledger.reservations.holds()
+    wary = frozenset(job.banned)
+    desperate = (frozenset[WorkerId](),) if is_desperate(ledger, job) else ()
+    for banned in dict.fromkeys((wary, *desperate)):
+        holds = drains.holds_for(job)
         for beside in (space, None):
             search = Search(banned, holds, beside)
             parts = ledger.fleet.find(shape, search)
--- a/packages/core/swifthoist_core/reservations.py
+++ b/packages/core/swifthoist_core/reservations.py
@@ -29,6 +29,17 @@
     since_ms: Millis
 
 
+class Drain(NamedTuple):
+    """A place that the planner drains; no part of the state.
+
+    :ivar place: the place, with the time when it is due; ``None`` if none.
+    :ivar until_ms: log time until which the choice stands.
+    """
+
+    place: Reservation | None
+    until_ms: Millis
+
+
 class Reservations:
     """The aggregate of reservations, by the job that they are for."""
 
--- a/packages/core/swifthoist_core/room_index.py
+++ b/packages/core/swifthoist_core/room_index.py
@@ -1,6 +1,7 @@
 """Free room on workers, indexed by what still fits."""
 
-from collections.abc import Iterator
+import bisect
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from swifthoist_core.buddies import largest_slot, slot_size
@@ -87,7 +88,8 @@
     cores_bits: int
 
 
-_Bucket = dict[WorkerId, None]
+_Bucket = list[WorkerId]
+_MOST_RANKED = 64
 _LEVELS = (Adjacency.WORKER, Adjacency.RACK, Adjacency.ZONE, Adjacency.ANY)
 
 
@@ -120,7 +122,7 @@
         for level, name in zip(_LEVELS, names, strict=True):
             self._by_level[level][name] = None
             buckets = self._buckets.setdefault(name, {})
-            buckets.setdefault(fit, {})[spec.worker] = None
+            bisect.insort(buckets.setdefault(fit, []), spec.worker)
 
     def drop(self, worker: WorkerId) -> None:
         """Forget a worker.
@@ -132,7 +134,7 @@
             return
         for name in self._names.pop(worker):
             buckets = self._buckets[name]
-            buckets[fit].pop(worker)
+            buckets[fit].pop(bisect.bisect_left(buckets[fit], worker))
             if not buckets[fit]:
                 buckets.pop(fit)
 
@@ -162,7 +164,18 @@
         buckets = self._buckets.get(within, {})
         fits = [fit for fit in buckets if _may_hold(fit, shape)]
         for fit in sorted(fits):
-            yield from sorted(buckets[fit])
+            yield from self._ordered(fit, buckets[fit], within)
+
+    def _ordered(
+        self, fit: Fit, bucket: _Bucket, within: str
+    ) -> Iterable[WorkerId]:
+        if within or len(bucket) > _MOST_RANKED:
+            return tuple(bucket)
+        in_rack = {
+            worker: len(self._buckets[self._names[worker][1]][fit])
+            for worker in bucket
+        }
+        return sorted(bucket, key=lambda worker: (in_rack[worker], worker))
 
     def _count(self, shape: Shape, within: str) -> int:
         buckets = self._buckets.get(within, {})
--- a/packages/core/swifthoist_core/settling.py
+++ b/packages/core/swifthoist_core/settling.py
@@ -163,13 +163,16 @@
         _note_failure(ledger, job, record)
 
 
-def retry_workers(ledger: 'Ledger') -> None:
+def retry_workers(ledger: 'Ledger') -> int:
     """Try the workers again that were set aside for long enough.
 
     :param ledger: the state.
+    :returns: how many there were.
     """
-    for worker in ledger.health.due(ledger.time_ms):
+    due = ledger.health.due(ledger.time_ms)
+    for worker in due:
         _set_aside(ledger, worker, aside=False)
+    return len(due)
 
 
 def join_worker(ledger: 'Ledger', spec: WorkerSpec) -> str:
--- a/packages/core/swifthoist_core/targets.py
+++ b/packages/core/swifthoist_core/targets.py
@@ -1,9 +1,11 @@
 """Targets: the place a job can have once others have given way."""
 
+import enum
 from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING, NamedTuple
 
 from swifthoist_core.buddies import free_slots, mask_of, slot_size
+from swifthoist_core.catalogue import Urgency
 from swifthoist_core.job_states import PLACED, Job, Status
 from swifthoist_core.records import PartPlacement
 from swifthoist_core.room_index import Room
@@ -17,18 +19,45 @@
 PATIENCE_MS = 30_000
 """A job that has waited for so long may take the place of a borrower."""
 
+LARGE_ACCELERATORS = 16
+"""A gang of so many accelerators or more has a place drained for it."""
+
+DRAIN_AFTER_MS = 1_000
+"""A large gang that has waited for so long has a place drained, in ms."""
+
 QUANTUM_MS = 30_000
 """A borrower runs for so long before another borrower takes its place."""
 
 _MS_PER_S = 1_000
 
 
+LARGER_QUANTA = 4
+"""A borrower gives way to a smaller one only after so many quanta."""
+
+
+class Yield(enum.Enum):
+    """Which jobs give way to a job that needs a place.
+
+    ``OWED``: every borrower, for the place is guaranteed. ``AGED``: borrowers
+    that have run for their quantum, to a borrower that waited for long.
+    ``URGENT``: borrowers whose work is not urgent, to one whose work is.
+    ``DRAIN``: the same, but later, when they have run for it.
+    """
+
+    OWED = 'owed'
+    AGED = 'aged'
+    URGENT = 'urgent'
+    DRAIN = 'drain'
+
+
 class Target(NamedTuple):
     """A place for a whole gang, and who must leave it first.
 
     :ivar parts: a place for each part.
     :ivar victims: jobs on lent places in it, those that stop included.
-    :ivar loss: accelerator seconds of work at risk, weighed by the policy.
+    :ivar loss: accelerator seconds of work at risk, weighed by the policy;
+        for a drain the time until the last of them has run its quantum, in
+        ms.
     """
 
     parts: tuple[PartPlacement, ...]
@@ -43,19 +72,18 @@
     :ivar loss: what that loses.
     """
 
-    def __init__(self, ledger: 'Ledger', job: Job, aged: bool) -> None:
+    def __init__(self, ledger: 'Ledger', shape: Shape, rule: Yield) -> None:
         """Start with everything as it is.
 
         :param ledger: the state.
-        :param job: the job that needs a place.
-        :param aged: whether only borrowers that ran for long give way, to
-            a borrower that waited for long.
+        :param shape: what needs a place.
+        :param rule: who gives way.
         """
         self.victims: dict[JobId, None] = {}
         self.loss: float = 0
         self._ledger = ledger
-        self._job = job
-        self._aged = aged
+        self._shape = shape
+        self._rule = rule
         self._rooms: dict[WorkerId, Room] = {}
 
     def price(self, part: PartPlacement) -> float | None:
@@ -80,10 +108,13 @@
             return False
         for job in more:
             self.victims[job.spec.job_id] = None
-            self.loss += self._loss_of(job)
+            if self._rule is Yield.DRAIN:
+                self.loss = max(self.loss, self._loss_of(job))
+            else:
+                self.loss += self._loss_of(job)
             self._evict(job)
         taken = mask_of(part.first, part.accelerators)
-        room = self._room(part.worker).less(taken, self._job.spec.shape)
+        room = self._room(part.worker).less(taken, self._shape)
         if room is None:
             return False
         self._rooms[part.worker] = room
@@ -100,7 +131,7 @@
             self._rooms[part.worker] = room
 
     def _clear(self, part: PartPlacement) -> list[Job] | None:
-        shape = self._job.spec.shape
+        shape = self._shape
         taken = mask_of(part.first, part.accelerators)
         room = self._room(part.worker)
         if room.less(taken, shape) is not None:
@@ -134,18 +165,28 @@
     def _gives_way(self, job: Job) -> bool:
         if not job.lent or job.status not in PLACED:
             return False
-        if not self._aged or job.status is Status.STOPPING:
+        if job.status is Status.STOPPING:
             return True
-        return self._ledger.time_ms - job.changed_ms >= QUANTUM_MS
+        if self._rule is Yield.URGENT:
+            return job.spec.urgency is not Urgency.URGENT
+        if self._rule is not Yield.AGED:
+            return True
+        larger = (
+            job.spec.shape.total_accelerators > self._shape.total_accelerators
+        )
+        quanta = LARGER_QUANTA if larger else 1
+        return elapsed_ms(self._ledger, job) >= QUANTUM_MS * quanta
 
     def _loss_of(self, job: Job) -> float:
         if job.status is Status.STOPPING:
             return 0
+        if self._rule is Yield.DRAIN:
+            return max(0, QUANTUM_MS - elapsed_ms(self._ledger, job))
         policy = self._ledger.catalogue.policy
         ran_ms = self._ledger.time_ms - job.changed_ms
         size = max(1, job.spec.shape.total_accelerators)
         lost = size * ran_ms / _MS_PER_S
-        spare = max(0, size - self._job.spec.shape.total_accelerators)
+        spare = max(0, size - self._shape.total_accelerators)
         weighed = policy.completion_weight * lost
         return weighed + policy.fragmentation_weight * spare
 
@@ -157,12 +198,14 @@
     :param job: a job that waits.
     :returns: the target, ``None`` if the owner's own jobs are in the way.
     """
+    shape = job.spec.shape
     wary = frozenset(job.banned)
     positions = list(_own_positions(ledger, job))
     better = [place for place in positions if place.worker not in wary]
-    return _choose(ledger, job, better, aged=False) or _choose(
-        ledger, job, positions, aged=False
-    )
+    target = _choose(ledger, shape, better, Yield.OWED)
+    if target is None and is_desperate(ledger, job):
+        return _choose(ledger, shape, positions, Yield.OWED)
+    return target
 
 
 def choose_aged(ledger: 'Ledger', job: Job) -> Target | None:
@@ -175,7 +218,48 @@
     """
     if not is_aged(ledger, job) or not job.spec.idempotent:
         return None
-    return _choose(ledger, job, list(_all_positions(ledger, job)), aged=True)
+    shape = job.spec.shape
+    urgent = job.spec.urgency is Urgency.URGENT
+    rule = Yield.URGENT if urgent else Yield.AGED
+    return _choose(ledger, shape, _all_positions(ledger, shape), rule)
+
+
+def choose_drain(ledger: 'Ledger', job: Job) -> Target | None:
+    """Choose the place that a large gang will have soonest.
+
+    Nothing new starts there, so what runs there only grows older, and the
+    choice stays the same until the gang gets the place.
+
+    :param ledger: the state.
+    :param job: a borrower that waits.
+    :returns: the target, ``None`` if the job is small or just came.
+    """
+    shape = job.spec.shape
+    large = shape.total_accelerators >= LARGE_ACCELERATORS
+    if not large or elapsed_ms(ledger, job) < DRAIN_AFTER_MS:
+        return None
+    return choose_soonest(ledger, shape)
+
+
+def choose_soonest(ledger: 'Ledger', shape: Shape) -> Target | None:
+    """Choose the place in which borrowers can be asked to stop soonest.
+
+    :param ledger: the state.
+    :param shape: what needs the place.
+    :returns: the target, ``None`` if jobs that stay are in the way.
+    """
+    return _choose(ledger, shape, _all_positions(ledger, shape), Yield.DRAIN)
+
+
+def is_desperate(ledger: 'Ledger', job: Job) -> bool:
+    """Tell whether a job would rather go back to where it failed than wait.
+
+    :param ledger: the state.
+    :param job: a job that waits.
+    :returns: whether no other place is likely to be found.
+    """
+    waited = elapsed_ms(ledger, job) >= PATIENCE_MS
+    return waited or not job.spec.idempotent
 
 
 def is_aged(ledger: 'Ledger', job: Job) -> bool:
@@ -185,7 +269,8 @@
     :param job: a job that waits.
     :returns: whether others may have to give way to it.
     """
-    return ledger.time_ms - job.changed_ms >= PATIENCE_MS
+    urgent = job.spec.urgency is Urgency.URGENT
+    return urgent or elapsed_ms(ledger, job) >= PATIENCE_MS
 
 
 def choose(ledger: 'Ledger', job: Job) -> tuple[Target, bool] | None:
@@ -203,9 +288,11 @@
 
 
 def _choose(
-    ledger: 'Ledger', job: Job, positions: list[PartPlacement], *, aged: bool
+    ledger: 'Ledger',
+    shape: Shape,
+    positions: Iterable[PartPlacement],
+    rule: Yield,
 ) -> Target | None:
-    shape = job.spec.shape
     groups: dict[str, list[PartPlacement]] = {}
     for place in positions:
         spec = ledger.fleet.spec(place.worker)
@@ -215,7 +302,7 @@
     for _, group in sorted(groups.items()):
         if len(group) < shape.parts:
             continue
-        target = _fill(Trial(ledger, job, aged), group, shape.parts)
+        target = _fill(Trial(ledger, shape, rule), group, shape.parts)
         best = _cheaper(best, target)
     return best
 
@@ -254,9 +341,8 @@
                 )
 
 
-def _all_positions(ledger: 'Ledger', job: Job) -> Iterator[PartPlacement]:
+def _all_positions(ledger: 'Ledger', shape: Shape) -> Iterator[PartPlacement]:
     holds = ledger.reservations.holds()
-    shape = job.spec.shape
     for spec in ledger.fleet.specs():
         if ledger.fleet.is_open(spec.worker):
             room = Room(0, spec.cores, spec.memory_mib)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -6,7 +6,7 @@
 from swifthoist_core.bindings import shortfalls
 from swifthoist_core.catalogue import Limits
 from swifthoist_core.job_states import Job, Status
-from swifthoist_core.planner import Place, Reclaim, plan
+from swifthoist_core.planner import Place, Reclaim, explain, plan
 from swifthoist_core.records import PartPlacement
 from swifthoist_core.shapes import Adjacency, GuaranteedShape, Shape
 from tests.core.builders import Book, job_entry, spec, worker
@@ -293,6 +293,65 @@
         self.assertIn('limits', reason)
 
 
+class WaitTest(unittest.TestCase):
+    """No admissible job waits for ever, whatever the others do."""
+
+    def setUp(self) -> None:
+        """Take four workers that nobody is promised."""
+        self.book = Scene()
+        self.book.staffed(4)
+        self.book.publish(job_entry('a'))
+        self.book.publish(job_entry('b'))
+        self.small = 0
+
+    def _small_work(self) -> None:
+        for _ in range(4):
+            self.small += 1
+            self.book.submit(f's{self.small}', 'b', HALF)
+        for item in self.book.decide():
+            if isinstance(item, Reclaim):
+                self.book.end(item.job_id, 'reclaimed')
+
+    def test_a_large_gang_gets_its_place_despite_small_work(self) -> None:
+        """It waits at most its patience, a quantum, and a reclaim."""
+        for _ in range(3):
+            self._small_work()
+        self.book.submit('big', 'a', TWO)
+        for _ in range(33):
+            self.book.wait(2_000)
+            self._small_work()
+        self.assertEqual(self.book.job('big').status, Status.STARTING)
+
+    def test_short_work_fills_a_drain_and_long_work_does_not(self) -> None:
+        """What has always ended in time may use the place until then."""
+        for number in range(3):
+            self.book.submit(f'h{number}', 'a', HALF)
+            self.book.decide()
+            self.book.wait(2_000)
+            self.book.end(f'h{number}')
+        for number in range(3):
+            self.book.submit(f'w{number}', 'b', WHOLE)
+        self.book.decide()
+        self.book.submit('big', 'a', TWO)
+        self.book.wait(2_000)
+        self.book.submit('slow', 'b', ONE)
+        self.assertEqual(self.book.decide(), [])
+        self.book.submit('short', 'a', HALF)
+        placed = [item.job_id for item in self.book.decide()]
+        self.assertEqual(placed, ['short'])
+
+    def test_a_wait_is_explained(self) -> None:
+        """The explanation names who holds the place, and how sure it is."""
+        for number in range(4):
+            self.book.submit(f'w{number}', 'b', WHOLE)
+        self.book.decide()
+        self.book.submit('big', 'a', TWO)
+        found = explain(self.book.ledger, 'big')
+        self.assertEqual(len(found.held_by), 2)
+        self.assertEqual(found.confidence, 'estimate')
+        self.assertGreater(found.expected_ms, self.book.now_ms)
+
+
 class HealthTest(unittest.TestCase):
     """Workers are set aside on evidence from several owners."""
 
--- a/tests/core/test_placement_machine.py
+++ b/tests/core/test_placement_machine.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -15,6 +15,7 @@
 from swifthoist_core.job_states import Job, Status
 from swifthoist_core.planner import Place, Reclaim, plan
 from swifthoist_core.records import PartPlacement
+from swifthoist_core.rests import Planned
 from swifthoist_core.shapes import Adjacency, GuaranteedShape, Shape
 from tests.core.builders import Book, job_entry, spec, worker
 from tests.core.placement_checks import check_all
@@ -216,6 +217,7 @@
         for now_ms, envelope in self.book.log:
             twin.now_ms = now_ms
             twin.append_envelope(envelope)
+        self.book.ledger.planned = Planned()
         assert plan(twin.ledger) == plan(self.book.ledger)
         cells = twin.ledger.virtual_cells.cells()
         assert cells == self.book.ledger.virtual_cells.cells()
@@ -241,6 +243,7 @@
             deadline=None,
             max_examples=examples,
             stateful_step_count=steps,
+            phases=(Phase.generate,),
             suppress_health_check=list(HealthCheck),
         ),
     )
