--- a/packages/core/swifthoist_core/ordering.py
+++ b/packages/core/swifthoist_core/ordering.py
@@ -12,6 +12,9 @@
     from swifthoist_core.ledger import Ledger
 
 
+SMALL_PATIENCE_MS = 300_000
+"""After so long a job goes before younger ones of any size, in ms."""
+
 _LEAST_WEIGHT = 0.1
 _MOST_SHARE = 10
 
@@ -20,7 +23,7 @@
     """Place of a job in the order; the least goes first.
 
     :ivar urgency: order of service, from the entry.
-    :ivar young: ``False`` for a large gang that has waited for long.
+    :ivar young: ``False`` for a job that has waited for long.
     :ivar against: minus what speaks for the job.
     :ivar job_id: tie-breaker.
     """
@@ -61,6 +64,8 @@
     patience = waited_ms / PATIENCE_MS
     speaks_for = policy.completion_weight * ratio
     speaks_for += policy.fragmentation_weight * (patience + math.log2(size))
-    if size >= LARGE_ACCELERATORS and waited_ms >= large_patience_ms(policy):
+    large = size >= LARGE_ACCELERATORS
+    patience_ms = large_patience_ms(policy) if large else SMALL_PATIENCE_MS
+    if waited_ms >= patience_ms:
         return Rank(spec.urgency, False, -waited_ms, spec.job_id)
     return Rank(spec.urgency, True, -speaks_for, spec.job_id)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -4,7 +4,7 @@
 
 from swifthoist_core import records
 from swifthoist_core.bindings import shortfalls
-from swifthoist_core.catalogue import Limits
+from swifthoist_core.catalogue import Limits, Urgency
 from swifthoist_core.job_states import Job, Status
 from swifthoist_core.planner import Place, Reclaim, explain, plan
 from swifthoist_core.records import PartPlacement
@@ -340,6 +340,39 @@
         placed = [item.job_id for item in self.book.decide()]
         self.assertEqual(placed, ['short'])
 
+    def test_urgent_work_takes_the_place_of_other_borrowers(self) -> None:
+        """It does not wait for patience or quantum."""
+        for number in range(4):
+            self.book.submit(f'w{number}', 'b', WHOLE)
+        self.book.decide()
+        urgent = spec('now', 'a', ONE)._replace(urgency=Urgency.URGENT)
+        self.book.append(records.JobSubmitted(urgent, 'now'))
+        made = self.book.decide()
+        self.assertEqual([item.beneficiary for item in made], ['now'])
+
+    def test_a_small_borrower_does_not_end_a_large_one_soon(self) -> None:
+        """The large one keeps its place for several quanta."""
+        self.book.submit('big', 'a', TWO)
+        for number in range(2):
+            self.book.submit(f'w{number}', 'b', WHOLE)
+        self.book.decide()
+        self.book.wait(20_000)
+        self.book.submit('small', 'b', ONE)
+        self.book.wait(31_000)
+        victims = {item.job_id for item in self.book.decide()}
+        self.assertIn(victims, ({'w0'}, {'w1'}))
+        self.book.wait(70_000)
+        self.assertEqual(self.book.job('big').status, Status.STARTING)
+
+    def test_a_job_does_not_go_back_to_where_it_failed(self) -> None:
+        """Not even if its owner's guarantee lies there."""
+        self.book.publish(job_entry('a', GuaranteedShape(WHOLE)))
+        self.book.submit('j', 'a', WHOLE)
+        first = self.book.decide()[0].parts[0].worker
+        self.book.end('j', 'failed', first)
+        again = self.book.decide()[0].parts[0].worker
+        self.assertNotEqual(again, first)
+
     def test_a_wait_is_explained(self) -> None:
         """The explanation names who holds the place, and how sure it is."""
         for number in range(4):
