--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -16,6 +16,7 @@
 from swifthoist_core.records import Author, Envelope, Record
 from swifthoist_core.requests import Requests
 from swifthoist_core.reservations import Reservations
+from swifthoist_core.rests import Planned
 from swifthoist_core.settling import (
     adopt,
     claim_place,
@@ -77,8 +78,12 @@
     :ivar jobs: jobs.
     :ivar requests: non-idempotent requests.
     :ivar account: who got what.
+    :ivar planned: what the planner remembers; no part of the state.
     """
 
+    DERIVED = frozenset(('planned',))
+    """What :meth:`rebuild` starts anew, since it is no part of the state."""
+
     def __init__(self) -> None:
         """Start before the first record."""
         self.offset: Offset = 0
@@ -96,9 +101,14 @@
         self.account = Account()
         self.holdings = Holdings()
         self.shortfalls = Shortfalls()
+        self.planned = Planned()
         self.passed_over = 0
         self._forgot_ms: Millis = 0
 
+    def rebuild(self) -> None:
+        """Forget what was planned, after the state was loaded."""
+        self.planned = Planned()
+
     def fold(
         self, offset: Offset, time_ms: Millis, envelope: Envelope
     ) -> Verdict:
@@ -111,7 +121,7 @@
         :raises ValueError: when a record was left out.
         """
         self._advance(offset, time_ms)
-        retry_workers(self)
+        self.planned.frees += retry_workers(self)
         author, seq, record = envelope
         reason = self.authors.add(author, seq, self.time_ms)
         if reason:
@@ -163,6 +173,7 @@
     def _apply(self, author: Author, record: Record, offset: Offset) -> str:
         match record:
             case records.EntryChanged() | records.PolicyChanged():
+                self.planned.frees += 1
                 return self._apply_catalogue(record)
             case records.CellClaimed():
                 return self.cell.claim(author, record, self.time_ms)
@@ -179,8 +190,10 @@
                     self.account.add_tally(self.time_ms, tally)
                 return ''
             case records.JobSubmitted():
+                self.planned.changes += 1
                 return self._submit(record)
             case records.JobCancelled():
+                self.planned.frees += 1
                 return self._cancel(record, offset)
             case _:
                 return self._apply_decision(author, record, offset)
@@ -216,6 +229,7 @@
         self, author: Author, record: Record, offset: Offset
     ) -> str:
         epoch: Epoch = getattr(record, 'epoch', 0)
+        self.planned.changes += 1
         stale = self.cell.check(author, epoch)
         if stale:
             return stale
@@ -225,15 +239,19 @@
             case records.JobStarted():
                 return self.jobs.start(record, self.time_ms)
             case records.JobReclaimed():
+                self.planned.frees += 1
                 return self._reclaim(record, offset)
             case records.JobEnded():
+                self.planned.frees += 1
                 return self._end(record)
             case records.UsageCorrected(use=use):
                 span = SpanKey(record.job_id, record.attempt, use.part)
                 return self.account.correct_span(span, use, self.time_ms)
             case records.WorkerJoined(spec=spec):
+                self.planned.frees += 1
                 return join_worker(self, spec)
             case records.WorkerLeft(worker=worker, lost=lost):
+                self.planned.frees += 1
                 if not lost:
                     return drain_worker(self, worker)
                 return self._lose(worker)
--- a/packages/daemon/swifthoistd/application.py
+++ b/packages/daemon/swifthoistd/application.py
@@ -276,7 +276,7 @@
         group.start_soon(self._directory.run, self._presence.listed)
         group.start_soon(self._peers.run, group)
         group.start_soon(self._presence.run)
-        group.start_soon(self._connections.run)
+        group.start_soon(self._dispatcher.run)
         group.start_soon(self._renewals.run)
         group.start_soon(self._scheduler.run)
         group.start_soon(self._tallies.run)
