--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -13,6 +13,7 @@
     LogExpiredError,
     LogUnavailableError,
     OutcomeUnknownError,
+    SwifthoistError,
     UnreachableError,
 )
 from swifthoist_core.ledger import Ledger
@@ -168,10 +169,12 @@
         """Append; the call and its reply wait while paused."""
         await self.motion()
         try:
-            return await self._log.append(stream, payloads, timeout_s)
-        finally:
-            with anyio.CancelScope(shield=True):
-                await self.motion()
+            first = await self._log.append(stream, payloads, timeout_s)
+        except SwifthoistError:
+            await self.motion()
+            raise
+        await self.motion()
+        return first
 
     async def read(
         self, stream: str, start: int, limit: int, wait_s: float
