--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -254,7 +254,7 @@
                 self.planned.frees += 1
                 if not lost:
                     return drain_worker(self, worker)
-                return self._lose(worker)
+                return _lose(self, worker)
             case _:
                 return 'not a decision'
 
@@ -340,11 +340,6 @@
             self._note_end(after)
         return ''
 
-    def _lose(self, worker: str) -> str:
-        for job in self.jobs.on_worker(worker):
-            return f'job {job.spec.job_id} still holds it'
-        return lose_worker(self, worker)
-
     def _note_use(self, job: Job, use: records.PartUsage, outcome: str) -> None:
         span = span_of(job, use, reclaimed=outcome == 'reclaimed')
         self.account.add_span(span, self.time_ms)
@@ -368,3 +363,9 @@
             return catalogue.policy_version
         case _:
             return 0
+
+
+def _lose(ledger: Ledger, worker: str) -> str:
+    for job in ledger.jobs.on_worker(worker):
+        return f'job {job.spec.job_id} still holds it'
+    return lose_worker(ledger, worker)
