Test what the trials of removed mechanisms had left unseen

Seen to fail with the mechanism taken out, then to pass: age before response ratio, the limit on short work in drains, reservations that end with their guarantee, tries after a place was freed, packing anew, whole gangs.

--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -4,8 +4,9 @@
 
 from swifthoist_core import records
 from swifthoist_core.bindings import shortfalls
-from swifthoist_core.catalogue import Limits, Urgency
+from swifthoist_core.catalogue import Limits, Policy, Urgency
 from swifthoist_core.job_states import Job, Status
+from swifthoist_core.ordering import rank_of
 from swifthoist_core.planner import Place, Reclaim, explain, plan
 from swifthoist_core.records import PartPlacement
 from swifthoist_core.shapes import Adjacency, GuaranteedShape, Shape
@@ -169,11 +170,12 @@
 
     def test_idle_bindings_are_packed_anew_for_a_new_promise(self) -> None:
         """Halves that lie scattered make way for whole workers."""
-        for owner in 'abcd':
-            self.book.publish(job_entry(owner, GuaranteedShape(HALF, 2)))
-        for owner in 'bd':
-            self.book.publish(job_entry(owner))
-        rest = job_entry('e', GuaranteedShape(WHOLE, 2))
+        for owner in 'abcdefgh':
+            half = job_entry(owner, GuaranteedShape(HALF))
+            self.assertEqual(self.book.publish(half).reason, '')
+        for gone in 'bdfh':
+            self.book.publish(job_entry(gone))
+        rest = job_entry('i', GuaranteedShape(WHOLE, 2))
         self.assertEqual(self.book.publish(rest).reason, '')
         check_all(self.book.ledger)
 
@@ -196,6 +198,15 @@
         self.assertEqual(self.book.job('once').status, Status.REFUSED)
         self.assertEqual(self.book.ledger.reservations.holds(), {})
 
+    def test_a_reservation_ends_with_its_guarantee(self) -> None:
+        """The job waits on as a borrower, and keeps no place."""
+        self._lend_everything()
+        self.book.submit('big', 'a', TWO)
+        self.book.decide()
+        self.book.publish(job_entry('a'))
+        self.assertEqual(self.book.job('big').status, Status.WAITING)
+        self.assertEqual(self.book.ledger.reservations.holds(), {})
+
     def test_a_job_that_must_not_stop_outlives_its_guarantee(self) -> None:
         """Its place is promised to others only once it has ended."""
         self.book.submit('once', 'a', TWO, idempotent=False)
@@ -276,6 +287,11 @@
             self.assertEqual(job.status, Status.REFUSED)
             self.assertIn(reason, job.reason)
 
+    def test_a_gang_with_a_part_left_out_is_rejected(self) -> None:
+        """All parts have a place, or none has."""
+        self.book.submit('big', 'a', TWO)
+        self.assertIn('whole', self.book.place('big', whole('w0')))
+
     def test_parts_that_are_not_near_enough_are_rejected(self) -> None:
         """Two workers are not one."""
         self.book.submit('j', 'a', Shape(2, 4, adjacency=Adjacency.WORKER))
@@ -324,11 +340,13 @@
 
     def test_short_work_fills_a_drain_and_long_work_does_not(self) -> None:
         """What has always ended in time may use the place until then."""
-        for number in range(3):
-            self.book.submit(f'h{number}', 'a', HALF)
-            self.book.decide()
-            self.book.wait(2_000)
-            self.book.end(f'h{number}')
+        for owner, shape, ran_ms in (('a', HALF, 2_000), ('b', ONE, 60_000)):
+            for number in range(3):
+                name = f'{owner}{number}'
+                self.book.submit(name, owner, shape)
+                self.book.decide()
+                self.book.wait(ran_ms)
+                self.book.end(name)
         for number in range(3):
             self.book.submit(f'w{number}', 'b', WHOLE)
         self.book.decide()
@@ -370,6 +388,33 @@
         again = self.book.decide()[0].parts[0].worker
         self.assertNotEqual(again, first)
 
+    def test_a_job_that_waited_for_minutes_goes_before_short_work(self) -> None:
+        """Even where only completion time weighs."""
+        self.book.append(records.PolicyChanged(0, Policy(1, 0), 'op'))
+        for number in range(4):
+            self.book.submit(f'w{number}', 'b', WHOLE)
+        self.book.decide()
+        slow = spec('slow', 'a', ONE)._replace(expected_ms=3_600_000)
+        self.book.append(records.JobSubmitted(slow, 'slow'))
+        self.book.wait(290_000)
+        self.book.submit('short', 'b', ONE)
+        self.book.wait(9_000)
+        ranks = [rank_of(self.book.ledger, self.book.job('slow'))]
+        ranks.append(rank_of(self.book.ledger, self.book.job('short')))
+        self.assertGreater(ranks[0], ranks[1])
+        self.book.wait(1_000)
+        again = rank_of(self.book.ledger, self.book.job('slow'))
+        self.assertLess(again, ranks[1])
+
+    def test_a_freed_place_is_used_at_once(self) -> None:
+        """What found no place before is tried again."""
+        for number in range(5):
+            self.book.submit(f'w{number}', 'b', WHOLE)
+        self.book.decide()
+        self.book.end('w0')
+        placed = [item.job_id for item in self.book.decide()]
+        self.assertEqual(placed, ['w4'])
+
     def test_a_wait_is_explained(self) -> None:
         """The explanation names who holds the place, and how sure it is."""
         for number in range(4):
