Ask workers without parts less often, and bound the pace of renewals

Cause: an idle instance with 24 workers took 22 % of a core: every worker of its share was asked every 20 ms times the share, about 50 calls a second at some 2 ms each. Ruled out: heartbeats, the follower and the list (a few calls a second by the profile). Change: a worker without parts is asked twice in a lease, and the pace with busy ones is bounded by 150 ms for each.

--- a/packages/daemon/swifthoistd/renewals.py
+++ b/packages/daemon/swifthoistd/renewals.py
@@ -33,12 +33,16 @@
 ROUNDS_PER_LEASE = 4
 """How often a lease is renewed before it would lapse."""
 
-PAUSE_PER_WORKER_MS = 20
-"""Pause between rounds for each worker of the share, in ms."""
+PAUSE_PER_WORKER_MS = 150
+"""Pause between rounds for each busy worker of the share, in ms; it bounds
+the processor time that renewals take, whatever the share."""
 
-MIN_PAUSE_MS = 100
+MIN_PAUSE_MS = 250
 """Least pause between two rounds, in ms."""
 
+IDLE_ROUNDS_PER_LEASE = 2
+"""How often a worker without parts is asked in the time of a lease."""
+
 _MS_PER_S = 1_000
 _log = logging.getLogger(__name__)
 
@@ -89,6 +93,8 @@
         self._report = report
         self._limiter = anyio.Semaphore(MAX_PARALLEL)
         self._sent: dict[WorkerId, frozenset[PartKey]] = {}
+        self._due_ms: dict[WorkerId, Millis] = {}
+        self._busy = 0
 
     async def run(self) -> None:
         """Renew, for as long as the instance lives."""
@@ -100,27 +106,50 @@
             await anyio.sleep(max(pause_ms, MIN_PAUSE_MS) / _MS_PER_S)
 
     async def renew_round(self) -> None:
-        """Renew every worker of this instance's share once."""
+        """Renew each worker of this instance's share that is due."""
         if self._is_behind():
             _log.warning('renews nothing while behind the others')
             return
         leases = self._leases()
         answers: list[WorkerAnswer] = []
+        due = self._due_workers(leases)
         async with anyio.create_task_group() as group:
-            for worker in self._share():
+            for worker in due:
                 keys = leases.get(worker, ())
                 group.start_soon(self._renew, worker, keys, answers)
         if answers:
             await self._pass_on(tuple(answers))
 
     def _pause_ms(self) -> float:
-        """Few workers are asked often, so that the end of a job is seen
-        soon; with many the leases alone set the pace."""
+        """Few busy workers are asked often, so that the end of a job is
+        seen soon; with many the leases alone set the pace."""
         return min(
-            len(self._share()) * PAUSE_PER_WORKER_MS,
+            self._busy * PAUSE_PER_WORKER_MS,
             self._lease_ms / ROUNDS_PER_LEASE,
         )
 
+    def _due_workers(
+        self, leases: dict[WorkerId, tuple[PartKey, ...]]
+    ) -> list[WorkerId]:
+        """Choose the workers with leases or with ended parts to settle, and
+        those that have not been asked for long."""
+        now_ms = self._clock.boot_ms()
+        idle_ms = self._lease_ms // IDLE_ROUNDS_PER_LEASE
+        share = self._share()
+        busy = {
+            worker
+            for worker in share
+            if worker in leases or self._sent.get(worker)
+        }
+        due = [
+            worker
+            for worker in share
+            if worker in busy or self._due_ms.get(worker, 0) <= now_ms
+        ]
+        self._due_ms.update(dict.fromkeys(due, now_ms + idle_ms))
+        self._busy = len(busy)
+        return due
+
     async def _pass_on(self, answers: tuple[WorkerAnswer, ...]) -> None:
         try:
             await self._report(answers)
--- a/tests/daemon/test_program.py
+++ b/tests/daemon/test_program.py
@@ -77,7 +77,7 @@
         entry.wait_ready()
         self.publish(entry, CHECK)
         for runner in platform.addresses('runner'):
-            httpx.post(f'http://{runner}/faults', json={'work_ms': 1_500})
+            httpx.post(f'http://{runner}/faults', json={'work_ms': 4_000})
         keys = [f'key-{number}' for number in range(8)]
         with concurrent.futures.ThreadPoolExecutor(8) as pool:
             replies = [pool.submit(self.request, entry, key) for key in keys]
