--- a/packages/cli/swifthoist_cli/commands.py
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -7,6 +7,7 @@
 import httpx
 
 from swifthoist_cli import demo as demo_play
+from swifthoist_cli.demo_scene import read_scene
 from swifthoist_cli.inputs import (
     read_caller,
     read_json_file,
@@ -98,9 +99,7 @@
         :param scene: file that scripts/demo.py wrote.
         :returns: 0 if every promise was kept, else 1.
         """
-        played = anyio.run(
-            demo_play.play, demo_play.read_scene(read_json_file(scene))
-        )
+        played = anyio.run(demo_play.play, read_scene(read_json_file(scene)))
         for report, table in played.summary():
             print_text(render(report, Format.TEXT, table))
         broken = False
--- a/packages/cli/swifthoist_cli/demo.py
+++ b/packages/cli/swifthoist_cli/demo.py
@@ -5,7 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Mapping
-from typing import Any, NamedTuple, TypedDict, TypeVar
+from typing import Any, TypeVar
 
 import anyio
 import httpx
@@ -13,7 +13,7 @@
 
 from swifthoist_cli import demo_checks
 from swifthoist_cli.client import MSGPACK
-from swifthoist_cli.demo_callers import Callers, Site, some_key
+from swifthoist_cli.demo_callers import Callers, some_key
 from swifthoist_cli.demo_catalogue import (
     IMPOSSIBLE_SHAPE,
     PLAN_SHAPE,
@@ -21,11 +21,10 @@
     USERS,
     demo_entries,
 )
+from swifthoist_cli.demo_scene import Scene
 from swifthoist_cli.verbs_reports import BURN, USAGE
 from swifthoist_core.burn import BurnReport
-from swifthoist_core.checks import check_document
 from swifthoist_core.documents import JobDocument, ShapeDocument
-from swifthoist_core.errors import raise_findings
 from swifthoist_core.reports import UsageReport
 from swifthoist_core.tokens import Identity, Role
 
@@ -54,19 +53,6 @@
 _ENDED = frozenset(('done', 'failed', 'cancelled', 'refused', 'unknown'))
 
 
-class Scene(NamedTuple):
-    """Where the demo plays.
-
-    :ivar site: the entry instances.
-    :ivar runners: addresses of the stand-ins of runners.
-    :ivar workers: addresses of the stand-ins of workers, by id.
-    """
-
-    site: Site
-    runners: tuple[str, ...]
-    workers: Mapping[str, str]
-
-
 class Demo:
     """Plays the load and checks what came of it.
 
@@ -286,29 +272,6 @@
     return demo
 
 
-class _SceneDocument(TypedDict):
-    urls: tuple[str, ...]
-    secret: str
-    runners: tuple[str, ...]
-    workers: dict[str, str]
-
-
-def read_scene(content: object) -> Scene:
-    """Read a scene that the demo's script wrote.
-
-    :param content: a document with the fields of :class:`Scene`.
-    :returns: the scene.
-    :raises InvalidInputError: with every finding.
-    """
-    raise_findings('scene', check_document(_SceneDocument, content))
-    document = msgspec.convert(content, _SceneDocument)
-    return Scene(
-        Site(document['urls'], document['secret']),
-        document['runners'],
-        document['workers'],
-    )
-
-
 def _wanted(promise: str, times: int) -> demo_checks.Check:
     broken = () if times else ('it did not happen',)
     return demo_checks.Check(promise, broken, times)
