--- a/tests/daemon/test_pages.py
+++ b/tests/daemon/test_pages.py
@@ -32,7 +32,7 @@
         apis = (
             CatalogueApi(part, part),
             JobApi(part, part),
-            ReportApi(part),
+            ReportApi(part, part),
             RequestApi(part, part, part, part, part),
             StatusApi(part, part, part, part, part, part, part, part),
         )
