Share one TLS context among an instance's HTTP clients

Cause: each of three clients loaded the certificates of all authorities, 7.2 MB together in a process that measures its own size, though the platform's URLs are plain. Change: one context for all, with certificates only if a URL asks for them.

--- a/packages/daemon/swifthoistd/application.py
+++ b/packages/daemon/swifthoistd/application.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+import ssl
 import sys
 
 import anyio
@@ -72,6 +73,7 @@
         """
         self._cfg = cfg
         self._clock = SystemClock()
+        self._tls = _tls_context(cfg.log_url, cfg.list_url)
         self._me = Author(cfg.instance, self._clock.wall_ms())
         self._listener: socket.socket = http_server.open_listener(cfg.http)
 
@@ -85,7 +87,7 @@
     def _wire_ledger(self) -> None:
         """The log, the fold of it, and who decides."""
         cfg = self._cfg
-        self._log_http = _http_client(_LOG_CONNECTIONS)
+        self._log_http = _http_client(self._tls, _LOG_CONNECTIONS)
         log = LogClient(self._log_http, cfg.log_url)
         self._ledger = Ledger()
         states = PeerStates(self._ledger, self._peers, self._clock)
@@ -127,7 +129,7 @@
         self._members = Members(self._me, self._clock)
         self._peers = Peers(self._members, self._presence_heard, cfg.peer)
         self._shares = Shares(cfg.instance, self._clock)
-        self._list_http = _http_client(_LOG_CONNECTIONS)
+        self._list_http = _http_client(self._tls, _LOG_CONNECTIONS)
         client = InstanceClient(self._list_http, cfg.list_url)
         self._directory = Directory(client)
 
@@ -160,7 +162,7 @@
     def _wire_jobs(self) -> None:
         """The path of jobs to workers."""
         lease_ms = self._cfg.worker_lease_ms
-        self._worker_http = _http_client(_WORKER_CONNECTIONS)
+        self._worker_http = _http_client(self._tls, _WORKER_CONNECTIONS)
         commands = Commands(self._worker_http, self._ledger, lease_ms)
         board = PartBoard(self._clock)
         answers = Answers(self._me, self._ledger, board, self._peers)
@@ -313,8 +315,19 @@
         sys.stdout.flush()
 
 
-def _http_client(connections: int) -> httpx.AsyncClient:
+def _http_client(tls: ssl.SSLContext, connections: int) -> httpx.AsyncClient:
     limits = httpx.Limits(
         max_connections=connections, max_keepalive_connections=connections
     )
-    return httpx.AsyncClient(limits=limits, trust_env=False)
+    return httpx.AsyncClient(limits=limits, verify=tls, trust_env=False)
+
+
+def _tls_context(*urls: str) -> ssl.SSLContext:
+    """Make the one context that all clients share.
+
+    Loading the certificates of authorities takes megabytes for each context,
+    so it is done only where a URL asks for them.
+    """
+    if any(url.startswith('https:') for url in urls):
+        return httpx.create_ssl_context()
+    return ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
