Measure control with the daemon's own messages and paces

Cause: the bench modelled heartbeats, renewals and counts by messages and rates of its own, which were smaller and rarer than what the daemon sends, so docs/CAPACITY.md promised more than is true. Change: the bench sends the real calls (framed thrift at both ends, the workers' client) at the paces of the daemon's constants.

Also: leases are renewed three times in a lease, as the page says, not four.

--- a/bench/control.py
+++ b/bench/control.py
@@ -15,6 +15,11 @@
 from control_costs import Cost, heartbeat_cost, loop_ns, renewal_cost
 from control_state import SIZES, TODAY, TWO_YEARS, Built, Size
 
+from swifthoistd.peers import BEAT_S
+from swifthoistd.renewals import ROUNDS_PER_LEASE
+from swifthoistd.snapshotting import EVERY_MS
+from swifthoistd.tallies import APPEND_S
+
 _DAY_S = 86_400
 _US_PER_S = 1_000_000
 _MB_PER_MIB = 1.048576
@@ -25,10 +30,9 @@
 TARGET_KB_PER_S = 29
 
 LEASE_S = 10
-RENEWALS_PER_LEASE = 3
-HEARTBEATS_PER_S = 1
-COUNTED_EVERY_S = 60
-SNAPSHOT_EVERY_S = 900
+HEARTBEATS_PER_S = 1 / BEAT_S
+COUNTED_EVERY_S = APPEND_S
+SNAPSHOT_EVERY_S = EVERY_MS / 1_000
 CELL_RENEWALS_PER_S = 1
 LOG_READS_PER_S = 2
 
@@ -109,14 +113,16 @@
     yield _share('log follower', _records_per_s(site), costs)
     renewals = renewals_per_s(site)
     yield _share('lease renewal', {'lease_renewal': renewals}, costs)
-    beats = 2 * HEARTBEATS_PER_S * (site.instances - 1)
+    # The cost of a heartbeat is that of both ends, and each instance sends
+    # one and answers one on each connection.
+    beats = HEARTBEATS_PER_S * (site.instances - 1)
     yield _share('heartbeats', {'heartbeat': beats}, costs)
     yield _share('log reads', {'log_read': LOG_READS_PER_S}, costs)
 
 
 def renewals_per_s(site: Site) -> float:
     """Count renewals of one instance; one renews all parts on a worker."""
-    each_s = LEASE_S / RENEWALS_PER_LEASE
+    each_s = LEASE_S / ROUNDS_PER_LEASE
     return site.size.workers / site.instances / each_s
 
 
--- a/bench/control_costs.py
+++ b/bench/control_costs.py
@@ -10,6 +10,7 @@
 import anyio
 import httpx
 import msgspec
+from anyio.abc import SocketAttribute, SocketStream
 from control_state import Builder, Size, counted, job, resident_mib, usage
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
@@ -18,18 +19,33 @@
 from starlette.responses import Response
 from starlette.routing import Route
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
-from thrift.protocol.TProtocol import TType
 from thrift.transport.TTransport import TMemoryBuffer
 
 from swifthoist_core import records
 from swifthoist_core.catalogue import Entry, Work
 from swifthoist_core.records import PartPlacement, Record
 from swifthoist_core.shapes import GuaranteedShape, Shape, WorkerSpec
+from swifthoist_platform.orders import PartKey, PartState, RenewOrder
+from swifthoist_platform.workers import WorkerClient
+from swifthoistd.gen.peer.ttypes import Heartbeat
+from swifthoistd.members import Heard
+from swifthoistd.peers import beat_of, heard_of
+from swifthoistd.rpc import Channel, serve_channel
 
 _ROUNDS = 5
 _MESSAGES = 200
 _NS_PER_US = 1_000
 _FRAME_BYTES = 4
+_CALL_BYTES = 10
+HEARD = Heard(
+    records.Author('entry-instance-12', 1_796_000_000_000),
+    'zone-3',
+    9_000_000,
+    False,
+    {f'runner-{number}': 3 for number in range(24)},
+    0,
+    {},
+)
 _BYTES_PER_MIB = 1_048_576
 
 
@@ -137,48 +153,38 @@
 
 
 def heartbeat_cost(rounds: int = 2_000) -> Cost:
-    """Write and read a heartbeat with the compact protocol."""
-    started_ns = time.process_time_ns()
-    for turn in range(rounds):
-        packed = _heartbeat(turn)
-        reader = TCompactProtocolAccelerated(TMemoryBuffer(packed))
-        reader.readStructBegin()
-    cpu_us = (time.process_time_ns() - started_ns) / _NS_PER_US / rounds
-    return Cost('heartbeat', len(packed) + _FRAME_BYTES, cpu_us)
+    """Send heartbeats over a connection and answer them, both ends here."""
+    return anyio.run(_beat, rounds)
+
+
+async def _beat(rounds: int) -> Cost:
+    async with anyio.create_task_group() as group:
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        group.start_soon(listener.serve, _answer_beats)
+        port = listener.extra(SocketAttribute.local_port)
+        stream = await anyio.connect_tcp('127.0.0.1', port)
+        channel = Channel(stream)
+        beat = beat_of(HEARD)
+        started_ns = time.process_time_ns()
+        for _ in range(rounds):
+            await channel.call('beat', beat)
+        cpu_us = (time.process_time_ns() - started_ns) / _NS_PER_US / rounds
+        group.cancel_scope.cancel()
+    return Cost('heartbeat', 2 * (_beat_bytes() + _FRAME_BYTES), cpu_us)
 
 
-def _heartbeat(offset: int) -> bytes:
-    buffer = TMemoryBuffer()
-    writer = TCompactProtocolAccelerated(buffer)
-    writer.writeStructBegin('Heartbeat')
-    fields = (
-        (TType.STRING, writer.writeString, 'entry-instance-12'),
-        (TType.I64, writer.writeI64, 1_796_000_000_000),
-        (TType.I64, writer.writeI64, 9_000_000 + offset),
-        (TType.BOOL, writer.writeBool, False),
-    )
-    for number, (kind, write, content) in enumerate(fields, start=1):
-        writer.writeFieldBegin('', kind, number)
-        write(content)
-        writer.writeFieldEnd()
-    writer.writeFieldStop()
-    writer.writeStructEnd()
-    return buffer.getvalue()
-
-
-class Renewal(NamedTuple):
-    """A message that renews the leases of all parts on a worker.
-
-    :ivar epoch: epoch of the cell.
-    :ivar offset: offset up to which the sender has folded.
-    :ivar lease_ms: how long the leases hold.
-    :ivar parts: ids of the parts.
-    """
+async def _answer_beats(stream: SocketStream) -> None:
+    await serve_channel(Channel(stream), {'beat': _answer_beat})
+
+
+async def _answer_beat(sender: Heartbeat) -> Heartbeat:
+    return beat_of(heard_of(sender))
 
-    epoch: int
-    offset: int
-    lease_ms: int
-    parts: tuple[str, ...]
+
+def _beat_bytes() -> int:
+    buffer = TMemoryBuffer()
+    beat_of(HEARD).write(TCompactProtocolAccelerated(buffer, fallback=True))
+    return len(buffer.getvalue()) + _CALL_BYTES
 
 
 def renewal_cost(parts: int) -> Cost:
@@ -196,36 +202,43 @@
 
 
 async def _renew(port: int, parts: int) -> Cost:
-    names = tuple(f'job-{part * 17}/1/{part}' for part in range(parts))
-    async with httpx.AsyncClient() as client:
-        url = f'http://127.0.0.1:{port}/v1/leases'
-        reply = await client.post(url, content=b'')
+    keys = tuple(
+        PartKey(f'job-{part * 17:016x}', 1, part) for part in range(parts)
+    )
+    states = tuple(
+        PartState(*key, 'running', 1, 1_796_000_000_000, 0, '') for key in keys
+    )
+    async with httpx.AsyncClient(trust_env=False) as client:
+        worker = WorkerClient(client, f'127.0.0.1:{port}')
+        await worker.renew(RenewOrder(7, keys, 10_000))
         started_ns = time.process_time_ns()
-        for turn in range(_MESSAGES):
-            renewal = Renewal(7, 9_000_000 + turn, 10_000, names)
-            body = msgspec.json.encode(renewal)
-            reply = await client.post(url, content=body)
+        for _ in range(_MESSAGES):
+            await worker.renew(RenewOrder(7, keys, 10_000))
         cpu_us = (time.process_time_ns() - started_ns) / _NS_PER_US / _MESSAGES
+        url = f'http://127.0.0.1:{port}/renew'
+        body = msgspec.msgpack.encode(RenewOrder(7, keys, 10_000))
+        reply = await client.post(url, content=body)
     sent = _message_bytes(reply.request.headers, body)
-    return Cost('lease_renewal', sent + _reply_bytes(reply), cpu_us)
+    answer = _message_bytes(reply.headers, msgspec.msgpack.encode(states))
+    return Cost('lease_renewal', sent + answer, cpu_us)
 
 
 def _message_bytes(headers: httpx.Headers, body: bytes) -> int:
     lines = (len(name) + len(text) + 4 for name, text in headers.raw)
-    return sum(lines) + len('POST /v1/leases HTTP/1.1') + 4 + len(body)
-
-
-def _reply_bytes(reply: httpx.Response) -> int:
-    return _message_bytes(reply.headers, reply.content)
+    return sum(lines) + len('POST /renew HTTP/1.1') + 4 + len(body)
 
 
 async def _renewed(req: Request) -> Response:
-    await req.body()
-    return Response(b'{}', media_type='application/json')
+    order = msgspec.msgpack.decode(await req.body(), type=RenewOrder)
+    states = tuple(
+        PartState(*key, 'running', 1, 1_796_000_000_000, 0, '')
+        for key in order.leases
+    )
+    return Response(msgspec.msgpack.encode(states))
 
 
 async def _serve() -> None:
-    app = Starlette(routes=[Route('/v1/leases', _renewed, methods=['POST'])])
+    app = Starlette(routes=[Route('/renew', _renewed, methods=['POST'])])
     listener = socket.socket()
     listener.bind(('127.0.0.1', 0))
     sys.stdout.write(f'{listener.getsockname()[1]}\n')
--- a/packages/daemon/swifthoistd/renewals.py
+++ b/packages/daemon/swifthoistd/renewals.py
@@ -30,7 +30,7 @@
 MAX_PARALLEL = 64
 """Renewals under way at the same time."""
 
-ROUNDS_PER_LEASE = 4
+ROUNDS_PER_LEASE = 3
 """How often a lease is renewed before it would lapse."""
 
 PAUSE_PER_WORKER_MS = 150
