Pace counts by their size and heartbeats at one a second

Changes: a record of counts waits until it comes to 120 bytes a second, at most a minute; a heartbeat goes out once a second, two and a half of which still fit into the time after which an instance counts as silent.

--- a/bench/control.py
+++ b/bench/control.py
@@ -18,7 +18,7 @@
 from swifthoistd.peers import BEAT_S
 from swifthoistd.renewals import ROUNDS_PER_LEASE
 from swifthoistd.snapshotting import EVERY_MS
-from swifthoistd.tallies import APPEND_S
+from swifthoistd.tallies import pause_after
 
 _DAY_S = 86_400
 _US_PER_S = 1_000_000
@@ -31,7 +31,6 @@
 
 LEASE_S = 10
 HEARTBEATS_PER_S = 1 / BEAT_S
-COUNTED_EVERY_S = APPEND_S
 SNAPSHOT_EVERY_S = EVERY_MS / 1_000
 CELL_RENEWALS_PER_S = 1
 LOG_READS_PER_S = 2
@@ -110,7 +109,9 @@
     site: Site, costs: Mapping[str, Cost], renewal: Cost, beat: Cost
 ) -> Iterator[Share]:
     """Tell what each mechanism takes of one entry instance."""
-    yield _share('log follower', _records_per_s(site), costs)
+    yield _share(
+        'log follower', _records_per_s(site, costs['requests_counted']), costs
+    )
     renewals = renewals_per_s(site)
     yield _share('lease renewal', {'lease_renewal': renewals}, costs)
     # The cost of a heartbeat is that of both ends, and each instance sends
@@ -134,7 +135,8 @@
     return Share(name, cpu_us / _US_PER_S, sent / 1_000)
 
 
-def _records_per_s(site: Site) -> dict[str, float]:
+def _records_per_s(site: Site, counts: Cost) -> dict[str, float]:
+    counted_every_s = pause_after(counts.size)
     jobs = site.size.jobs_per_day / _DAY_S
     return {
         'job_submitted': jobs,
@@ -145,7 +147,7 @@
         'worker_joined': site.workers_changed / _DAY_S,
         'worker_left': 2 * site.workers_changed / _DAY_S,
         'entry_changed': site.entries_changed / _DAY_S,
-        'requests_counted': site.instances / COUNTED_EVERY_S,
+        'requests_counted': site.instances / counted_every_s,
     }
 
 
--- a/packages/daemon/swifthoistd/peers.py
+++ b/packages/daemon/swifthoistd/peers.py
@@ -16,7 +16,7 @@
 from swifthoistd.members import Heard, Member, Members
 from swifthoistd.rpc import Channel, Handler, PeerError, serve_channel
 
-BEAT_S = 0.5
+BEAT_S = 1.0
 """Time between heartbeats, in seconds."""
 
 CALL_S = 1.0
