Fail a record that cannot be encoded alone; answer unknown routes in form

Causes: one record with a number beyond 64 bits ended the task that appends and with it the process; unknown routes and methods were answered in plain text without an outcome; leases of 0 and drains of years were accepted.

--- a/packages/daemon/swifthoistd/application.py
+++ b/packages/daemon/swifthoistd/application.py
@@ -18,7 +18,7 @@
 from swifthoist_core.types import InstanceId
 from swifthoist_platform.instances import InstanceClient
 from swifthoist_platform.log import LogClient
-from swifthoistd import http_server
+from swifthoistd import http_server, replies
 from swifthoistd.answers import Answers
 from swifthoistd.api_catalogue import CatalogueApi
 from swifthoistd.api_jobs import JobApi
@@ -222,7 +222,9 @@
             *ReportApi(self._ledger, self._reconciler).routes(gate),
             *status.routes(gate),
         ]
-        self._app = Starlette(routes=routes)
+        self._app = Starlette(
+            routes=routes, exception_handlers=replies.HANDLERS
+        )
 
     def _wire_presence(self, addresses: Addresses) -> None:
         """What others are told of this instance, once it listens."""
--- a/packages/daemon/swifthoistd/metrics.py
+++ b/packages/daemon/swifthoistd/metrics.py
@@ -74,7 +74,7 @@
         for labels, histogram in self._histograms.items():
             for quantile in _QUANTILES:
                 latency = histogram.get_value_at_percentile(quantile)
-                gauge = self._latency.labels(*labels, str(quantile / 100))
+                gauge = self._latency.labels(*labels, f'{quantile / 100:g}')
                 gauge.set(latency)
         exposed: bytes = generate_latest(self._registry)
         return exposed
--- a/packages/daemon/swifthoistd/outbox.py
+++ b/packages/daemon/swifthoistd/outbox.py
@@ -173,11 +173,21 @@
                 pending.landed = False
                 pending.doubtful = True
 
+    def _reject(self, pending: Pending, reason: str) -> None:
+        """End a record that can never be appended, and no other."""
+        self._queue.remove(pending)
+        pending.verdict = Verdict(self._author, 0, 0, reason)
+        pending.finished.set()
+
     def _number(self, free: int) -> list[Pending]:
         fresh = list(itertools.islice(self._queue, max(free, 0)))
         for seq, pending in enumerate(fresh, self._next_seq):
             envelope = Envelope(self._author, seq, pending.record)
-            pending.payload = codec.encode(envelope)
+            try:
+                pending.payload = codec.encode(envelope)
+            except (TypeError, ValueError, OverflowError) as exc:
+                self._reject(pending, f'cannot be encoded: {exc}')
+                return self._number(free)
         batch = _fitting(fresh)
         for seq, pending in enumerate(batch, self._next_seq):
             pending.seq = seq
--- a/packages/daemon/swifthoistd/replies.py
+++ b/packages/daemon/swifthoistd/replies.py
@@ -1,8 +1,11 @@
 """Replies of the HTTP API, all of one form."""
 
+import logging
 from collections.abc import Sequence
 
 import msgspec
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
 from starlette.responses import Response
 
 from swifthoist_core.errors import Finding
@@ -24,6 +27,9 @@
 TOO_MANY = 429
 UNAVAILABLE = 503
 UNKNOWN_OUTCOME = 504
+FAILED = 500
+
+_log = logging.getLogger(__name__)
 
 
 def json_reply(content: object, status: int = OK) -> Response:
@@ -81,3 +87,21 @@
     """
     content = {'outcome': 'unknown', 'reason': reason}
     return json_reply(content, UNKNOWN_OUTCOME)
+
+
+async def _reply_http_error(request: Request, exc: Exception) -> Response:
+    status = exc.status_code if isinstance(exc, HTTPException) else FAILED
+    return not_run(f'{request.method} {request.url.path}: {exc}', status)
+
+
+async def _reply_failure(request: Request, exc: Exception) -> Response:
+    """Reply to a fault of the program, which may have done anything."""
+    _log.exception('a call failed', exc_info=exc)
+    return unknown('the instance failed')
+
+
+HANDLERS = {
+    HTTPException: _reply_http_error,
+    Exception: _reply_failure,
+}
+"""Replies of the API's own form to what no route answers."""
--- a/packages/daemon/swifthoistd/settings.py
+++ b/packages/daemon/swifthoistd/settings.py
@@ -12,6 +12,8 @@
 _PREFIX = 'SWIFTHOISTD_'
 _MAX_PORT = 65_535
 _MIN_SECRET = 16
+_MIN_LEASE_MS = 1_000
+_MAX_MS = 600_000
 _LEVELS = ('debug', 'info', 'warning', 'error')
 
 
@@ -200,8 +202,16 @@
     return _address_problem(rest.rstrip('/'))
 
 
+def _lease_problem(text: str) -> str:
+    if text.isdecimal() and _MIN_LEASE_MS <= int(text) <= _MAX_MS:
+        return ''
+    return f'must be a number of ms from {_MIN_LEASE_MS} to {_MAX_MS}'
+
+
 def _millis_problem(text: str) -> str:
-    return '' if text.isdigit() else 'must be a number of ms'
+    if text.isdecimal() and int(text) <= _MAX_MS:
+        return ''
+    return f'must be a number of ms up to {_MAX_MS}'
 
 
 def _name_problem(text: str) -> str:
@@ -226,8 +236,8 @@
     'log_url': _url_problem,
     'list_url': _url_problem,
     'secret': _secret_problem,
-    'cell_lease_ms': _millis_problem,
-    'worker_lease_ms': _millis_problem,
+    'cell_lease_ms': _lease_problem,
+    'worker_lease_ms': _lease_problem,
     'drain_ms': _millis_problem,
     'log_level': _level_problem,
 }
--- a/tests/daemon/test_journal.py
+++ b/tests/daemon/test_journal.py
@@ -5,6 +5,7 @@
 import anyio
 
 from swifthoist_core.errors import LogUnavailableError, OutcomeUnknownError
+from swifthoist_core.records import EntryChanged
 from swifthoist_core.requests import Phase
 from swifthoistd import journal
 from swifthoistd.logs import LEDGER_STREAM
@@ -44,6 +45,22 @@
 
         run(main)
 
+    def test_a_record_that_cannot_be_encoded_fails_alone(self) -> None:
+        """The instance goes on with the records behind it."""
+
+        async def main() -> None:
+            entry = Instance('e1', FakeLog())
+            too_large = EntryChanged('e', 1 << 70, None, 'op')
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lambda: entry.run(decides=False))
+                refused = await entry.journal.commit(too_large, 5)
+                taken = await entry.journal.commit(intent('next'), 5)
+                entry.kill()
+            self.assertIn('cannot be encoded', refused.reason)
+            self.assertTrue(taken.accepted)
+
+        run(main)
+
     def test_a_full_queue_is_refused_at_once(self) -> None:
         """What was not taken surely does not run."""
 
--- a/tests/daemon/test_program.py
+++ b/tests/daemon/test_program.py
@@ -216,6 +216,8 @@
             ('POST', '/v1/jobs', OWNER, {'json': {'colour': 1}}, 400),
             ('POST', '/v1/requests/none', OWNER, {'content': b''}, 404),
             ('GET', '/v1/jobs/none', OWNER, {}, 404),
+            ('GET', '/v1/nothing', OWNER, {}, 404),
+            ('PATCH', '/v1/jobs', OWNER, {}, 405),
             ('PUT', '/v1/catalogue/a', None, {'json': {}}, 400),
             ('GET', '/v1/reports/usage?month=May', OWNER, {}, 400),
         )
