--- a/tests/core/test_placement_machine.py
+++ b/tests/core/test_placement_machine.py
@@ -222,7 +222,7 @@
             twin.append_envelope(envelope)
         self.book.ledger.planned = Planned()
         for part in (twin.ledger.jobs, twin.ledger.fleet):
-            part.reindex()
+            part.rebuild()
         twin.ledger.reservations.reindex()
         twin.ledger.virtual_cells = twin.ledger.virtual_cells.copy()
         assert plan(twin.ledger) == plan(self.book.ledger)
