--- a/tests/core/test_placement_machine.py
+++ b/tests/core/test_placement_machine.py
@@ -223,7 +223,7 @@
         self.book.ledger.planned = Planned()
         for part in (twin.ledger.jobs, twin.ledger.fleet):
             part.rebuild()
-        twin.ledger.reservations.reindex()
+        twin.ledger.reservations.rebuild()
         twin.ledger.virtual_cells = twin.ledger.virtual_cells.copy()
         assert plan(twin.ledger) == plan(self.book.ledger)
         cells = twin.ledger.virtual_cells.cells()
