Name modules by the field's terms

targets.py meant places in a placement, though a target is a back end in the users' words: candidates.py. rests.py, settling.py, turns.py, race.py, standing.py and workforce.py are plan_cache, placement_steps, fair_queue, hedging, runner_health and worker_registry. Behaviour is as it was.

--- a/packages/core/swifthoist_core/targets.py
+++ b/packages/core/swifthoist_core/candidates.py
@@ -50,7 +50,7 @@
     DRAIN = 'drain'
 
 
-class Target(NamedTuple):
+class Candidate(NamedTuple):
     """A place for a whole gang, and who must leave it first.
 
     :ivar parts: a place for each part.
@@ -191,7 +191,7 @@
         return weighed + policy.fragmentation_weight * spare
 
 
-def choose_guaranteed(ledger: 'Ledger', job: Job) -> Target | None:
+def choose_guaranteed(ledger: 'Ledger', job: Job) -> Candidate | None:
     """Choose the place in its owner's cells that costs least to clear.
 
     :param ledger: the state.
@@ -208,7 +208,7 @@
     return target
 
 
-def choose_aged(ledger: 'Ledger', job: Job) -> Target | None:
+def choose_aged(ledger: 'Ledger', job: Job) -> Candidate | None:
     """Choose the place of borrowers that have run for long.
 
     :param ledger: the state.
@@ -224,7 +224,7 @@
     return _choose(ledger, shape, _all_positions(ledger, shape), rule)
 
 
-def choose_drain(ledger: 'Ledger', job: Job) -> Target | None:
+def choose_drain(ledger: 'Ledger', job: Job) -> Candidate | None:
     """Choose the place that a large gang will have soonest.
 
     Nothing new starts there, so what runs there only grows older, and the
@@ -241,7 +241,7 @@
     return choose_soonest(ledger, shape)
 
 
-def choose_soonest(ledger: 'Ledger', shape: Shape) -> Target | None:
+def choose_soonest(ledger: 'Ledger', shape: Shape) -> Candidate | None:
     """Choose the place in which borrowers can be asked to stop soonest.
 
     :param ledger: the state.
@@ -273,7 +273,7 @@
     return urgent or elapsed_ms(ledger, job) >= PATIENCE_MS
 
 
-def choose(ledger: 'Ledger', job: Job) -> tuple[Target, bool] | None:
+def choose(ledger: 'Ledger', job: Job) -> tuple[Candidate, bool] | None:
     """Choose the place for which others must give way to a job.
 
     :param ledger: the state.
@@ -292,13 +292,13 @@
     shape: Shape,
     positions: Iterable[PartPlacement],
     rule: Yield,
-) -> Target | None:
+) -> Candidate | None:
     groups: dict[str, list[PartPlacement]] = {}
     for place in positions:
         spec = ledger.fleet.spec(place.worker)
         name = domain(spec, shape.adjacency) if spec else ''
         groups.setdefault(name, []).append(place)
-    best: Target | None = None
+    best: Candidate | None = None
     for _, group in sorted(groups.items()):
         if len(group) < shape.parts:
             continue
@@ -307,7 +307,9 @@
     return best
 
 
-def _cheaper(one: Target | None, other: Target | None) -> Target | None:
+def _cheaper(
+    one: Candidate | None, other: Candidate | None
+) -> Candidate | None:
     if one is None or other is None:
         return one or other
     return other if other.loss < one.loss else one
@@ -315,7 +317,7 @@
 
 def _fill(
     trial: Trial, group: Iterable[PartPlacement], wanted: int
-) -> Target | None:
+) -> Candidate | None:
     priced = [(trial.price(place), place) for place in group]
     ranked = sorted(
         (price, place) for price, place in priced if price is not None
@@ -325,7 +327,7 @@
         if trial.take(place):
             parts.append(place)
         if len(parts) == wanted:
-            return Target(tuple(parts), tuple(trial.victims), trial.loss)
+            return Candidate(tuple(parts), tuple(trial.victims), trial.loss)
     return None
 
 
--- a/packages/core/swifthoist_core/drains.py
+++ b/packages/core/swifthoist_core/drains.py
@@ -2,18 +2,18 @@
 
 from typing import TYPE_CHECKING
 
-from swifthoist_core.job_states import Job
-from swifthoist_core.ordering import large_patience_ms
-from swifthoist_core.reservations import Drain, Reservation, total_holds
-from swifthoist_core.room_index import Room
-from swifthoist_core.shapes import Shape
-from swifthoist_core.targets import (
+from swifthoist_core.candidates import (
     LARGE_ACCELERATORS,
     PATIENCE_MS,
-    Target,
+    Candidate,
     choose_drain,
     choose_soonest,
 )
+from swifthoist_core.job_states import Job
+from swifthoist_core.ordering import large_patience_ms
+from swifthoist_core.reservations import Drain, Reservation, total_holds
+from swifthoist_core.room_index import Room
+from swifthoist_core.shapes import Shape
 from swifthoist_core.types import JobId, Millis, WorkerId
 
 if TYPE_CHECKING:
@@ -92,13 +92,13 @@
         return self._remember(job.spec.job_id, job.spec.shape, target)
 
     def _known(self, name: JobId) -> Drain | None:
-        known = self._ledger.planned.drains.get(name)
+        known = self._ledger.plan_cache.drains.get(name)
         if known is None or self._ledger.time_ms >= known.until_ms:
             return None
         return known
 
     def _remember(
-        self, name: JobId, shape: Shape, target: Target | None
+        self, name: JobId, shape: Shape, target: Candidate | None
     ) -> Reservation | None:
         now_ms = self._ledger.time_ms
         place: Reservation | None = None
@@ -107,7 +107,7 @@
             place = Reservation(
                 shape, target.parts, target.victims, True, due_ms
             )
-        drains = self._ledger.planned.drains
+        drains = self._ledger.plan_cache.drains
         expired = [key for key in drains if drains[key].until_ms < now_ms]
         for old in expired:
             drains.pop(old)
--- a/packages/core/swifthoist_core/explain.py
+++ b/packages/core/swifthoist_core/explain.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple
 
+from swifthoist_core.candidates import Candidate, choose, choose_soonest
 from swifthoist_core.job_states import Job, Status
 from swifthoist_core.ledger import Ledger
-from swifthoist_core.targets import Target, choose, choose_soonest
 from swifthoist_core.types import JobId, Millis
 
 
@@ -83,7 +83,7 @@
     )
 
 
-def _expected_ms(ledger: Ledger, target: Target) -> Millis:
+def _expected_ms(ledger: Ledger, target: Candidate) -> Millis:
     left = [0]
     for job_id in target.victims:
         job = ledger.jobs.get(job_id)
--- a/packages/core/swifthoist_core/ledger.py
+++ b/packages/core/swifthoist_core/ledger.py
@@ -13,11 +13,7 @@
 from swifthoist_core.health import Health
 from swifthoist_core.holdings import Holdings
 from swifthoist_core.jobs import ENDED, Job, Jobs
-from swifthoist_core.records import Author, Envelope, Record
-from swifthoist_core.requests import Requests
-from swifthoist_core.reservations import Reservations
-from swifthoist_core.rests import Planned
-from swifthoist_core.settling import (
+from swifthoist_core.placement_steps import (
     adopt,
     claim_place,
     drain_worker,
@@ -29,6 +25,10 @@
     retry_workers,
     unreserve,
 )
+from swifthoist_core.plan_cache import PlanCache
+from swifthoist_core.records import Author, Envelope, Record
+from swifthoist_core.requests import Requests
+from swifthoist_core.reservations import Reservations
 from swifthoist_core.shortfalls import Shortfalls
 from swifthoist_core.spans import SpanKey, span_of
 from swifthoist_core.types import Epoch, Millis, Offset
@@ -78,10 +78,10 @@
     :ivar jobs: jobs.
     :ivar requests: non-idempotent requests.
     :ivar account: who got what.
-    :ivar planned: what the planner remembers; no part of the state.
+    :ivar plan_cache: what the planner remembers; no part of the state.
     """
 
-    DERIVED = frozenset(('planned',))
+    DERIVED = frozenset(('plan_cache',))
     """What :meth:`rebuild` starts anew, since it is no part of the state."""
 
     def __init__(self) -> None:
@@ -101,13 +101,13 @@
         self.account = Account()
         self.holdings = Holdings()
         self.shortfalls = Shortfalls()
-        self.planned = Planned()
+        self.plan_cache = PlanCache()
         self.passed_over = 0
         self._forgot_ms: Millis = 0
 
     def rebuild(self) -> None:
         """Forget what was planned, after the state was loaded."""
-        self.planned = Planned()
+        self.plan_cache = PlanCache()
 
     def fold(
         self, offset: Offset, time_ms: Millis, envelope: Envelope
@@ -121,7 +121,7 @@
         :raises ValueError: when a record was left out.
         """
         self._advance(offset, time_ms)
-        self.planned.frees += retry_workers(self)
+        self.plan_cache.frees += retry_workers(self)
         author, seq, record = envelope
         reason = self.authors.add(author, seq, self.time_ms)
         if reason:
@@ -173,7 +173,7 @@
     def _apply(self, author: Author, record: Record, offset: Offset) -> str:
         match record:
             case records.EntryChanged() | records.PolicyChanged():
-                self.planned.frees += 1
+                self.plan_cache.frees += 1
                 return self._apply_catalogue(record)
             case records.CellClaimed():
                 return self.cell.claim(author, record, self.time_ms)
@@ -190,10 +190,10 @@
                     self.account.add_tally(self.time_ms, tally)
                 return ''
             case records.JobSubmitted():
-                self.planned.changes += 1
+                self.plan_cache.changes += 1
                 return self._submit(record)
             case records.JobCancelled():
-                self.planned.frees += 1
+                self.plan_cache.frees += 1
                 return self._cancel(record, offset)
             case _:
                 return self._apply_decision(author, record, offset)
@@ -229,7 +229,7 @@
         self, author: Author, record: Record, offset: Offset
     ) -> str:
         epoch: Epoch = getattr(record, 'epoch', 0)
-        self.planned.changes += 1
+        self.plan_cache.changes += 1
         stale = self.cell.check(author, epoch)
         if stale:
             return stale
@@ -239,19 +239,19 @@
             case records.JobStarted():
                 return self.jobs.start(record, self.time_ms)
             case records.JobReclaimed():
-                self.planned.frees += 1
+                self.plan_cache.frees += 1
                 return self._reclaim(record, offset)
             case records.JobEnded():
-                self.planned.frees += 1
+                self.plan_cache.frees += 1
                 return self._end(record)
             case records.UsageCorrected(use=use):
                 span = SpanKey(record.job_id, record.attempt, use.part)
                 return self.account.correct_span(span, use, self.time_ms)
             case records.WorkerJoined(spec=spec):
-                self.planned.frees += 1
+                self.plan_cache.frees += 1
                 return join_worker(self, spec)
             case records.WorkerLeft(worker=worker, lost=lost):
-                self.planned.frees += 1
+                self.plan_cache.frees += 1
                 if not lost:
                     return drain_worker(self, worker)
                 return _lose(self, worker)
--- a/packages/core/swifthoist_core/ordering.py
+++ b/packages/core/swifthoist_core/ordering.py
@@ -3,9 +3,9 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from swifthoist_core.candidates import LARGE_ACCELERATORS, PATIENCE_MS
 from swifthoist_core.catalogue import Policy
 from swifthoist_core.job_states import Job
-from swifthoist_core.targets import LARGE_ACCELERATORS, PATIENCE_MS
 from swifthoist_core.types import JobId, Millis
 
 if TYPE_CHECKING:
--- a/packages/core/swifthoist_core/settling.py
+++ b/packages/core/swifthoist_core/placement_steps.py
@@ -8,6 +8,7 @@
 
 from swifthoist_core.bindings import evacuate, mend
 from swifthoist_core.buddies import mask_of
+from swifthoist_core.candidates import choose
 from swifthoist_core.guarantees import (
     Proposal,
     admit,
@@ -27,7 +28,6 @@
 from swifthoist_core.reservations import Reservation
 from swifthoist_core.room_index import Room
 from swifthoist_core.shapes import WorkerSpec
-from swifthoist_core.targets import choose
 from swifthoist_core.types import JobId, Millis, WorkerId
 
 if TYPE_CHECKING:
--- a/packages/core/swifthoist_core/rests.py
+++ b/packages/core/swifthoist_core/plan_cache.py
@@ -7,11 +7,11 @@
 from swifthoist_core.shapes import Shape
 from swifthoist_core.types import JobId, Millis, OwnerId, WorkerId
 
-REST_MS = 1_000
+CACHE_MS = 1_000
 """Without a change nothing is planned anew for so long, in ms."""
 
 
-class Alike(NamedTuple):
+class PlacementKey(NamedTuple):
     """Jobs that find a place or find none together.
 
     :ivar owner: the team.
@@ -32,7 +32,7 @@
     urgency: Urgency
 
 
-class Rest(NamedTuple):
+class CachedPlan(NamedTuple):
     """What found no place when the planner was last called.
 
     :ivar frees: count of the records that freed places until then.
@@ -44,15 +44,15 @@
     frees: int = -1
     changes: int = -1
     until_ms: Millis = 0
-    failed: frozenset[Alike] = frozenset()
+    failed: frozenset[PlacementKey] = frozenset()
 
 
-class Planned:
+class PlanCache:
     """What an instance remembers of its planning; no part of the state.
 
     :ivar changes: count of the records that may change what is planned.
     :ivar frees: count of those that may free a place.
-    :ivar rest: when the planner last came to rest.
+    :ivar last: what the planner last found, while nothing has changed.
     :ivar drains: places that are drained, by the job that needs them.
     """
 
@@ -60,5 +60,5 @@
         """Remember nothing."""
         self.changes = 0
         self.frees = 0
-        self.rest = Rest()
+        self.last = CachedPlan()
         self.drains: dict[JobId, Drain] = {}
--- a/packages/core/swifthoist_core/planner.py
+++ b/packages/core/swifthoist_core/planner.py
@@ -4,22 +4,22 @@
 from typing import NamedTuple, TypeAlias
 
 from swifthoist_core.bindings import move
+from swifthoist_core.candidates import (
+    Candidate,
+    choose_aged,
+    choose_guaranteed,
+    is_aged,
+    is_desperate,
+)
 from swifthoist_core.drains import Drains
 from swifthoist_core.explain import Explanation, explain_wait
 from swifthoist_core.fleet import Search
 from swifthoist_core.job_states import Job, Status
 from swifthoist_core.ledger import Ledger
 from swifthoist_core.ordering import rank_of
+from swifthoist_core.plan_cache import CACHE_MS, CachedPlan, PlacementKey
 from swifthoist_core.records import PartPlacement
 from swifthoist_core.reservations import Reservation
-from swifthoist_core.rests import REST_MS, Alike, Rest
-from swifthoist_core.targets import (
-    Target,
-    choose_aged,
-    choose_guaranteed,
-    is_aged,
-    is_desperate,
-)
 from swifthoist_core.types import JobId, WorkerId
 
 
@@ -63,18 +63,18 @@
     :param ledger: the state at an offset.
     :returns: decisions to be put on the log together, empty if none.
     """
-    rest = ledger.planned.rest
+    last = ledger.plan_cache.last
     fresh = (
-        rest.frees != ledger.planned.frees or ledger.time_ms >= rest.until_ms
+        last.frees != ledger.plan_cache.frees or ledger.time_ms >= last.until_ms
     )
-    if not fresh and rest.changes == ledger.planned.changes:
+    if not fresh and last.changes == ledger.plan_cache.changes:
         return ()
-    failed = set() if fresh else set(rest.failed)
-    until_ms = ledger.time_ms + REST_MS if fresh else rest.until_ms
+    failed = set() if fresh else set(last.failed)
+    until_ms = ledger.time_ms + CACHE_MS if fresh else last.until_ms
     decisions = _first_decisions(ledger, failed)
-    changes = -1 if decisions else ledger.planned.changes
-    ledger.planned.rest = Rest(
-        ledger.planned.frees, changes, until_ms, frozenset(failed)
+    changes = -1 if decisions else ledger.plan_cache.changes
+    ledger.plan_cache.last = CachedPlan(
+        ledger.plan_cache.frees, changes, until_ms, frozenset(failed)
     )
     return decisions
 
@@ -90,7 +90,7 @@
 
 
 def _first_decisions(
-    ledger: Ledger, failed: set[Alike]
+    ledger: Ledger, failed: set[PlacementKey]
 ) -> tuple[Decision, ...]:
     drains = Drains(ledger)
     waiting = sorted(
@@ -108,10 +108,10 @@
     return ()
 
 
-def _alike(ledger: Ledger, job: Job) -> Alike:
+def _alike(ledger: Ledger, job: Job) -> PlacementKey:
     spec = job.spec
     reserved = ledger.reservations.get(spec.job_id) is not None
-    return Alike(
+    return PlacementKey(
         spec.owner,
         spec.shape,
         spec.idempotent,
@@ -153,7 +153,9 @@
     return _reclaims(ledger, job, kept.victims)
 
 
-def _decide_own(ledger: Ledger, job: Job, own: Target) -> tuple[Decision, ...]:
+def _decide_own(
+    ledger: Ledger, job: Job, own: Candidate
+) -> tuple[Decision, ...]:
     if not own.victims:
         return (_place(job, own.parts, lent=False),)
     parts = _find_movable(ledger, job)
--- a/packages/daemon/swifthoistd/application.py
+++ b/packages/daemon/swifthoistd/application.py
@@ -56,7 +56,7 @@
 from swifthoistd.tallies import Tallies
 from swifthoistd.tenure import Tenure
 from swifthoistd.usage import Reconciler, UsageReader
-from swifthoistd.workforce import Workforce
+from swifthoistd.worker_registry import WorkerRegistry
 
 _LOG_CONNECTIONS = 8
 _WORKER_CONNECTIONS = 256
@@ -185,13 +185,13 @@
         self._reconciler = Reconciler(
             self._ledger, UsageReader(commands), self._clock
         )
-        self._workforce = Workforce(self._ledger, board, lease_ms)
+        self._worker_registry = WorkerRegistry(self._ledger, board, lease_ms)
         self._scheduler = Scheduler(
             self._follower,
             self._journal,
             self._tenure,
             gangs,
-            self._workforce,
+            self._worker_registry,
         )
 
     def _wire_api(self, sourced: tuple[Sourced, ...]) -> None:
@@ -236,7 +236,7 @@
             self._shares,
             self._runners,
             self._chooser,
-            self._workforce,
+            self._worker_registry,
         )
         self._presence = Presence(self._cfg, self._me, addresses, about)
         self._directory.on_list(self._presence.note_list)
--- a/packages/daemon/swifthoistd/attempts.py
+++ b/packages/daemon/swifthoistd/attempts.py
@@ -22,8 +22,8 @@
     Sending,
 )
 from swifthoistd.retries import RetryPolicy
+from swifthoistd.runner_health import Verdict
 from swifthoistd.runners import Runner, Runners
-from swifthoistd.standing import Verdict
 from swifthoistd.work import WorkRequest
 
 _MS_PER_S = 1_000
--- a/packages/daemon/swifthoistd/choice.py
+++ b/packages/daemon/swifthoistd/choice.py
@@ -9,9 +9,9 @@
 
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import InstanceId, Millis, RunnerId, ZoneId
+from swifthoistd.runner_health import RunnerHealth, Verdict
 from swifthoistd.runners import Runner
 from swifthoistd.shares import Shares
-from swifthoistd.standing import Standing, Verdict
 
 _CAPACITY_MS = 20
 
@@ -77,7 +77,7 @@
         self._shares = shares
         self._rng = rng
         self._cfg = cfg
-        self._standings: dict[RunnerId, Standing] = {}
+        self._standings: dict[RunnerId, RunnerHealth] = {}
         self._in_use: dict[RunnerId, list[Slot]] = {}
         self._reports: dict[InstanceId, _Report] = {}
         self._freed = anyio.Event()
@@ -193,10 +193,10 @@
             if runner_id in kept or runner_id in self._in_use
         }
 
-    def _standing(self, runner: Runner) -> Standing:
+    def _standing(self, runner: Runner) -> RunnerHealth:
         standing = self._standings.get(runner.runner_id)
         if standing is None or standing.incarnation != runner.incarnation:
-            standing = Standing(runner.incarnation)
+            standing = RunnerHealth(runner.incarnation)
             self._standings[runner.runner_id] = standing
         return standing
 
@@ -297,7 +297,7 @@
             self._chooser.finish(self, verdict, slowness)
 
 
-def _usual_failures(standings: Collection[Standing]) -> float:
+def _usual_failures(standings: Collection[RunnerHealth]) -> float:
     # The better runners show what failures the requests bring along.
     ratios = sorted(standing.failures for standing in standings)
     return ratios[len(ratios) // 4]
--- a/packages/daemon/swifthoistd/dispatch.py
+++ b/packages/daemon/swifthoistd/dispatch.py
@@ -10,8 +10,8 @@
 from swifthoistd.choice import Chooser
 from swifthoistd.connections import Connections
 from swifthoistd.counters import Counters
+from swifthoistd.hedging import IdempotentSending
 from swifthoistd.limits import Limiter, Permit, Refusal
-from swifthoistd.race import Race
 from swifthoistd.recorded import RecordedSending
 from swifthoistd.retries import RetryPolicy
 from swifthoistd.runners import Runners
@@ -137,7 +137,9 @@
         try:
             if job.req.idempotent:
                 parts = self._parts
-                race = Race(job, self._attempts, parts.policy, parts.counters)
+                race = IdempotentSending(
+                    job, self._attempts, parts.policy, parts.counters
+                )
                 return await race.run()
             return await self._send_recorded(job)
         finally:
--- a/packages/daemon/swifthoistd/turns.py
+++ b/packages/daemon/swifthoistd/fair_queue.py
@@ -41,7 +41,7 @@
 _Owners: TypeAlias = OrderedDict[OwnerId, _Classes]
 
 
-class Turns:
+class FairQueue:
     """The aggregate of all waiting requests.
 
     Owners of the same urgency take turns, whatever the length of their
--- a/packages/daemon/swifthoistd/race.py
+++ b/packages/daemon/swifthoistd/hedging.py
@@ -15,7 +15,7 @@
 _RETRY_MS = 250
 
 
-class Race:
+class IdempotentSending:
     """The attempts of one idempotent request."""
 
     def __init__(
--- a/packages/daemon/swifthoistd/limits.py
+++ b/packages/daemon/swifthoistd/limits.py
@@ -8,8 +8,8 @@
 from swifthoist_core.catalogue import Entry, Limits
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import ClassName, Millis, OwnerId
+from swifthoistd.fair_queue import FairQueue, Waiter
 from swifthoistd.shares import Shares
-from swifthoistd.turns import Turns, Waiter
 
 _MS_PER_S = 1_000
 _MIN_RETRY_MS = 10
@@ -84,7 +84,7 @@
         self._shares = shares
         self._capacity = capacity
         self._usage: dict[tuple[OwnerId, ClassName], _Usage] = {}
-        self._turns = Turns()
+        self._queue = FairQueue()
         self._in_progress = 0
 
     @property
@@ -95,7 +95,7 @@
     @property
     def queued(self) -> int:
         """Requests that wait to be admitted."""
-        return len(self._turns)
+        return len(self._queue)
 
     async def admit(self, entry: Entry, until_ms: Millis) -> Permit | Refusal:
         """Wait for a turn, or refuse at once.
@@ -109,7 +109,7 @@
         if refusal is not None:
             return refusal
         waiter = Waiter(entry, until_ms)
-        self._turns.add(waiter)
+        self._queue.add(waiter)
         usage.queued += 1
         self.wake()
         if waiter.admitted:
@@ -129,7 +129,7 @@
         """Admit as many waiting requests as there is capacity for."""
         capacity = self._capacity()
         while self._in_progress < capacity:
-            waiter = self._turns.take(self._may_start)
+            waiter = self._queue.take(self._may_start)
             if waiter is None:
                 return
             self._start(waiter)
@@ -173,7 +173,7 @@
         if waiter.admitted:
             self._end(usage)
         elif not waiter.woken.is_set():
-            self._turns.remove(waiter)
+            self._queue.remove(waiter)
             usage.queued -= 1
 
     def _end(self, usage: _Usage) -> None:
@@ -207,7 +207,7 @@
         return None
 
     def _expected_wait_ms(self, entry: Entry, usage: _Usage) -> Millis:
-        rivals = max(1, self._turns.owners())
+        rivals = max(1, self._queue.owners())
         here = max(1, self._capacity()) / rivals
         own = min(here, self._limits_here(entry).concurrency)
         return max(_MIN_RETRY_MS, round(usage.queued * usage.hold_ms / own))
--- a/packages/daemon/swifthoistd/permissions.py
+++ b/packages/daemon/swifthoistd/permissions.py
@@ -34,7 +34,7 @@
 
 
 class Permissions:
-    """Turns the outcomes of the log into those of the request path."""
+    """FairQueue the outcomes of the log into those of the request path."""
 
     def __init__(
         self, recorded: intents.Intents, follower: Follower, clock: Clock
--- a/packages/daemon/swifthoistd/presence.py
+++ b/packages/daemon/swifthoistd/presence.py
@@ -14,7 +14,7 @@
 from swifthoistd.settings import Settings
 from swifthoistd.shares import Shares
 from swifthoistd.tenure import Tenure
-from swifthoistd.workforce import Workforce
+from swifthoistd.worker_registry import WorkerRegistry
 
 SHARE_S = 0.25
 """Time between two looks at what peers said, in seconds."""
@@ -41,7 +41,7 @@
     :ivar shares: this instance's part of the runners.
     :ivar runners: the table of runners.
     :ivar chooser: what is in flight at them.
-    :ivar workforce: the workers as listed.
+    :ivar worker_registry: the workers as listed.
     """
 
     ledger: Ledger
@@ -51,7 +51,7 @@
     shares: Shares
     runners: Runners
     chooser: Chooser
-    workforce: Workforce
+    worker_registry: WorkerRegistry
 
 
 class Presence:
@@ -109,7 +109,7 @@
             for line in listed
             if line.kind == 'entry'
         )
-        about.workforce.note_listed(
+        about.worker_registry.note_listed(
             [line for line in listed if line.kind == 'worker']
         )
         about.runners.replace(
--- a/packages/daemon/swifthoistd/standing.py
+++ b/packages/daemon/swifthoistd/runner_health.py
@@ -27,7 +27,7 @@
     NEUTRAL = 'neutral'
 
 
-class Standing:
+class RunnerHealth:
     """The aggregate of one runner's recent answers in one life.
 
     A runner that fails far more than the others is set aside.  Once the
--- a/packages/daemon/swifthoistd/scheduling.py
+++ b/packages/daemon/swifthoistd/scheduling.py
@@ -14,7 +14,7 @@
 from swifthoistd.gangs import COMMIT_S, GangRunner
 from swifthoistd.journal import Journal
 from swifthoistd.tenure import Tenure
-from swifthoistd.workforce import Workforce
+from swifthoistd.worker_registry import WorkerRegistry
 
 IDLE_S = 0.2
 """How long the scheduler waits for new records, in seconds."""
@@ -31,7 +31,7 @@
         journal: Journal,
         tenure: Tenure,
         gangs: GangRunner,
-        workforce: Workforce,
+        worker_registry: WorkerRegistry,
     ) -> None:
         """Wire the parts.
 
@@ -39,14 +39,14 @@
         :param journal: the writer of records.
         :param tenure: whether this instance may decide.
         :param gangs: runs attempts.
-        :param workforce: takes workers in and out.
+        :param worker_registry: takes workers in and out.
         """
         self._follower = follower
         self._ledger = follower.ledger
         self._journal = journal
         self._tenure = tenure
         self._gangs = gangs
-        self._workforce = workforce
+        self._worker_registry = worker_registry
         self._running: set[tuple[JobId, int]] = set()
 
     async def run(self) -> None:
@@ -92,7 +92,7 @@
         """
         if not self._tenure.may_act():
             return False
-        decided: list[Record] = list(self._workforce.decide(epoch))
+        decided: list[Record] = list(self._worker_registry.decide(epoch))
         decided.extend(
             _record_of(epoch, decision)
             for decision in planner.plan(self._ledger)
--- a/packages/daemon/swifthoistd/workforce.py
+++ b/packages/daemon/swifthoistd/worker_registry.py
@@ -13,7 +13,7 @@
 """A worker that is silent for this many leases is lost."""
 
 
-class Workforce:
+class WorkerRegistry:
     """Decides which workers are taken in, drained and given up."""
 
     def __init__(
--- a/tests/core/test_placement_machine.py
+++ b/tests/core/test_placement_machine.py
@@ -13,9 +13,9 @@
 
 from swifthoist_core import records
 from swifthoist_core.job_states import Job, Status
+from swifthoist_core.plan_cache import PlanCache
 from swifthoist_core.planner import Place, Reclaim, plan
 from swifthoist_core.records import PartPlacement
-from swifthoist_core.rests import Planned
 from swifthoist_core.shapes import Adjacency, GuaranteedShape, Shape
 from tests.core.builders import Book, job_entry, spec, worker
 from tests.core.placement_checks import check_all
@@ -220,7 +220,7 @@
         for now_ms, envelope in self.book.log:
             twin.now_ms = now_ms
             twin.append_envelope(envelope)
-        self.book.ledger.planned = Planned()
+        self.book.ledger.plan_cache = PlanCache()
         for part in (twin.ledger.jobs, twin.ledger.fleet):
             part.rebuild()
         twin.ledger.reservations.rebuild()
--- a/tests/daemon/test_choice.py
+++ b/tests/daemon/test_choice.py
@@ -8,9 +8,9 @@
 
 from swifthoist_core.clock import ManualClock
 from swifthoistd.choice import ChoiceConfig, Chooser, Scarcity, Slot
+from swifthoistd.runner_health import Verdict
 from swifthoistd.runners import Runner
 from swifthoistd.shares import Shares
-from swifthoistd.standing import Verdict
 
 _NEAR = [Runner(f'a{number}', f'a{number}:1', 'a', 1, 's') for number in (1, 2)]
 _FAR = [Runner(f'b{number}', f'b{number}:1', 'b', 1, 's') for number in (1, 2)]
