--- a/packages/cli/swifthoist_cli/demo.py
+++ b/packages/cli/swifthoist_cli/demo.py
@@ -28,7 +28,7 @@
 from swifthoist_core.reports import UsageReport
 from swifthoist_core.tokens import Identity, Role
 
-LOAD_S = 7.0
+LOAD_S = 6.0
 """How long requests keep coming, in seconds."""
 
 RATE_PER_S = 60
@@ -160,7 +160,7 @@
             for team in borrower.teams:
                 for _ in range(_SMALL_JOBS):
                     group.start_soon(
-                        self._submit, team, borrower.batch, SMALL_SHAPE, 5_000
+                        self._submit, team, borrower.batch, SMALL_SHAPE, 3_500
                     )
         _say('small jobs borrow what is free')
         await anyio.sleep(_PLAN_AT_S)
--- a/packages/cli/swifthoist_cli/demo_catalogue.py
+++ b/packages/cli/swifthoist_cli/demo_catalogue.py
@@ -127,7 +127,7 @@
         class_name=class_name,
         work='request',
         urgency='urgent' if class_name == user.check else 'interactive',
-        limits=LimitsDocument(rate_per_s=200.0, burst=100, deadline_ms=5_000),
+        limits=LimitsDocument(rate_per_s=200.0, burst=100, deadline_ms=3_000),
         objective=ObjectiveDocument(good_ratio=0.99, within_ms=within_ms),
         service=user.service,
     )
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -22,7 +22,7 @@
 _SECRET = 'a-secret-for-the-demo-only'
 _READY_S = 15.0
 _STOP_AT_S = 3.0
-_KILL_AT_S = 5.5
+_KILL_AT_S = 5.0
 _END_S = 5.0
 _ENTRIES = 3
 _RUNNERS_PER_SERVICE = 12
@@ -88,7 +88,10 @@
             for process in group:
                 if process.popen.poll() is None:
                     process.popen.send_signal(signal.SIGTERM)
+            began = time.monotonic()
             _wait_all(group)
+            spent = time.monotonic() - began
+            print(f'ended {len(group)} processes in {spent:.1f} s')
 
 
 def _is_entry(process: Process) -> bool:
