Prove the loss of a zone's instances and of all at once; log outcomes

A request's outcome is logged with owner, class and request id: not run at info, unknown at warning, done at debug.

--- a/packages/daemon/swifthoistd/api_requests.py
+++ b/packages/daemon/swifthoistd/api_requests.py
@@ -1,6 +1,7 @@
 """HTTP API of requests: short work that a runner answers."""
 
 import functools
+import logging
 import uuid
 from collections.abc import Iterator
 
@@ -29,6 +30,7 @@
 from swifthoistd.work import Done, NotRun, Outcome, Unknown, WorkRequest
 
 MAX_KEY = 128
+_log = logging.getLogger(__name__)
 _MAX_DIGITS = 18
 _SERVER_ERROR = 500
 _REUSED = 'key reused for another request'
@@ -96,6 +98,7 @@
         outcome = await self._dispatcher.send(req, entry)
         elapsed_ms = self._clock.boot_ms() - started_ms
         self._count(entry, outcome, elapsed_ms)
+        _log_outcome(req, outcome, elapsed_ms)
         reply = _reply(outcome)
         reply.headers['X-Request-Id'] = req.request_id
         return reply
@@ -108,6 +111,24 @@
         self._counting.note(entry.owner, entry.class_name, finished)
 
 
+def _log_outcome(
+    req: WorkRequest, outcome: Outcome, elapsed_ms: Millis
+) -> None:
+    fields = {
+        'owner': req.owner,
+        'class_name': req.class_name,
+        'request_id': req.request_id,
+        'elapsed_ms': elapsed_ms,
+    }
+    match outcome:
+        case Done(status):
+            _log.debug('request done', extra={**fields, 'status': status})
+        case NotRun(reason):
+            _log.info('request not run', extra={**fields, 'reason': reason})
+        case Unknown(reason):
+            _log.warning('request unknown', extra={**fields, 'reason': reason})
+
+
 def _finished(entry: Entry, outcome: Outcome, elapsed_ms: Millis) -> Finished:
     match outcome:
         case NotRun(reason):
--- a/packages/daemon/swifthoistd/gangs.py
+++ b/packages/daemon/swifthoistd/gangs.py
@@ -243,7 +243,7 @@
             if not verdict.accepted:
                 _log.warning(
                     'decision rejected',
-                    extra={'job': record.job_id, 'reason': verdict.reason},
+                    extra={'job_id': record.job_id, 'reason': verdict.reason},
                 )
             return
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -172,6 +172,7 @@
         f'--list-url={list_url}',
         f'--secret={_SECRET}',
         '--worker-lease-ms=4000',
+        '--cell-lease-ms=2000',
         '--drain-ms=300',
         lines=1,
     )
--- a/tests/daemon/test_program.py
+++ b/tests/daemon/test_program.py
@@ -148,6 +148,62 @@
         holds = {view['instance']: view['holds_epoch'] for view in views}
         self.assertEqual(holds[holder['instance']], 0)
 
+    def test_a_set_that_is_replaced_all_at_once_knows_everything(
+        self,
+    ) -> None:
+        """Nothing is kept on the instances; the log has it all."""
+        self.programs.start_platform(workers=1)
+        first = self.programs.start_entry('e1')
+        first.wait_for(lambda: self.workers(first) == 1)
+        document = {'owner': 'recife', 'class_name': 'sort', 'work': 'job'}
+        self.publish(first, document)
+        job = {
+            'class': 'sort',
+            'key': 'k',
+            'shape': {'parts': 1, 'accelerators': 8},
+            'steps': 'run_ms=100',
+        }
+        job_id = self.submitted(first, job).json()['job_id']
+        first.wait_for(lambda: self.status(first, job_id) == 'done')
+        first.popen.send_signal(signal.SIGKILL)
+        second = self.programs.start_entry('e2')
+        second.wait_for(lambda: self.workers(second) == 1)
+        self.assertEqual(self.status(second, job_id), 'done')
+        version = second.call('GET', '/v1/catalogue/sort').json()['version']
+        self.assertEqual(version, 1)
+        report = second.call('GET', '/v1/reports/usage').json()
+        self.assertEqual([span['job_id'] for span in report['spans']], [job_id])
+
+    def test_a_zone_that_goes_takes_no_decision_with_it(self) -> None:
+        """Two of three instances are killed at once; the third decides."""
+        platform = self.programs.start_platform(workers=2)
+        first = self.programs.start_entry('e1')
+        first.wait_for(lambda: self.workers(first) == 2)
+        second = self.programs.start_entry('e2')
+        other = self.programs.start_entry('e3', '--zone=zone-1')
+        other.wait_for(lambda: self.workers(other) == 2)
+        document = {'owner': 'recife', 'class_name': 'sort', 'work': 'job'}
+        self.publish(second, document)
+        job = {
+            'class': 'sort',
+            'key': 'k',
+            'shape': {'parts': 2, 'accelerators': 8, 'adjacency': 'rack'},
+            'steps': 'run_ms=12000',
+        }
+        job_id = self.submitted(first, job).json()['job_id']
+        first.wait_for(lambda: self.status(first, job_id) == 'running')
+        for lost in (first, second):
+            lost.popen.send_signal(signal.SIGKILL)
+        other.wait_for(lambda: self.epoch(other) == 2)
+        other.wait_for(lambda: self.status(other, job_id) == 'done')
+        lines = [
+            line
+            for worker in platform.addresses('worker')
+            for line in httpx.get(f'http://{worker}/record').json()
+        ]
+        states = [(line['attempt'], line['state']) for line in lines]
+        self.assertEqual(states, [(1, 'done'), (1, 'done')])
+
     def workers(self, entry: Program) -> int:
         """Count the workers in an instance's ledger."""
         workers: int = entry.call('GET', '/v1/debug').json()['workers']
