Count free and usable accelerators as they change

Change: the fleet keeps both counts, and whether a place is being reclaimed is asked of the reservations. The counts are checked after every step of the state machine, which fails without their upkeep.

--- a/packages/core/swifthoist_core/accounting.py
+++ b/packages/core/swifthoist_core/accounting.py
@@ -137,25 +137,19 @@
     opened = ledger.shortfalls.opened()
     if not opened:
         return
-    reclaiming = {job.beneficiary for job in ledger.jobs.open_jobs()}
-    free = ledger.fleet.free_accelerators()
-    short = _usable(ledger.fleet) < ledger.holdings.promised()
+    short = ledger.fleet.usable_accelerators() < ledger.holdings.promised()
     ledger.shortfalls.note(
-        {
-            item.ask.job_id: _cause(item, reclaiming, free, short=short)
-            for item in opened
-        }
+        {item.ask.job_id: _cause(ledger, item, short=short) for item in opened}
     )
 
 
-def _cause(
-    item: Shortfall, reclaiming: set[JobId], free: int, *, short: bool
-) -> str:
-    if item.ask.job_id in reclaiming:
+def _cause(ledger: 'Ledger', item: Shortfall, *, short: bool) -> str:
+    # A place is kept for a job while the borrowers on it stop.
+    if ledger.reservations.get(item.ask.job_id) is not None:
         return RECLAIMING
     if short:
         return FLEET_SHORT
-    if free < item.ask.accelerators:
+    if ledger.fleet.free_accelerators() < item.ask.accelerators:
         return IN_USE
     return NOT_ADJACENT
 
@@ -176,11 +170,3 @@
 
 def _accelerators(fleet: Fleet) -> int:
     return sum(spec.accelerators for spec in fleet.specs())
-
-
-def _usable(fleet: Fleet) -> int:
-    return sum(
-        spec.accelerators
-        for spec in fleet.specs()
-        if not fleet.is_leaving(spec.worker)
-    )
--- a/packages/core/swifthoist_core/workers.py
+++ b/packages/core/swifthoist_core/workers.py
@@ -13,7 +13,7 @@
     :ivar version: grows whenever workers come, go, or change their state.
     """
 
-    DERIVED = frozenset(('_index', '_ever'))
+    DERIVED = frozenset(('_index', '_ever', '_idle', '_usable'))
     """What :meth:`rebuild` computes from the rest of the state."""
 
     def __init__(self) -> None:
@@ -25,6 +25,8 @@
         self._aside: set[WorkerId] = set()
         self._index = RoomIndex()
         self._ever: dict[Shape, bool] = {}
+        self._idle = 0
+        self._usable: int | None = None
 
     def __len__(self) -> int:
         """Count the workers."""
@@ -34,7 +36,11 @@
         """Build what is derived anew, after the state was loaded."""
         self._index = RoomIndex()
         self._ever = {}
+        self._idle = 0
+        self._usable = None
         for worker, room in self._rooms.items():
+            self._idle += self._specs[worker].accelerators
+            self._idle -= room.busy.bit_count()
             self._note(worker, room)
 
     def spec(self, worker: WorkerId) -> WorkerSpec | None:
@@ -128,8 +134,8 @@
         if worker not in self._specs:
             return 'unknown worker'
         self._index.drop(worker)
-        self._specs.pop(worker)
-        self._rooms.pop(worker)
+        self._idle -= self._specs.pop(worker).accelerators
+        self._idle += self._rooms.pop(worker).busy.bit_count()
         self._leaving.discard(worker)
         self._aside.discard(worker)
         self._changed()
@@ -137,16 +143,30 @@
 
     def free_accelerators(self) -> int:
         """Count the accelerators that are not in use."""
-        return sum(
-            spec.accelerators - self._rooms[worker].busy.bit_count()
-            for worker, spec in self._specs.items()
-        )
+        return self._idle
+
+    def usable_accelerators(self) -> int:
+        """Count the accelerators of workers that are not leaving."""
+        if self._usable is None:
+            self._usable = sum(
+                spec.accelerators
+                for worker, spec in self._specs.items()
+                if worker not in self._leaving
+            )
+        return self._usable
 
     def _changed(self) -> None:
         self.version += 1
         self._ever = {}
+        self._usable = None
 
     def _put(self, worker: WorkerId, room: Room) -> None:
+        before = self._rooms.get(worker)
+        if before is None:
+            self._idle += self._specs[worker].accelerators
+        else:
+            self._idle += before.busy.bit_count()
+        self._idle -= room.busy.bit_count()
         self._rooms[worker] = room
         self._note(worker, room)
 
--- a/tests/core/placement_checks.py
+++ b/tests/core/placement_checks.py
@@ -13,10 +13,26 @@
     """Check every promise of placement."""
     check_gangs(ledger)
     check_rooms(ledger)
+    check_counts(ledger)
     check_promises(ledger)
     check_uses(ledger)
 
 
+def check_counts(ledger: Ledger) -> None:
+    """What the fleet counts as it goes is what its workers add up to."""
+    fleet = ledger.fleet
+    specs = fleet.specs()
+    free = sum(
+        spec.accelerators - fleet.room(spec.worker).busy.bit_count()
+        for spec in specs
+    )
+    usable = sum(
+        spec.accelerators for spec in specs if not fleet.is_leaving(spec.worker)
+    )
+    assert fleet.free_accelerators() == free
+    assert fleet.usable_accelerators() == usable
+
+
 def check_gangs(ledger: Ledger) -> None:
     """Every gang has all of its parts, near enough, or none."""
     for job in ledger.jobs.all_jobs():
