--- a/packages/standins/swifthoist_standins/faults.py
+++ b/packages/standins/swifthoist_standins/faults.py
@@ -37,6 +37,7 @@
     :ivar fail_all: fail all work.
     :ivar work_ms: how long a runner works on each request, in ms.
     :ivar expire_before: forget the records before this offset.
+    :ivar expire_stream: in this stream only; in all if it is left out.
     :ivar lag_ms: how far the list lags behind, in ms.
     :ivar frozen: the list stays as it is.
     """
@@ -52,6 +53,7 @@
     fail_all: NotRequired[bool]
     work_ms: NotRequired[_Count]
     expire_before: NotRequired[_Count]
+    expire_stream: NotRequired[str]
     lag_ms: NotRequired[_Count]
     frozen: NotRequired[bool]
 
--- a/packages/standins/swifthoist_standins/log.py
+++ b/packages/standins/swifthoist_standins/log.py
@@ -103,8 +103,10 @@
         :param faults: the faults that were set.
         """
         before = faults.get('expire_before', 0)
-        for stream in self._streams.values():
-            stream.expire(before)
+        only = faults.get('expire_stream', '')
+        for name, stream in self._streams.items():
+            if only in {'', name}:
+                stream.expire(before)
 
     def _read_now(
         self, name: str, start: int, limit: int
@@ -174,7 +176,8 @@
     """
     service = LogService(clock, retention)
     handlers = _LogHandlers(service)
-    board = FaultBoard(clock, frozenset(('expire_before',)), service.show)
+    own = frozenset(('expire_before', 'expire_stream'))
+    board = FaultBoard(clock, own, service.show)
     routes = (
         Route('/log/{stream}', handlers.append, methods=['POST']),
         Route('/log/{stream}', handlers.read, methods=['GET']),
--- a/tests/daemon/test_program.py
+++ b/tests/daemon/test_program.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import httpx
+import msgspec
 
 from swifthoist_core.tokens import Identity, Role
 from tests.programs import BIN, SECRET, WAIT_S, Program, Programs
@@ -174,6 +175,32 @@
         report = second.call('GET', '/v1/reports/usage').json()
         self.assertEqual([span['job_id'] for span in report['spans']], [job_id])
 
+    def test_a_newcomer_starts_from_a_snapshot_once_the_log_forgot(
+        self,
+    ) -> None:
+        """What was published long ago is still in force, and accounted."""
+        self.programs.start_platform(workers=1)
+        first = self.programs.start_entry('e1')
+        first.wait_for(lambda: self.workers(first) == 1)
+        document = {'owner': 'recife', 'class_name': 'sort', 'work': 'job'}
+        self.publish(first, document)
+        offset = first.call('GET', '/v1/debug').json()['offset']
+        log = httpx.Client(base_url=self.programs.log_url)
+        first.wait_for(lambda: self.snapshot_end(log) > 0)
+        log.post(
+            '/faults', json={'expire_before': offset, 'expire_stream': 'ledger'}
+        )
+        second = self.programs.start_entry('e2')
+        second.wait_for(lambda: self.workers(second) == 1)
+        version = second.call('GET', '/v1/catalogue/sort').json()['version']
+        self.assertEqual(version, 1)
+
+    def snapshot_end(self, log: httpx.Client) -> int:
+        """Count the chunks of snapshots on the log."""
+        reply = log.get('/log/snapshots/bounds')
+        end: int = msgspec.msgpack.decode(reply.content)[1]
+        return end
+
     def test_a_zone_that_goes_takes_no_decision_with_it(self) -> None:
         """Two of three instances are killed at once; the third decides."""
         platform = self.programs.start_platform(workers=2)
