--- a/packages/daemon/swifthoistd/parts.py
+++ b/packages/daemon/swifthoistd/parts.py
@@ -36,7 +36,6 @@
         """
         self._clock = clock
         self._states: dict[PartKey, PartState] = {}
-        self._workers: dict[PartKey, WorkerId] = {}
         self._reached_ms: dict[WorkerId, Millis] = {}
         self._changed = anyio.Event()
 
@@ -54,7 +53,6 @@
             if known is not None and known.state in ENDED:
                 continue
             self._states[state.key] = state
-            self._workers[state.key] = answer.worker
         changed = self._changed
         self._changed = anyio.Event()
         changed.set()
@@ -94,7 +92,6 @@
         ]
         for key in old:
             self._states.pop(key)
-            self._workers.pop(key)
 
     def forget_worker(self, worker: WorkerId) -> None:
         """Drop a worker that is lost.
