--- a/packages/daemon/swifthoistd/attempts.py
+++ b/packages/daemon/swifthoistd/attempts.py
@@ -231,7 +231,7 @@
     }
     return Call(
         method='POST',
-        url=f'http://{runner.address}/work/{quote(req.class_name, "")}',
+        url=f'http://{runner.address}/requests/{quote(req.class_name, "")}',
         request_id=quote(req.request_id, _SAFE),
         headers=headers,
         body=req.body,
--- a/packages/standins/swifthoist_standins/runner.py
+++ b/packages/standins/swifthoist_standins/runner.py
@@ -208,7 +208,7 @@
         self._runner = runner
 
     async def work(self, request: Request) -> Response:
-        """Serve ``POST /work/{class}``."""
+        """Serve ``POST /requests/{class}``."""
         body = await read_body(request, BODY_LIMIT)
         headers = request.headers
         request_id = headers.get('x-request-id', '')
@@ -259,7 +259,7 @@
     handlers = _RunnerHandlers(runner)
     board = FaultBoard(clock, frozenset(('fail_all', 'work_ms')), runner.show)
     routes = (
-        Route('/work/{class_name}', handlers.work, methods=['POST']),
+        Route('/requests/{class_name}', handlers.work, methods=['POST']),
         Route('/record', handlers.record, methods=['GET']),
         Route('/health', handlers.health, methods=['GET']),
     )
