--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -150,7 +150,8 @@
         """Act until the tenure ends."""
         epoch = self._shared.epoch
         snapshots = self._parts.snapshots
-        _log.info('term begins', extra={'epoch': epoch})
+        held_ms = self._parts.clock.boot_ms() - self._shared.hold.since_ms
+        _log.info('term begins', extra={'epoch': epoch, 'held_ms': held_ms})
         self._shared.cell.mark_all_dirty()
         # A term may go on with its epoch behind an outage; its orders that were
         # under way then are given again, which has no second effect.
@@ -165,7 +166,8 @@
             while self._shared.may_act():
                 await anyio.sleep(CHECK_S)
             tasks.cancel_scope.cancel()
-        _log.info('term ends', extra={'epoch': epoch})
+        unread_ms = self._parts.follower.age_ms
+        _log.info('term ends', extra={'epoch': epoch, 'unread_ms': unread_ms})
 
     async def _wake_on_fold(self) -> None:
         while True:
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -189,11 +189,12 @@
 
     async def _note_silence(self, reason: str) -> None:
         contact = self.contact
-        if contact.lease.lapsed(self._shared.clock.boot_ms()):
+        now_ms = self._shared.clock.boot_ms()
+        if contact.lease.lapsed(now_ms):
             runs = self._shared.cell.runs_on(self.contact.runner)
-            await record_vanished(
-                self._shared, runs, 'lease ended', self._saved
-            )
+            unheard_s = (now_ms - contact.heard_ms) / 1_000
+            cause = f'lease ended, no answer for {unheard_s:.1f} s'
+            await record_vanished(self._shared, runs, cause, self._saved)
         if contact.silent and self.synced:
             self.synced = False
             about = {'runner': self.contact.runner, 'why': reason}
