--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -9,6 +9,7 @@
 from tests.simulation.cluster import Cluster, play, wait_until
 
 LONG = StepWork(4_000, (4_000, 8_000, 1))
+LASTING = StepWork(16_000, (4_000, 8_000, 1))
 
 
 class LossTest(unittest.TestCase):
@@ -122,3 +123,33 @@
         world = play(scene, count=1)
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(world.witness.starts, 24)
+
+    def test_runs_outlast_an_outage_that_the_tenure_outlasts(self) -> None:
+        """A tenure that was interrupted had renewed leases just before."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            await anyio.sleep(12)
+            order = cluster.order('/batch/', LASTING, width=4)
+            await cluster.submit(order)
+            running = cluster.world.witness.running_of
+            await wait_until(lambda: len(running(order.job)) == 4)
+            faults = cluster.world.faults
+            faults.store_writes = Fault(Harm.SILENT)
+            faults.store_reads = Fault(Harm.SILENT)
+            await wait_until(lambda: not holder.holds)
+            busy = [
+                address
+                for address, host in cluster.world.fleet.hosts.items()
+                if host.life is not None and host.life.runs
+            ]
+            holder.link.cut.update(busy)
+            faults.store_writes = NO_FAULT
+            faults.store_reads = NO_FAULT
+            await wait_until(lambda: holder.holds)
+            await anyio.sleep(3)
+            holder.link.cut.clear()
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
