--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -14,6 +14,7 @@
 from swifthoist_emulator.world import World
 from swifthoist_instance.application import Application, Outside
 from swifthoist_instance.intake import Answer, Call
+from swifthoist_instance.supervision import keep_going
 from swifthoist_platform.boot import Boot, decode_boot
 from tests.instance.fakes import LoopClock, run
 
@@ -40,13 +41,18 @@
 
 
 class Node:
-    """An instance that may be killed, frozen and started again."""
+    """An instance that may be killed, frozen and started again.
+
+    :ivar keeps_going: duties that fail run again, as in the program; else a
+        fault of the program's own fails the play.
+    """
 
     def __init__(self, name: str, world: World, tasks: TaskGroup) -> None:
         """Prepare it; it does not run yet."""
         self.name = name
         self.app: Application | None = None
         self.link = Link(world, name, tasks)
+        self.keeps_going = False
         self._world = world
         self._tasks = tasks
         self._lives = 0
@@ -99,7 +105,10 @@
         with scope:
             async with anyio.create_task_group() as tasks:
                 for duty in app.duties():
-                    tasks.start_soon(duty.act)
+                    if self.keeps_going:
+                        tasks.start_soon(keep_going, *duty)
+                    else:
+                        tasks.start_soon(duty.act)
 
 
 class Cluster:
--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -1,11 +1,13 @@
 """Tests of what is lost with instances and runners, on virtual time."""
 
 import unittest
+from unittest import mock
 
 import anyio
 
 from swifthoist_emulator.faults import NO_FAULT, Fault, Harm
 from swifthoist_emulator.lives import StepWork
+from swifthoist_instance.roster import Roster
 from tests.simulation.cluster import Cluster, play, wait_until
 
 LONG = StepWork(4_000, (4_000, 8_000, 1))
@@ -138,12 +140,7 @@
             faults.store_writes = Fault(Harm.SILENT)
             faults.store_reads = Fault(Harm.SILENT)
             await wait_until(lambda: not holder.holds)
-            busy = [
-                address
-                for address, host in cluster.world.fleet.hosts.items()
-                if host.life is not None and host.life.runs
-            ]
-            holder.link.cut.update(busy)
+            holder.link.cut.update(_busy(cluster))
             faults.store_writes = NO_FAULT
             faults.store_reads = NO_FAULT
             await wait_until(lambda: holder.holds)
@@ -153,3 +150,36 @@
 
         world = play(scene, count=1)
         self.assertEqual(world.witness.broken, [])
+
+    def test_runs_outlast_a_term_that_begins_again(self) -> None:
+        """A term that a fault of its own ended had renewed leases, too."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = cluster.nodes[0]
+            holder.kill()
+            holder.keeps_going = True
+            holder.start()
+            await anyio.sleep(25)
+            order = cluster.order('/batch/', LASTING, width=4)
+            await cluster.submit(order)
+            running = cluster.world.witness.running_of
+            await wait_until(lambda: len(running(order.job)) == 4)
+            holder.link.cut.update(_busy(cluster))
+            fault = mock.AsyncMock(side_effect=RuntimeError('a fault'))
+            with mock.patch.object(Roster, '_close_gone', fault):
+                await wait_until(lambda: fault.called)
+            await anyio.sleep(3)
+            holder.link.cut.clear()
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+
+
+def _busy(cluster: Cluster) -> list[str]:
+    """List the addresses of runners on which something runs."""
+    return [
+        address
+        for address, host in cluster.world.fleet.hosts.items()
+        if host.life is not None and host.life.runs
+    ]
