Count leases from the beginning of the term, not only of the tenure

Cause: a runner that a term has no answer of, or that nobody lists, keeps its runs until all leases that others may have renewed have ended. That time was counted from the beginning of the tenure. A term that goes on with the same epoch, behind an outage or a fault of its own, begins without any memory of leases, while the same instance had renewed them until just before; the time was long past, so one unanswered look (until: an entry that had expired) gave up runs that went on. Class: a bound on what others granted that is dated by a moment before the last grant. Change: the roster counts from when it is made, or from when earlier holders have stopped, whichever is later. Within an epoch only this instance grants leases, so nothing that ran before can outlast that time.

--- a/packages/instance/swifthoist_instance/leases.py
+++ b/packages/instance/swifthoist_instance/leases.py
@@ -22,7 +22,7 @@
 
         :param lease_ms: length of a lease.
         :param unknown_ms: time on the clock that counts suspension by which
-            leases that earlier holders renewed have surely ended.
+            leases that earlier terms renewed have surely ended.
         """
         self._lease_ms = lease_ms
         self._unknown_ms = unknown_ms
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -49,6 +49,12 @@
         self._shared = shared
         self._open_runner = open_runner
         self._lease_ms = lease_ms
+        # Earlier holders renewed leases for as long as they could go on, and
+        # an earlier term of this tenure until now.
+        renewed_ms = max(
+            shared.hold.since_ms + OUTAGE_MS, shared.clock.boot_ms()
+        )
+        self._unknown_ms = renewed_ms + lease_ms
         self._sessions: dict[RunnerId, Session] = {}
 
     async def run(self, tasks: TaskGroup) -> None:
@@ -110,7 +116,7 @@
             contact = Contact(
                 entry,
                 self._open_runner(entry),
-                Lease(self._lease_ms, self._unknown_ms()),
+                Lease(self._lease_ms, self._unknown_ms),
                 self._shared,
             )
             session = Session(contact)
@@ -129,10 +135,6 @@
             if runner not in self._sessions
         ]
 
-    def _unknown_ms(self) -> Millis:
-        """Tell when all leases that earlier holders renewed have ended."""
-        return self._shared.hold.since_ms + OUTAGE_MS + self._lease_ms
-
     async def _close_gone(self) -> None:
         for runner, session in list(self._sessions.items()):
             listed = self._registry.present(runner) is not None
@@ -151,7 +153,7 @@
 
     async def _close_unlisted(self) -> None:
         """Forget runners that nobody lists, once leases have ended."""
-        if self._shared.clock.boot_ms() <= self._unknown_ms():
+        if self._shared.clock.boot_ms() <= self._unknown_ms:
             return
         cell = self._shared.cell
         records: list[Record] = []
