Do not stop runs because their runner's entry expired in an outage

What callers saw: tasks that ran well were stopped and started again behind an outage, for 'its runner leaves', although no runner left. Cause: a term that begins while entries are gone looks for runners by the address at which they answered before, and described such a runner as draining. Change: such a runner gets no starts, as before, and its runs go on. Stand-ins can now lose the entries of living runners, which no play had so far. Test: a simulated play failed first (8 starts instead of 4) and passes.

--- a/packages/emulator/swifthoist_emulator/faults.py
+++ b/packages/emulator/swifthoist_emulator/faults.py
@@ -48,6 +48,7 @@
     :ivar looks: looks at runners.
     :ivar duties: orders to machines.
     :ivar cut: addresses of runners that can't be reached.
+    :ivar unlisted: the entries of all runners have expired.
     :ivar over: set when the stand-ins stop.
     """
 
@@ -62,6 +63,7 @@
         self.looks = NO_FAULT
         self.duties = NO_FAULT
         self.cut: set[str] = set()
+        self.unlisted = False
         self.over = anyio.Event()
         self._random = random.Random(seed)
 
--- a/packages/emulator/swifthoist_emulator/world.py
+++ b/packages/emulator/swifthoist_emulator/world.py
@@ -146,7 +146,7 @@
             entries = {
                 host.runner: _entry(host)
                 for host in self.fleet.hosts.values()
-                if host.life is not None
+                if host.life is not None and not self.faults.unlisted
             }
             for runner, entry in entries.items():
                 if listed.get(runner) != entry:
--- a/packages/platform/swifthoist_platform/documents.py
+++ b/packages/platform/swifthoist_platform/documents.py
@@ -61,14 +61,15 @@
 
     :param runner: its id.
     :param address: where it answered, ``host:port``.
-    :returns: a registration that offers no room.
+    :returns: a registration that offers no room. It does not say that the
+        runner leaves: entries expire while the store is away.
     """
     return Registration(
         runner=runner,
         service='',
         address=address,
         zone='',
-        draining=True,
+        draining=False,
         room=Resources(),
         labels=frozenset(),
         rack='',
--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -151,6 +151,31 @@
         world = play(scene, count=1)
         self.assertEqual(world.witness.broken, [])
 
+    def test_runs_outlast_entries_that_expired_in_an_outage(self) -> None:
+        """Runners that live are listed again some seconds after it."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            await anyio.sleep(12)
+            order = cluster.order('/batch/', LASTING, width=4)
+            await cluster.submit(order)
+            running = cluster.world.witness.running_of
+            await wait_until(lambda: len(running(order.job)) == 4)
+            faults = cluster.world.faults
+            faults.store_writes = Fault(Harm.SILENT)
+            faults.store_reads = Fault(Harm.SILENT)
+            faults.unlisted = True
+            await wait_until(lambda: not holder.holds)
+            faults.store_writes = NO_FAULT
+            faults.store_reads = NO_FAULT
+            await anyio.sleep(2)
+            faults.unlisted = False
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 4)
+
     def test_runs_outlast_a_term_that_begins_again(self) -> None:
         """A term that a fault of its own ended had renewed leases, too."""
 
