Allow for a slow clock where an earlier term granted the lease

What callers would see: a task runs twice for up to 0.26 s. Cause: the time by which leases of earlier terms have ended was their length on the own clock; a runner's clock may be slow by 2 %, so that 8 s last 8.16 s there. Between holders the silence before a claim hid it; since a term counts from its beginning, it would act. Change: one function says when a lease on an unknown clock has surely ended. Test: instance/test_leases (new, of that function).

--- a/packages/instance/swifthoist_instance/leases.py
+++ b/packages/instance/swifthoist_instance/leases.py
@@ -5,6 +5,8 @@
 at its slowest, has passed the latest end that it was ever told.
 """
 
+from math import ceil
+
 from swifthoist_core.types import Millis
 
 SLOWEST = 0.98
@@ -14,6 +16,16 @@
 """What is added to the end of a lease before it counts as over, in ms."""
 
 
+def lease_over_ms(granted_ms: Millis, lease_ms: Millis) -> Millis:
+    """Tell when a lease of a runner whose clock is unknown has surely ended.
+
+    :param granted_ms: latest time at which it may have been granted.
+    :param lease_ms: its length on the runner's clock.
+    :returns: a time on the clock of ``granted_ms``.
+    """
+    return granted_ms + ceil((lease_ms + MARGIN_MS) / SLOWEST)
+
+
 class Lease:
     """The lease of one runner."""
 
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -13,7 +13,7 @@
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView
 from swifthoist_instance.contacts import Contact
-from swifthoist_instance.leases import Lease
+from swifthoist_instance.leases import Lease, lease_over_ms
 from swifthoist_instance.outcomes import record_all, vanished
 from swifthoist_instance.registry import Registry
 from swifthoist_instance.sessions import Session
@@ -54,7 +54,7 @@
         renewed_ms = max(
             shared.hold.since_ms + OUTAGE_MS, shared.clock.boot_ms()
         )
-        self._unknown_ms = renewed_ms + lease_ms
+        self._unknown_ms = lease_over_ms(renewed_ms, lease_ms)
         self._sessions: dict[RunnerId, Session] = {}
 
     async def run(self, tasks: TaskGroup) -> None:
--- a/tests/instance/test_leases.py
+++ b/tests/instance/test_leases.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from swifthoist_instance.leases import MARGIN_MS, Lease
+from swifthoist_instance.leases import MARGIN_MS, SLOWEST, Lease, lease_over_ms
 
 LEASE_MS = 8_000
 UNKNOWN_MS = 50_000
@@ -41,6 +41,11 @@
         self.assertFalse(self.lease.lapsed(LEASE_MS + MARGIN_MS))
         self.assertTrue(self.lease.lapsed(int(LEASE_MS * 1.05) + MARGIN_MS))
 
+    def test_an_unknown_clock_may_be_slow_too(self) -> None:
+        """A lease of an earlier holder lasts longer by a slow clock."""
+        over_ms = lease_over_ms(10_000, LEASE_MS)
+        self.assertGreaterEqual((over_ms - 10_000) * SLOWEST, LEASE_MS)
+
     def test_an_older_answer_does_not_turn_the_clock_back(self) -> None:
         """Answers on different connections may overtake each other."""
         self.lease.note_clock(100_500, 500)
