Give up starts on a runner whose successor answered

Callers would see a job stand still until the next takeover. A start that was on its way to the log when another life answered at its runner's address was folded behind the list of runs that are given up, was handed to the session, which dropped it, and the session closed. Nobody looks at such a runner any more, and the roster keeps a closed session while it has open runs.

Ruled out: that the look of the same session would find it, since the session has ended; that the roster gives it up, since it does so only for runners without a session.

A runner that was replaced takes no starts, so a start that is folded late is given up as one that was never sent, and no decision chooses the runner.

--- a/packages/instance/swifthoist_instance/contacts.py
+++ b/packages/instance/swifthoist_instance/contacts.py
@@ -34,7 +34,7 @@
     :ivar shared: what all sessions share.
     :ivar heard_ms: when it was heard of last.
     :ivar replaced: another life answers at its address.
-    :ivar closed: the runner is gone for good.
+    :ivar closed: the runner is gone for good, and its runs are given up.
     """
 
     def __init__(
@@ -69,9 +69,14 @@
         """Whether the runner was not heard of for too long."""
         return self.shared.clock.boot_ms() - self.heard_ms > SILENT_MS
 
+    @property
+    def gone(self) -> bool:
+        """Whether the runner is gone, be it that its runs are still open."""
+        return self.closed or self.replaced
+
     def active(self) -> bool:
         """Tell whether calls to the runner still make sense."""
-        return self.shared.may_act() and not self.closed and not self.replaced
+        return self.shared.may_act() and not self.gone
 
     def note_clock(self, clock_ms: Millis) -> None:
         """Note that the runner answered.
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -67,7 +67,8 @@
     @property
     def open(self) -> bool:
         """Whether tasks may be started on the runner."""
-        return self.synced and not self.closed and not self.contact.silent
+        contact = self.contact
+        return self.synced and not contact.gone and not contact.silent
 
     @property
     def closed(self) -> bool:
@@ -114,7 +115,7 @@
         :param ticket: permission by the queue's policy; empty for none.
         :returns: whether it is on its way.
         """
-        if self._orders is None or self.closed:
+        if self._orders is None or self.contact.gone:
             return False
         self._orders.start(run, ticket)
         return True
--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -6,9 +6,11 @@
 
 from swifthoist_emulator.faults import NO_FAULT, Fault, Harm
 from swifthoist_emulator.lives import StepWork
+from swifthoist_emulator.site import STANDARD
 from tests.simulation.cluster import Cluster, play, wait_until
 
 LONG = StepWork(4_000, (4_000, 8_000, 1))
+TINY = StepWork(500, (100, 100, 0))
 
 
 class LossTest(unittest.TestCase):
@@ -122,3 +124,30 @@
         world = play(scene, count=1)
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(world.witness.starts, 24)
+
+    def test_starts_on_a_runner_that_was_replaced_are_given_up(self) -> None:
+        """Also those that are folded while its other runs are given up."""
+
+        async def scene(cluster: Cluster) -> None:
+            await cluster.holder()
+            await anyio.sleep(1)
+            order = cluster.order('/batch/', LONG, width=4)
+            await cluster.submit(order)
+            running = cluster.world.witness.running_of
+            await wait_until(lambda: len(running(order.job)) == 4)
+            cluster.world.faults.store_writes = Fault(Harm.SLOW, delay_s=0.4)
+            fleet = cluster.world.fleet
+            host = next(iter(fleet.hosts.values()))
+            fleet.kill(host)
+            fleet.revive(host)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(20):
+                    tiny = cluster.order('/batch/', TINY)
+                    tasks.start_soon(cluster.submit, tiny)
+                    await anyio.sleep(0.1)
+            cluster.world.faults.store_writes = NO_FAULT
+            for order in cluster.accepted:
+                await cluster.wait_state(order, 'complete', 30)
+
+        world = play(scene, count=1, site=STANDARD._replace(runners=1))
+        self.assertEqual(world.witness.broken, [])
