--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -1,17 +1,16 @@
 """Tests of what is lost with instances and runners, on virtual time."""
 
 import unittest
-from unittest import mock
 
 import anyio
 
 from swifthoist_emulator.faults import NO_FAULT, Fault, Harm
 from swifthoist_emulator.lives import StepWork
-from swifthoist_instance.roster import Roster
+from swifthoist_emulator.site import STANDARD
 from tests.simulation.cluster import Cluster, play, wait_until
 
 LONG = StepWork(4_000, (4_000, 8_000, 1))
-LASTING = StepWork(16_000, (4_000, 8_000, 1))
+TINY = StepWork(500, (100, 100, 0))
 
 
 class LossTest(unittest.TestCase):
@@ -126,85 +125,29 @@
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(world.witness.starts, 24)
 
-    def test_runs_outlast_an_outage_that_the_tenure_outlasts(self) -> None:
-        """A tenure that was interrupted had renewed leases just before."""
+    def test_starts_on_a_runner_that_was_replaced_are_given_up(self) -> None:
+        """Also those that are folded while its other runs are given up."""
 
         async def scene(cluster: Cluster) -> None:
-            holder = await cluster.holder()
-            await anyio.sleep(12)
-            order = cluster.order('/batch/', LASTING, width=4)
-            await cluster.submit(order)
-            running = cluster.world.witness.running_of
-            await wait_until(lambda: len(running(order.job)) == 4)
-            faults = cluster.world.faults
-            faults.store_writes = Fault(Harm.SILENT)
-            faults.store_reads = Fault(Harm.SILENT)
-            await wait_until(lambda: not holder.holds)
-            holder.link.cut.update(_busy(cluster))
-            faults.store_writes = NO_FAULT
-            faults.store_reads = NO_FAULT
-            await wait_until(lambda: holder.holds)
-            await anyio.sleep(3)
-            holder.link.cut.clear()
-            await cluster.wait_state(order, 'complete', 60)
-
-        world = play(scene, count=1)
-        self.assertEqual(world.witness.broken, [])
-
-    def test_runs_outlast_entries_that_expired_in_an_outage(self) -> None:
-        """Runners that live are listed again some seconds after it."""
-
-        async def scene(cluster: Cluster) -> None:
-            holder = await cluster.holder()
-            await anyio.sleep(12)
-            order = cluster.order('/batch/', LASTING, width=4)
-            await cluster.submit(order)
-            running = cluster.world.witness.running_of
-            await wait_until(lambda: len(running(order.job)) == 4)
-            faults = cluster.world.faults
-            faults.store_writes = Fault(Harm.SILENT)
-            faults.store_reads = Fault(Harm.SILENT)
-            faults.unlisted = True
-            await wait_until(lambda: not holder.holds)
-            faults.store_writes = NO_FAULT
-            faults.store_reads = NO_FAULT
-            await anyio.sleep(2)
-            faults.unlisted = False
-            await cluster.wait_state(order, 'complete', 60)
-
-        world = play(scene, count=1)
-        self.assertEqual(world.witness.broken, [])
-        self.assertEqual(world.witness.starts, 4)
-
-    def test_runs_outlast_a_term_that_begins_again(self) -> None:
-        """A term that a fault of its own ended had renewed leases, too."""
-
-        async def scene(cluster: Cluster) -> None:
-            holder = cluster.nodes[0]
-            holder.kill()
-            holder.keeps_going = True
-            holder.start()
-            await anyio.sleep(25)
-            order = cluster.order('/batch/', LASTING, width=4)
+            await cluster.holder()
+            await anyio.sleep(1)
+            order = cluster.order('/batch/', LONG, width=4)
             await cluster.submit(order)
             running = cluster.world.witness.running_of
             await wait_until(lambda: len(running(order.job)) == 4)
-            holder.link.cut.update(_busy(cluster))
-            fault = mock.AsyncMock(side_effect=RuntimeError('a fault'))
-            with mock.patch.object(Roster, '_close_gone', fault):
-                await wait_until(lambda: fault.called)
-            await anyio.sleep(3)
-            holder.link.cut.clear()
-            await cluster.wait_state(order, 'complete', 60)
+            cluster.world.faults.store_writes = Fault(Harm.SLOW, delay_s=0.4)
+            fleet = cluster.world.fleet
+            host = next(iter(fleet.hosts.values()))
+            fleet.kill(host)
+            fleet.revive(host)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(20):
+                    tiny = cluster.order('/batch/', TINY)
+                    tasks.start_soon(cluster.submit, tiny)
+                    await anyio.sleep(0.1)
+            cluster.world.faults.store_writes = NO_FAULT
+            for order in cluster.accepted:
+                await cluster.wait_state(order, 'complete', 30)
 
-        world = play(scene, count=1)
+        world = play(scene, count=1, site=STANDARD._replace(runners=1))
         self.assertEqual(world.witness.broken, [])
-
-
-def _busy(cluster: Cluster) -> list[str]:
-    """List the addresses of runners on which something runs."""
-    return [
-        address
-        for address, host in cluster.world.fleet.hosts.items()
-        if host.life is not None and host.life.runs
-    ]
--- /dev/null
+++ b/tests/simulation/test_terms.py
@@ -0,0 +1,136 @@
+"""What a term that begins again goes on with, on virtual time.
+
+A term ends with an outage of the store that lasts for longer, or with a fault of
+the program's own, and begins again within the tenure of the same instance.
+"""
+
+import unittest
+from unittest import mock
+
+import anyio
+
+from swifthoist_emulator.callers import Order
+from swifthoist_emulator.faults import NO_FAULT, Fault, Harm
+from swifthoist_emulator.lives import StepWork
+from swifthoist_instance.roster import Roster
+from tests.simulation.cluster import Cluster, Node, play, wait_until
+
+HELD_S = 12
+"""Pause before an outage, in seconds; with it, leases of earlier holders have
+ended."""
+
+CUT_S = 7
+"""How long runners can't be reached, in seconds: nearly the length of a lease."""
+
+WIDTH = 4
+LASTING = StepWork(20_000, (4_000, 8_000, 1))
+
+
+async def _run_wide(cluster: Cluster) -> Order:
+    """Have a job of some tasks run."""
+    order = cluster.order('/batch/', LASTING, width=WIDTH)
+    await cluster.submit(order)
+    running = cluster.world.witness.running_of
+    await wait_until(lambda: len(running(order.job)) == WIDTH)
+    return order
+
+
+def _busy(cluster: Cluster) -> list[str]:
+    """List the addresses of runners on which something runs."""
+    return [
+        address
+        for address, host in cluster.world.fleet.hosts.items()
+        if host.life is not None and host.life.runs
+    ]
+
+
+def _lose_store(cluster: Cluster) -> None:
+    faults = cluster.world.faults
+    faults.store_writes = Fault(Harm.SILENT)
+    faults.store_reads = Fault(Harm.SILENT)
+
+
+def _bring_store_back(cluster: Cluster) -> None:
+    faults = cluster.world.faults
+    faults.store_writes = NO_FAULT
+    faults.store_reads = NO_FAULT
+
+
+async def _restart(cluster: Cluster) -> Node:
+    """Run the only node as the program does: duties that fail run again."""
+    holder = cluster.nodes[0]
+    holder.kill()
+    holder.keeps_going = True
+    holder.start()
+    await anyio.sleep(2 * HELD_S)
+    return holder
+
+
+async def _end_term() -> None:
+    """End the term by a fault of the program's own."""
+    fault = mock.AsyncMock(side_effect=RuntimeError('a fault'))
+    with mock.patch.object(Roster, '_close_gone', fault):
+        await wait_until(lambda: fault.called)
+
+
+class LeaseTest(unittest.TestCase):
+    """Leases that the earlier term renewed may last as long as any."""
+
+    def test_runs_outlast_an_outage_that_the_tenure_outlasts(self) -> None:
+        """A tenure that was interrupted had renewed leases just before."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            await anyio.sleep(HELD_S)
+            order = await _run_wide(cluster)
+            _lose_store(cluster)
+            await wait_until(lambda: not holder.holds)
+            holder.link.cut.update(_busy(cluster))
+            _bring_store_back(cluster)
+            await wait_until(lambda: holder.holds)
+            await anyio.sleep(CUT_S)
+            holder.link.cut.clear()
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, WIDTH)
+
+    def test_runs_outlast_a_term_that_begins_again(self) -> None:
+        """A term that a fault of its own ended had renewed leases, too."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await _restart(cluster)
+            order = await _run_wide(cluster)
+            holder.link.cut.update(_busy(cluster))
+            await _end_term()
+            await anyio.sleep(CUT_S - 1)
+            holder.link.cut.clear()
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, WIDTH)
+
+
+class EntryTest(unittest.TestCase):
+    """Entries of runners that live expire while the store is away."""
+
+    def test_runs_outlast_entries_that_expired_in_an_outage(self) -> None:
+        """Runners that live are listed again some seconds after it."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            await anyio.sleep(HELD_S)
+            order = await _run_wide(cluster)
+            _lose_store(cluster)
+            cluster.world.faults.unlisted = True
+            await wait_until(lambda: not holder.holds)
+            _bring_store_back(cluster)
+            await anyio.sleep(2)
+            cluster.world.faults.unlisted = False
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, WIDTH)
