Count a done end whenever it is seen

Callers would see a task run again after it was done. A look or start without an answer may have renewed the lease. Where that was so and nothing ran there any more, the done end was taken for void, recorded as lapsed, acknowledged while the lease went on, and the task started again: TWICE. Cause: whether the lease ended between an end and its acknowledgement can't be known from the answers alone. Ruled out: counting renewals without an answer as granted (a done end is then counted though the lease did end; it is the same treatment with more code), and waiting until the lease has surely ended (nothing starts there for seconds, and the work is thrown away). Change: every done end counts, so nothing starts behind it, and when leases ended is no longer asked; what was noted of granted leases goes. The stand-ins can lose answers of looks, as those of orders.

--- a/packages/emulator/swifthoist_emulator/runner_calls.py
+++ b/packages/emulator/swifthoist_emulator/runner_calls.py
@@ -70,7 +70,8 @@
         return _carry_out(call, request.document(), life)
 
     async def _look(self, request: Request, life: Life) -> Response:
-        if self._faults.draw(self._faults.looks) is Harm.SILENT:
+        harm = self._faults.draw(self._faults.looks)
+        if harm is Harm.SILENT:
             await self._faults.stay_silent()
         body = request.document()
         if not life.accept_fence(int(body.get(names.FENCE, 0))):
@@ -78,6 +79,8 @@
         life.see(int(body.get(names.LAST_SEEN, 0)))
         if names.UNTIL_MS in body:
             life.renew(int(body[names.UNTIL_MS]))
+        if harm is Harm.LOST:
+            await self._faults.stay_silent()
         wait_s = int(body.get(names.WAIT_MS, 0)) / 1_000
         with anyio.move_on_after(wait_s):
             while not life.ends:
--- a/packages/instance/swifthoist_instance/leases.py
+++ b/packages/instance/swifthoist_instance/leases.py
@@ -29,7 +29,6 @@
         self._clock_ms: Millis = 0
         self._read_ms: Millis | None = None
         self._until_ms: Millis = 0
-        self._granted_ms: Millis = 0
 
     @property
     def known(self) -> bool:
@@ -71,20 +70,3 @@
             return now_ms > self._unknown_ms
         passed_ms = (now_ms - self._read_ms) * SLOWEST
         return self._clock_ms + passed_ms > self._until_ms + MARGIN_MS
-
-    def note_granted(self, until_ms: Millis | None) -> None:
-        """Note that the runner granted a lease.
-
-        :param until_ms: its end on the runner's clock; none for no lease.
-        """
-        if until_ms is not None:
-            self._granted_ms = max(self._granted_ms, until_ms)
-
-    def lapsed_at(self, clock_ms: Millis) -> bool:
-        """Tell whether the lease had surely ended at a time of the runner.
-
-        :param clock_ms: time on its clock.
-        :returns: whether the latest lease that it granted had ended then;
-            never before it granted the first.
-        """
-        return bool(self._granted_ms) and clock_ms > self._granted_ms
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -17,9 +17,6 @@
 from swifthoist_instance.outcomes import record_vanished
 from swifthoist_platform.runner_calls import StartOrder, Verdict
 
-_RENEWING = frozenset((Verdict.TAKEN, Verdict.OLD, Verdict.NO_ROOM))
-"""Answers to a start that renewed the lease of all that runs there."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -135,8 +132,6 @@
             return None
         contact.note_clock(answer.clock_ms)
         contact.note_verdict(answer.verdict)
-        if answer.verdict in _RENEWING:
-            contact.lease.note_granted(until_ms)
         about = {**_about(run), 'outcome': answer.verdict.value}
         _log.info('start', extra=about)
         return answer.verdict
--- a/packages/instance/swifthoist_instance/outcomes.py
+++ b/packages/instance/swifthoist_instance/outcomes.py
@@ -7,7 +7,7 @@
 from swifthoist_core.errors import LogUnavailableError, OutcomeUnknownError
 from swifthoist_core.types import RunnerId
 from swifthoist_engine.jobs import OpenRun
-from swifthoist_engine.records import Ended, Ending, Record, Vanished
+from swifthoist_engine.records import Ended, Record, Vanished
 from swifthoist_engine.run_index import RunKey
 from swifthoist_instance.shared import Shared
 from swifthoist_platform.runner_calls import ListedEnd
@@ -66,28 +66,25 @@
     return await record_all(shared, records)
 
 
-def ended(
-    shared: Shared, runner: RunnerId, end: ListedEnd, *, lapsed: bool
-) -> Ended:
+def ended(shared: Shared, runner: RunnerId, end: ListedEnd) -> Ended:
     """Make the record of an end.
 
+    A done end counts whenever it is seen. Whether the runner's lease ended
+    before is not known for certain: a renewal without an answer may have been
+    carried out.
+
     :param shared: what the tenure shares.
     :param runner: the runner that lists it.
     :param end: the end.
-    :param lapsed: the runner's lease had ended before it was seen, so a done
-        end is void.
     :returns: the record.
     """
-    ending = end.ending
-    if lapsed and ending is Ending.DONE:
-        ending = Ending.LAPSED
     return Ended(
         shared.epoch,
         runner,
         end.number,
         end.task,
         end.run,
-        ending,
+        end.ending,
         end.checkpoint,
         shared.clock.wall_ms(),
     )
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -161,11 +161,8 @@
             contact.note_verdict(look.verdict)
             await anyio.sleep(RETRY_S)
             return
-        asked_ms = look.clock_ms - (self._shared.clock.boot_ms() - sent_ms)
-        lapsed = contact.lease.lapsed_at(asked_ms)
         contact.note_clock(look.clock_ms)
-        contact.lease.note_granted(until_ms)
-        await self._take_in(look, orders, sent_ms, lapsed=lapsed)
+        await self._take_in(look, orders, sent_ms)
         if until_ms is not None:
             await self._note_synced()
 
@@ -201,19 +198,14 @@
         await anyio.sleep(RETRY_S)
 
     async def _take_in(
-        self, look: Look, orders: Orders, sent_ms: Millis, *, lapsed: bool
+        self, look: Look, orders: Orders, sent_ms: Millis
     ) -> None:
-        running = {(row.task, row.run): row for row in look.running}
-        # A renewal without an answer may have been carried out; what was there
-        # before and still is shows that the lease never ended between.
-        lapsed = lapsed and running.keys().isdisjoint(self._running)
-        self._running = running
+        self._running = {(row.task, row.run): row for row in look.running}
         self._note_saved()
         seen = self._shared.cell.seen_of(self.contact.runner)
         ends = [end for end in look.ends if end.number > seen]
         records: list[Record] = [
-            ended(self._shared, self.contact.runner, end, lapsed=lapsed)
-            for end in ends
+            ended(self._shared, self.contact.runner, end) for end in ends
         ]
         if look.whole:
             records.extend(self._missing(look, orders, sent_ms))
--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -4,13 +4,26 @@
 
 import anyio
 
+from swifthoist_emulator.callers import Order
 from swifthoist_emulator.faults import NO_FAULT, Fault, Harm
 from swifthoist_emulator.lives import StepWork
 from tests.simulation.cluster import Cluster, play, wait_until
 
+SHORT = StepWork(2_000, (4_000, 8_000, 1))
 LONG = StepWork(4_000, (4_000, 8_000, 1))
 
 
+async def _begin(cluster: Cluster, work: StepWork) -> Order:
+    """Submit a job of one task and wait until it runs."""
+    await cluster.holder()
+    await anyio.sleep(1)
+    order = cluster.order('/batch/', work)
+    await cluster.submit(order)
+    running = cluster.world.witness.running_of
+    await wait_until(lambda: bool(running(order.job)))
+    return order
+
+
 class LossTest(unittest.TestCase):
     """Instances and runners may go at any time."""
 
@@ -122,3 +135,33 @@
         world = play(scene, count=1)
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(world.witness.starts, 24)
+
+    def test_looks_without_answers_renew_the_lease_too(self) -> None:
+        """Else an end in a lease that goes on is void, and its task starts."""
+
+        async def scene(cluster: Cluster) -> None:
+            order = await _begin(cluster, SHORT)
+            cluster.world.faults.looks = Fault(Harm.LOST)
+            await anyio.sleep(8.9)
+            cluster.world.faults.looks = NO_FAULT
+            await cluster.wait_state(order, 'complete', 30)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 1)
+
+    def test_a_done_end_counts_after_its_lease(self) -> None:
+        """Whether the lease ended before is not known for certain."""
+
+        async def scene(cluster: Cluster) -> None:
+            order = await _begin(cluster, SHORT)
+            cluster.world.faults.looks = Fault(Harm.SILENT)
+            await anyio.sleep(8.9)
+            for host in cluster.world.fleet.hosts.values():
+                self.assertGreater(host.life.now_ms, host.life.until_ms)
+            cluster.world.faults.looks = NO_FAULT
+            await cluster.wait_state(order, 'complete', 1)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 1)
