Give no start again once its unit is done

Callers would see a task start although its job was shown as complete, possibly over a second later. A start without an answer is given again until it is stopped, and stops of done units wait for a second, so that members of a gang may end together. A done end of an earlier run, listed late, fell into that. Ruled out: stopping at once instead, which would stop gangs that end together. Change: a start is no longer wanted once its unit is done; the stop that follows forbids what may still be under way. Test: simulation/test_losses, failed before (two starts, one expected).

--- a/packages/engine/swifthoist_engine/jobs.py
+++ b/packages/engine/swifthoist_engine/jobs.py
@@ -152,6 +152,15 @@
         key = (unit.occurrence, unit.step, unit.ordinal)
         return self.units.setdefault(key, Unit())
 
+    def task_done(self, task: TaskId) -> bool:
+        """Tell whether the unit of a task is done.
+
+        :param task: the task.
+        :returns: whether nothing of its unit may start any more.
+        """
+        unit = self.find(self.unit_of(task))
+        return unit is not None and unit.done
+
     def step_units(self, occurrence: int, number: int) -> Iterator[UnitId]:
         """List the units of a step.
 
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -98,11 +98,12 @@
 
     def _wanted(self, run: OpenRun) -> bool:
         key = (run.task, run.run)
-        return (
-            self._contact.active()
-            and key not in self.stops
-            and self._shared.cell.find_run(*key) is not None
-        )
+        if not self._contact.active() or key in self.stops:
+            return False
+        job = self._shared.cell.find_job(run.task.job)
+        if job is None or job.task_done(run.task):
+            return False
+        return self._shared.cell.find_run(*key) is not None
 
     def _settle(self, run: OpenRun) -> None:
         self.settled[run.task, run.run] = self._shared.clock.boot_ms()
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -12,6 +12,7 @@
 from swifthoist_emulator.direct import Link
 from swifthoist_emulator.site import HOST, STANDARD, Site, write_settings
 from swifthoist_emulator.world import World
+from swifthoist_engine.cell import Cell
 from swifthoist_instance.application import Application, Outside
 from swifthoist_instance.intake import Answer, Call
 from swifthoist_platform.boot import Boot, decode_boot
@@ -77,6 +78,11 @@
         """Whether it believes that it holds the cell."""
         return self.app is not None and self.app.tenure.hold is not None
 
+    @property
+    def cell(self) -> Cell:
+        """Its fold; it must be alive."""
+        return self.app._follower.cell
+
     async def call(
         self, method: str, order: Order, content: bytes = b''
     ) -> Answer | None:
--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -165,3 +165,26 @@
         world = play(scene, count=1)
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(world.witness.starts, 1)
+
+    def test_a_start_ordered_again_ends_with_a_late_done_end(self) -> None:
+        """Else the task starts though its job was shown as complete."""
+
+        async def scene(cluster: Cluster) -> None:
+            order = await _begin(cluster, SHORT)
+            faults = cluster.world.faults
+            faults.orders = Fault(Harm.SILENT)
+            hosts = cluster.world.fleet.hosts.items()
+            faults.cut.update(at for at, host in hosts if host.life.runs)
+            job = (await cluster.holder()).cell.state.jobs[order.job]
+            await wait_until(
+                lambda: [run.run for run in job.open_runs()] == [2]
+            )
+            faults.cut.clear()
+            await cluster.wait_state(order, 'complete', 1)
+            faults.orders = NO_FAULT
+            await anyio.sleep(3)
+            self.assertEqual(list(job.open_runs()), [])
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 1)
