--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -17,9 +17,6 @@
 from swifthoist_instance.outcomes import record_vanished
 from swifthoist_platform.runner_calls import StartOrder, Verdict
 
-_RENEWING = frozenset((Verdict.TAKEN, Verdict.OLD, Verdict.NO_ROOM))
-"""Answers to a start that renewed the lease of all that runs there."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -101,11 +98,12 @@
 
     def _wanted(self, run: OpenRun) -> bool:
         key = (run.task, run.run)
-        return (
-            self._contact.active()
-            and key not in self.stops
-            and self._shared.cell.find_run(*key) is not None
-        )
+        if not self._contact.active() or key in self.stops:
+            return False
+        job = self._shared.cell.find_job(run.task.job)
+        if job is None or job.task_done(run.task):
+            return False
+        return self._shared.cell.find_run(*key) is not None
 
     def _settle(self, run: OpenRun) -> None:
         self.settled[run.task, run.run] = self._shared.clock.boot_ms()
@@ -135,8 +133,6 @@
             return None
         contact.note_clock(answer.clock_ms)
         contact.note_verdict(answer.verdict)
-        if answer.verdict in _RENEWING:
-            contact.lease.note_granted(until_ms)
         about = {**_about(run), 'outcome': answer.verdict.value}
         _log.info('start', extra=about)
         return answer.verdict
--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -4,15 +4,28 @@
 
 import anyio
 
+from swifthoist_emulator.callers import Order
 from swifthoist_emulator.faults import NO_FAULT, Fault, Harm
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.site import STANDARD
 from tests.simulation.cluster import Cluster, play, wait_until
 
+SHORT = StepWork(2_000, (4_000, 8_000, 1))
 LONG = StepWork(4_000, (4_000, 8_000, 1))
 TINY = StepWork(500, (100, 100, 0))
 
 
+async def _begin(cluster: Cluster, work: StepWork) -> Order:
+    """Submit a job of one task and wait until it runs."""
+    await cluster.holder()
+    await anyio.sleep(1)
+    order = cluster.order('/batch/', work)
+    await cluster.submit(order)
+    running = cluster.world.witness.running_of
+    await wait_until(lambda: bool(running(order.job)))
+    return order
+
+
 class LossTest(unittest.TestCase):
     """Instances and runners may go at any time."""
 
@@ -151,3 +164,56 @@
 
         world = play(scene, count=1, site=STANDARD._replace(runners=1))
         self.assertEqual(world.witness.broken, [])
+
+    def test_looks_without_answers_renew_the_lease_too(self) -> None:
+        """Else an end in a lease that goes on is void, and its task starts."""
+
+        async def scene(cluster: Cluster) -> None:
+            order = await _begin(cluster, SHORT)
+            cluster.world.faults.looks = Fault(Harm.LOST)
+            await anyio.sleep(8.9)
+            cluster.world.faults.looks = NO_FAULT
+            await cluster.wait_state(order, 'complete', 30)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 1)
+
+    def test_a_done_end_counts_after_its_lease(self) -> None:
+        """Whether the lease ended before is not known for certain."""
+
+        async def scene(cluster: Cluster) -> None:
+            order = await _begin(cluster, SHORT)
+            cluster.world.faults.looks = Fault(Harm.SILENT)
+            await anyio.sleep(8.9)
+            for host in cluster.world.fleet.hosts.values():
+                self.assertGreater(host.life.now_ms, host.life.until_ms)
+            cluster.world.faults.looks = NO_FAULT
+            await cluster.wait_state(order, 'complete', 1)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 1)
+
+    def test_a_start_ordered_again_ends_with_a_late_done_end(self) -> None:
+        """Else the task starts though its job was shown as complete."""
+
+        async def scene(cluster: Cluster) -> None:
+            order = await _begin(cluster, SHORT)
+            faults = cluster.world.faults
+            faults.orders = Fault(Harm.SILENT)
+            hosts = cluster.world.fleet.hosts.items()
+            faults.cut.update(at for at, host in hosts if host.life.runs)
+            job = (await cluster.holder()).cell.state.jobs[order.job]
+            await wait_until(
+                lambda: [run.run for run in job.open_runs()] == [2]
+            )
+            faults.cut.clear()
+            await cluster.wait_state(order, 'complete', 1)
+            faults.orders = NO_FAULT
+            await anyio.sleep(3)
+            self.assertEqual(list(job.open_runs()), [])
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 1)
