Let the time of the cell pass steadily, whoever holds it

Callers would see a job stand still for as long as a clock had jumped: the end of a run was noted with the time of day of one holder, and its pause was compared with that of another, or with that of the same one after its clock went back. A finished job was answered with 410 at once where the holder's clock was far ahead, since the fold only lets time rise. Patience for one rack lasted longer by the difference between the clocks of the instance that accepted the job and of the holder.

Cause: every stamp was the time of day of whoever wrote it. Ruled out: capping pauses that lie in the future, since a start that is always rejected would have none then.

Stamps and decisions now go by the time of the cell. It begins as a time of day, passes as steady clocks do, and is taken along in a takeover by whoever saw it pass. Occurrences stay due by the time of day.

--- a/packages/engine/swifthoist_engine/planner.py
+++ b/packages/engine/swifthoist_engine/planner.py
@@ -41,7 +41,9 @@
     :ivar runners: the runners.
     :ivar stopping: runs that are being stopped already.
     :ivar allowed: runners that the policy of a step's queue names.
-    :ivar now_ms: time since the Unix epoch.
+    :ivar now_ms: time of the cell.
+    :ivar ahead_ms: how far the time of day is ahead of that; occurrences are
+        due by the time of day.
     """
 
     cell: Cell
@@ -50,6 +52,7 @@
     stopping: frozenset[RunKey]
     allowed: Mapping[StepKey, frozenset[RunnerId]]
     now_ms: Millis
+    ahead_ms: Millis = 0
 
 
 class Stop(NamedTuple):
@@ -86,7 +89,9 @@
     planner = _Planner(world, epoch)
     planner.stops.extend(unwanted_runs(world.cell, world.now_ms))
     planner.stops.extend(evacuated_runs(world))
-    waiting_now = waiting_units(world.cell, world.catalogue, world.now_ms)
+    waiting_now = waiting_units(
+        world.cell, world.catalogue, world.now_ms, world.ahead_ms
+    )
     for waiting in waiting_now:
         planner.serve(waiting)
         if planner.tasks >= MAX_STARTS:
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -87,22 +87,35 @@
         return 1 if self.state is None else self.state.last_run + 1
 
 
+class _Now(NamedTuple):
+    """The time of a decision.
+
+    :ivar cell_ms: time of the cell.
+    :ivar ahead_ms: how far the time of day is ahead of that.
+    """
+
+    cell_ms: Millis
+    ahead_ms: Millis
+
+
 def waiting_units(
-    cell: Cell, catalogue: Catalogue, now_ms: Millis
+    cell: Cell, catalogue: Catalogue, now_ms: Millis, ahead_ms: Millis = 0
 ) -> list[Waiting]:
     """List the units that could start now, first things first.
 
     :param cell: the cell.
     :param catalogue: configuration in force.
-    :param now_ms: time since the Unix epoch.
+    :param now_ms: time of the cell.
+    :param ahead_ms: how far the time of day is ahead of that.
     :returns: the units in the order in which they are served.
     """
+    now = _Now(now_ms, ahead_ms)
     promised = promised_teams(cell.state, catalogue)
     found: list[Waiting] = []
     for job in cell.dirty_jobs():
         units: list[Waiting] = []
         if not job.state.final:
-            units.extend(_of_job(job, catalogue, now_ms, promised))
+            units.extend(_of_job(job, catalogue, now, promised))
         if not units and _is_settled(job):
             cell.dirty.discard(job.job)
         found.extend(units)
@@ -151,18 +164,18 @@
 def _of_job(
     job: Job,
     catalogue: Catalogue,
-    now_ms: Millis,
+    now: _Now,
     promised: frozenset[OwnerId],
 ) -> Iterator[Waiting]:
     schedule = job.spec.schedule
     for occurrence in range(job.occurrences):
         due = job.spec.accepted_ms
         if schedule is not None:
-            due = schedule.due_ms(occurrence)
-            if due > now_ms:
+            due = schedule.due_ms(occurrence) - now.ahead_ms
+            if due > now.cell_ms:
                 return
         yield from _of_occurrence(
-            job, catalogue, occurrence, due, now_ms, promised
+            job, catalogue, occurrence, due, now.cell_ms, promised
         )
 
 
--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from swifthoist_core.clock import Clock
 from swifthoist_core.errors import (
     Finding,
     LogUnavailableError,
@@ -96,7 +95,6 @@
         configuration: Configuration,
         follower: Follower,
         journal: Journal,
-        clock: Clock,
         describe: Callable[[], dict[str, Any]],
     ) -> None:
         """Answer from the fold.
@@ -104,13 +102,11 @@
         :param configuration: the configuration.
         :param follower: folds the log.
         :param journal: appends to it.
-        :param clock: tells the time.
         :param describe: describes the instance, for bug reports.
         """
         self._configuration = configuration
         self._follower = follower
         self._journal = journal
-        self._clock = clock
         self._describe = describe
 
     async def answer(
@@ -135,7 +131,7 @@
             case 'POST' if found:
                 return await self._submit(found[1], content)
             case 'DELETE' if found:
-                record = Canceled(found[1], self._clock.wall_ms())
+                record = Canceled(found[1], self._follower.now_ms)
                 return await self._record(record)
             case _:
                 return Answer(404, {'error': ['no such call']})
@@ -211,7 +207,7 @@
             payload,
             steps,
             queue.terms,
-            self._clock.wall_ms(),
+            self._follower.now_ms,
             Schedule(**schedule) if schedule else None,
         )
         return await self._record(Submitted(spec))
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -42,7 +42,8 @@
 
 KEEP_FACTOR = 1.5
 """Finished jobs are kept for this multiple of the time that they can be
-asked for, since clocks differ."""
+asked for: after the loss of all instances, the time of day of the next holder
+tells how much time has passed."""
 
 _log = logging.getLogger(__name__)
 
@@ -124,7 +125,6 @@
             self._configuration,
             self._follower,
             self._journal,
-            clock,
             lambda: settings.boot.bounds.revocation_ms,
         )
         metrics = Metrics()
@@ -140,7 +140,6 @@
             self._configuration,
             self._follower,
             self._journal,
-            clock,
             self._describe,
         )
         internal_port = boot.internal_ports[0]
--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -13,6 +13,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.records import Record, decode_record
 from swifthoist_engine.snapshots import Restored
+from swifthoist_instance.cell_time import CellTime
 from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_platform.store import Batch
 
@@ -92,6 +93,7 @@
         self._store = store
         self._clock = clock
         self._load = load
+        self._time = CellTime(clock)
         self._behind_ms: Millis | None = None
         self._progress = anyio.Event()
         # Whether a read waits at the store that brings whatever comes.
@@ -105,6 +107,11 @@
             return None
         return self._clock.boot_ms() - self.confirmed_ms
 
+    @property
+    def now_ms(self) -> Millis:
+        """Time of the cell, in ms; it does not jump with the time of day."""
+        return self._time.now_ms()
+
     async def refresh(self) -> None:
         """Read what the log has by now, unless a read waits for it already."""
         if self._current or self.healthy_ms is None:
@@ -219,6 +226,7 @@
         for payload in batch.records:
             self._fold(payload)
             self.position += 1
+        self._time.note(self.cell.state, fresh=self.caught_up)
         self.caught_up = self.position >= batch.end
         self.confirmed_ms = began_ms
         self._announce()
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -180,13 +180,15 @@
             catalogue = self._parts.configuration.catalogue
             if catalogue is None or not await self._knows_own_past():
                 continue
+            now_ms = self._shared.follower.now_ms
             world = World(
                 self._shared.cell,
                 catalogue,
                 self._roster.views(self._waves.cordoned),
                 self._roster.stopping(),
                 self._policies.allowed(),
-                self._parts.clock.wall_ms(),
+                now_ms,
+                self._parts.clock.wall_ms() - now_ms,
             )
             decision = decide(world, self._shared.epoch)
             self._ask_policies(decision.unadvised, world, tasks)
@@ -202,8 +204,7 @@
         if not self._shared.may_act():
             return False
         if self._unsettled:
-            now_ms = self._parts.clock.wall_ms()
-            beat = Beat(self._shared.epoch, now_ms)
+            beat = Beat(self._shared.epoch, self._shared.follower.now_ms)
             self._unsettled = not await record_all(self._shared, [beat])
         return not self._unsettled
 
--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from swifthoist_core.clock import Clock
 from swifthoist_core.errors import (
     Finding,
     LogUnavailableError,
@@ -124,7 +123,6 @@
         configuration: Configuration,
         follower: Follower,
         journal: Journal,
-        clock: Clock,
         revocation_ms: Callable[[], Millis],
     ) -> None:
         """Answer from the fold and by the log.
@@ -132,14 +130,12 @@
         :param configuration: the configuration.
         :param follower: folds the log.
         :param journal: appends to it.
-        :param clock: tells the time.
         :param revocation_ms: tells the time within which a revoked key is
             refused.
         """
         self._configuration = configuration
         self._follower = follower
         self._journal = journal
-        self._clock = clock
         self._revocation_ms = revocation_ms
         self._random = random.Random()
 
@@ -216,7 +212,7 @@
             request.payload,
             request.steps,
             admitted.queue.terms,
-            self._clock.wall_ms(),
+            self._follower.now_ms,
             request.schedule,
         )
         return await self._record(Submitted(spec), job_id, call)
@@ -246,7 +242,7 @@
             return Answer(GONE)
         if not self.ready:
             return self._refuse('log not followed')
-        record = Canceled(job_id, self._clock.wall_ms())
+        record = Canceled(job_id, self._follower.now_ms)
         answer = await self._record(record, job_id, call)
         # The fold may lag behind an acceptance elsewhere, but not behind a
         # record that follows it on the log.
--- a/packages/instance/swifthoist_instance/outcomes.py
+++ b/packages/instance/swifthoist_instance/outcomes.py
@@ -89,7 +89,7 @@
         end.run,
         ending,
         end.checkpoint,
-        shared.clock.wall_ms(),
+        shared.follower.now_ms,
     )
 
 
--- a/packages/instance/swifthoist_instance/tenure.py
+++ b/packages/instance/swifthoist_instance/tenure.py
@@ -176,7 +176,8 @@
     async def _claim(self) -> None:
         self._patience_ms = self._random.uniform(0, SPREAD_MS)
         state = self._follower.cell.state
-        claim = Claimed(state.epoch + 1, self._instance, self._clock.wall_ms())
+        now_ms = self._follower.now_ms
+        claim = Claimed(state.epoch + 1, self._instance, now_ms)
         _log.info(
             'claim',
             extra={'epoch': claim.epoch, 'replaces': state.holder},
@@ -199,7 +200,7 @@
         if hold is None:
             return
         self._beat_ms = now_ms
-        beat = Beat(hold.epoch, self._clock.wall_ms())
+        beat = Beat(hold.epoch, self._follower.now_ms)
         try:
             await self._journal.append([beat], CLAIM_TIMEOUT_S)
         except (LogUnavailableError, OutcomeUnknownError) as exc:
--- a/tests/instance/entry.py
+++ b/tests/instance/entry.py
@@ -45,7 +45,6 @@
             self.configuration,
             self.follower,
             self.journal,
-            clock,
             lambda: REVOKE_MS,
         )
 
--- a/tests/instance/fakes.py
+++ b/tests/instance/fakes.py
@@ -21,6 +21,9 @@
     Listing,
 )
 
+DAY_MS = 1_780_000_000_000
+"""True time of day when a test begins, in ms since the Unix epoch."""
+
 
 class LoopClock:
     """The clock of the event loop, also as time of day."""
@@ -34,6 +37,21 @@
         return self.boot_ms()
 
 
+class JumpingClock(LoopClock):
+    """The clock of the event loop, and a time of day that a test sets.
+
+    :ivar ahead_ms: how far its time of day is ahead of true time.
+    """
+
+    def __init__(self) -> None:
+        """Start with the true time of day."""
+        self.ahead_ms = 0
+
+    def wall_ms(self) -> int:
+        """The time of day, right or wrong."""
+        return DAY_MS + self.boot_ms() + self.ahead_ms
+
+
 class FakeStore:
     """A store with faults that a test switches on and off."""
 
--- a/tests/instance/test_api.py
+++ b/tests/instance/test_api.py
@@ -6,7 +6,7 @@
 
 from swifthoist_instance.api import Api
 from tests.instance.entry import JOB, Entry, configure
-from tests.instance.fakes import FakeStore, LoopClock, run
+from tests.instance.fakes import FakeStore, run
 
 _JOBS = tuple(f'{number:016x}' for number in range(20))
 
@@ -25,7 +25,6 @@
                 second.configuration,
                 second.follower,
                 second.journal,
-                LoopClock(),
                 dict,
             )
             async with anyio.create_task_group() as tasks:
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -15,7 +15,7 @@
 from swifthoist_instance.application import Application, Outside
 from swifthoist_instance.intake import Answer, Call
 from swifthoist_platform.boot import Boot, decode_boot
-from tests.instance.fakes import LoopClock, run
+from tests.instance.fakes import JumpingClock, LoopClock, run
 
 STORE = 'store:1'
 LISTEN = ('entry:1', 'entry:2', 'entry:3')
@@ -46,6 +46,7 @@
         """Prepare it; it does not run yet."""
         self.name = name
         self.app: Application | None = None
+        self.clock = JumpingClock()
         self.link = Link(world, name, tasks)
         self._world = world
         self._tasks = tasks
@@ -58,9 +59,7 @@
             return
         self._lives += 1
         content = write_settings(self.name, 'north', LISTEN, STORE)
-        outside = Outside(
-            LoopClock(), self.link.open_endpoint, str(self._lives)
-        )
+        outside = Outside(self.clock, self.link.open_endpoint, str(self._lives))
         self.app = Application(_Fixed(decode_boot(content)), Logs(), outside)
         self._scope = anyio.CancelScope()
         self._tasks.start_soon(self._run, self.app, self._scope)
--- /dev/null
+++ b/tests/simulation/test_clocks.py
@@ -0,0 +1,243 @@
+"""What holds while the time of day of instances is wrong and jumps."""
+
+import unittest
+
+import anyio
+import msgspec
+
+from swifthoist_emulator.callers import Order, write_job
+from swifthoist_emulator.lives import StepWork
+from swifthoist_engine.model import TaskId
+from swifthoist_engine.queueing import RETRY_PAUSE_MS
+from swifthoist_instance.tenure import SILENCE_MS, SPREAD_MS
+from swifthoist_platform import names
+from tests.instance.fakes import DAY_MS
+from tests.simulation.cluster import CALL_S, Cluster, Node, play, wait_until
+
+JUMP_MS = 8_000
+"""How far a time of day jumps, in ms."""
+
+STATUS_S = 120.0
+"""How long a finished job can be asked for, in seconds: the default."""
+
+SLACK_S = 2.0
+"""For looks, records and pauses before a start, in seconds."""
+
+LOOK_S = 0.01
+"""Pause of a test that waits for a moment, in seconds."""
+
+TAKEOVER_S = (SILENCE_MS + SPREAD_MS) / 1_000 + SLACK_S
+WORK_MS = 4_000
+LONG = StepWork(WORK_MS, (4_000, 8_000, 1))
+TINY = StepWork(300, (1_000, 1_000, 0))
+FAILS = TINY._replace(fails=True)
+
+
+async def _submit_at(node: Node, order: Order, content: bytes) -> None:
+    """Submit a job at one instance."""
+    answer = await node.call('POST', order, content)
+    assert answer is not None and answer.status == 200, answer
+
+
+def _repeat(order: Order, first_ms: int, interval_ms: int, times: int) -> bytes:
+    """Write the body of a job with occurrences."""
+    document = msgspec.json.decode(write_job(order))
+    document[names.START_AT_MS] = first_ms
+    document[names.INTERVAL_MS] = interval_ms
+    document[names.REPEAT_COUNT] = times
+    return msgspec.json.encode(document)
+
+
+def _crash_busy(cluster: Cluster) -> None:
+    """Have the runners that run anything come back as other lives."""
+    fleet = cluster.world.fleet
+    for host in fleet.hosts.values():
+        if host.life is not None and host.life.runs:
+            fleet.kill(host)
+            fleet.revive(host)
+
+
+async def _run_wide(cluster: Cluster) -> Order:
+    """Have a job of four tasks run."""
+    order = cluster.order('/batch/', LONG, width=4)
+    await cluster.submit(order)
+    running = cluster.world.witness.running_of
+    await wait_until(lambda: len(running(order.job)) == 4)
+    return order
+
+
+class ClocksTest(unittest.TestCase):
+    """Pauses, patience and keeping go by the time that really passes."""
+
+    def test_a_lost_run_starts_again_after_the_holders_clock_went_back(
+        self,
+    ) -> None:
+        """Its pause would end only when the clock is there again."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            holder.clock.ahead_ms = JUMP_MS
+            order = await _run_wide(cluster)
+            await anyio.sleep(1)
+            holder.clock.ahead_ms = 0
+            _crash_busy(cluster)
+            with anyio.fail_after(WORK_MS / 1_000 + 2 * SLACK_S):
+                await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene)
+        self.assertEqual(world.witness.broken, [])
+
+    def test_a_lost_run_starts_again_at_a_holder_whose_clock_is_behind(
+        self,
+    ) -> None:
+        """The former holder's was ahead, and the cell's time with it."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            holder.clock.ahead_ms = JUMP_MS
+            order = await _run_wide(cluster)
+            await anyio.sleep(1)
+            holder.kill()
+            _crash_busy(cluster)
+            with anyio.fail_after(TAKEOVER_S + WORK_MS / 1_000 + SLACK_S):
+                await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene)
+        self.assertEqual(world.witness.broken, [])
+
+    def test_a_lost_run_starts_again_when_the_holder_came_back(self) -> None:
+        """Its next life knows the cell's time from the log alone."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            holder.clock.ahead_ms = JUMP_MS
+            order = await _run_wide(cluster)
+            await anyio.sleep(1)
+            holder.kill()
+            _crash_busy(cluster)
+            holder.clock.ahead_ms = 0
+            holder.start()
+            with anyio.fail_after(TAKEOVER_S + WORK_MS / 1_000 + SLACK_S):
+                await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+
+    def test_attempts_follow_each_other_while_the_clock_goes_back(
+        self,
+    ) -> None:
+        """The end of a run was noted with a time that is not there again."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            holder.clock.ahead_ms = JUMP_MS
+            order = cluster.order('/batch/', FAILS)
+            await cluster.submit(order)
+            running = cluster.world.witness.running_of
+            while not running(order.job):
+                await anyio.sleep(LOOK_S)
+            while running(order.job):
+                await anyio.sleep(LOOK_S)
+            await anyio.sleep(RETRY_PAUSE_MS / 2_000)
+            holder.clock.ahead_ms = 0
+            with anyio.fail_after(3 * (0.3 + SLACK_S)):
+                await cluster.wait_state(order, 'failed', 60)
+
+        world = play(scene)
+        self.assertEqual(world.witness.broken, [])
+
+    def test_a_finished_job_is_known_for_its_time_whatever_clocks_say(
+        self,
+    ) -> None:
+        """A clock that was far ahead had it forgotten at once.
+
+        The holder's clock jumps, and the next holder's is ahead as well.
+        """
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            order = cluster.order('/batch/', TINY)
+            await cluster.submit(order)
+            await cluster.wait_state(order, 'complete', 30)
+            done = anyio.current_time()
+            for node in cluster.nodes:
+                node.clock.ahead_ms = 10 * int(STATUS_S * 1_000)
+            await anyio.sleep(5)
+            holder.kill()
+            await anyio.sleep(TAKEOVER_S)
+            holder.start()
+            await anyio.sleep(SLACK_S)
+            while anyio.current_time() < done + STATUS_S:
+                for node in cluster.nodes:
+                    answer = await node.call('GET', order)
+                    self.assertEqual(answer and answer.status, 200)
+                await anyio.sleep(5)
+
+        play(scene)
+
+    def test_a_job_is_as_old_as_it_is_whoever_accepts_it(self) -> None:
+        """Patience for one rack would last as long as clocks differ."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            await anyio.sleep(1)
+            others = [node for node in cluster.nodes if node is not holder]
+            for number, node in enumerate(others):
+                node.clock.ahead_ms = -JUMP_MS if number else JUMP_MS
+                order = cluster.order('/batch/', TINY)
+                cluster.world.witness.submitted.add(order.job)
+                await _submit_at(node, order, write_job(order))
+                await cluster.wait_state(order, 'complete', 30)
+                assert holder.app is not None
+                state = holder.app._follower.cell.state
+                age_ms = state.time_ms - state.jobs[order.job].spec.accepted_ms
+                self.assertGreaterEqual(age_ms, 0)
+                self.assertLess(age_ms, CALL_S * 1_000)
+
+        play(scene)
+
+
+class OccurrenceTest(unittest.TestCase):
+    """Occurrences are due by the time of day of the holder."""
+
+    def test_occurrences_start_once_each_and_no_earlier_than_clocks_err(
+        self,
+    ) -> None:
+        """While clocks jump, and the holder changes in between."""
+        times, interval_ms = 6, 3_000
+        starts: dict[int, float] = {}
+
+        async def watch(cluster: Cluster, order: Order) -> None:
+            while len(starts) < times:
+                for task in cluster.world.witness.running_of(order.job):
+                    starts.setdefault(task.occurrence, anyio.current_time())
+                await anyio.sleep(LOOK_S)
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            order = cluster.order('/batch/', TINY)
+            first_ms = DAY_MS + int(anyio.current_time() * 1_000) + interval_ms
+            cluster.world.witness.submitted.add(order.job)
+            content = _repeat(order, first_ms, interval_ms, times)
+            await _submit_at(holder, order, content)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watch, cluster, order)
+                holder.clock.ahead_ms = JUMP_MS // 2
+                await anyio.sleep(4)
+                holder.clock.ahead_ms = -JUMP_MS // 2
+                await anyio.sleep(4)
+                holder.kill()
+                await anyio.sleep(TAKEOVER_S)
+                holder.start()
+                limit_s = times * interval_ms / 1_000 + JUMP_MS / 1_000
+                await cluster.wait_state(order, 'complete', limit_s)
+            for occurrence, start in starts.items():
+                due_ms = first_ms + occurrence * interval_ms - DAY_MS
+                self.assertGreaterEqual(start * 1_000, due_ms - JUMP_MS // 2)
+            done = cluster.world.witness.done[order.job]
+            wanted = {TaskId(order.job, item, 0, 0) for item in range(times)}
+            self.assertEqual(done, wanted)
+
+        world = play(scene)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, times)
