Go on with an occurrence that began, though the clock went back

Callers would see an occurrence stand still after its run was lost or failed: it was not offered again until the holder's time of day had reached its due time once more. The same after a takeover by an instance whose clock is behind.

Cause: each decision asked anew whether an occurrence is due. One of which a unit was started was due. Ruled out: the time of the cell for occurrences, since it would carry the error of one clock on for good.

The test failed before, with the lost run not started within its bound, and passes now.

--- a/packages/engine/swifthoist_engine/jobs.py
+++ b/packages/engine/swifthoist_engine/jobs.py
@@ -152,6 +152,19 @@
         key = (unit.occurrence, unit.step, unit.ordinal)
         return self.units.setdefault(key, Unit())
 
+    def began(self, occurrence: int) -> bool:
+        """Tell whether any unit of an occurrence was started.
+
+        :param occurrence: number of the occurrence.
+        :returns: whether one was.
+        """
+        return any(
+            self.find(unit) is not None
+            for number, step in enumerate(self.spec.steps)
+            if not step.depends_on
+            for unit in self.step_units(occurrence, number)
+        )
+
     def step_units(self, occurrence: int, number: int) -> Iterator[UnitId]:
         """List the units of a step.
 
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -172,7 +172,7 @@
         due = job.spec.accepted_ms
         if schedule is not None:
             due = schedule.due_ms(occurrence) - now.ahead_ms
-            if due > now.cell_ms:
+            if due > now.cell_ms and not job.began(occurrence):
                 return
         yield from _of_occurrence(
             job, catalogue, occurrence, due, now.cell_ms, promised
--- a/tests/simulation/test_clocks.py
+++ b/tests/simulation/test_clocks.py
@@ -241,3 +241,25 @@
         world = play(scene)
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(world.witness.starts, times)
+
+    def test_an_occurrence_that_began_goes_on_after_the_clock_went_back(
+        self,
+    ) -> None:
+        """Its lost run would wait until the occurrence is due once more."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            holder.clock.ahead_ms = JUMP_MS
+            order = cluster.order('/batch/', LONG)
+            due_ms = DAY_MS + int(anyio.current_time() * 1_000) + JUMP_MS
+            cluster.world.witness.submitted.add(order.job)
+            await _submit_at(holder, order, _repeat(order, due_ms, 1_000, 1))
+            running = cluster.world.witness.running_of
+            await wait_until(lambda: bool(running(order.job)))
+            holder.clock.ahead_ms = -JUMP_MS
+            _crash_busy(cluster)
+            with anyio.fail_after(WORK_MS / 1_000 + 2 * SLACK_S):
+                await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene)
+        self.assertEqual(world.witness.broken, [])
