--- a/packages/instance/swifthoist_instance/outcomes.py
+++ b/packages/instance/swifthoist_instance/outcomes.py
@@ -86,7 +86,7 @@
         end.run,
         end.ending,
         end.checkpoint,
-        shared.clock.wall_ms(),
+        shared.follower.now_ms,
     )
 
 
