Judge ends that are acknowledged later, and jobs shown complete, in the stand-ins

The witness saw a start behind a done end only where the end had been acknowledged before the start. It now also sees a start between a done end and its acknowledgement, unless the lease ended between the two, and a job that is shown as complete before all its tasks are done. Plays of faults also lose answers of looks that were carried out, cut runners off, and let over a lease pass. A fresh series (KILL 0, HARM_WRITES 1, CRASH 8, ...) then showed a gang as complete of which a member was lost in a crash. Cause: the stand-in let the other members work on to a done end when a runner crashed; the platform breaks them. It now does so too.

--- a/packages/emulator/swifthoist_emulator/callers.py
+++ b/packages/emulator/swifthoist_emulator/callers.py
@@ -10,6 +10,7 @@
 from swifthoist_emulator.lives import TAIL_TARGET_MS, StepWork, write_payload
 from swifthoist_emulator.site import HOST
 from swifthoist_emulator.witness import Witness
+from swifthoist_engine.model import TaskId
 from swifthoist_platform import names
 
 CALL_S = 3.0
@@ -38,6 +39,14 @@
     steps: tuple[StepWork, ...]
     width: int = 1
 
+    def tasks(self) -> list[TaskId]:
+        """List its tasks."""
+        return [
+            TaskId(self.job, 0, number, index)
+            for number, work in enumerate(self.steps)
+            for index in range(work.gang or self.width)
+        ]
+
 
 class Caller:
     """Calls instances, another one at each try."""
@@ -83,6 +92,8 @@
         if reply is None or reply.status_code != 200:
             return ''
         found: str = msgspec.json.decode(reply.content)[names.STATE]
+        if found == 'complete':
+            self._witness.note_complete(order.job, order.tasks())
         return found
 
     async def close(self) -> None:
--- a/packages/emulator/swifthoist_emulator/fleet.py
+++ b/packages/emulator/swifthoist_emulator/fleet.py
@@ -82,13 +82,19 @@
         host.life = Life(host.runner, host.room, self.witness)
 
     def kill(self, host: Host) -> None:
-        """End a life; whatever ran there is gone.
+        """End a life; whatever ran there is gone, and gangs of it break.
 
         :param host: the host.
         """
-        if host.life is not None:
-            host.life.die()
-            host.life = None
+        if host.life is None:
+            return
+        gangs = {_gang_key(run) for run in _gang_runs([host]) if run.present}
+        host.life.die()
+        host.life = None
+        others = list(self.hosts.values())
+        left = [it.task for it in _gang_runs(others) if _gang_key(it) in gangs]
+        for other in others:
+            _break_tasks(other, left)
 
     def advance(self, now_ms: Millis) -> None:
         """Let time pass everywhere.
--- a/packages/emulator/swifthoist_emulator/lives.py
+++ b/packages/emulator/swifthoist_emulator/lives.py
@@ -250,7 +250,9 @@
         self.ends = [end for end in self.ends if end.number > seen]
         for end in noted:
             if end.number > self._void:
-                self.witness.note_seen(end.task, end.ending)
+                self.witness.note_seen(
+                    self.runner, end.task, end.run, end.ending
+                )
 
     def gauge(self, run: TaskRun) -> int:
         """Give the rough figure of a run.
--- a/packages/emulator/swifthoist_emulator/witness.py
+++ b/packages/emulator/swifthoist_emulator/witness.py
@@ -1,6 +1,7 @@
 """What the stand-ins saw: every start and end, and the promises broken."""
 
 from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -47,6 +48,10 @@
         default_factory=lambda: defaultdict(dict)
     )
     _seen_done: set[TaskId] = field(default_factory=set)
+    _unseen_done: dict[TaskId, set[Place]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
+    _overtaken: set[tuple[TaskId, Place]] = field(default_factory=set)
 
     def note_start(
         self,
@@ -71,6 +76,8 @@
             self.broken.append(f'{task} starts again, though it was done')
         if task.job not in self.submitted:
             self.broken.append(f'{task} starts, though nobody submitted it')
+        # Whether an end counts is known when it is seen, if it ever is.
+        self._overtaken.update((task, it) for it in self._unseen_done[task])
         self._running[task].add(Place(runner, run))
         self._used[runner][task] = Resources(*need)
         total = Resources()
@@ -93,6 +100,7 @@
         self._used[runner].pop(task, None)
         if how == Ending.DONE:
             self.done[task.job].add(task)
+            self._unseen_done[task].add(Place(runner, run))
 
     def note_time(self, accelerators: int, passed_ms: int) -> None:
         """Note that a run holds accelerators.
@@ -102,14 +110,32 @@
         """
         self.accelerator_ms += accelerators * passed_ms
 
-    def note_seen(self, task: TaskId, ending: Ending) -> None:
+    def note_seen(
+        self, runner: RunnerId, task: TaskId, run: int, ending: Ending
+    ) -> None:
         """Note that the scheduler has taken note of an end.
 
+        :param runner: where.
         :param task: the task.
+        :param run: number of the run.
         :param ending: how it ended.
         """
-        if ending is Ending.DONE:
-            self._seen_done.add(task)
+        if ending is not Ending.DONE:
+            return
+        self._seen_done.add(task)
+        place = Place(runner, run)
+        if (task, place) in self._overtaken:
+            self.broken.append(f'{task} started again after {place} was done')
+
+    def note_complete(self, job: JobId, tasks: Iterable[TaskId]) -> None:
+        """Note that a job was shown as complete.
+
+        :param job: the job.
+        :param tasks: its tasks, all of which have to be done.
+        """
+        missing = frozenset(tasks) - self.done[job]
+        if missing:
+            self.broken.append(f'{job} is complete without {missing}')
 
     def running_of(self, job: JobId) -> list[TaskId]:
         """List the tasks of a job that run now.
--- a/tests/emulator/test_stand_ins.py
+++ b/tests/emulator/test_stand_ins.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from swifthoist_emulator.fleet import Fleet, Host, Place
 from swifthoist_emulator.http import read_request
 from swifthoist_emulator.lives import Life, StepWork, write_payload
 from swifthoist_emulator.topics import REMEMBERED, Numbered, Topic
@@ -120,6 +121,57 @@
         late = self.life.start(TaskId('job', 0, 0, 2), 1, self.payload, 99, '')
         self.assertEqual(late, 'late')
 
+    def test_the_witness_sees_a_start_between_an_end_and_its_note(self) -> None:
+        """It breaks the promise only once the end is taken note of."""
+        other = self.start_after_done_end()
+        self.assertEqual(self.witness.broken, [])
+        self.life.see(1)
+        self.assertEqual(len(self.witness.broken), 1)
+        other.see(1)
+        self.assertEqual(len(self.witness.broken), 1)
+
+    def test_a_start_after_an_end_that_lapsed_is_allowed(self) -> None:
+        """It is void for good once the lease has ended."""
+        self.start_after_done_end()
+        self.life.advance(5_001)
+        self.life.renew(9_000)
+        self.life.see(1)
+        self.assertEqual(self.witness.broken, [])
+
+    def start_after_done_end(self) -> Life:
+        """Start another run of the task, of which one is done and unseen."""
+        self.life.renew(5_000)
+        self.life.advance(1_000)
+        other = Life('s', ROOM, self.witness)
+        other.start(TASK, 2, self.payload, 500, '')
+        return other
+
+    def test_the_witness_sees_a_job_that_is_complete_too_soon(self) -> None:
+        """Every task has to be done before."""
+        self.witness.note_complete('job', [TASK])
+        self.assertEqual(len(self.witness.broken), 1)
+        self.life.renew(5_000)
+        self.life.advance(1_000)
+        self.witness.note_complete('job', [TASK])
+        self.assertEqual(len(self.witness.broken), 1)
+
+    def test_a_gang_breaks_when_a_runner_of_it_crashes(self) -> None:
+        """Its members that are left do not work on."""
+        fleet = Fleet(self.witness)
+        payload = write_payload((WORK._replace(gang=2),))
+        for number in range(2):
+            place = Place(f'h-{number}:1', 'rack', 'zone')
+            fleet.add(Host(f'h-{number}', place, ROOM))
+            task = TASK._replace(ordinal=number + 1)
+            life = fleet.hosts[place.address].life
+            life.start(task, 1, payload, 5_000, '')
+        fleet.advance(100)
+        first, second = fleet.hosts.values()
+        fleet.kill(first)
+        self.assertEqual(
+            [end.ending for end in second.life.ends], [Ending.BROKEN]
+        )
+
     def test_the_witness_sees_a_task_that_runs_twice(self) -> None:
         """Also where each runner did what it was told."""
         other = Life('s', ROOM, self.witness)
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -154,7 +154,10 @@
         answer = await node.call('GET', order)
         if answer is None or answer.status != OK:
             return ''
-        return answer.content.decode().split('"')[3]
+        state = answer.content.decode().split('"')[3]
+        if state == 'complete':
+            self.world.witness.note_complete(order.job, order.tasks())
+        return state
 
     async def holder(self) -> Node:
         """Wait until some node holds, and find it."""
--- a/tests/simulation/events.py
+++ b/tests/simulation/events.py
@@ -16,6 +16,7 @@
     THAW = auto()
     CUT_STORE = auto()
     CUT_RUNNERS = auto()
+    CUT_HOST = auto()
     HEAL = auto()
     HARM_WRITES = auto()
     HARM_READS = auto()
--- a/tests/simulation/test_faults.py
+++ b/tests/simulation/test_faults.py
@@ -41,7 +41,7 @@
         Event,
         st.sampled_from(list(What)),
         st.integers(0, 11),
-        st.sampled_from((0, 0.01, 0.02, 0.4, 1.5, 3, 6)),
+        st.sampled_from((0, 0.01, 0.02, 0.4, 1.5, 3, 6, 9)),
     ),
     min_size=8,
     max_size=30,
@@ -49,6 +49,7 @@
 
 WRITE_HARMS = (Harm.LOST, Harm.LATE, Harm.BUSY, Harm.SILENT, Harm.SLOW)
 READ_HARMS = (Harm.SILENT, Harm.BUSY, Harm.SLOW)
+LOOK_HARMS = (Harm.SILENT, Harm.LOST)
 ORDER_HARMS = (Harm.LATE, Harm.LOST, Harm.BUSY, Harm.SILENT)
 
 
@@ -67,6 +68,9 @@
             cluster.world.fleet.revive(host)
         case What.DRAIN:
             _host(cluster, event.which).draining = True
+        case What.CUT_HOST:
+            host = _host(cluster, event.which)
+            cluster.world.faults.cut.add(host.place.address)
         case _:
             _strike(cluster.nodes[event.which % NODES], event)
             _harm(cluster.world.faults, event)
@@ -98,7 +102,8 @@
         case What.HARM_ORDERS:
             faults.orders = _fault(ORDER_HARMS, event.which)
         case What.HARM_LOOKS:
-            faults.looks = Fault(Harm.SILENT, share=0.5)
+            harm = LOOK_HARMS[event.which % len(LOOK_HARMS)]
+            faults.looks = Fault(harm, share=0.5)
 
 
 def _fault(harms: Sequence[Harm], which: int) -> Fault:
@@ -126,6 +131,7 @@
     faults.store_reads = NO_FAULT
     faults.orders = NO_FAULT
     faults.looks = NO_FAULT
+    faults.cut.clear()
     for node in cluster.nodes:
         node.link.cut.clear()
         if node.link.frozen:
