Prove that an end that was recorded and not acknowledged counts

It was listed as not proved: a holder records a done end and dies before its next look, and the runner's lease ends before another holder looks.

--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -188,3 +188,31 @@
         world = play(scene, count=1)
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(world.witness.starts, 1)
+
+    def test_an_end_that_was_recorded_and_not_acknowledged_counts(self) -> None:
+        """Also where the holder died and the lease ended before it was."""
+
+        async def scene(cluster: Cluster) -> None:
+            order = await _begin(cluster, SHORT)
+            world = cluster.world
+            host = next(it for it in world.fleet.hosts.values() if it.life.runs)
+            # The look that brings the end is answered before it is recorded.
+            world.faults.store_writes = Fault(Harm.SLOW, delay_s=0.6)
+            await wait_until(lambda: len(host.life.ends) == 1)
+            await anyio.sleep(0.2)
+            world.faults.cut.add(host.place.address)
+            job = (await cluster.holder()).cell.find_job(order.job)
+            await wait_until(lambda: job.complete)
+            for node in cluster.nodes:
+                node.kill()
+            world.faults.store_writes = NO_FAULT
+            await wait_until(lambda: host.life.now_ms > host.life.until_ms)
+            self.assertEqual(len(host.life.ends), 1)
+            world.faults.cut.clear()
+            cluster.nodes[0].start()
+            await cluster.wait_state(order, 'complete', 10)
+            await wait_until(lambda: not host.life.ends)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 1)
