Take no refused start of an earlier term for a run that is not there

Callers would see a task run twice at the same time. A term that goes on with its epoch behind an outage of the store gives all its starts again. Where the runner refused one for its state (503), the run was recorded as not there, though it may have run since the term before; another start followed elsewhere. Ruled out: giving such starts again until they are taken, as a runner that stays unhealthy would hold the task for good. Change: a refused start of a run that was open when the term began is followed by a stop, which also forbids what is still under way; a look then tells what ended. Test: simulation/test_losses, failed before ("runs twice").

--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -132,6 +132,9 @@
             Standstill(),
             parts.clock,
             wake,
+            frozenset(
+                (run.task, run.run) for run in parts.follower.cell.runs.all()
+            ),
             anyio.Event(),
         )
         lease_ms = min(LEASE_MS, int(parts.lease_max_ms() * LEASE_SHARE))
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -78,7 +78,7 @@
             self.settled.pop(key)
 
     async def _carry_start(self, run: OpenRun, ticket: str) -> None:
-        unsure = False
+        unsure = (run.task, run.run) in self._shared.earlier
         while self._wanted(run):
             verdict = await self._try_start(run, ticket)
             match verdict:
@@ -145,7 +145,7 @@
                 run.runner, run.task.job, self._shared.clock.boot_ms()
             )
         if unsure:
-            self.stop(run, 'rejected after an order without answer')
+            self.stop(run, 'rejected, but may be there')
             return
         reason = f'start rejected: {verdict}'
         while self._contact.active() and not await record_vanished(
--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -216,3 +216,28 @@
         world = play(scene, count=1)
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(world.witness.starts, 1)
+
+    def test_a_start_of_an_earlier_term_that_is_refused_may_be_there(
+        self,
+    ) -> None:
+        """A term goes on with its epoch and gives all starts again.
+
+        A runner that refuses one then may run the task all the same.
+        """
+        work = StepWork(20_000, (4_000, 8_000, 1))
+
+        async def scene(cluster: Cluster) -> None:
+            order = await _begin(cluster, work)
+            holder = await cluster.holder()
+            faults = cluster.world.faults
+            faults.store_reads = Fault(Harm.SILENT)
+            await wait_until(lambda: not holder.holds)
+            faults.orders = Fault(Harm.BUSY)
+            faults.store_reads = NO_FAULT
+            await wait_until(lambda: holder.holds)
+            await anyio.sleep(0.2)
+            faults.orders = NO_FAULT
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
