Take no orders in a session that ends with its tenure

A start or stop that was handed to a session between the end of its tasks and its mark as closed raised "Nursery is closed to new arrivals" on trio, and with it the holder's duty ended. By reading, asyncio, on which the program runs, still takes the task there and cancels it.

A session takes orders only while calls to its runner make sense. The new test raised before and passes now.

--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -115,7 +115,7 @@
         :param ticket: permission by the queue's policy; empty for none.
         :returns: whether it is on its way.
         """
-        if self._orders is None or self.contact.gone:
+        if self._orders is None or not self.contact.active():
             return False
         self._orders.start(run, ticket)
         return True
@@ -126,7 +126,7 @@
         :param run: the run.
         :param reason: why, for the log.
         """
-        if self._orders is not None and not self.closed:
+        if self._orders is not None and self.contact.active():
             self._orders.stop(run, reason)
 
     async def _look_or_close(self, orders: Orders) -> None:
--- /dev/null
+++ b/tests/instance/test_sessions.py
@@ -0,0 +1,70 @@
+"""Tests of sessions with runners."""
+
+import unittest
+from types import SimpleNamespace
+
+import anyio
+from anyio.lowlevel import checkpoint
+
+from swifthoist_engine.cell import Cell
+from swifthoist_engine.jobs import OpenRun
+from swifthoist_engine.model import TaskId
+from swifthoist_instance.orders import Orders
+from swifthoist_instance.sessions import Session
+from tests.instance.fakes import LoopClock, run
+
+RUN = OpenRun(TaskId('j', 0, 0, 0), 1, 'runner', 1, 0)
+
+
+class _Contact:
+    """A runner that is served for as long as the tenure lasts."""
+
+    gone = False
+    closed = False
+    lasts = True
+    runner = 'runner'
+
+    def __init__(self) -> None:
+        """Let the tenure last."""
+        self.client = self
+        self.shared = SimpleNamespace(
+            may_act=self.active, clock=LoopClock(), cell=Cell(1_000)
+        )
+
+    def active(self) -> bool:
+        """Whether the tenure lasts."""
+        return self.lasts
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+class _Session(Session):
+    """A session whose looks show nothing."""
+
+    async def _look_or_close(self, _: Orders) -> None:
+        await checkpoint()
+
+
+class EndTest(unittest.TestCase):
+    """A session ends with its tenure."""
+
+    def test_no_start_is_taken_while_the_session_ends(self) -> None:
+        """Its tasks are over then; it raised, and ended the duty."""
+        taken: list[bool] = []
+
+        async def main() -> None:
+            contact = _Contact()
+            session = _Session(contact)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(session.run)
+                for _ in range(5):
+                    await checkpoint()
+                contact.lasts = False
+                for _ in range(20):
+                    taken.append(session.start(RUN, ''))
+                    session.stop(RUN, 'preempted')
+                    await checkpoint()
+
+        run(main)
+        self.assertEqual(set(taken), {False})
