Keep the pause between runs short after a clock was ahead

Callers would see a job stand still for as long as a holder's time of day was ahead. The fold keeps the newest time that any holder noted, and a run that is given up carries it, so on a holder whose clock is right its unit was not offered to a decision until that time had come.

Ruled out: the pause itself, which is 1.6 s at the most. A patience for one rack or for the rack of the data counts from the same time and is left as it is: it bounds where a unit goes, not whether it is offered.

A pause counts only from a time that has passed. The new test failed before (with a time 30 s ahead the unit did not start) and passes now; 46 tests of planner, invariants and cell pass.

--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -245,7 +245,9 @@
         return True
     if unit.done or unit.open:
         return False
-    return now_ms >= unit.idle_since_ms + retry_pause_ms(unit.last_run)
+    # An end may carry the time of a clock that was ahead.
+    idle_ms = now_ms - unit.idle_since_ms
+    return not 0 <= idle_ms < retry_pause_ms(unit.last_run)
 
 
 def retry_pause_ms(runs: int) -> Millis:
--- a/tests/engine/test_planner.py
+++ b/tests/engine/test_planner.py
@@ -4,7 +4,7 @@
 
 from swifthoist_engine.model import GANG_ORDINAL, Schedule, TaskId, UnitId
 from swifthoist_engine.queueing import retry_pause_ms
-from swifthoist_engine.records import Canceled, Ending
+from swifthoist_engine.records import Canceled, Ending, Vanished
 from tests.engine.scenes import (
     BATCH,
     BULK,
@@ -286,6 +286,16 @@
         self.assertEqual(pauses[6], 2 * pauses[5])
         self.assertEqual(pauses[-1], 1_600)
 
+    def test_a_pause_is_no_longer_after_a_clock_was_ahead(self) -> None:
+        """Ends that are noted later carry the newest time of any holder."""
+        scene = Scene(job_spec('j', BATCH, task()))
+        scene.start(UnitId('j', 0, 0, 0), 'runner-0')
+        scene.beat(NOW_MS + 30_000)
+        lost = Vanished(1, TaskId('j', 0, 0, 0), 1, 'runner-0', 'lease ended')
+        scene.fold(lost)
+        later = scene.decide([view(0)], now_ms=NOW_MS + 200)
+        self.assertEqual(list(places(later)), [UnitId('j', 0, 0, 0)])
+
 
 class PackingTest(unittest.TestCase):
     """Whole racks stay free for gangs."""
