--- a/tests/simulation/events.py
+++ b/tests/simulation/events.py
@@ -23,6 +23,7 @@
     HARM_LOOKS = auto()
     CRASH = auto()
     DRAIN = auto()
+    JUMP = auto()
 
 
 class Event(NamedTuple):
--- a/tests/simulation/test_faults.py
+++ b/tests/simulation/test_faults.py
@@ -49,6 +49,9 @@
 
 WRITE_HARMS = (Harm.LOST, Harm.LATE, Harm.BUSY, Harm.SILENT, Harm.SLOW)
 READ_HARMS = (Harm.SILENT, Harm.BUSY, Harm.SLOW)
+CLOCKS_MS = (0, 2_000, -2_000, 8_000, -8_000)
+"""How far the time of day of an instance may be ahead of true time, in ms."""
+
 ORDER_HARMS = (Harm.LATE, Harm.LOST, Harm.BUSY, Harm.SILENT)
 
 
@@ -85,6 +88,8 @@
             node.link.thaw()
         case What.CUT_STORE:
             node.link.cut.add(STORE)
+        case What.JUMP:
+            node.clock.ahead_ms = CLOCKS_MS[event.which % len(CLOCKS_MS)]
         case What.CUT_RUNNERS:
             node.link.cut.update(f'runner-{number}:1' for number in range(4))
 
