Take no start while a session with a runner ends

Cause: the session was marked as closed only once its task group had ended. Ruled out: the connections themselves; the trace leads from the decision to the session. It is marked as soon as it takes no more looks.

The test failed before (the start was taken) and passes now.

--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -101,6 +101,8 @@
                 self._orders = Orders(contact, tasks)
                 while self._shared.may_act() and not contact.closed:
                     await self._look_or_close(self._orders)
+                # Orders from here on would be lost with the task group.
+                contact.closed = True
                 tasks.cancel_scope.cancel()
         finally:
             contact.closed = True
--- /dev/null
+++ b/tests/instance/test_session_end.py
@@ -0,0 +1,96 @@
+"""Tests of the end of a session with a runner."""
+
+import unittest
+from typing import cast
+
+import anyio
+
+from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
+from swifthoist_engine.cell import Cell
+from swifthoist_engine.model import Resources, TaskId, UnitId
+from swifthoist_instance.contacts import Contact
+from swifthoist_instance.leases import Lease
+from swifthoist_instance.sessions import Session
+from swifthoist_instance.shared import Shared
+from swifthoist_platform.documents import unlisted_runner
+from swifthoist_platform.runner_calls import RunnerClient
+from tests.engine.scenes import BATCH, Scene, job_spec, task
+from tests.instance.fakes import LoopClock, run
+
+ANSWER_S = 1.0
+LEASE_MS = 8_000
+
+
+class _Client:
+    """A runner that answers no look, and a start only after a while."""
+
+    def __init__(self) -> None:
+        self.orders = 0
+
+    async def look(self, *_: object) -> None:
+        """Answer nothing."""
+        await anyio.sleep(ANSWER_S / 10)
+        raise UnreachableError('no runner')
+
+    async def start(self, *_: object) -> None:
+        """Hold on to the order, even when its caller gives up."""
+        self.orders += 1
+        with anyio.CancelScope(shield=True):
+            await anyio.sleep(ANSWER_S)
+        raise OutcomeUnknownError('no answer')
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+class _Shared:
+    """What a session asks of its tenure."""
+
+    epoch = 1
+
+    def __init__(self, cell: Cell) -> None:
+        self.cell = cell
+        self.clock = LoopClock()
+        self.acts = True
+
+    def may_act(self) -> bool:
+        """Tell whether the tenure lasts."""
+        return self.acts
+
+
+class SessionEndTest(unittest.TestCase):
+    """A session that ends takes no more orders."""
+
+    def test_a_start_is_not_taken_while_the_session_ends(self) -> None:
+        """It would be lost, or meet a task group that is closed already.
+
+        Seen as a decision that failed with "nursery is closed".
+        """
+        scene = Scene(job_spec('j', BATCH, task(Resources(1, 1, 1))))
+        scene.start(UnitId('j', 0, 0, 0), 'r')
+        order = scene.cell.find_run(TaskId('j', 0, 0, 0), 1)
+        assert order is not None
+
+        async def play() -> None:
+            shared = _Shared(scene.cell)
+            client = _Client()
+            lease = Lease(LEASE_MS, LEASE_MS)
+            contact = Contact(
+                unlisted_runner('r', 'runner:1'),
+                cast(RunnerClient, client),
+                lease,
+                cast(Shared, shared),
+            )
+            contact.note_clock(1)
+            session = Session(contact)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(session.run)
+                await anyio.sleep(ANSWER_S / 20)
+                self.assertTrue(session.start(order, ''))
+                await anyio.sleep(ANSWER_S / 20)
+                self.assertEqual(client.orders, 1)
+                shared.acts = False
+                await anyio.sleep(ANSWER_S / 2)
+                self.assertFalse(session.start(order, ''))
+
+        run(play)
