--- a/tests/simulation/events.py
+++ b/tests/simulation/events.py
@@ -24,6 +24,7 @@
     HARM_LOOKS = auto()
     CRASH = auto()
     DRAIN = auto()
+    JUMP = auto()
 
 
 class Event(NamedTuple):
