Keep a fault in a decision to the job, run or runner that brings it out

Callers would have seen every job stand still: one job on which the decision raised ended the term, which began again half a second later and failed on the same job, at this holder and at the next one. Nothing started, no stop went out, and the log had the traceback twice a second.

Cause: one decision looks at all jobs, the runs of others and all runners, and had no border between them.

Now each look has one. Stops are listed job by job before anything else, so cancels go on for the job at fault, too. Where serving a unit fails, the board may be changed by half (a gang with some of its members put, a preemption that has taken room), so the whole attempt is thrown away and made again without what is to blame, at most four times; then only stops go out and the next decision goes on. To blame is a runner that can't take a plain task, else a run that can't be weighed, else the job. It is left out for up to a second, all of it until the same moment, or until the configuration changes; it stays to be decided on, so nothing that was accepted is lost. A fault is logged once with its traceback, counted (faults, set_aside) and listed by /v1/state.

Ruled out: taking single steps back (an entry for each change of the board, and wrong where the change itself failed), and a record on the log that sets a job aside (a fault of one version would become one of the log).

Simulated plays, the invariants and the benches now fail on any fault that they don't bring about, as they did when it ended the play.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -103,6 +103,7 @@
         began = time.perf_counter()
         decision = decide(world, 1)
         times.append((time.perf_counter() - began) * 1_000)
+        assert not decision.faults
         assert any(item.unit.job == 'urgent' for item in decision.starts)
     return statistics.median(times)
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -13,6 +13,7 @@
 from bench.load import PILHA, SALTAMONTES, SiteLoad
 from bench.site_play import Play, Played, Policy
 from swifthoist_engine.board import Board
+from swifthoist_engine.faults import Guard
 from swifthoist_engine.model import UnitId
 from swifthoist_engine.planner import (
     Decision,
@@ -51,17 +52,20 @@
     :param epoch: epoch of the holder.
     :returns: the decision.
     """
-    board = Board(world.cell, world.runners, world.now_ms)
+    board = Board(world.cell, world.runners, world.now_ms, world.aside)
     starts: list[Started] = []
-    waiting = waiting_units(world.cell, world.catalogue, world.now_ms)
+    guard = Guard()
+    waiting = waiting_units(world.cell, world.catalogue, world.now_ms, guard)
     waiting.sort(key=_arrival)
     for unit in waiting:
         started = _first_fit_unit(board, unit, epoch, world.now_ms)
         if started is None:
             break
         starts.append(started)
-    stops: tuple[Stop, ...] = tuple(unwanted_runs(world.cell, world.now_ms))
-    return Decision(tuple(starts), stops, ())
+    stops: tuple[Stop, ...] = tuple(
+        unwanted_runs(world.cell, world.now_ms, guard)
+    )
+    return Decision(tuple(starts), stops, (), guard.faults)
 
 
 def _arrival(unit: Waiting) -> tuple[int, UnitId]:
--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -179,6 +179,7 @@
             int(self._now),
         )
         decision = self.policy(world, 1)
+        assert not decision.faults
         for stop in decision.stops:
             self._stop((stop.run.task, stop.run.run))
         for started in decision.starts:
--- a/packages/engine/swifthoist_engine/board.py
+++ b/packages/engine/swifthoist_engine/board.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from swifthoist_core.types import Millis, RackId, RunnerId
+from swifthoist_core.types import JobId, Millis, RackId, RunnerId
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.model import Resources, StepSpec
@@ -39,19 +39,25 @@
     """
 
     def __init__(
-        self, cell: Cell, views: Iterable[RunnerView], now_ms: Millis
+        self,
+        cell: Cell,
+        views: Iterable[RunnerView],
+        now_ms: Millis,
+        aside: frozenset[JobId],
     ) -> None:
         """Count what is free.
 
         :param cell: the cell with its open runs.
         :param views: the runners.
         :param now_ms: time since the Unix epoch.
+        :param aside: jobs whose runs take room, and are not looked at.
         """
         self.views: dict[RunnerId, RunnerView] = {}
         self.free: dict[RunnerId, Resources] = {}
         self.rack_free: Counter[RackId] = Counter()
         self._on_runner: dict[StepKey, Counter[RunnerId]] = {}
         self._cell = cell
+        self._aside = aside
         self._now_ms = now_ms
         self._holds: dict[RunnerId, _Hold] = {}
         for view in views:
@@ -168,9 +174,12 @@
         """List the open runs of a runner.
 
         :param runner: the runner.
-        :returns: its runs.
+        :returns: its runs, but for those of jobs that are set aside.
         """
-        return self._cell.runs_on(runner)
+        runs = self._cell.runs_on(runner)
+        if not self._aside:
+            return runs
+        return [run for run in runs if run.task.job not in self._aside]
 
     def _spread(self, waiting: Waiting) -> Counter[RunnerId]:
         """Count the tasks of a step on each runner, once a decision."""
--- a/packages/engine/swifthoist_engine/planner.py
+++ b/packages/engine/swifthoist_engine/planner.py
@@ -1,12 +1,19 @@
-"""One decision of the holder: what starts, and what is stopped."""
+"""One decision of the holder: what starts, and what is stopped.
 
-from collections.abc import Iterator, Mapping, Sequence
+Where looking at a job fails by a fault of the program's own, the board may
+have been changed by half. So the decision is made again without what is to
+blame, and nothing of the failed attempt is kept.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
-from swifthoist_core.types import Epoch, Millis, RunnerId
+from swifthoist_core.types import Epoch, JobId, Millis, RunnerId
+from swifthoist_engine.blame import find_roots
 from swifthoist_engine.board import Board, StepKey
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.faults import Fault, Guard, Kind
 from swifthoist_engine.jobs import Job, OpenRun, Unit
 from swifthoist_engine.placing import Placer
 from swifthoist_engine.preemption import Preemption
@@ -29,6 +36,10 @@
 RESERVE_AFTER_MS = 4_000
 """How long a blocked unit waits before room is kept for it, in ms."""
 
+MAX_ATTEMPTS = 4
+"""How often a decision is made again without what it failed on. One attempt
+meets all faults that don't hide behind others; the next decision goes on."""
+
 RESERVED_UNITS = 2
 """Most units that room is kept for at a time."""
 
@@ -42,6 +53,7 @@
     :ivar stopping: runs that are being stopped already.
     :ivar allowed: runners that the policy of a step's queue names.
     :ivar now_ms: time since the Unix epoch.
+    :ivar aside: jobs that decisions failed on, and that are left out.
     """
 
     cell: Cell
@@ -50,6 +62,24 @@
     stopping: frozenset[RunKey]
     allowed: Mapping[StepKey, frozenset[RunnerId]]
     now_ms: Millis
+    aside: frozenset[JobId] = frozenset()
+
+    def without(self, faults: Iterable[Fault]) -> 'World':
+        """Leave out what a decision failed on.
+
+        :param faults: what it failed on.
+        :returns: the rest.
+        """
+        names = {(fault.kind, fault.name) for fault in faults}
+        jobs = {name for kind, name in names if kind is Kind.JOB}
+        return self._replace(
+            aside=self.aside | jobs,
+            runners=tuple(
+                view
+                for view in self.runners
+                if (Kind.RUNNER, view.runner) not in names
+            ),
+        )
 
 
 class Stop(NamedTuple):
@@ -69,11 +99,13 @@
     :ivar starts: units to start.
     :ivar stops: runs to stop.
     :ivar unadvised: units of queues whose policy is still to be asked.
+    :ivar faults: what it failed on, and left out.
     """
 
     starts: tuple[Started, ...]
     stops: tuple[Stop, ...]
     unadvised: tuple[Waiting, ...]
+    faults: tuple[Fault, ...] = ()
 
 
 def decide(world: World, epoch: Epoch) -> Decision:
@@ -83,24 +115,53 @@
     :param epoch: epoch of the holder.
     :returns: the decision.
     """
-    planner = _Planner(world, epoch)
-    planner.stops.extend(unwanted_runs(world.cell, world.now_ms))
-    planner.stops.extend(evacuated_runs(world))
-    waiting_now = waiting_units(world.cell, world.catalogue, world.now_ms)
-    for waiting in waiting_now:
-        planner.serve(waiting)
-        if planner.tasks >= MAX_STARTS:
-            break
+    guard = Guard()
+    stops = (
+        *unwanted_runs(world.cell, world.now_ms, guard),
+        *evacuated_runs(world, guard),
+    )
+    units = waiting_units(
+        world.cell, world.catalogue, world.now_ms, guard, world.aside
+    )
+    world = world.without(guard.faults)
+    for _ in range(MAX_ATTEMPTS):
+        attempt = _attempt(world, epoch, units)
+        for fault in attempt.faults:
+            guard.note(fault)
+        if not attempt.faults:
+            return attempt._replace(
+                stops=(*stops, *attempt.stops), faults=guard.faults
+            )
+        world = world.without(attempt.faults)
+    return Decision((), stops, (), guard.faults)
+
+
+def _attempt(world: World, epoch: Epoch, units: Iterable[Waiting]) -> Decision:
+    """Serve the waiting units, unless looking at some job fails."""
+    try:
+        planner = _Planner(world, epoch)
+    except Exception:
+        roots = _find_roots(world)
+        if not roots:
+            raise
+        return Decision((), (), (), roots)
+    faults = planner.serve_all(units)
+    if faults:
+        return Decision((), (), (), _find_roots(world) or faults)
     return Decision(
         tuple(planner.starts), tuple(planner.stops), tuple(planner.unadvised)
     )
 
 
+def _find_roots(world: World) -> tuple[Fault, ...]:
+    return find_roots(world.cell, world.runners, world.aside, world.now_ms)
+
+
 class _Planner:
     """Serves the waiting units in their order on one board."""
 
     def __init__(self, world: World, epoch: Epoch) -> None:
-        board = Board(world.cell, world.runners, world.now_ms)
+        board = Board(world.cell, world.runners, world.now_ms, world.aside)
         self.starts: list[Started] = []
         self.stops: list[Stop] = []
         self.unadvised: list[Waiting] = []
@@ -115,7 +176,23 @@
             world.cell, self._placer, world.stopping, world.now_ms
         )
 
-    def serve(self, waiting: Waiting) -> None:
+    def serve_all(self, units: Iterable[Waiting]) -> tuple[Fault, ...]:
+        """Serve units one after the other.
+
+        :param units: the units; those of jobs set aside are passed over.
+        :returns: what failed. The board may be changed by half then.
+        """
+        guard = Guard()
+        for waiting in units:
+            if waiting.unit.job in self._world.aside:
+                continue
+            with guard.looking_at(Kind.JOB, waiting.unit.job):
+                self._serve(waiting)
+            if self.tasks >= MAX_STARTS:
+                break
+        return guard.faults
+
+    def _serve(self, waiting: Waiting) -> None:
         """Start a unit, make room for it, or let it wait."""
         if waiting.advised and waiting.unit[:3] not in self._world.allowed:
             self.unadvised.append(waiting)
@@ -177,33 +254,38 @@
         return waiting.tier < LOST and waited_ms > RESERVE_AFTER_MS
 
 
-def unwanted_runs(cell: Cell, now_ms: Millis) -> Iterator[Stop]:
+def unwanted_runs(cell: Cell, now_ms: Millis, guard: Guard) -> Iterator[Stop]:
     """List the open runs that have to end.
 
     :param cell: the cell.
     :param now_ms: time since the Unix epoch.
+    :param guard: keeps faults to the job that brings them out.
     :returns: runs of final jobs, of units that are done, and of gangs of
         which a member is missing.
     """
     for job in cell.dirty_jobs():
-        for unit in job.units.values():
-            reason = _why_unwanted(job, unit, now_ms) if unit.open else ''
-            if reason:
-                yield from (Stop(run, reason) for run in unit.open.values())
+        with guard.looking_at(Kind.JOB, job.job):
+            for unit in job.units.values():
+                reason = _why_unwanted(job, unit, now_ms) if unit.open else ''
+                if reason:
+                    yield from (Stop(run, reason) for run in unit.open.values())
 
 
-def evacuated_runs(world: World) -> Iterator[Stop]:
+def evacuated_runs(world: World, guard: Guard) -> Iterator[Stop]:
     """List the runs that leave a draining runner with their progress.
 
     A checkpoint is listed with the end of a stop, but goes with the runner.
 
     :param world: what is known.
+    :param guard: keeps faults to the job that brings them out.
     :returns: runs of checkpointing tasks on runners that leave before the
         task is expected to be done.
     """
     for view in world.runners:
-        if view.leaving_ms is not None:
-            for run in world.cell.runs_on(view.runner):
+        if view.leaving_ms is None:
+            continue
+        for run in world.cell.runs_on(view.runner):
+            with guard.looking_at(Kind.JOB, run.task.job):
                 if _leaves_early(world, run, view.leaving_ms):
                     yield Stop(run, 'its runner leaves')
 
--- a/packages/engine/swifthoist_engine/preemption.py
+++ b/packages/engine/swifthoist_engine/preemption.py
@@ -104,6 +104,14 @@
             self._board.put(waiting, name)
         return best
 
+    def weigh(self, run: OpenRun) -> Victim:
+        """Tell what the stop of a run would free, and what it would lose.
+
+        :param run: the run.
+        :returns: the run as a victim.
+        """
+        return Victim(run, self._board.need_of(run), self._loss(run))
+
     def _total_loss(self, plan: Plan) -> float:
         return sum(self._loss(run) for run in plan.victims)
 
@@ -135,7 +143,7 @@
 
     def _victims(self, name: RunnerId) -> list[Victim]:
         found = [
-            Victim(run, self._board.need_of(run), self._loss(run))
+            self.weigh(run)
             for run in self._board.runs(name)
             if not self._ends_soon(run) and self._may_stop(run)
         ]
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -11,9 +11,10 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from swifthoist_core.types import Millis, OwnerId
+from swifthoist_core.types import JobId, Millis, OwnerId
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.cell import Cell, CellState
+from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.jobs import Job, Unit
 from swifthoist_engine.model import (
     QueueTerms,
@@ -88,24 +89,33 @@
 
 
 def waiting_units(
-    cell: Cell, catalogue: Catalogue, now_ms: Millis
+    cell: Cell,
+    catalogue: Catalogue,
+    now_ms: Millis,
+    guard: Guard,
+    aside: frozenset[JobId],
 ) -> list[Waiting]:
     """List the units that could start now, first things first.
 
     :param cell: the cell.
     :param catalogue: configuration in force.
     :param now_ms: time since the Unix epoch.
+    :param guard: keeps faults to the job that brings them out.
+    :param aside: jobs that are left out; they stay to be decided on.
     :returns: the units in the order in which they are served.
     """
-    promised = promised_teams(cell.state, catalogue)
+    promised = promised_teams(cell.state, catalogue, guard)
     found: list[Waiting] = []
     for job in cell.dirty_jobs():
-        units: list[Waiting] = []
-        if not job.state.final:
-            units.extend(_of_job(job, catalogue, now_ms, promised))
-        if not units and _is_settled(job):
-            cell.dirty.discard(job.job)
-        found.extend(units)
+        if job.job in aside:
+            continue
+        with guard.looking_at(Kind.JOB, job.job):
+            units: list[Waiting] = []
+            if not job.state.final:
+                units.extend(_of_job(job, catalogue, now_ms, promised))
+            if not units and _is_settled(job):
+                cell.dirty.discard(job.job)
+            found.extend(units)
     found.sort(key=_order)
     return found
 
@@ -208,12 +218,13 @@
 
 
 def promised_teams(
-    state: CellState, catalogue: Catalogue
+    state: CellState, catalogue: Catalogue, guard: Guard
 ) -> frozenset[OwnerId]:
     """List the teams whose urgent jobs their guarantees cover.
 
     :param state: state of the cell.
     :param catalogue: configuration in force.
+    :param guard: keeps faults to the job or team that brings them out.
     :returns: names of the teams.
     """
     asked: Counter[OwnerId] = Counter()
@@ -221,15 +232,18 @@
         job for job in state.jobs.values() if job.spec.terms.priority == 0
     )
     for job in urgent:
-        if not job.state.final:
+        if job.state.final:
+            continue
+        with guard.looking_at(Kind.JOB, job.job):
             asked[job.spec.team] += sum(
                 step.width * step.need.accelerators for step in job.spec.steps
             )
-    return frozenset(
-        team
-        for team, accelerators in asked.items()
-        if accelerators <= catalogue.guaranteed(team)
-    )
+    found: set[OwnerId] = set()
+    for team, accelerators in asked.items():
+        with guard.looking_at(Kind.TEAM, team):
+            if accelerators <= catalogue.guaranteed(team):
+                found.add(team)
+    return frozenset(found)
 
 
 def _startable_units(
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -14,6 +14,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_instance.api import Api
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.faults import Aside, Faults
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.holding import Holding, Parts
 from swifthoist_instance.intake import Intake
@@ -76,6 +77,7 @@
 
     :ivar web: answers calls.
     :ivar tenure: tells whether it holds the cell.
+    :ivar faults: faults of its own.
     """
 
     def __init__(
@@ -93,6 +95,8 @@
         boot = settings.boot
         self._life = f'{boot.instance}{LIFE_MARK}{outside.life}'
         keep_ms = int(boot.bounds.status_ms * KEEP_FACTOR)
+        self.faults = Faults(clock)
+        self._aside = Aside(self.faults, clock)
         snapshots = Snapshots(
             self._open_store(), boot.store.keep_ms, boot.store.record_bytes
         )
@@ -118,6 +122,7 @@
                 self._open_advice,
                 self._open_machines,
                 self._open_store(),
+                self._aside,
             )
         )
         intake = Intake(
@@ -134,6 +139,8 @@
         metrics.watch('snapshots_written', lambda: snapshots.written)
         metrics.watch('appends', lambda: self._journal.appends)
         metrics.watch('epoch', lambda: self._follower.cell.state.epoch)
+        metrics.watch('faults', lambda: self.faults.count)
+        metrics.watch('set_aside', lambda: len(self._aside))
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         self._phase = Phase()
         api = Api(
@@ -222,6 +229,8 @@
             'jobs': len(state.jobs),
             'runs': len(self._follower.cell.runs.all()),
             'leaving': self._phase.leaving,
+            'set_aside': len(self._aside),
+            'faults': self.faults.describe(),
         }
 
     def _open_machines(self) -> MachinesClient:
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -1,8 +1,7 @@
 """What the holder of the cell does: sessions with runners, and decisions."""
 
 import logging
-import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
@@ -12,11 +11,12 @@
 from swifthoist_core.types import Millis
 from swifthoist_engine.evidence import Evidence
 from swifthoist_engine.jobs import OpenRun
-from swifthoist_engine.planner import Decision, World, decide
-from swifthoist_engine.queueing import Waiting
+from swifthoist_engine.planner import Decision
 from swifthoist_engine.records import Beat
 from swifthoist_engine.standstill import Standstill
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.deciding import Decider
+from swifthoist_instance.faults import Aside
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.outcomes import record_all, record_vanished
@@ -49,9 +49,6 @@
 
 CHECK_S = 0.05
 
-ADVISED_RUNNERS = 30
-"""Most runners that one question names; each one takes time."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -70,6 +67,7 @@
     :ivar open_advice: opens the client of policies.
     :ivar open_machines: opens the client of machines.
     :ivar status: where the state of waves is written.
+    :ivar aside: what decisions leave out, since they failed on it.
     """
 
     tenure: Tenure
@@ -84,6 +82,7 @@
     open_advice: Callable[[], AdviceClient]
     open_machines: Callable[[], MachinesClient]
     status: PutsStatus
+    aside: Aside
 
 
 class Holding:
@@ -119,7 +118,6 @@
         """
         wake = Signal()
         self._unsettled = True
-        self._random = random.Random(hold.epoch)
         self._parts = parts
         self._registry = parts.open_registry()
         self._policies = Policies(parts.open_advice(), parts.clock, wake)
@@ -145,6 +143,13 @@
             parts.status,
             self._roster.stop,
         )
+        self._decider = Decider(
+            self._shared,
+            self._roster,
+            self._waves,
+            self._policies,
+            parts.aside,
+        )
 
     async def run(self) -> None:
         """Act until the tenure ends."""
@@ -180,16 +185,7 @@
             catalogue = self._parts.configuration.catalogue
             if catalogue is None or not await self._knows_own_past():
                 continue
-            world = World(
-                self._shared.cell,
-                catalogue,
-                self._roster.views(self._waves.cordoned),
-                self._roster.stopping(),
-                self._policies.allowed(),
-                self._parts.clock.wall_ms(),
-            )
-            decision = decide(world, self._shared.epoch)
-            self._ask_policies(decision.unadvised, world, tasks)
+            decision = self._decider.decide(catalogue, tasks)
             await self._carry_out(decision)
 
     async def _knows_own_past(self) -> bool:
@@ -229,21 +225,3 @@
         if not await record_vanished(self._shared, unsent, reason):
             for run in unsent:
                 runs.note_fresh(run)
-
-    def _ask_policies(
-        self, unadvised: Iterable[Waiting], world: World, tasks: TaskGroup
-    ) -> None:
-        # Another sample each time, so that no runner is never asked about.
-        views = self._random.sample(world.runners, len(world.runners))
-        views.sort(key=lambda view: view.suspicion)
-        for waiting in unadvised:
-            label = waiting.step.label
-            runners = [
-                view.runner
-                for view in views
-                if view.open
-                and view.service == waiting.terms.service
-                and (not label or label in view.labels)
-            ]
-            step = waiting.unit[:3]
-            self._policies.ask(tasks, step, runners[:ADVISED_RUNNERS])
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 
 from swifthoist_core.types import Millis, RunnerId
+from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.planner import Stop
 from swifthoist_engine.records import Record, RunnerGone
@@ -66,15 +67,20 @@
             await self._close_unlisted()
             await anyio.sleep(CHECK_S)
 
-    def views(self, cordoned: frozenset[RunnerId]) -> tuple[RunnerView, ...]:
+    def views(
+        self, cordoned: frozenset[RunnerId], guard: Guard
+    ) -> tuple[RunnerView, ...]:
         """Describe the runners for a decision.
 
         :param cordoned: runners that get no more work.
+        :param guard: keeps faults to the runner that brings them out.
         :returns: the runners.
         """
-        return tuple(
-            self._view(session, cordoned) for session in self._sessions.values()
-        )
+        views: list[RunnerView] = []
+        for runner, session in self._sessions.items():
+            with guard.looking_at(Kind.RUNNER, runner):
+                views.append(self._view(session, cordoned))
+        return tuple(views)
 
     def stopping(self) -> frozenset[RunKey]:
         """List the runs that are being stopped."""
--- a/tests/engine/scenes.py
+++ b/tests/engine/scenes.py
@@ -1,6 +1,7 @@
 """Small cells for tests of decisions."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import Any
 
 from swifthoist_engine.catalogue import Catalogue, Queue, Team
 from swifthoist_engine.cell import Cell
@@ -133,19 +134,35 @@
         views: Iterable[RunnerView],
         stopping: frozenset[RunKey] | None = None,
         now_ms: int = NOW_MS,
+        catalogue: Catalogue = CATALOGUE,
+        aside: frozenset[str] | None = None,
     ) -> Decision:
         """Decide what starts and what is stopped."""
         world = World(
             self.cell,
-            CATALOGUE,
+            catalogue,
             tuple(views),
             stopping or frozenset(),
             {},
             now_ms,
+            aside or frozenset(),
         )
         return decide(world, 1)
 
 
+def failing(
+    act: Callable[..., Any], fails: Callable[..., bool]
+) -> Callable[..., Any]:
+    """Make a function that fails, by a fault, for some arguments."""
+
+    def stumbling(*args: Any, **named: Any) -> Any:
+        if fails(*args):
+            raise ValueError('a fault')
+        return act(*args, **named)
+
+    return stumbling
+
+
 def places(decision: Decision) -> dict[UnitId, list[str]]:
     """List where a decision starts units."""
     return {
--- /dev/null
+++ b/tests/engine/test_faults.py
@@ -0,0 +1,298 @@
+"""Tests of decisions that fail on something by a fault of the program's own."""
+
+import unittest
+from collections.abc import Iterator
+from unittest.mock import patch
+
+from swifthoist_engine import placing, planner, preemption, queueing
+from swifthoist_engine.board import Board
+from swifthoist_engine.catalogue import Catalogue, Team
+from swifthoist_engine.faults import Kind
+from swifthoist_engine.model import GANG_ORDINAL, TaskId, UnitId
+from swifthoist_engine.placing import Placer
+from swifthoist_engine.planner import MAX_ATTEMPTS, Decision
+from swifthoist_engine.records import Canceled, Ending
+from tests.engine.scenes import (
+    BATCH,
+    BULK,
+    CATALOGUE,
+    NOW_MS,
+    URGENT,
+    WHOLE,
+    Scene,
+    failing,
+    gang,
+    job_spec,
+    places,
+    task,
+    view,
+)
+
+
+def subjects(decision: Decision) -> list[tuple[Kind, str]]:
+    """List what a decision failed on."""
+    return [(fault.kind, fault.name) for fault in decision.faults]
+
+
+class JobFaultTest(unittest.TestCase):
+    """A job on which a decision fails holds up nobody else."""
+
+    def test_others_start(self) -> None:
+        """Whatever came before the job in their order, or after it."""
+        scene = Scene(
+            job_spec('a', BATCH, task()),
+            job_spec('bad', BATCH, task()),
+            job_spec('c', BATCH, task()),
+        )
+        broken = failing(Placer.place, lambda _, it: it.unit.job == 'bad')
+        with patch.object(Placer, 'place', broken):
+            decision = scene.decide([view(0)])
+        self.assertEqual({unit.job for unit in places(decision)}, {'a', 'c'})
+        self.assertEqual(subjects(decision), [(Kind.JOB, 'bad')])
+        self.assertIsInstance(decision.faults[0].error, ValueError)
+
+    def test_half_a_gang_takes_no_room(self) -> None:
+        """Seen by others as a board with phantom tasks."""
+        scene = Scene(
+            job_spec('bad', URGENT, gang(2)),
+            job_spec('good', URGENT, gang(2, estimate_ms=2_000)),
+        )
+        puts: list[str] = []
+
+        def fails(_: Board, waiting: queueing.Waiting, runner: str) -> bool:
+            if waiting.unit.job == 'bad':
+                puts.append(runner)
+            return waiting.unit.job == 'bad' and len(puts) == 2
+
+        with patch.object(Board, 'put', failing(Board.put, fails)):
+            decision = scene.decide([view(0), view(1)])
+        self.assertEqual(len(puts), 2)
+        self.assertEqual(
+            places(decision),
+            {UnitId('good', 0, 0, GANG_ORDINAL): ['runner-0', 'runner-1']},
+        )
+
+    def test_half_a_preemption_stops_nothing(self) -> None:
+        """The room that it took on the board is given back."""
+        scene = Scene(
+            job_spec('old', BULK, task(WHOLE)),
+            job_spec('bad', URGENT, task(WHOLE)),
+        )
+        scene.start(UnitId('old', 0, 0, 0), 'runner-0')
+        broken = failing(Board.put, lambda *args: args[1].unit.job == 'bad')
+        with patch.object(Board, 'put', broken):
+            decision = scene.decide([view(0)])
+        self.assertEqual(decision.stops, ())
+        self.assertEqual(subjects(decision), [(Kind.JOB, 'bad')])
+
+    def test_a_job_that_can_not_be_listed_stays_to_be_decided_on(self) -> None:
+        """Seen as a job that no decision looked at any more."""
+        scene = Scene(
+            job_spec('bad', BATCH, task()), job_spec('good', BATCH, task())
+        )
+        broken = failing(queueing._of_job, lambda job, *_: job.job == 'bad')
+        with patch.object(queueing, '_of_job', broken):
+            decision = scene.decide([view(0)])
+        self.assertEqual({unit.job for unit in places(decision)}, {'good'})
+        self.assertEqual(subjects(decision), [(Kind.JOB, 'bad')])
+        again = scene.decide([view(0)])
+        self.assertIn('bad', {unit.job for unit in places(again)})
+
+    def test_a_job_that_fails_half_way_through_its_units(self) -> None:
+        """Has none of them started."""
+        scene = Scene(job_spec('bad', BATCH, task(), task()))
+
+        def half(*_: object) -> Iterator[queueing.Waiting]:
+            yield from list(of_job(*_))[:1]
+            raise ValueError('a fault')
+
+        of_job = queueing._of_job
+        with patch.object(queueing, '_of_job', half):
+            decision = scene.decide([view(0)])
+        self.assertEqual(decision.starts, ())
+
+    def test_a_job_that_is_set_aside_is_left_out(self) -> None:
+        """It stays to be decided on; its unwanted runs are stopped."""
+        scene = Scene(
+            job_spec('bad', BATCH, gang(2)), job_spec('good', BATCH, task())
+        )
+        views = [view(0), view(1)]
+        aside = frozenset(('bad',))
+        decision = scene.decide(views, aside=aside)
+        self.assertEqual({unit.job for unit in places(decision)}, {'good'})
+        self.assertIn('bad', scene.cell.dirty)
+        unit = UnitId('bad', 0, 0, GANG_ORDINAL)
+        scene.start(unit, 'runner-0', 'runner-1')
+        scene.end(TaskId('bad', 0, 0, 0), 'runner-0', Ending.LAPSED)
+        stops = scene.decide(views, aside=aside).stops
+        self.assertEqual([stop.run.runner for stop in stops], ['runner-1'])
+
+    def test_cancels_take_effect(self) -> None:
+        """Those of other jobs, and of the job itself."""
+        scene = Scene(
+            job_spec('bad', BATCH, task()),
+            job_spec('good', BATCH, task()),
+            job_spec('worse', BATCH, task()),
+        )
+        for name in ('bad', 'good', 'worse'):
+            scene.start(UnitId(name, 0, 0, 0), 'runner-0')
+            scene.fold(Canceled(name, NOW_MS))
+        broken = failing(queueing._of_job, lambda job, *_: job.job == 'bad')
+        unknown = failing(
+            planner._why_unwanted, lambda job, *_: job.job == 'worse'
+        )
+        with (
+            patch.object(queueing, '_of_job', broken),
+            patch.object(planner, '_why_unwanted', unknown),
+        ):
+            decision = scene.decide([view(0)])
+        self.assertEqual(
+            [stop.run.task.job for stop in decision.stops], ['bad', 'good']
+        )
+        self.assertEqual(subjects(decision), [(Kind.JOB, 'worse')])
+
+    def test_a_decision_ends_whatever_fails(self) -> None:
+        """It starts nothing then, and stops go on."""
+        scene = Scene(
+            *(
+                job_spec(f'j{number}', BATCH, task(checkpointing=True))
+                for number in range(9)
+            ),
+            job_spec('old', BATCH, task()),
+        )
+        scene.start(UnitId('old', 0, 0, 0), 'runner-0')
+        scene.fold(Canceled('old', NOW_MS))
+        boards: list[Board] = []
+
+        def place(placer: Placer, _: queueing.Waiting) -> None:
+            if any(board is placer.board for board in boards):
+                return
+            boards.append(placer.board)
+            raise ValueError('one more')
+
+        with patch.object(Placer, 'place', place):
+            decision = scene.decide([])
+        self.assertEqual(len(decision.stops), 1)
+        self.assertEqual(decision.starts, ())
+        self.assertEqual(len(decision.faults), MAX_ATTEMPTS)
+
+
+class RunFaultTest(unittest.TestCase):
+    """A running job on which decisions about others fail is to blame."""
+
+    def _scene(self) -> Scene:
+        scene = Scene(
+            job_spec('bad', BULK, task(WHOLE)),
+            job_spec('old', BULK, task(WHOLE)),
+            job_spec('u', URGENT, task(WHOLE)),
+        )
+        scene.start(UnitId('bad', 0, 0, 0), 'runner-0', at_ms=NOW_MS - 100)
+        scene.start(UnitId('old', 0, 0, 0), 'runner-1', at_ms=NOW_MS - 900)
+        return scene
+
+    def test_a_run_that_can_not_be_weighed_is_no_victim(self) -> None:
+        """Others are stopped for urgent jobs."""
+        scene = self._scene()
+        broken = failing(
+            preemption.Preemption._loss, lambda _, run: run.task.job == 'bad'
+        )
+        with patch.object(preemption.Preemption, '_loss', broken):
+            decision = scene.decide([view(0), view(1)])
+        self.assertEqual(
+            [stop.run.task.job for stop in decision.stops], ['old']
+        )
+        self.assertEqual(subjects(decision), [(Kind.JOB, 'bad')])
+
+    def test_no_room_is_kept_behind_a_run_that_can_not_be_judged(self) -> None:
+        """It is kept where other runs end."""
+        scene = Scene(
+            job_spec('bad', BULK, task(WHOLE)),
+            job_spec('old', BULK, task(WHOLE)),
+            job_spec('g', BATCH, gang(2), accepted_ms=NOW_MS - 5_000),
+            job_spec('s', BULK, task()),
+        )
+        scene.start(UnitId('bad', 0, 0, 0), 'runner-0')
+        scene.start(UnitId('old', 0, 0, 0), 'runner-1')
+        broken = failing(
+            Board.expected_end, lambda _, run: run.task.job == 'bad'
+        )
+        with patch.object(Board, 'expected_end', broken):
+            decision = scene.decide([view(0), view(1), view(2, rack=1)])
+        self.assertEqual({unit.job for unit in places(decision)}, {'s'})
+        self.assertEqual(subjects(decision), [(Kind.JOB, 'bad')])
+
+    def test_a_run_on_a_draining_runner_keeps_no_other_there(self) -> None:
+        """Those that save progress leave in time."""
+        scene = Scene(
+            job_spec('bad', BATCH, task(checkpointing=True)),
+            job_spec('good', BATCH, task(checkpointing=True)),
+        )
+        for name in ('bad', 'good'):
+            scene.start(UnitId(name, 0, 0, 0), 'runner-0')
+        broken = failing(
+            planner._leaves_early, lambda *args: args[1].task.job == 'bad'
+        )
+        with patch.object(planner, '_leaves_early', broken):
+            decision = scene.decide([view(0, leaving_ms=500)])
+        self.assertEqual(
+            [stop.run.task.job for stop in decision.stops], ['good']
+        )
+
+
+class RunnerFaultTest(unittest.TestCase):
+    """A runner on which a decision fails is left out, and no job blamed."""
+
+    def test_others_are_used(self) -> None:
+        """By all jobs."""
+        scene = Scene(*(job_spec(name, BATCH, task()) for name in 'abc'))
+        broken = failing(
+            placing._may_run, lambda _, it: it.runner == 'runner-0'
+        )
+        with patch.object(placing, '_may_run', broken):
+            decision = scene.decide([view(0), view(1)])
+        self.assertEqual(
+            sorted(places(decision).items()),
+            [(UnitId(name, 0, 0, 0), ['runner-1']) for name in 'abc'],
+        )
+        self.assertEqual(subjects(decision), [(Kind.RUNNER, 'runner-0')])
+
+    def test_a_runner_that_can_not_be_counted_is_left_out(self) -> None:
+        """Before any job is looked at."""
+        scene = Scene(job_spec('a', BATCH, task()))
+        decision = scene.decide([view(0, room=None), view(1)])
+        self.assertEqual(places(decision), {UnitId('a', 0, 0, 0): ['runner-1']})
+        self.assertEqual(subjects(decision), [(Kind.RUNNER, 'runner-0')])
+
+
+class ConfigurationFaultTest(unittest.TestCase):
+    """An entry of the configuration on which a decision fails."""
+
+    def test_a_team_whose_guarantee_can_not_be_read(self) -> None:
+        """Has none for now; its jobs go on, and those of others."""
+        scene = Scene(
+            job_spec('a', URGENT, task()),
+            job_spec('b', URGENT, task())._replace(team='blue'),
+        )
+        broken = failing(Catalogue.guaranteed, lambda _, team: team == 'blue')
+        with patch.object(Catalogue, 'guaranteed', broken):
+            decision = scene.decide([view(0)])
+        self.assertEqual({unit.job for unit in places(decision)}, {'a', 'b'})
+        self.assertEqual(subjects(decision), [(Kind.TEAM, 'blue')])
+
+    def test_a_queue_that_can_not_be_read(self) -> None:
+        """Holds up its own jobs alone."""
+        scene = Scene(job_spec('a', BATCH, task()), job_spec('b', BULK, task()))
+        broken = failing(Catalogue.queue_named, lambda _, name: name == 'bulk')
+        with patch.object(Catalogue, 'queue_named', broken):
+            decision = scene.decide([view(0)])
+        self.assertEqual({unit.job for unit in places(decision)}, {'a'})
+        self.assertEqual(subjects(decision), [(Kind.JOB, 'b')])
+
+    def test_a_team_with_an_odd_entry(self) -> None:
+        """Its figure can't be compared."""
+        odd = Team('blue', frozenset(), None)  # type: ignore[arg-type]
+        catalogue = Catalogue(2, CATALOGUE.queues, (odd,), 1_000)
+        scene = Scene(job_spec('b', URGENT, task())._replace(team='blue'))
+        decision = scene.decide([view(0)], catalogue=catalogue)
+        self.assertEqual(len(decision.starts), 1)
+        self.assertEqual(subjects(decision), [(Kind.TEAM, 'blue')])
--- a/tests/engine/test_invariants.py
+++ b/tests/engine/test_invariants.py
@@ -86,6 +86,7 @@
         """Decide, and fold what was decided."""
         self.now_ms += passed_ms
         decision = self._decision()
+        assert not decision.faults
         for started in decision.starts:
             job = self.scene.job(started.unit.job)
             unit = job.find(started.unit)
--- /dev/null
+++ b/tests/instance/test_faults.py
@@ -0,0 +1,116 @@
+"""Tests of what operators are told of faults of the program's own."""
+
+import logging
+import unittest
+
+import anyio
+
+from swifthoist_engine.faults import Fault, Kind
+from swifthoist_instance.faults import (
+    ASIDE_MS,
+    FORGET_MS,
+    MAX_TOLD,
+    THE_REST,
+    Aside,
+    Faults,
+)
+from tests.engine.scenes import CATALOGUE, view
+from tests.instance.fakes import LoopClock, run
+
+_LOGGER = 'swifthoist_instance.faults'
+
+
+def fault(kind: Kind, name: str) -> Fault:
+    """Make a fault with a traceback."""
+    try:
+        raise ValueError('a fault')
+    except ValueError as exc:
+        return Fault(kind, name, exc)
+
+
+class TellingTest(unittest.TestCase):
+    """Each fault is told once, and counted each time."""
+
+    def test_a_fault_that_stays_is_logged_once(self) -> None:
+        """With the job, the kind of error and a traceback."""
+
+        async def main() -> None:
+            faults = Faults(LoopClock())
+            for _ in range(1_000):
+                faults.note(*fault(Kind.JOB, 'j'))
+            self.assertEqual(faults.count, 1_000)
+            told = [(row['name'], row['count']) for row in faults.describe()]
+            self.assertEqual(told, [('j', 1_000)])
+
+        with self.assertLogs(_LOGGER, 'ERROR') as logs:
+            run(main)
+        self.assertEqual(len(logs.records), 1)
+        line = logs.records[0]
+        self.assertEqual((line.job, line.error), ('j', 'ValueError'))
+        self.assertIn('Traceback', logging.Formatter().format(line))
+
+    def test_many_faults_are_logged_together(self) -> None:
+        """So that they crowd out neither other lines nor memory."""
+
+        async def main() -> None:
+            faults = Faults(LoopClock())
+            for number in range(10 * MAX_TOLD):
+                faults.note(*fault(Kind.JOB, f'j{number}'))
+            rows = faults.describe()
+            self.assertEqual(len(rows), MAX_TOLD + 1)
+            self.assertEqual(rows[-1]['name'], THE_REST)
+            self.assertEqual(rows[-1]['count'], 9 * MAX_TOLD)
+
+        with self.assertLogs(_LOGGER, 'ERROR') as logs:
+            run(main)
+        self.assertEqual(len(logs.records), MAX_TOLD + 1)
+
+    def test_a_fault_that_comes_back_is_logged_again(self) -> None:
+        """After a long while."""
+
+        async def main() -> None:
+            faults = Faults(LoopClock())
+            for _ in range(2):
+                faults.note(*fault(Kind.JOB, 'j'))
+                await anyio.sleep(FORGET_MS / 1_000)
+            self.assertEqual(faults.describe(), [])
+
+        with self.assertLogs(_LOGGER, 'ERROR') as logs:
+            run(main)
+        self.assertEqual(len(logs.records), 2)
+
+
+class AsideTest(unittest.TestCase):
+    """What decisions failed on is left out for a while."""
+
+    def _play(self, pause_ms: int, version: int) -> Aside:
+        kept: list[Aside] = []
+
+        async def main() -> None:
+            clock = LoopClock()
+            aside = Aside(Faults(clock), clock)
+            kept.append(aside)
+            aside.renew(CATALOGUE)
+            aside.note([fault(Kind.JOB, 'j')])
+            await anyio.sleep((ASIDE_MS - 100) / 1_000)
+            aside.note([fault(Kind.RUNNER, 'runner-0')])
+            aside.renew(CATALOGUE)
+            aside.note([fault(Kind.JOB, 'j')])
+            self.assertEqual(aside.jobs, {'j'})
+            self.assertEqual(aside.faults.count, 2)
+            self.assertEqual(aside.sound([view(0), view(1)]), (view(1),))
+            await anyio.sleep(pause_ms / 1_000)
+            aside.renew(CATALOGUE.__class__(version, (), (), 0))
+
+        with self.assertLogs(_LOGGER, 'ERROR'):
+            run(main)
+        return kept[0]
+
+    def test_all_of_it_is_looked_at_again_at_once(self) -> None:
+        """So that one decision finds out what still fails."""
+        self.assertEqual(len(self._play(99, CATALOGUE.version)), 2)
+        self.assertEqual(len(self._play(100, CATALOGUE.version)), 0)
+
+    def test_another_configuration_may_have_mended_it(self) -> None:
+        """Before the pause is over."""
+        self.assertEqual(len(self._play(0, CATALOGUE.version + 1)), 0)
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -13,6 +13,7 @@
 from swifthoist_emulator.site import HOST, STANDARD, Site, write_settings
 from swifthoist_emulator.world import World
 from swifthoist_instance.application import Application, Outside
+from swifthoist_instance.faults import Faults
 from swifthoist_instance.intake import Answer, Call
 from swifthoist_platform.boot import Boot, decode_boot
 from tests.instance.fakes import LoopClock, run
@@ -46,6 +47,7 @@
         """Prepare it; it does not run yet."""
         self.name = name
         self.app: Application | None = None
+        self.faults: list[Faults] = []
         self.link = Link(world, name, tasks)
         self._world = world
         self._tasks = tasks
@@ -62,6 +64,7 @@
             LoopClock(), self.link.open_endpoint, str(self._lives)
         )
         self.app = Application(_Fixed(decode_boot(content)), Logs(), outside)
+        self.faults.append(self.app.faults)
         self._scope = anyio.CancelScope()
         self._tasks.start_soon(self._run, self.app, self._scope)
 
@@ -150,6 +153,12 @@
             return ''
         return answer.content.decode().split('"')[3]
 
+    @property
+    def faults(self) -> list[dict[str, object]]:
+        """Faults of the program's own that any life of a node met."""
+        lives = [faults for node in self.nodes for faults in node.faults]
+        return [fault for life in lives for fault in life.describe()]
+
     async def holder(self) -> Node:
         """Wait until some node holds, and find it."""
         await wait_until(lambda: any(node.holds for node in self.nodes))
@@ -186,9 +195,13 @@
     scene: Callable[[Cluster], Awaitable[None]],
     count: int = 3,
     site: Site = STANDARD,
+    *,
+    faulty: bool = False,
 ) -> World:
     """Play a scene on virtual time.
 
+    :param faulty: the scene brings about faults of the program's own; any
+        other one must not have any.
     :returns: the world, for what its witness saw.
     """
     worlds: list[World] = []
@@ -198,6 +211,7 @@
             cluster = Cluster(site, tasks, count)
             worlds.append(cluster.world)
             await scene(cluster)
+            assert faulty == bool(cluster.faults), cluster.faults
             tasks.cancel_scope.cancel()
 
     level = logging.root.manager.disable
--- /dev/null
+++ b/tests/simulation/test_own_faults.py
@@ -0,0 +1,110 @@
+"""Tests of faults of the program's own in whole instances, on virtual time."""
+
+import unittest
+from unittest.mock import patch
+
+import anyio
+
+from swifthoist_emulator.lives import StepWork
+from swifthoist_engine.evidence import Evidence
+from swifthoist_engine.placing import Placer
+from tests.engine.scenes import failing
+from tests.simulation.cluster import Cluster, Node, play, wait_until
+
+TINY = StepWork(600, (4_000, 8_000, 1))
+LONG = StepWork(30_000, (4_000, 8_000, 1))
+
+
+class DecisionFaultTest(unittest.TestCase):
+    """A decision that fails on one job each time holds up nobody else."""
+
+    def test_jobs_of_others_are_completed(self) -> None:
+        """Their cancels take effect, and the job is done once it can be."""
+        faulty: set[str] = set()
+        broken = failing(Placer.place, lambda _, it: it.unit.job in faulty)
+
+        async def scene(cluster: Cluster) -> None:
+            await cluster.holder()
+            await anyio.sleep(1)
+            bad = cluster.order('/urgent/', TINY, width=4)
+            faulty.add(bad.job)
+            canceled = cluster.order('/batch/', LONG, width=4)
+            await cluster.submit(canceled)
+            running = cluster.world.witness.running_of
+            await wait_until(lambda: len(running(canceled.job)) == 4)
+            await cluster.submit(bad)
+            for prefix in ('/urgent/', '/batch/', '/bulk/'):
+                order = cluster.order(prefix, TINY, TINY, width=4)
+                await cluster.submit(order)
+                await cluster.wait_state(order, 'complete', 10)
+            await cluster.cancel(canceled)
+            await wait_until(lambda: not running(canceled.job), 3)
+            self.assertEqual(await cluster.state(bad), 'queued')
+            self._assert_told_once(cluster, 'job', bad.job)
+            await self._assert_shown(await cluster.holder(), bad.job)
+            faulty.clear()
+            await cluster.wait_state(bad, 'complete', 5)
+
+        with patch.object(Placer, 'place', broken):
+            world = play(scene, faulty=True)
+        self.assertEqual(world.witness.broken, [])
+
+    def test_a_runner_that_fails_decisions_is_left_out(self) -> None:
+        """Wherever the decision looks at it."""
+        faulty: set[str] = set()
+
+        def fails(_: Evidence, runner: str, now_ms: int) -> bool:
+            if not faulty:
+                faulty.add(runner)
+            return runner in faulty
+
+        async def scene(cluster: Cluster) -> None:
+            await cluster.holder()
+            await anyio.sleep(1)
+            order = cluster.order('/batch/', TINY, width=100)
+            await cluster.submit(order)
+            await cluster.wait_state(order, 'complete', 10)
+            self._assert_told_once(cluster, 'runner', *faulty)
+
+        broken = failing(Evidence.suspicion, fails)
+        with patch.object(Evidence, 'suspicion', broken):
+            world = play(scene, faulty=True)
+        self.assertEqual(world.witness.broken, [])
+
+    def _assert_told_once(
+        self, cluster: Cluster, kind: str, *names: str
+    ) -> None:
+        told = [(fault['kind'], fault['name']) for fault in cluster.faults]
+        self.assertEqual(told, [(kind, name) for name in names])
+
+    async def _assert_shown(self, holder: Node, job: str) -> None:
+        """Operators see it in the state and the metrics of the holder."""
+        web = holder.app.web
+        shown = (await web.api.answer('GET', '/v1/state', '', b'')).document
+        self.assertEqual(shown['set_aside'], 1)
+        self.assertEqual(shown['faults'][0]['name'], job)
+        lines = web.metrics.expose().decode().splitlines()
+        self.assertIn('swifthoist_state{figure="set_aside"} 1.0', lines)
+        count = shown['faults'][0]['count']
+        self.assertIn(f'swifthoist_state{{figure="faults"}} {count:.1f}', lines)
+
+    def test_a_takeover_changes_nothing(self) -> None:
+        """Each holder finds the fault out by itself."""
+        faulty: set[str] = set()
+        broken = failing(Placer.place, lambda _, it: it.unit.job in faulty)
+
+        async def scene(cluster: Cluster) -> None:
+            bad = cluster.order('/batch/', TINY, width=4)
+            faulty.add(bad.job)
+            await cluster.submit(bad)
+            (await cluster.holder()).kill()
+            await cluster.holder()
+            order = cluster.order('/batch/', TINY, width=4)
+            await cluster.submit(order)
+            await cluster.wait_state(order, 'complete', 10)
+            faulty.clear()
+            await cluster.wait_state(bad, 'complete', 5)
+
+        with patch.object(Placer, 'place', broken):
+            world = play(scene, faulty=True)
+        self.assertEqual(world.witness.broken, [])
