Leave a sound cell behind a record whose folding fails

Callers could have seen a task run again after it was done: where the account could not name the time on a record (beyond the year 9999, as a clock that is far off gives), the fold of an end stopped after it had closed the run and before it had noted that the unit was done, and so for each end behind it. Operators could have seen runners filled beyond their capacity, or counted with less than nothing in use: a fold that stopped between a run and the index of runs left the two apart, at the instances that lived through it alone. None of them was seen on a site.

Now each record changes first what keeps a task from running twice (the unit is done, or has failed once more), then its open runs, then its job, and the account last. The state itself is alike everywhere, since the same code changes it in the same order.

Ruled out: undoing the record (the end of a task that is done would be lost, and the next end of its runner would count it as seen), and halting (all instances would halt at it, and so would every newcomer).

--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -2,6 +2,11 @@
 
 Every instance folds the same records and so has the same state. A record of
 an epoch that is no longer the newest changes nothing.
+
+Where folding a record fails by a fault of the program's own, it does so alike
+everywhere, and what it had changed by then stays. So each record changes first
+what keeps a task from running twice, then what follows for its job, and the
+account last.
 """
 
 from dataclasses import dataclass, field
@@ -59,6 +64,13 @@
     upkeeps: dict[int, dict[str, RunnerId]] = field(default_factory=dict)
     waves_done: set[int] = field(default_factory=set)
 
+    def pass_time(self, at_ms: Millis) -> None:
+        """Note a time that a holder noted.
+
+        :param at_ms: the time.
+        """
+        self.time_ms = max(self.time_ms, at_ms)
+
 
 class Cell:
     """The cell: its state, and what is indexed of it for decisions.
@@ -151,6 +163,16 @@
 
         :param record: the next record of the log.
         """
+        try:
+            self._fold_any(record)
+        except Exception:
+            # What is indexed may lag behind the state. An instance that starts
+            # from a snapshot indexes the state anew, and both have to agree.
+            self.replace_state(self.state)
+            self.runs.note_all_fresh()
+            raise
+
+    def _fold_any(self, record: Record) -> None:
         match record:
             case Submitted(spec):
                 self.state.jobs.setdefault(spec.job, Job(spec))
@@ -161,7 +183,7 @@
                 if epoch == self.state.epoch + 1:
                     self.state.epoch = epoch
                     self.state.holder = instance
-                    self._pass_time(at_ms)
+                    self.state.pass_time(at_ms)
             case _:
                 if record.epoch == self.state.epoch:
                     self._fold_held(record)
@@ -171,7 +193,7 @@
             case Released():
                 self.state.holder = ''
             case Beat():
-                self._pass_time(record.at_ms)
+                self.state.pass_time(record.at_ms)
                 self._forget_finished()
             case Started():
                 self._start(record)
@@ -191,9 +213,6 @@
                 self.state.upkeeps.pop(record.wave, None)
                 self.state.waves_done.add(record.wave)
 
-    def _pass_time(self, at_ms: Millis) -> None:
-        self.state.time_ms = max(self.state.time_ms, at_ms)
-
     def _forget_finished(self) -> None:
         limit = self.state.time_ms - self._keep_ms
         old = [
@@ -218,100 +237,112 @@
         job = self.state.jobs.get(record.unit.job)
         if job is None:
             return
+        need = job.step(record.unit).counted
         unit = job.take(record.unit)
         if unit.open or record.run <= unit.last_run:
             # A decision that was made again, since it was not known whether
             # the first one is on the log: that one holds.
             return
-        if not job.started:
-            job.started = True
-            self.state.account.add_wait(job, record.at_ms)
-        unit.last_run = max(unit.last_run, record.run)
-        for placed in record.placements:
-            task = TaskId(*record.unit[:3], placed.ordinal)
-            run = OpenRun(
-                task,
-                record.run,
-                placed.runner,
-                record.epoch,
-                record.at_ms,
-                record.checkpoint,
-            )
-            unit.open[placed.ordinal] = run
-            self.runs.add(run, job.step(task).counted)
+        first = not job.started
+        job.started = True
+        unit.last_run = record.run
+        unit.open = _open_runs(record)
+        for run in unit.open.values():
+            self.runs.add(run, need)
             self.runs.note_fresh(run)
+        if first:
+            self.state.account.add_wait(job, record.at_ms)
 
     def _end(self, record: Ended) -> None:
         seen = self.state.seen.get(record.runner, 0)
         self.state.seen[record.runner] = max(seen, record.number)
-        self._pass_time(record.at_ms)
-        if record.number <= seen:
-            return
-        self._close(record.task, record.run, record.ending.value)
+        self.state.pass_time(record.at_ms)
         job = self.state.jobs.get(record.task.job)
-        if job is None or record.task.step >= len(job.spec.steps):
+        if record.number <= seen or job is None:
+            return
+        if record.task.step >= len(job.spec.steps):
             return
         unit = job.find(job.unit_of(record.task))
         if unit is None:
             return
-        unit.idle_since_ms = record.at_ms
-        if record.checkpoint and record.run == unit.last_run:
-            unit.checkpoint = record.checkpoint
-        self.dirty.add(job.job)
         was_final = job.state.final
-        _settle(job, unit, record)
+        _note_end(job, unit, record)
+        run = self._close(record.task, record.run)
+        self.dirty.add(job.job)
+        _conclude(job, unit, record)
+        account = self.state.account
+        if run is not None:
+            account.add_run(job, run, self.state.time_ms, record.ending.value)
         if job.state.final and not was_final:
-            self.state.account.add_finish(job, job.state)
+            account.add_finish(job, job.state)
 
     def _vanish(self, record: Vanished) -> None:
-        run = self.find_run(record.task, record.run)
+        run = self._close(record.task, record.run)
         if run is None:
             return
         job = self.state.jobs[record.task.job]
         unit = job.take(job.unit_of(record.task))
+        unit.idle_since_ms = self.state.time_ms
         if record.checkpoint and record.run == unit.last_run:
             unit.checkpoint = record.checkpoint
-        self._close(record.task, record.run, VANISHED)
+        self.state.account.add_run(job, run, self.state.time_ms, VANISHED)
 
-    def _close(self, task: TaskId, number: int, ending: str) -> None:
+    def _close(self, task: TaskId, number: int) -> OpenRun | None:
         run = self.find_run(task, number)
         if run is None:
-            return
+            return None
         job = self.state.jobs[task.job]
-        unit = job.take(job.unit_of(task))
-        unit.open.pop(task.ordinal)
+        need = job.step(task).counted
+        job.take(job.unit_of(task)).open.pop(task.ordinal)
         self.dirty.add(job.job)
-        self.runs.remove(run, job.step(task).counted)
-        unit.idle_since_ms = self.state.time_ms
-        self.state.account.add_run(job, run, self.state.time_ms, ending)
-
-
-def _settle(job: Job, unit: Unit, record: Ended) -> None:
-    lasting = job.step(record.task).lasting
+        self.runs.remove(run, need)
+        return run
+
+
+def _open_runs(record: Started) -> dict[int, OpenRun]:
+    return {
+        placed.ordinal: OpenRun(
+            TaskId(*record.unit[:3], placed.ordinal),
+            record.run,
+            placed.runner,
+            record.epoch,
+            record.at_ms,
+            record.checkpoint,
+        )
+        for placed in record.placements
+    }
+
+
+def _note_end(job: Job, unit: Unit, record: Ended) -> None:
+    """Note what an end says of its unit."""
+    unit.idle_since_ms = record.at_ms
+    if record.checkpoint and record.run == unit.last_run:
+        unit.checkpoint = record.checkpoint
     match record.ending:
-        case Ending.DONE if not lasting:
+        case Ending.DONE if not job.step(record.task).lasting:
             unit.done = True
             unit.done_ms = record.at_ms
-            if not job.state.final and job.all_done():
-                job.complete = True
-                job.finished_ms = record.at_ms
         case Ending.FAILED:
-            _count_failure(job, unit, record, lasting=lasting)
+            unit.failed_on.append(record.runner)
+            if record.run > unit.failed_run:
+                unit.failed_run = record.run
+                unit.failures += 1
         case _:
             return
 
 
-def _count_failure(
-    job: Job, unit: Unit, record: Ended, *, lasting: bool
-) -> None:
-    unit.failed_on.append(record.runner)
-    if record.run <= unit.failed_run:
+def _conclude(job: Job, unit: Unit, record: Ended) -> None:
+    """Tell what the end of a unit's run means for its job."""
+    if job.state.final or job.step(record.task).lasting:
         return
-    unit.failed_run = record.run
-    unit.failures += 1
-    spent = unit.failures >= job.spec.terms.max_attempts
-    if spent and not lasting and not job.state.final:
-        job.failed = True
+    match record.ending:
+        case Ending.DONE:
+            job.complete = job.all_done()
+        case Ending.FAILED:
+            job.failed = unit.failures >= job.spec.terms.max_attempts
+        case _:
+            return
+    if job.state.final:
         job.finished_ms = record.at_ms
 
 
--- a/tests/engine/test_faults.py
+++ b/tests/engine/test_faults.py
@@ -1,21 +1,32 @@
-"""Tests of decisions that fail on something by a fault of the program's own."""
+"""Tests of what a fault of the program's own leaves of decisions and the fold."""
 
 import unittest
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from unittest.mock import patch
 
-from swifthoist_engine import placing, planner, preemption, queueing
+from swifthoist_engine import cell, placing, planner, preemption, queueing
+from swifthoist_engine.account import Account
 from swifthoist_engine.board import Board
 from swifthoist_engine.catalogue import Catalogue, Team
+from swifthoist_engine.cell import Cell
 from swifthoist_engine.faults import Kind
+from swifthoist_engine.jobs import Job
 from swifthoist_engine.model import GANG_ORDINAL, TaskId, UnitId
 from swifthoist_engine.placing import Placer
 from swifthoist_engine.planner import MAX_ATTEMPTS, Decision
-from swifthoist_engine.records import Canceled, Ending
+from swifthoist_engine.records import Canceled, Ending, Vanished
+from swifthoist_engine.run_index import RunIndex
+from swifthoist_engine.snapshots import (
+    HEAD_KEY,
+    encode_head,
+    restore,
+    take_snapshot,
+)
 from tests.engine.scenes import (
     BATCH,
     BULK,
     CATALOGUE,
+    KEEP_MS,
     NOW_MS,
     URGENT,
     WHOLE,
@@ -296,3 +307,120 @@
         decision = scene.decide([view(0)], catalogue=catalogue)
         self.assertEqual(len(decision.starts), 1)
         self.assertEqual(subjects(decision), [(Kind.TEAM, 'blue')])
+
+
+class FoldFaultTest(unittest.TestCase):
+    """A record whose folding fails, by half or whole."""
+
+    def test_an_end_counts_though_it_can_not_be_accounted_for(self) -> None:
+        """Seen as a task that ran again after it was done.
+
+        The time of an earlier record was beyond what the account can name.
+        """
+        scene = Scene(job_spec('j', BATCH, task()))
+        scene.start(UnitId('j', 0, 0, 0), 'runner-0')
+        scene.beat(10**16)
+        with self.assertRaises(ValueError):
+            scene.end(TaskId('j', 0, 0, 0), 'runner-0', Ending.DONE)
+        self.assertTrue(scene.job().complete)
+        later = scene.decide([view(0)], now_ms=NOW_MS + 1_000)
+        self.assertEqual((later.starts, later.stops), ((), ()))
+
+    def test_failures_count_though_the_account_fails(self) -> None:
+        """So that the attempts of a job come to an end."""
+        scene = Scene(job_spec('j', BATCH, task()))
+        broken = failing(Account.add_run, lambda *_: True)
+        with patch.object(Account, 'add_run', broken):
+            for run in range(1, BATCH.max_attempts + 1):
+                scene.start(UnitId('j', 0, 0, 0), 'runner-0', run=run)
+                with self.assertRaises(ValueError):
+                    scene.end(
+                        TaskId('j', 0, 0, 0), 'runner-0', Ending.FAILED, run
+                    )
+        self.assertTrue(scene.job().failed)
+
+    def test_a_start_of_no_known_step_changes_nothing(self) -> None:
+        """Seen as a snapshot from which no instance could start."""
+        scene = Scene(job_spec('j', BATCH, task()))
+        with self.assertRaises(IndexError):
+            scene.start(UnitId('j', 0, 7, 0), 'runner-0')
+        self.assertEqual(scene.job().units, {})
+        self.assertEqual(list(scene.job().open_runs()), [])
+        self._assert_as_from_a_snapshot(scene.cell)
+
+    def test_what_a_run_takes_is_known_wherever_the_fold_fails(self) -> None:
+        """The fold agrees with that of a newcomer, and may decide."""
+        steps = (
+            (RunIndex, 'add'),
+            (RunIndex, 'remove'),
+            (RunIndex, 'note_fresh'),
+            (Account, 'add_wait'),
+            (Account, 'add_run'),
+            (Account, 'add_finish'),
+            (Job, 'all_done'),
+            (cell, '_conclude'),
+        )
+        for owner, name in steps:
+            for failing_call in range(1, 4):
+                with self.subTest(step=name, call=failing_call):
+                    self._play(owner, name, failing_call)
+
+    def _play(self, owner: object, name: str, failing_call: int) -> None:
+        calls: list[int] = []
+
+        def fails(*_: object) -> bool:
+            calls.append(1)
+            return len(calls) == failing_call
+
+        scene = Scene(
+            job_spec('g', BATCH, gang(2), task(depends_on=(0,))),
+            job_spec('j', BATCH, task(count=2)),
+        )
+        gang_unit = UnitId('g', 0, 0, GANG_ORDINAL)
+        acts = (
+            lambda: scene.start(gang_unit, 'runner-0', 'runner-1'),
+            lambda: scene.start(UnitId('j', 0, 0, 0), 'runner-2'),
+            lambda: scene.start(UnitId('j', 0, 0, 1), 'runner-2'),
+            lambda: scene.end(TaskId('j', 0, 0, 0), 'runner-2', Ending.FAILED),
+            lambda: scene.end(TaskId('g', 0, 0, 0), 'runner-0', Ending.DONE),
+            lambda: scene.fold(
+                Vanished(1, TaskId('g', 0, 0, 1), 1, 'runner-1', 'lost')
+            ),
+            lambda: scene.end(TaskId('j', 0, 0, 1), 'runner-2', Ending.DONE),
+            lambda: scene.fold(Canceled('j', NOW_MS)),
+        )
+        with patch.object(owner, name, failing(getattr(owner, name), fails)):
+            faults = sum(self._fails(act) for act in acts)
+        self.assertLessEqual(faults, 1)
+        self.assertFalse(scene.cell.find_run(TaskId('g', 0, 0, 0), 1))
+        self._assert_as_from_a_snapshot(scene.cell)
+        views = [view(number) for number in range(3)]
+        decision = scene.decide(views, now_ms=NOW_MS + 5_000)
+        self.assertEqual(decision.faults, ())
+        self.assertNotIn(gang_unit, places(decision))
+
+    def _fails(self, act: Callable[[], None]) -> bool:
+        try:
+            act()
+        except ValueError:
+            return True
+        return False
+
+    def _assert_as_from_a_snapshot(self, lived: Cell) -> None:
+        snapshot = take_snapshot(lived.state, 1, 0, 1_000_000)
+        contents = {**snapshot.chunks, HEAD_KEY: encode_head(snapshot.head)}
+        restored = restore(contents)
+        self.assertEqual(restored.state, lived.state)
+        newcomer = Cell(KEEP_MS, restored.state)
+        for number in range(3):
+            runner = f'runner-{number}'
+            self.assertCountEqual(
+                lived.runs_on(runner), newcomer.runs_on(runner)
+            )
+            self.assertEqual(
+                lived.runs.used_on(runner), newcomer.runs.used_on(runner)
+            )
+        unsettled = {
+            job.job for job in lived.state.jobs.values() if not job.state.final
+        }
+        self.assertLessEqual(unsettled, lived.dirty)
