Follow the log past records that nest too deep, and start over without memory

An instance would have stood still for good at a record whose arrays nest deeper than the decoder goes: that is no error of msgspec's own, so it ended the follower, which began again at the same record, on every instance. One that ran out of memory while it folded a record passed over it, and its state would have differed from that of the others from then on. A record kind that always fails, as a heartbeat may, wrote its traceback with each record.

Now the first is passed over like any other record that can't be read. Each record that is not folded has one line with its offset and error, and its kind's traceback once; records_not_folded counts them.

--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -101,7 +101,11 @@
             self._open_store(), boot.store.keep_ms, boot.store.record_bytes
         )
         self._follower = Follower(
-            self._open_store(), Cell(keep_ms), clock, snapshots.load
+            self._open_store(),
+            Cell(keep_ms),
+            clock,
+            snapshots.load,
+            self.faults,
         )
         self._journal = Journal(self._open_store(), self._life, clock)
         self._configuration = Configuration(self._open_store(), clock)
@@ -135,6 +139,7 @@
         metrics = Metrics()
         metrics.watch('log_lines_dropped', lambda: logs.dropped)
         metrics.watch('records_folded', lambda: self._follower.position)
+        metrics.watch('records_not_folded', lambda: self._follower.unfolded)
         metrics.watch('log_reads', lambda: self._follower.reads)
         metrics.watch('snapshots_written', lambda: snapshots.written)
         metrics.watch('appends', lambda: self._journal.appends)
--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -10,9 +10,10 @@
 from swifthoist_core.clock import Clock
 from swifthoist_core.errors import LogExpiredError, LogUnavailableError
 from swifthoist_core.types import Millis, Offset
-from swifthoist_engine.cell import Cell
+from swifthoist_engine.cell import Cell, CellState
 from swifthoist_engine.records import Record, decode_record
 from swifthoist_engine.snapshots import Restored
+from swifthoist_instance.faults import Faults
 from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_platform.store import Batch
 
@@ -65,6 +66,8 @@
     :ivar heard_ms: when a record of the newest epoch was folded last.
     :ivar eager: reads follow each other without pause.
     :ivar reads: reads that succeeded.
+    :ivar unfolded: records that were passed over, since folding them failed.
+    :ivar faults: what they failed with is told there.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         cell: Cell,
         clock: Clock,
         load: Callable[[], Awaitable[Restored | None]] | None = None,
+        faults: Faults | None = None,
     ) -> None:
         """Fold from the newest snapshot.
 
@@ -80,6 +84,7 @@
         :param cell: the fold.
         :param clock: tells the time.
         :param load: reads the newest snapshot; none starts from the log.
+        :param faults: tells operators of faults; none makes its own.
         """
         self.cell = cell
         self.position: Offset = 0
@@ -89,6 +94,8 @@
         self.heard_ms: Millis = clock.boot_ms()
         self.eager = False
         self.reads = 0
+        self.unfolded = 0
+        self.faults = faults or Faults(clock)
         self._store = store
         self._clock = clock
         self._load = load
@@ -230,7 +237,7 @@
     def _fold(self, payload: bytes) -> None:
         try:
             record = decode_record(payload)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             _log.error(
                 'record passed over',
                 extra={'offset': self.position, 'reason': str(exc)},
@@ -241,10 +248,27 @@
         self._note_holder(record)
         try:
             self.cell.fold(record)
-        except Exception:
+        except MemoryError:
+            # The others may well fold it.
+            self._start_over()
+            raise
+        except Exception as exc:
             # Every instance passes over it alike, so their states agree; one
             # that stopped here would be stopped by it at every start.
-            _log.exception('record not folded', extra={'offset': self.position})
+            self._note_unfolded(record, exc)
+
+    def _start_over(self) -> None:
+        """Forget everything, to be read from the newest snapshot again."""
+        self.cell.replace_state(CellState())
+        self.position = 0
+        self.caught_up = False
+
+    def _note_unfolded(self, record: Record, exc: Exception) -> None:
+        self.unfolded += 1
+        kind = type(record).__name__
+        about = {'offset': self.position, 'record': kind, 'error': repr(exc)}
+        _log.error('record not folded', extra=about)
+        self.faults.note('record', kind, exc, {'offset': self.position})
 
     def _note_holder(self, record: Record) -> None:
         epoch = getattr(record, 'epoch', None)
--- a/tests/instance/test_supervision.py
+++ b/tests/instance/test_supervision.py
@@ -4,13 +4,16 @@
 
 import anyio
 
-from swifthoist_engine.records import Beat
+from swifthoist_engine.records import Beat, Canceled, Record
+from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_instance.supervision import keep_going
 from tests.instance.entry import JOB, Entry, configure
 from tests.instance.fakes import FakeStore, run
 
 _JOBS = ('1234567890abcdef', '234567890abcdef1')
 _OK = 200
+_NESTED = b'\x92\xa9Submitted' + b'\x91' * 100_000
+"""A record of arrays in each other, too many to decode."""
 
 
 class FaultTest(unittest.TestCase):
@@ -54,6 +57,87 @@
         with self.assertLogs('swifthoist_instance.follower', 'ERROR'):
             run(main)
 
+    def test_a_record_that_fails_again_is_told_of_once(self) -> None:
+        """With its traceback; each one has a line of its own."""
+
+        async def main() -> None:
+            store = FakeStore()
+            entry = Entry('entry', store)
+            follower = entry.follower
+            follower.cell.fold = _stumble(follower.cell.fold)
+            async with anyio.create_task_group() as tasks:
+                entry.start(tasks)
+                for _ in range(3):
+                    await entry.journal.append([Beat(0, 1)], 1)
+                await anyio.sleep(1)
+                tasks.cancel_scope.cancel()
+            told = [
+                (row['name'], row['count'])
+                for row in follower.faults.describe()
+            ]
+            self.assertEqual(told, [('Beat', 3)])
+            self.assertEqual(follower.unfolded, 3)
+
+        with self.assertLogs('swifthoist_instance', 'ERROR') as logs:
+            run(main)
+        traces = [line for line in logs.records if line.exc_info]
+        self.assertEqual(len(logs.records), 4)
+        self.assertEqual(len(traces), 1)
+
+    def test_a_record_that_nests_too_deep_is_passed_over(self) -> None:
+        """Seen as an instance that stood still at it, as would all others."""
+
+        async def main() -> None:
+            store = FakeStore()
+            configure(store)
+            entry = Entry('entry', store)
+            store.topic(CELL_TOPIC).append([_NESTED], 0)
+            async with anyio.create_task_group() as tasks:
+                entry.start(tasks)
+                await anyio.sleep(1)
+                answer = await entry.call('POST', _JOBS[0], JOB)
+                self.assertEqual(answer.status, _OK)
+                await anyio.sleep(1)
+                self.assertIsNotNone(entry.follower.cell.find_job(_JOBS[0]))
+                tasks.cancel_scope.cancel()
+
+        with self.assertLogs('swifthoist_instance.follower', 'ERROR'):
+            run(main)
+
+    def test_an_instance_without_memory_for_a_record_starts_over(self) -> None:
+        """The others fold it, and their states would differ for good."""
+
+        async def main() -> None:
+            store = FakeStore()
+            configure(store)
+            short, ample = Entry('short', store), Entry('ample', store)
+            fold, left = short.follower.cell.fold, [1]
+
+            def fold_half(record: Record) -> None:
+                fold(record)
+                if isinstance(record, Canceled) and left:
+                    left.pop()
+                    raise MemoryError
+
+            short.follower.cell.fold = fold_half
+            async with anyio.create_task_group() as tasks:
+                ample.start(tasks)
+                tasks.start_soon(keep_going, 'follower', short.follower.run)
+                await anyio.sleep(1)
+                for job in _JOBS:
+                    await ample.call('POST', job, JOB)
+                    await ample.call('DELETE', job)
+                await anyio.sleep(3)
+                tasks.cancel_scope.cancel()
+            self.assertEqual(left, [])
+            self.assertEqual(
+                short.follower.cell.state, ample.follower.cell.state
+            )
+            self.assertEqual(short.follower.position, ample.follower.position)
+
+        with self.assertLogs('swifthoist_instance.supervision'):
+            run(main)
+
     def test_a_journal_that_runs_again_uses_no_number_twice(self) -> None:
         """The store would take the second append for a repeat of the first."""
 
