--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -131,7 +131,7 @@
             case 'POST' if found:
                 return await self._submit(found[1], content)
             case 'DELETE' if found:
-                record = Canceled(found[1], self._follower.now_ms)
+                record = Canceled(found[1], self._follower.time.now_ms())
                 return await self._record(record)
             case _:
                 return Answer(404, {'error': ['no such call']})
@@ -207,7 +207,7 @@
             payload,
             steps,
             queue.terms,
-            self._follower.now_ms,
+            self._follower.time.now_ms(),
             Schedule(**schedule) if schedule else None,
         )
         return await self._record(Submitted(spec))
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -14,6 +14,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_instance.api import Api
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.faults import Aside, Faults
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.holding import Holding, Parts
 from swifthoist_instance.intake import Intake
@@ -77,6 +78,7 @@
 
     :ivar web: answers calls.
     :ivar tenure: tells whether it holds the cell.
+    :ivar faults: faults of its own.
     """
 
     def __init__(
@@ -94,11 +96,17 @@
         boot = settings.boot
         self._life = f'{boot.instance}{LIFE_MARK}{outside.life}'
         keep_ms = int(boot.bounds.status_ms * KEEP_FACTOR)
+        self.faults = Faults(clock)
+        self._aside = Aside(self.faults, clock)
         snapshots = Snapshots(
             self._open_store(), boot.store.keep_ms, boot.store.record_bytes
         )
         self._follower = Follower(
-            self._open_store(), Cell(keep_ms), clock, snapshots.load
+            self._open_store(),
+            Cell(keep_ms),
+            clock,
+            snapshots.load,
+            self.faults,
         )
         self._journal = Journal(self._open_store(), self._life, clock)
         self._configuration = Configuration(self._open_store(), clock)
@@ -119,6 +127,7 @@
                 self._open_advice,
                 self._open_machines,
                 self._open_store(),
+                self._aside,
             )
         )
         intake = Intake(
@@ -130,10 +139,13 @@
         metrics = Metrics()
         metrics.watch('log_lines_dropped', lambda: logs.dropped)
         metrics.watch('records_folded', lambda: self._follower.position)
+        metrics.watch('records_not_folded', lambda: self._follower.unfolded)
         metrics.watch('log_reads', lambda: self._follower.reads)
         metrics.watch('snapshots_written', lambda: snapshots.written)
         metrics.watch('appends', lambda: self._journal.appends)
         metrics.watch('epoch', lambda: self._follower.cell.state.epoch)
+        metrics.watch('faults', lambda: self.faults.count)
+        metrics.watch('set_aside', lambda: len(self._aside))
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         self._phase = Phase()
         api = Api(
@@ -221,6 +233,8 @@
             'jobs': len(state.jobs),
             'runs': len(self._follower.cell.runs.all()),
             'leaving': self._phase.leaving,
+            'set_aside': len(self._aside),
+            'faults': self.faults.describe(),
         }
 
     def _open_machines(self) -> MachinesClient:
--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -212,7 +212,7 @@
             request.payload,
             request.steps,
             admitted.queue.terms,
-            self._follower.now_ms,
+            self._follower.time.now_ms(),
             request.schedule,
         )
         return await self._record(Submitted(spec), job_id, call)
@@ -242,7 +242,7 @@
             return Answer(GONE)
         if not self.ready:
             return self._refuse('log not followed')
-        record = Canceled(job_id, self._follower.now_ms)
+        record = Canceled(job_id, self._follower.time.now_ms())
         answer = await self._record(record, job_id, call)
         # The fold may lag behind an acceptance elsewhere, but not behind a
         # record that follows it on the log.
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -14,6 +14,7 @@
 from swifthoist_emulator.world import World
 from swifthoist_engine.cell import Cell
 from swifthoist_instance.application import Application, Outside
+from swifthoist_instance.faults import Faults
 from swifthoist_instance.intake import Answer, Call
 from swifthoist_instance.supervision import keep_going
 from swifthoist_platform.boot import Boot, decode_boot
@@ -53,6 +54,7 @@
         self.name = name
         self.app: Application | None = None
         self.clock = JumpingClock()
+        self.faults: list[Faults] = []
         self.link = Link(world, name, tasks)
         self.keeps_going = False
         self._world = world
@@ -68,6 +70,7 @@
         content = write_settings(self.name, 'north', LISTEN, STORE)
         outside = Outside(self.clock, self.link.open_endpoint, str(self._lives))
         self.app = Application(_Fixed(decode_boot(content)), Logs(), outside)
+        self.faults.append(self.app.faults)
         self._scope = anyio.CancelScope()
         self._tasks.start_soon(self._run, self.app, self._scope)
 
@@ -167,6 +170,12 @@
             self.world.witness.note_complete(order.job, order.tasks())
         return state
 
+    @property
+    def faults(self) -> list[dict[str, object]]:
+        """Faults of the program's own that any life of a node met."""
+        lives = [faults for node in self.nodes for faults in node.faults]
+        return [fault for life in lives for fault in life.describe()]
+
     async def holder(self) -> Node:
         """Wait until some node holds, and find it."""
         await wait_until(lambda: any(node.holds for node in self.nodes))
@@ -203,9 +212,13 @@
     scene: Callable[[Cluster], Awaitable[None]],
     count: int = 3,
     site: Site = STANDARD,
+    *,
+    faulty: bool = False,
 ) -> World:
     """Play a scene on virtual time.
 
+    :param faulty: the scene brings about faults of the program's own; any
+        other one must not have any.
     :returns: the world, for what its witness saw.
     """
     worlds: list[World] = []
@@ -215,6 +228,7 @@
             cluster = Cluster(site, tasks, count)
             worlds.append(cluster.world)
             await scene(cluster)
+            assert faulty == bool(cluster.faults), cluster.faults
             tasks.cancel_scope.cancel()
 
     level = logging.root.manager.disable
