--- a/bench/placement.py
+++ b/bench/placement.py
@@ -55,7 +55,9 @@
     board = Board(world.cell, world.runners, world.now_ms, world.aside)
     starts: list[Started] = []
     guard = Guard()
-    waiting = waiting_units(world.cell, world.catalogue, world.now_ms, guard)
+    waiting = waiting_units(
+        world.cell, world.catalogue, world.now_ms, guard, world.aside
+    )
     waiting.sort(key=_arrival)
     for unit in waiting:
         started = _first_fit_unit(board, unit, epoch, world.now_ms)
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -104,7 +104,7 @@
     catalogue: Catalogue,
     now_ms: Millis,
     guard: Guard,
-    aside: frozenset[JobId] = frozenset(),
+    aside: frozenset[JobId],
     ahead_ms: Millis = 0,
 ) -> list[Waiting]:
     """List the units that could start now, first things first.
