--- a/tests/simulation/events.py
+++ b/tests/simulation/events.py
@@ -22,6 +22,8 @@
     HARM_READS = auto()
     HARM_ORDERS = auto()
     HARM_LOOKS = auto()
+    UNLIST = auto()
+    OUTAGE = auto()
     CRASH = auto()
     DRAIN = auto()
     JUMP = auto()
--- a/tests/simulation/test_faults.py
+++ b/tests/simulation/test_faults.py
@@ -27,6 +27,9 @@
 FIRST_JOBS = 8
 """Jobs before anything goes wrong, so that each fault meets some that run."""
 
+OUTAGE_S = 9.0
+"""An outage of the store that outlasts a term, but no tenure."""
+
 SETTLE_S = 60.0
 """Time in which everything that was accepted is done once all is well: a
 lease that nobody renews, and a takeover, several times over."""
@@ -74,12 +77,31 @@
         case What.CUT_HOST:
             host = _host(cluster, event.which)
             cluster.world.faults.cut.add(host.place.address)
+        case What.OUTAGE:
+            await _lose_store(cluster, event.which)
         case _:
             _strike(cluster.nodes[event.which % NODES], event)
             _harm(cluster.world.faults, event)
     await anyio.sleep(event.pause_s)
 
 
+async def _lose_store(cluster: Cluster, which: int) -> None:
+    """Lose the store for a while, and the entries of runners until all heals.
+
+    When it is back, one of the instances may not reach some runners.
+    """
+    faults = cluster.world.faults
+    writes, reads = faults.store_writes, faults.store_reads
+    faults.store_writes = Fault(Harm.SILENT)
+    faults.store_reads = Fault(Harm.SILENT)
+    faults.unlisted = True
+    await anyio.sleep(OUTAGE_S)
+    if which >= NODES:
+        _cut_runners(cluster.nodes[which % NODES])
+    faults.store_writes = writes
+    faults.store_reads = reads
+
+
 def _strike(node: Node, event: Event) -> None:
     match event.what:
         case What.KILL:
@@ -95,7 +117,11 @@
         case What.JUMP:
             node.clock.ahead_ms = CLOCKS_MS[event.which % len(CLOCKS_MS)]
         case What.CUT_RUNNERS:
-            node.link.cut.update(f'runner-{number}:1' for number in range(4))
+            _cut_runners(node)
+
+
+def _cut_runners(node: Node) -> None:
+    node.link.cut.update(f'runner-{number}:1' for number in range(4))
 
 
 def _harm(faults: Faults, event: Event) -> None:
@@ -109,6 +135,8 @@
         case What.HARM_LOOKS:
             harm = LOOK_HARMS[event.which % len(LOOK_HARMS)]
             faults.looks = Fault(harm, share=0.5)
+        case What.UNLIST:
+            faults.unlisted = True
 
 
 def _fault(harms: Sequence[Harm], which: int) -> Fault:
@@ -137,6 +165,7 @@
     faults.orders = NO_FAULT
     faults.looks = NO_FAULT
     faults.cut.clear()
+    faults.unlisted = False
     for node in cluster.nodes:
         node.link.cut.clear()
         if node.link.frozen:
