Look for what an earlier term sent, instead of sending it again

What callers would see: a task runs twice, or good runs start over. A runner that is unhealthy for a moment, or a policy whose tickets the new term does not have yet, refuses also what it runs; the refusal was taken for certain, so the run was given up. 'Never sent, its runner is gone' was said of runs that an earlier term had sent. Change: a term sends what is folded while it lasts. What was open before is looked for: what a look shows goes on, and what it does not show is barred by a stop first, since an order may still be on its way; then the next look tells. Ruled out: stopping all of it, which throws work away.

--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -168,8 +168,11 @@
         except Exception:
             # What is indexed may lag behind the state. An instance that starts
             # from a snapshot indexes the state anew, and both have to agree.
+            fresh = self.runs.take_fresh()
             self.replace_state(self.state)
-            self.runs.note_all_fresh()
+            for run in fresh:
+                if self.find_run(run.task, run.run) is not None:
+                    self.runs.note_fresh(run)
             raise
 
     def _fold_any(self, record: Record) -> None:
--- a/packages/engine/swifthoist_engine/run_index.py
+++ b/packages/engine/swifthoist_engine/run_index.py
@@ -72,10 +72,13 @@
         """
         self._fresh[run.task, run.run] = run
 
-    def note_all_fresh(self) -> None:
-        """Note that every run is still to be carried, since a term begins."""
-        for run in self.all():
-            self.note_fresh(run)
+    def is_fresh(self, key: RunKey) -> bool:
+        """Tell whether a run is still to be carried to its runner.
+
+        :param key: the run.
+        :returns: whether nobody took it so far.
+        """
+        return key in self._fresh
 
     def take_fresh(self) -> list[OpenRun]:
         """Take the runs that are still to be carried to their runner."""
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -130,9 +130,6 @@
             Standstill(),
             parts.clock,
             wake,
-            frozenset(
-                (run.task, run.run) for run in parts.follower.cell.runs.all()
-            ),
             anyio.Event(),
         )
         lease_ms = min(LEASE_MS, int(parts.lease_max_ms() * LEASE_SHARE))
@@ -161,9 +158,9 @@
         held_ms = self._parts.clock.boot_ms() - self._shared.hold.since_ms
         _log.info('term begins', extra={'epoch': epoch, 'held_ms': held_ms})
         self._shared.cell.mark_all_dirty()
-        # A term may go on with its epoch behind an outage; its orders that were
-        # under way then are given again, which has no second effect.
-        self._shared.cell.runs.note_all_fresh()
+        # An earlier term of this epoch may have sent what is open by now; looks
+        # tell what of it is on its runner.
+        self._shared.cell.runs.take_fresh()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._registry.run)
             tasks.start_soon(self._wake_on_fold)
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections.abc import Set
 
 import anyio
 from anyio.abc import TaskGroup
@@ -36,6 +37,7 @@
         """
         self.settled: dict[RunKey, Millis] = {}
         self.stops: dict[RunKey, str] = {}
+        self._given: set[RunKey] = set()
         self._contact = contact
         self._shared = contact.shared
         self._tasks = tasks
@@ -46,8 +48,26 @@
         :param run: the run; its record is folded.
         :param ticket: permission by the queue's policy; empty for none.
         """
+        self._given.add((run.task, run.run))
         self._tasks.start_soon(self._carry_start, run, ticket)
 
+    def bar_orphans(self, there: Set[RunKey]) -> None:
+        """Stop what an earlier term of this epoch may have sent in vain.
+
+        Its order may be carried out yet. A stop forbids that, so a look behind
+        it tells for certain what is not there.
+
+        :param there: runs that the runner has, or that ended there.
+        """
+        runs = self._shared.cell.runs
+        known = there | self._given | self.stops.keys()
+        for run in runs.on(self._contact.runner):
+            key = (run.task, run.run)
+            if run.epoch != self._shared.epoch or key in known:
+                continue
+            if not runs.is_fresh(key):
+                self.stop(run, 'sent by a term that ended')
+
     def stop(self, run: OpenRun, reason: str) -> None:
         """Carry a stop to the runner, in the background, once.
 
@@ -66,19 +86,21 @@
         """
         self.settled.pop(key, None)
         self.stops.pop(key, None)
+        self._given.discard(key)
 
     def forget_closed(self) -> None:
-        """Forget what was settled of runs that are no longer open."""
+        """Forget what was ordered of runs that are no longer open."""
         closed = [
             key
-            for key in self.settled
+            for key in self._given | self.settled.keys()
             if self._shared.cell.find_run(*key) is None
         ]
         for key in closed:
-            self.settled.pop(key)
+            self.settled.pop(key, None)
+            self._given.discard(key)
 
     async def _carry_start(self, run: OpenRun, ticket: str) -> None:
-        unsure = (run.task, run.run) in self._shared.earlier
+        unsure = False
         while self._wanted(run):
             verdict = await self._try_start(run, ticket)
             match verdict:
@@ -145,7 +167,7 @@
                 run.runner, run.task.job, self._shared.clock.boot_ms()
             )
         if unsure:
-            self.stop(run, 'rejected, but may be there')
+            self.stop(run, 'rejected after an order without answer')
             return
         reason = f'start rejected: {verdict}'
         while self._contact.active() and not await record_vanished(
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -218,6 +218,8 @@
             return
         for end in ends:
             self._note_end(end, orders)
+        if look.whole:
+            orders.bar_orphans(_there(look))
         self._anomalies.stop_all(self._running, orders)
         await keep_pace(self.contact, self._running.values())
 
@@ -233,7 +235,7 @@
     def _missing(
         self, look: Look, orders: Orders, sent_ms: Millis
     ) -> Iterator[Vanished]:
-        there = set(self._running) | {(end.task, end.run) for end in look.ends}
+        there = _there(look)
         for run in self._shared.cell.runs_on(self.contact.runner):
             key = (run.task, run.run)
             if key in there:
@@ -255,3 +257,9 @@
                 evidence.note_failed(self.contact.runner, end.task.job, now_ms)
             case _:
                 return
+
+
+def _there(look: Look) -> set[RunKey]:
+    """List the runs that a look shows, running or ended."""
+    running = {(row.task, row.run) for row in look.running}
+    return running | {(end.task, end.run) for end in look.ends}
--- a/packages/instance/swifthoist_instance/shared.py
+++ b/packages/instance/swifthoist_instance/shared.py
@@ -8,7 +8,6 @@
 from swifthoist_core.types import Epoch
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.evidence import Evidence
-from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.standstill import Standstill
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
@@ -27,8 +26,6 @@
     :ivar standstill: since when runs use no processor.
     :ivar clock: tells the time.
     :ivar wake: wakes the planner.
-    :ivar earlier: runs that were open when the term began; a term before it
-        with the same epoch may have given their starts.
     :ivar over: set for good once the tenure was not in force at any time.
     """
 
@@ -40,7 +37,6 @@
     standstill: Standstill
     clock: Clock
     wake: Signal
-    earlier: frozenset[RunKey]
     over: anyio.Event
 
     @property
--- a/tests/instance/test_session_end.py
+++ b/tests/instance/test_session_end.py
@@ -8,7 +8,6 @@
 from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.model import Resources, TaskId, UnitId
-from swifthoist_engine.run_index import RunKey
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.leases import Lease
 from swifthoist_instance.sessions import Session
@@ -48,7 +47,6 @@
     """What a session asks of its tenure."""
 
     epoch = 1
-    earlier: frozenset[RunKey] = frozenset()
 
     def __init__(self, cell: Cell) -> None:
         self.cell = cell
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -131,6 +131,7 @@
         self.nodes = [
             Node(f'node-{number}', self.world, tasks) for number in range(count)
         ]
+        self.tasks = tasks
         self.accepted: list[Order] = []
         self.canceled: list[Order] = []
         self.asked_to_cancel: set[str] = set()
--- a/tests/simulation/test_terms.py
+++ b/tests/simulation/test_terms.py
@@ -5,14 +5,20 @@
 """
 
 import unittest
+from collections.abc import Awaitable, Callable
 from unittest import mock
 
 import anyio
 
 from swifthoist_emulator.callers import Order
+from swifthoist_emulator.direct import Link
 from swifthoist_emulator.faults import NO_FAULT, Fault, Harm
+from swifthoist_emulator.http import Request
 from swifthoist_emulator.lives import StepWork
+from swifthoist_emulator.site import STANDARD, Line
 from swifthoist_instance.roster import Roster
+from swifthoist_platform import names
+from swifthoist_platform.calls import Reply
 from tests.simulation.cluster import Cluster, Node, play, wait_until
 
 HELD_S = 12
@@ -73,6 +79,25 @@
         await wait_until(lambda: fault.called)
 
 
+def _late(
+    cluster: Cluster, link: Link
+) -> Callable[[str, Request], Awaitable[Reply]]:
+    """Deliver starts 3 s late, whatever became of their caller meanwhile."""
+    carry = link.carry
+
+    async def deliver(address: str, request: Request) -> None:
+        await anyio.sleep(3)
+        await carry(address, request)
+
+    async def hold_up(address: str, request: Request) -> Reply:
+        if request.path != f'{names.ROOT}{names.RUN_START}':
+            return await carry(address, request)
+        cluster.tasks.start_soon(deliver, address, request)
+        return await anyio.sleep_forever()
+
+    return hold_up
+
+
 class LeaseTest(unittest.TestCase):
     """Leases that the earlier term renewed may last as long as any."""
 
@@ -113,6 +138,95 @@
         self.assertEqual(world.witness.starts, WIDTH)
 
 
+class OrderTest(unittest.TestCase):
+    """What the earlier term ordered goes on, or is surely not there."""
+
+    def test_a_rejection_does_not_give_up_a_run_that_is_there(self) -> None:
+        """A runner that is unhealthy for a moment goes on with its runs."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            await anyio.sleep(HELD_S)
+            order = await _run_wide(cluster)
+            _lose_store(cluster)
+            await wait_until(lambda: not holder.holds)
+            faults = cluster.world.faults
+            faults.orders = Fault(Harm.BUSY)
+            _bring_store_back(cluster)
+            await wait_until(lambda: holder.holds)
+            await anyio.sleep(0.3)
+            faults.orders = NO_FAULT
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, WIDTH)
+
+    def test_an_order_of_an_ended_term_may_be_carried_out_late(self) -> None:
+        """A rejection of the same order does not forbid it."""
+
+        async def scene(cluster: Cluster) -> None:
+            link = (await _restart(cluster)).link
+            faults = cluster.world.faults
+            order = cluster.order('/batch/', LASTING, width=WIDTH)
+            with mock.patch.object(link, 'carry', _late(cluster, link)):
+                await cluster.submit(order)
+                await anyio.sleep(0.3)
+                await _end_term()
+            faults.orders = Fault(Harm.BUSY)
+            await anyio.sleep(1)
+            faults.orders = NO_FAULT
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+
+    def test_an_order_from_before_an_outage_may_be_carried_out_late(
+        self,
+    ) -> None:
+        """A rejection behind the outage does not forbid it."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            await anyio.sleep(HELD_S)
+            faults = cluster.world.faults
+            order = cluster.order('/batch/', LASTING, width=WIDTH)
+            late = _late(cluster, holder.link)
+            with mock.patch.object(holder.link, 'carry', late):
+                await cluster.submit(order)
+                await anyio.sleep(0.3)
+                _lose_store(cluster)
+                faults.orders = Fault(Harm.BUSY)
+                await wait_until(lambda: not holder.holds)
+            _bring_store_back(cluster)
+            await wait_until(lambda: holder.holds)
+            await anyio.sleep(0.5)
+            faults.orders = NO_FAULT
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+
+    def test_runs_outlast_a_term_that_has_no_tickets_yet(self) -> None:
+        """A runner refuses a start without one, also of what it runs."""
+        line = Line('policed', '/policed/', 1, policed=True)
+        site = STANDARD._replace(lines=(*STANDARD.lines, line))
+
+        async def scene(cluster: Cluster) -> None:
+            await _restart(cluster)
+            work = LASTING._replace(policed=True)
+            order = cluster.order('/policed/', work, width=WIDTH)
+            await cluster.submit(order)
+            running = cluster.world.witness.running_of
+            await wait_until(lambda: len(running(order.job)) == WIDTH)
+            await _end_term()
+            await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1, site=site)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, WIDTH)
+
+
 class EntryTest(unittest.TestCase):
     """Entries of runners that live expire while the store is away."""
 
