Play connections that fall silent for good, with whole instances

Instances now call the stand-ins through the adapter's own endpoint and its connections on virtual time, and connections fall silent both ways or lose their answers: all at once, those that wait for a record or an end as well; all three to a runner; those to the store; and a share of all over and over. Bounds are sums of the deadlines of the calls on the way.

The endpoint takes what opens its connections as an argument for that; nothing else of it changed. Without new connections after a call that got no answer, test_a_start_waits_for_one_silent_connection_only fails. Silence towards machines and policies is not played.

--- a/packages/platform/swifthoist_platform/endpoint.py
+++ b/packages/platform/swifthoist_platform/endpoint.py
@@ -1,7 +1,7 @@
 """One address of the platform, with connections that notice silence."""
 
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import anyio
@@ -40,8 +40,10 @@
 class _Pool:
     """The connections of one client, and how many calls use them."""
 
-    def __init__(self) -> None:
-        self.transport = _open_transport()
+    def __init__(
+        self, open_transport: Callable[[], httpx.AsyncHTTPTransport]
+    ) -> None:
+        self.transport = open_transport()
         self._retired = False
         self._users = 0
 
@@ -66,6 +68,18 @@
                 await self.transport.aclose()
 
 
+def open_transport() -> httpx.AsyncHTTPTransport:
+    """Open connections over the network, a few at most."""
+    limits = httpx.Limits(
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=MAX_CONNECTIONS,
+        keepalive_expiry=KEEP_ALIVE_S,
+    )
+    return httpx.AsyncHTTPTransport(
+        verify=False, limits=limits, socket_options=_SOCKET_OPTIONS
+    )
+
+
 class Endpoint:
     """Makes calls to one address.
 
@@ -74,17 +88,22 @@
     """
 
     def __init__(
-        self, address: str, headers: Mapping[str, str] | None = None
+        self,
+        address: str,
+        headers: Mapping[str, str] | None = None,
+        opened: Callable[[], httpx.AsyncHTTPTransport] = open_transport,
     ) -> None:
         """Keep where the calls go.
 
         :param address: ``host:port``.
         :param headers: headers of every call.
+        :param opened: opens the connections.
         """
         self.address = address
         self._headers = headers or {}
         self._urls: dict[str, httpx.URL] = {}
-        self._pool = _Pool()
+        self._opened = opened
+        self._pool = _Pool(opened)
 
     async def call(self, call: Call) -> Reply:
         """Make a call and wait for the whole reply.
@@ -102,7 +121,7 @@
                 return await send(transport, url, whole)
         except (OutcomeUnknownError, UnreachableError):
             if pool is self._pool:
-                self._pool = _Pool()
+                self._pool = _Pool(self._opened)
                 await pool.retire()
             raise
 
@@ -118,14 +137,3 @@
     async def close(self) -> None:
         """Close the connections."""
         await self._pool.transport.aclose()
-
-
-def _open_transport() -> httpx.AsyncHTTPTransport:
-    limits = httpx.Limits(
-        max_connections=MAX_CONNECTIONS,
-        max_keepalive_connections=MAX_CONNECTIONS,
-        keepalive_expiry=KEEP_ALIVE_S,
-    )
-    return httpx.AsyncHTTPTransport(
-        verify=False, limits=limits, socket_options=_SOCKET_OPTIONS
-    )
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -16,6 +16,7 @@
 from swifthoist_instance.intake import Answer, Call
 from swifthoist_platform.boot import Boot, decode_boot
 from tests.instance.fakes import JumpingClock, LoopClock, run
+from tests.simulation.network import Network
 
 STORE = 'store:1'
 LISTEN = ('entry:1', 'entry:2', 'entry:3')
@@ -52,6 +53,7 @@
         self._tasks = tasks
         self._lives = 0
         self._scope = anyio.CancelScope()
+        self.open_endpoint = self.link.open_endpoint
 
     def start(self) -> None:
         """Begin a life, if none is under way."""
@@ -59,7 +61,7 @@
             return
         self._lives += 1
         content = write_settings(self.name, 'north', LISTEN, STORE)
-        outside = Outside(self.clock, self.link.open_endpoint, str(self._lives))
+        outside = Outside(self.clock, self.open_endpoint, str(self._lives))
         self.app = Application(_Fixed(decode_boot(content)), Logs(), outside)
         self._scope = anyio.CancelScope()
         self._tasks.start_soon(self._run, self.app, self._scope)
@@ -104,8 +106,13 @@
 class Cluster:
     """Nodes on a world, and what callers were told."""
 
-    def __init__(self, site: Site, tasks: TaskGroup, count: int) -> None:
-        """Start some nodes on a site."""
+    def __init__(
+        self, site: Site, tasks: TaskGroup, count: int, *, wired: bool = False
+    ) -> None:
+        """Start some nodes on a site.
+
+        Wired ones call the stand-ins over connections that may fall silent.
+        """
         addresses = [STORE]
         addresses += [f'runner-{number}:1' for number in range(site.runners)]
         self.world = World(site, LoopClock(), addresses)
@@ -113,6 +120,10 @@
         self.nodes = [
             Node(f'node-{number}', self.world, tasks) for number in range(count)
         ]
+        self.network = Network(self.world, tasks)
+        if wired:
+            for node in self.nodes:
+                node.open_endpoint = self.network.opener(node.name)
         self.accepted: list[Order] = []
         self.canceled: list[Order] = []
         self.asked_to_cancel: set[str] = set()
@@ -185,6 +196,8 @@
     scene: Callable[[Cluster], Awaitable[None]],
     count: int = 3,
     site: Site = STANDARD,
+    *,
+    wired: bool = False,
 ) -> World:
     """Play a scene on virtual time.
 
@@ -194,7 +207,7 @@
 
     async def main() -> None:
         async with anyio.create_task_group() as tasks:
-            cluster = Cluster(site, tasks, count)
+            cluster = Cluster(site, tasks, count, wired=wired)
             worlds.append(cluster.world)
             await scene(cluster)
             tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/simulation/network.py
@@ -0,0 +1,211 @@
+"""Connections between instances and the stand-ins, on virtual time.
+
+Calls go through the adapter's own endpoint and its connections, so that what
+it does about those that fall silent is played as well.
+"""
+
+import math
+import random
+from collections.abc import Callable, Iterable
+from urllib.parse import parse_qs
+
+import anyio
+import h11
+import httpcore
+from anyio.abc import TaskGroup
+
+from swifthoist_emulator.http import Request, Response
+from swifthoist_emulator.world import World
+from swifthoist_platform.endpoint import Endpoint, open_transport
+
+WAY_S = 0.001
+"""Time of a piece on its way, in seconds."""
+
+
+class Connection(httpcore.AsyncNetworkStream):
+    """One connection, as its caller sees it.
+
+    :ivar caller: who opened it.
+    :ivar address: what it leads to.
+    :ivar silent: nothing that is sent on it arrives any more.
+    :ivar mute: only what the other end sends is lost.
+    :ivar closed: its caller has closed it.
+    :ivar busy: a call is on it that has no answer yet.
+    """
+
+    def __init__(self, caller: str, address: str) -> None:
+        """Open it."""
+        self.caller = caller
+        self.address = address
+        self.silent = False
+        self.mute = False
+        self.closed = False
+        self.busy = False
+        calls = anyio.create_memory_object_stream[bytes](math.inf)
+        answers = anyio.create_memory_object_stream[bytes](math.inf)
+        self.taken = calls[1]
+        self._sent = calls[0]
+        self._answers = answers[0]
+        self._read = answers[1]
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send a piece of a call."""
+        await anyio.sleep(WAY_S)
+        if buffer and not self.silent:
+            await self._sent.send(buffer)
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Wait for a piece of an answer."""
+        return await self._read.receive()
+
+    async def reply(self, content: bytes) -> None:
+        """Send an answer back."""
+        await anyio.sleep(WAY_S)
+        if not self.silent and not self.mute:
+            await self._answers.send(content)
+
+    async def aclose(self) -> None:
+        """Close it."""
+        self.closed = True
+        self._sent.close()
+
+    def get_extra_info(self, info: str) -> object:
+        """Tell that the other end has not closed it."""
+        return False if info == 'is_readable' else None
+
+
+class Network(httpcore.AsyncNetworkBackend):
+    """All connections.
+
+    :ivar opened: every connection that was ever opened.
+    """
+
+    def __init__(self, world: World, tasks: TaskGroup) -> None:
+        """Lead to a world."""
+        self.opened: list[Connection] = []
+        self._world = world
+        self._tasks = tasks
+
+    def opener(self, caller: str) -> Callable[[str], Endpoint]:
+        """Open addresses for an instance."""
+        headers = {'User-Agent': caller}
+
+        def open_endpoint(address: str) -> Endpoint:
+            def connect() -> object:
+                transport = open_transport()
+                transport._pool._network_backend = _Caller(self, caller)
+                return transport
+
+            return Endpoint(address, headers, connect)
+
+        return open_endpoint
+
+    def live(self, *, address: str = '') -> list[Connection]:
+        """List the connections that are open, to one address or to all."""
+        return [
+            conn
+            for conn in self.opened
+            if not conn.closed and address in {'', conn.address}
+        ]
+
+    def silence(
+        self, connections: Iterable[Connection], *, mute: bool = False
+    ) -> None:
+        """Have connections fall silent for good, or their answers be lost."""
+        for conn in connections:
+            if mute:
+                conn.mute = True
+            else:
+                conn.silent = True
+
+    def silence_some(self, rng: random.Random, share: float) -> None:
+        """Have a share of the connections fall silent, in either way."""
+        for conn in self.live():
+            if rng.random() < share:
+                self.silence([conn], mute=rng.choice((False, True)))
+
+    def open(self, caller: str, address: str) -> Connection:
+        """Open a connection."""
+        conn = Connection(caller, address)
+        self.opened = [*self.live(), conn]
+        self._tasks.start_soon(self._serve, conn)
+        return conn
+
+    async def _serve(self, conn: Connection) -> None:
+        """Answer the calls on a connection, one after the other."""
+        wire = h11.Connection(h11.SERVER)
+        with conn.taken:
+            while True:
+                request = await _next_request(wire, conn)
+                if request is None:
+                    return
+                conn.busy = True
+                response = await self._world.answer(conn.address, request)
+                await conn.reply(_encode(wire, response))
+                conn.busy = False
+                wire.start_next_cycle()
+
+
+class _Caller(httpcore.AsyncNetworkBackend):
+    """Opens connections for one instance."""
+
+    def __init__(self, network: Network, caller: str) -> None:
+        self._network = network
+        self._caller = caller
+
+    async def connect_tcp(
+        self, host: str, port: int, *_: object, **options: object
+    ) -> Connection:
+        """Open a connection."""
+        await anyio.sleep(WAY_S)
+        return self._network.open(self._caller, f'{host}:{port}')
+
+
+async def _next_request(
+    wire: h11.Connection, conn: Connection
+) -> Request | None:
+    """Read a call; none once the caller has closed the connection."""
+    head: h11.Request | None = None
+    content = b''
+    while True:
+        match await _next_event(wire, conn):
+            case h11.Request() as request:
+                head = request
+            case h11.Data(data=piece):
+                content += bytes(piece)
+            case h11.EndOfMessage() if head is not None:
+                return _request(head, content, conn.address)
+            case _:
+                return None
+
+
+async def _next_event(wire: h11.Connection, conn: Connection) -> object:
+    """Read on; none once the caller has closed the connection."""
+    while True:
+        event = wire.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            wire.receive_data(await conn.taken.receive())
+        except anyio.EndOfStream:
+            return None
+
+
+def _request(head: h11.Request, content: bytes, address: str) -> Request:
+    path, _, query = head.target.decode().partition('?')
+    found = {name: texts[0] for name, texts in parse_qs(query).items()}
+    headers = {
+        name.decode().lower(): text.decode() for name, text in head.headers
+    }
+    port = int(address.rpartition(':')[2])
+    method = head.method.decode()
+    return Request(method, path, found, headers, content, port)
+
+
+def _encode(wire: h11.Connection, response: Response) -> bytes:
+    length = str(len(response.content))
+    head = h11.Response(
+        status_code=response.status, headers=[('content-length', length)]
+    )
+    pieces = (head, h11.Data(data=response.content), h11.EndOfMessage())
+    return b''.join(wire.send(piece) or b'' for piece in pieces)
--- /dev/null
+++ b/tests/simulation/test_silence.py
@@ -0,0 +1,178 @@
+"""What holds while open connections fall silent and new ones work."""
+
+import random
+import unittest
+from collections import Counter
+
+import anyio
+
+from swifthoist_emulator.callers import Order
+from swifthoist_emulator.lives import StepWork
+from swifthoist_instance.contacts import CALL_S as RUNNER_CALL_S
+from swifthoist_instance.contacts import RETRY_S as RUNNER_RETRY_S
+from swifthoist_instance.follower import READ_GRACE_S, READ_WAIT_S, RETRY_S
+from swifthoist_instance.journal import APPEND_TIMEOUT_S
+from swifthoist_instance.journal import RETRY_S as APPEND_RETRY_S
+from swifthoist_instance.sessions import LOOK_WAIT_MS
+from swifthoist_instance.tenure import SILENCE_MS, SPREAD_MS
+from swifthoist_platform.endpoint import MAX_CONNECTIONS
+from tests.simulation.cluster import (
+    CALL_S,
+    STORE,
+    Cluster,
+    play,
+    wait_until,
+)
+
+APPEND_S = APPEND_TIMEOUT_S + APPEND_RETRY_S
+READ_S = READ_WAIT_S + READ_GRACE_S + RETRY_S
+LOOK_S = LOOK_WAIT_MS / 1_000 + RUNNER_CALL_S + RUNNER_RETRY_S
+START_S = RUNNER_CALL_S + RUNNER_RETRY_S
+"""Until a call of each kind is made on another connection, in seconds."""
+
+TAKEOVER_S = (SILENCE_MS + SPREAD_MS) / 1_000
+"""A holder whose appends fall silent may be replaced meanwhile."""
+
+SLACK_S = 0.6
+"""For whatever happens at once otherwise, in seconds."""
+
+BEGIN_S = APPEND_S + READ_S + TAKEOVER_S + APPEND_S + START_S + SLACK_S
+"""Until a job that is handed in when connections fall silent runs: accepted,
+read by the holder or its successor, decided and started."""
+
+END_S = LOOK_S + APPEND_S + READ_S + SLACK_S
+"""Until an end that was listed while connections fell silent is shown."""
+
+WORK_S = 0.6
+ONE = StepWork(600, (4_000, 8_000, 1))
+LONG = StepWork(4_000, (4_000, 8_000, 1))
+SERIES = 6
+WIDTH = 4
+
+
+async def _settle(cluster: Cluster) -> None:
+    """Have connections open and idle, and some that wait."""
+    await cluster.holder()
+    await cluster.submit(cluster.order('/batch/', ONE, width=12))
+    await anyio.sleep(3)
+
+
+async def _submit(cluster: Cluster, *steps: StepWork) -> Order:
+    order = cluster.order('/batch/', *steps, width=WIDTH)
+    assert await cluster.submit(order)
+    return order
+
+
+class SilenceTest(unittest.TestCase):
+    """Silence is noticed by deadlines, and costs no more than these."""
+
+    def test_a_job_starts_and_ends_though_all_connections_fell_silent(
+        self,
+    ) -> None:
+        """To the store and to runners, at once, the waiting ones as well."""
+
+        async def scene(cluster: Cluster) -> None:
+            await _settle(cluster)
+            network = cluster.network
+            self.assertTrue(any(conn.busy for conn in network.live()))
+            self.assertGreater(len(network.live()), 12)
+            network.silence(network.live())
+            with anyio.fail_after(BEGIN_S):
+                order = await _submit(cluster, ONE)
+                await wait_until(
+                    lambda: (
+                        bool(cluster.world.witness.done[order.job])
+                        or bool(cluster.world.witness.running_of(order.job))
+                    )
+                )
+            network.silence(network.live())
+            await cluster.wait_state(order, 'complete', WORK_S + END_S)
+
+        world = play(scene, wired=True)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 12 + WIDTH)
+
+    def test_a_start_waits_for_one_silent_connection_only(self) -> None:
+        """Though every connection to its runner fell silent."""
+
+        async def scene(cluster: Cluster) -> None:
+            await _settle(cluster)
+            network = cluster.network
+            runners = set(cluster.world.fleet.hosts)
+            to_runners = [it for it in network.live() if it.address in runners]
+            silent = Counter(it.address for it in to_runners)
+            network.silence(to_runners)
+            await cluster.submit(cluster.order('/batch/', ONE))
+            hosts = cluster.world.fleet.hosts.values()
+            busy = lambda: [it for it in hosts if it.life and it.life.runs]
+            await wait_until(lambda: bool(busy()), START_S + SLACK_S)
+            address = busy()[0].place.address
+            self.assertEqual(silent[address], MAX_CONNECTIONS)
+
+        world = play(scene, wired=True)
+        self.assertEqual(world.witness.broken, [])
+
+    def test_runs_go_on_while_connections_fall_silent(self) -> None:
+        """Leases outlast the deadlines, so no work is lost."""
+
+        async def scene(cluster: Cluster) -> None:
+            await _settle(cluster)
+            order = await _submit(cluster, LONG)
+            running = cluster.world.witness.running_of
+            await wait_until(lambda: len(running(order.job)) == WIDTH)
+            runners = set(cluster.world.fleet.hosts)
+            network = cluster.network
+            for conn in network.live():
+                if conn.address in runners:
+                    network.silence([conn])
+            await anyio.sleep(LOOK_S)
+            network.silence(network.live(), mute=True)
+            await cluster.wait_state(order, 'complete', 4 + END_S)
+
+        world = play(scene, wired=True)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 12 + WIDTH)
+
+    def test_callers_are_answered_while_the_store_falls_silent(self) -> None:
+        """An append goes out again on another connection in time."""
+
+        async def scene(cluster: Cluster) -> None:
+            await _settle(cluster)
+            network = cluster.network
+            for mute in (False, True):
+                network.silence(network.live(address=STORE), mute=mute)
+                for node in cluster.nodes:
+                    order = cluster.order('/batch/', ONE)
+                    with anyio.fail_after(CALL_S):
+                        await cluster.submit(order)
+                    self.assertIn(order, cluster.accepted, node.name)
+                await anyio.sleep(READ_S)
+            for order in cluster.accepted:
+                await cluster.wait_state(order, 'complete', BEGIN_S + END_S)
+
+        world = play(scene, wired=True)
+        self.assertEqual(world.witness.broken, [])
+
+    def test_promises_hold_under_any_series_of_silence(self) -> None:
+        """Some connections fall silent over and over, while work goes on."""
+
+        def play_series(seed: int) -> None:
+            rng = random.Random(seed)
+
+            async def scene(cluster: Cluster) -> None:
+                await _settle(cluster)
+                for _ in range(24):
+                    cluster.network.silence_some(rng, rng.choice((0.1, 0.5, 1)))
+                    if rng.choice((False, True)):
+                        await cluster.submit(cluster.order('/bulk/', ONE, ONE))
+                    await anyio.sleep(rng.choice((0, 0.02, 0.3, 1)))
+                with anyio.fail_after(2 * (BEGIN_S + WORK_S + END_S)):
+                    for order in cluster.accepted:
+                        await cluster.wait_state(order, 'complete', 60)
+
+            world = play(scene, wired=True)
+            self.assertEqual(world.witness.broken, [])
+
+        for seed in range(SERIES):
+            with self.subTest(seed=seed):
+                play_series(seed)
