--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -42,8 +42,8 @@
 
 KEEP_FACTOR = 1.5
 """Finished jobs are kept for this multiple of the time that they can be
-asked for: after the loss of all instances, the time of day of the next holder
-tells how much time has passed."""
+asked for: the time of day of a holder that has just started tells how much time
+has passed, and may be ahead."""
 
 _log = logging.getLogger(__name__)
 
