Renew leases of runners that were not asked while ends were slow to record

Callers would see work lost with a slow store. A session asks its runner nothing while it records an end. When that took longer than 1.9 s, it took the runner for silent and sent the next look without a renewal; while each record took as long, the lease was never renewed, and after 8 s the runner stopped all that ran there, and its ends that were not recorded yet were void.

Ruled out: that renewals have to end there, since the store can be read and the tenure is in force; that renewing could revive a lease that has ended: it goes on only where the newest one that was granted has surely not ended. A runner that did not answer the newest look is let go as before.

--- a/packages/instance/swifthoist_instance/contacts.py
+++ b/packages/instance/swifthoist_instance/contacts.py
@@ -33,6 +33,7 @@
     :ivar lease: its clock and lease.
     :ivar shared: what all sessions share.
     :ivar heard_ms: when it was heard of last.
+    :ivar unanswered: the newest look got no answer.
     :ivar replaced: another life answers at its address.
     :ivar closed: the runner is gone for good, and its runs are given up.
     """
@@ -56,6 +57,7 @@
         self.lease = lease
         self.shared = shared
         self.heard_ms: Millis = shared.clock.boot_ms()
+        self.unanswered = False
         self.replaced = False
         self.closed = False
 
@@ -69,6 +71,21 @@
         """Whether the runner was not heard of for too long."""
         return self.shared.clock.boot_ms() - self.heard_ms > SILENT_MS
 
+    def next_until(self, now_ms: Millis) -> Millis | None:
+        """Tell until when to ask for the lease.
+
+        A runner that does not answer is not asked to hold on to its runs, so
+        that their lease ends and they can start elsewhere. One that was not
+        asked meanwhile, since the store was slow, is not silent for that.
+
+        :param now_ms: time on the own clock.
+        :returns: time on the runner's clock; none to let the lease end.
+        """
+        goes_on = not self.unanswered and self.lease.goes_on(now_ms)
+        if self.silent and not goes_on:
+            return None
+        return self.lease.next_until(now_ms)
+
     @property
     def gone(self) -> bool:
         """Whether the runner is gone, be it that its runs are still open."""
@@ -84,6 +101,7 @@
         :param clock_ms: time on its clock; 0 if it did not tell.
         """
         if clock_ms:
+            self.unanswered = False
             self.heard_ms = self.shared.clock.boot_ms()
             self.lease.note_clock(clock_ms, self.heard_ms)
 
--- a/packages/instance/swifthoist_instance/leases.py
+++ b/packages/instance/swifthoist_instance/leases.py
@@ -72,6 +72,16 @@
         passed_ms = (now_ms - self._read_ms) * SLOWEST
         return self._clock_ms + passed_ms > self._until_ms + MARGIN_MS
 
+    def goes_on(self, now_ms: Millis) -> bool:
+        """Tell whether the lease that the runner granted has surely not ended.
+
+        :param now_ms: time on the own clock.
+        :returns: whether its end lies ahead, on a clock that is not slow.
+        """
+        if self._read_ms is None:
+            return False
+        return self._clock_ms + (now_ms - self._read_ms) < self._granted_ms
+
     def note_granted(self, until_ms: Millis | None) -> None:
         """Note that the runner granted a lease.
 
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -142,9 +142,7 @@
     async def _look(self, orders: Orders) -> None:
         contact = self.contact
         sent_ms = self._shared.clock.boot_ms()
-        # A runner that does not answer is not asked to hold on to its runs,
-        # so that their lease ends and they can start elsewhere.
-        until_ms = None if contact.silent else contact.lease.next_until(sent_ms)
+        until_ms = contact.next_until(sent_ms)
         wait_ms = self._wait_ms()
         seen = self._shared.cell.seen_of(self.contact.runner)
         try:
@@ -156,6 +154,7 @@
                 wait_ms / 1_000 + CALL_S,
             )
         except LOST as exc:
+            contact.unanswered = True
             await self._note_silence(str(exc))
             return
         if look.verdict is not Verdict.TAKEN:
--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -11,6 +11,7 @@
 
 LONG = StepWork(4_000, (4_000, 8_000, 1))
 TINY = StepWork(500, (100, 100, 0))
+LASTING = StepWork(20_000, (4_000, 8_000, 1))
 
 
 class LossTest(unittest.TestCase):
@@ -151,3 +152,24 @@
 
         world = play(scene, count=1, site=STANDARD._replace(runners=1))
         self.assertEqual(world.witness.broken, [])
+
+    def test_leases_are_renewed_while_ends_are_slow_to_record(self) -> None:
+        """A runner that was not asked meanwhile is not taken for silent."""
+
+        async def scene(cluster: Cluster) -> None:
+            await cluster.holder()
+            await anyio.sleep(1)
+            brief = cluster.order('/batch/', TINY, width=4)
+            order = cluster.order('/batch/', LASTING)
+            await cluster.submit(order)
+            await cluster.submit(brief)
+            running = cluster.world.witness.running_of
+            await wait_until(lambda: running(order.job))
+            cluster.world.faults.store_writes = Fault(Harm.SILENT)
+            await anyio.sleep(12)
+            cluster.world.faults.store_writes = NO_FAULT
+            await cluster.wait_state(order, 'complete', 30)
+
+        world = play(scene, count=1, site=STANDARD._replace(runners=1))
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 5)
