Record where a runner answers until that is folded

What callers would see: behind an outage, runs on runners whose entry expired wait for their leases to end, instead of being looked for. Cause: the address was recorded once, when the runner was met; where the store refused that, never again. Change: the roster records what is missing, all of it in one append. Test: test_terms, failed before (no address known).

--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -10,7 +10,7 @@
 from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.planner import Stop
-from swifthoist_engine.records import Record, RunnerGone
+from swifthoist_engine.records import Record, RunnerGone, RunnerMet
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView
 from swifthoist_instance.contacts import Contact
@@ -69,6 +69,7 @@
                 self._keep(listed.registration, tasks)
             for entry in self._unlisted():
                 self._keep(entry, tasks)
+            await self._note_addresses()
             await self._close_gone()
             await self._close_unlisted()
             await anyio.sleep(CHECK_S)
@@ -141,6 +142,23 @@
             if runner not in self._sessions
         ]
 
+    async def _note_addresses(self) -> None:
+        """Record where runners answer, until that is folded."""
+        shared = self._shared
+        known = shared.cell.state.addresses
+        entries = [
+            session.contact.registration
+            for session in self._sessions.values()
+            if session.synced
+        ]
+        met = [
+            RunnerMet(shared.epoch, entry.runner, entry.address)
+            for entry in entries
+            if known.get(entry.runner) != entry.address
+        ]
+        if met and shared.journal.available:
+            await record_all(shared, met)
+
     async def _close_gone(self) -> None:
         for runner, session in list(self._sessions.items()):
             listed = self._registry.present(runner) is not None
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -11,7 +11,7 @@
 
 from swifthoist_core.types import Millis
 from swifthoist_engine.jobs import OpenRun
-from swifthoist_engine.records import Ending, Record, RunnerMet, Vanished
+from swifthoist_engine.records import Ending, Record, Vanished
 from swifthoist_engine.run_index import RunKey
 from swifthoist_instance.anomalies import Anomalies
 from swifthoist_instance.contacts import CALL_S, LOST, RETRY_S, Contact
@@ -167,7 +167,7 @@
         contact.lease.note_granted(until_ms)
         await self._take_in(look, orders, sent_ms)
         if until_ms is not None:
-            await self._note_synced()
+            self._note_synced()
 
     def _wait_ms(self) -> int:
         if not self.synced:
@@ -175,17 +175,12 @@
         paced = any(filling(self._shared.cell, self._running.values()))
         return PACED_WAIT_MS if paced else LOOK_WAIT_MS
 
-    async def _note_synced(self) -> None:
+    def _note_synced(self) -> None:
         if self.synced:
             return
         self.synced = True
-        entry = self.contact.registration
-        _log.info('runner synced', extra={'runner': entry.runner})
+        _log.info('runner synced', extra={'runner': self.contact.runner})
         self._shared.wake.give()
-        state = self._shared.cell.state
-        if state.addresses.get(entry.runner) != entry.address:
-            met = RunnerMet(self._shared.epoch, entry.runner, entry.address)
-            await record_all(self._shared, [met])
 
     async def _note_silence(self, reason: str) -> None:
         contact = self.contact
--- a/tests/simulation/test_terms.py
+++ b/tests/simulation/test_terms.py
@@ -29,7 +29,7 @@
 """How long runners can't be reached, in seconds: nearly the length of a lease."""
 
 WIDTH = 4
-LASTING = StepWork(20_000, (4_000, 8_000, 1))
+LASTING = StepWork(30_000, (4_000, 8_000, 1))
 
 
 async def _run_wide(cluster: Cluster) -> Order:
@@ -50,6 +50,18 @@
     ]
 
 
+async def _replace_runners(cluster: Cluster) -> None:
+    """Have all runners come back as other lives while appends are refused."""
+    cluster.world.faults.store_writes = Fault(Harm.BUSY)
+    fleet = cluster.world.fleet
+    for host in fleet.hosts.values():
+        fleet.kill(host)
+        fleet.revive(host)
+    await anyio.sleep(4)
+    cluster.world.faults.store_writes = NO_FAULT
+    await anyio.sleep(1)
+
+
 def _lose_store(cluster: Cluster) -> None:
     faults = cluster.world.faults
     faults.store_writes = Fault(Harm.SILENT)
@@ -230,6 +242,48 @@
 class EntryTest(unittest.TestCase):
     """Entries of runners that live expire while the store is away."""
 
+    def test_an_address_that_was_not_recorded_is_recorded_later(self) -> None:
+        """It is where the runs of an unlisted runner are looked for."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            await _replace_runners(cluster)
+            known = holder.cell.state.addresses
+            living = {
+                host.runner for host in cluster.world.fleet.hosts.values()
+            }
+            self.assertLessEqual(living, known.keys())
+
+        play(scene, count=1)
+
+    def test_unlisted_runs_of_an_earlier_tenure_outlast_an_outage(self) -> None:
+        """Their address is not known, and this tenure renewed their leases."""
+
+        async def scene(cluster: Cluster) -> None:
+            node = await cluster.holder()
+            await anyio.sleep(HELD_S)
+            with mock.patch.object(Roster, '_note_addresses'):
+                await _replace_runners(cluster)
+                order = await _run_wide(cluster)
+                node.kill()
+                node.start()
+                await wait_until(lambda: node.holds)
+                await anyio.sleep(10)
+                _lose_store(cluster)
+                cluster.world.faults.unlisted = True
+                await wait_until(lambda: not node.holds)
+                node.link.cut.update(_busy(cluster))
+                _bring_store_back(cluster)
+                await anyio.sleep(1)
+                cluster.world.faults.unlisted = False
+                await anyio.sleep(5)
+            node.link.cut.clear()
+            await cluster.wait_state(order, 'complete', 90)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, WIDTH)
+
     def test_runs_outlast_entries_that_expired_in_an_outage(self) -> None:
         """Runners that live are listed again some seconds after it."""
 
