Bound what others granted by the longest lease, not by the own one

What callers would see: a task runs twice where the settings shorten leases between two terms. Cause: leases of earlier terms were taken to be as long as those of this one. Change: the bound is the longest lease that anybody asks for; lengths and bounds of leases are in one module. Test: test_terms, failed before ('runs twice').

--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -33,13 +33,6 @@
 from swifthoist_platform.machines import MachinesClient
 from swifthoist_platform.runner_calls import RunnerClient
 
-LEASE_MS = 8_000
-"""Length of a runner's lease, in ms: long enough to outlast the replacement
-of a holder, or of all instances, so that nothing is lost with them."""
-
-LEASE_SHARE = 0.85
-"""Greatest length of a lease, as a share of what runners grant."""
-
 IDLE_S = 0.25
 """Longest pause between two decisions, in seconds: occurrences become due,
 and patience ends, without any other event."""
@@ -132,9 +125,11 @@
             wake,
             anyio.Event(),
         )
-        lease_ms = min(LEASE_MS, int(parts.lease_max_ms() * LEASE_SHARE))
         self._roster = Roster(
-            self._registry, self._shared, parts.open_runner, lease_ms
+            self._registry,
+            self._shared,
+            parts.open_runner,
+            parts.lease_max_ms(),
         )
         self._waves = Waves(
             parts.configuration,
--- a/packages/instance/swifthoist_instance/leases.py
+++ b/packages/instance/swifthoist_instance/leases.py
@@ -9,6 +9,13 @@
 
 from swifthoist_core.types import Millis
 
+LEASE_MS = 8_000
+"""Longest lease that is asked for, in ms: long enough to outlast the replacement
+of a holder, or of all instances, so that nothing is lost with them."""
+
+LEASE_SHARE = 0.85
+"""Greatest length of a lease, as a share of what runners grant."""
+
 SLOWEST = 0.98
 """Least pace of a runner's clock, as a share of true time."""
 
@@ -16,14 +23,22 @@
 """What is added to the end of a lease before it counts as over, in ms."""
 
 
-def lease_over_ms(granted_ms: Millis, lease_ms: Millis) -> Millis:
+def choose_lease_ms(longest_ms: Millis) -> Millis:
+    """Choose the length of leases.
+
+    :param longest_ms: longest lease that runners grant.
+    :returns: the length to ask for.
+    """
+    return min(LEASE_MS, int(longest_ms * LEASE_SHARE))
+
+
+def lease_over_ms(granted_ms: Millis) -> Millis:
     """Tell when a lease of a runner whose clock is unknown has surely ended.
 
     :param granted_ms: latest time at which it may have been granted.
-    :param lease_ms: its length on the runner's clock.
     :returns: a time on the clock of ``granted_ms``.
     """
-    return granted_ms + ceil((lease_ms + MARGIN_MS) / SLOWEST)
+    return granted_ms + ceil((LEASE_MS + MARGIN_MS) / SLOWEST)
 
 
 class Lease:
@@ -55,8 +70,9 @@
         :param now_ms: when that answer was read, on the own clock.
         """
         if self._read_ms is None:
-            # Earlier holders may have renewed until now, with leases as long.
-            self._until_ms = clock_ms + self._lease_ms + MARGIN_MS
+            # Earlier holders may have renewed until now, with longer leases
+            # where the settings have changed.
+            self._until_ms = clock_ms + LEASE_MS + MARGIN_MS
         if clock_ms > self._clock_ms:
             self._clock_ms = clock_ms
             self._read_ms = now_ms
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -14,7 +14,7 @@
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView
 from swifthoist_instance.contacts import Contact
-from swifthoist_instance.leases import Lease, lease_over_ms
+from swifthoist_instance.leases import Lease, choose_lease_ms, lease_over_ms
 from swifthoist_instance.outcomes import record_all, vanished
 from swifthoist_instance.registry import Registry
 from swifthoist_instance.sessions import Session
@@ -37,25 +37,25 @@
         registry: Registry,
         shared: Shared,
         open_runner: Callable[[Registration], RunnerClient],
-        lease_ms: Millis,
+        lease_max_ms: Millis,
     ) -> None:
         """Keep a session for each runner that a registry lists.
 
         :param registry: lists the runners.
         :param shared: what the tenure shares.
         :param open_runner: opens a client of a runner.
-        :param lease_ms: length of a lease, in ms.
+        :param lease_max_ms: longest lease that runners grant, in ms.
         """
         self._registry = registry
         self._shared = shared
         self._open_runner = open_runner
-        self._lease_ms = lease_ms
+        self._lease_ms = choose_lease_ms(lease_max_ms)
         # Earlier holders renewed leases for as long as they could go on, and
         # an earlier term of this tenure until now.
         renewed_ms = max(
             shared.hold.since_ms + OUTAGE_MS, shared.clock.boot_ms()
         )
-        self._unknown_ms = lease_over_ms(renewed_ms, lease_ms)
+        self._unknown_ms = lease_over_ms(renewed_ms)
         self._sessions: dict[RunnerId, Session] = {}
 
     async def run(self, tasks: TaskGroup) -> None:
--- a/tests/instance/test_leases.py
+++ b/tests/instance/test_leases.py
@@ -2,9 +2,14 @@
 
 import unittest
 
-from swifthoist_instance.leases import MARGIN_MS, SLOWEST, Lease, lease_over_ms
+from swifthoist_instance.leases import (
+    LEASE_MS,
+    MARGIN_MS,
+    SLOWEST,
+    Lease,
+    lease_over_ms,
+)
 
-LEASE_MS = 8_000
 UNKNOWN_MS = 50_000
 
 
@@ -43,7 +48,7 @@
 
     def test_an_unknown_clock_may_be_slow_too(self) -> None:
         """A lease of an earlier holder lasts longer by a slow clock."""
-        over_ms = lease_over_ms(10_000, LEASE_MS)
+        over_ms = lease_over_ms(10_000)
         self.assertGreaterEqual((over_ms - 10_000) * SLOWEST, LEASE_MS)
 
     def test_an_older_answer_does_not_turn_the_clock_back(self) -> None:
--- a/tests/simulation/test_terms.py
+++ b/tests/simulation/test_terms.py
@@ -16,6 +16,7 @@
 from swifthoist_emulator.http import Request
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.site import STANDARD, Line
+from swifthoist_instance import leases
 from swifthoist_instance.roster import Roster
 from swifthoist_platform import names
 from swifthoist_platform.calls import Reply
@@ -133,6 +134,26 @@
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(world.witness.starts, WIDTH)
 
+    def test_runs_outlast_a_lease_that_the_settings_shorten(self) -> None:
+        """The earlier term granted the longer one."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            await anyio.sleep(HELD_S)
+            order = await _run_wide(cluster)
+            _lose_store(cluster)
+            with mock.patch.object(leases, 'LEASE_SHARE', 0.2):
+                await wait_until(lambda: not holder.holds)
+                holder.link.cut.update(_busy(cluster))
+                _bring_store_back(cluster)
+                await wait_until(lambda: holder.holds)
+                await anyio.sleep(CUT_S)
+                holder.link.cut.clear()
+                await cluster.wait_state(order, 'complete', 60)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
+
     def test_runs_outlast_a_term_that_begins_again(self) -> None:
         """A term that a fault of its own ended had renewed leases, too."""
 
