--- a/packages/engine/swifthoist_engine/snapshots.py
+++ b/packages/engine/swifthoist_engine/snapshots.py
@@ -75,7 +75,7 @@
 
     :param state: state of the cell.
     :param position: offset of the first record that it does not hold.
-    :param number: number of the snapshot in this tenure; two slots are used
+    :param number: number of the snapshot in this life; two slots are used
         in turn, so that the one before stays whole meanwhile.
     :param limit: largest chunk, in bytes.
     :returns: the snapshot.
--- a/packages/instance/swifthoist_instance/snapshotting.py
+++ b/packages/instance/swifthoist_instance/snapshotting.py
@@ -97,23 +97,23 @@
         :param follower: folds the log.
         :param epoch: epoch of the tenure.
         """
-        number = 0
+        before = self.written
         while True:
             await anyio.sleep(self._pause_s)
             try:
-                await self._write(follower, epoch, number)
+                await self._write(follower, epoch)
+                if self.written == before + 2:
+                    await self._drop_stale(epoch)
             except _UNWRITTEN as exc:
                 _log.warning('snapshot unwritten', extra={'why': str(exc)})
-            else:
-                number += 1
 
-    async def _write(
-        self, follower: Follower, epoch: Epoch, number: int
-    ) -> None:
+    async def _write(self, follower: Follower, epoch: Epoch) -> None:
         if follower.cell.state.epoch != epoch:
             return
+        # A term may go on with the epoch of an earlier one, and must not write
+        # over what the head names: numbers go on, too.
         snapshot = take_snapshot(
-            follower.cell.state, follower.position, number, self._limit
+            follower.cell.state, follower.position, self.written, self._limit
         )
         for key, chunk in snapshot.chunks.items():
             await self._store.put(SNAPSHOT_TOPIC, key, chunk, CALL_S)
@@ -127,8 +127,6 @@
                 'chunks': snapshot.head.chunks,
             },
         )
-        if number == 1:
-            await self._drop_stale(epoch)
 
     async def _drop_stale(self, epoch: Epoch) -> None:
         """Drop chunks of earlier tenures, one snapshot later than could be."""
--- a/tests/instance/test_snapshotting.py
+++ b/tests/instance/test_snapshotting.py
@@ -1,10 +1,11 @@
 """Tests of snapshots: a log that forgets loses nothing."""
 
 import unittest
+from unittest import mock
 
 import anyio
 
-from swifthoist_core.errors import SnapshotError
+from swifthoist_core.errors import LogUnavailableError, SnapshotError
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.model import UnitId
 from swifthoist_engine.snapshots import (
@@ -13,10 +14,12 @@
     restore,
     take_snapshot,
 )
+from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import CELL_TOPIC
+from swifthoist_instance.snapshotting import Snapshots
 from tests.engine.scenes import BATCH, KEEP_MS, Scene, job_spec, task
 from tests.instance.entry import JOB, Entry, configure
-from tests.instance.fakes import FakeStore, run
+from tests.instance.fakes import FakeStore, LoopClock, run
 
 LIMIT = 100
 
@@ -91,6 +94,36 @@
         run(main)
 
 
+class ContinuedTest(unittest.TestCase):
+    """A term may go on with the epoch of an earlier one."""
+
+    def test_the_snapshot_before_an_outage_outlasts_the_next_one(self) -> None:
+        """Its chunks stay as they were until another head is written."""
+
+        async def main() -> None:
+            store = FakeStore()
+            snapshots = Snapshots(store, 1_000, 1_000)
+            follower = Follower(store, Cell(KEEP_MS), LoopClock())
+            with anyio.move_on_after(0.3):
+                await snapshots.run(follower, 0)
+            self.assertEqual(snapshots.written, 1)
+            follower.cell.replace_state(_scene().cell.state)
+            follower.cell.state.epoch = 0
+            put = store.put
+
+            async def put_chunks(topic, key, content, timeout_s) -> None:
+                if key == HEAD_KEY:
+                    raise LogUnavailableError('the writer dies')
+                await put(topic, key, content, timeout_s)
+
+            with mock.patch.object(store, 'put', put_chunks):
+                with anyio.move_on_after(0.3):
+                    await snapshots.run(follower, 0)
+            self.assertIsNotNone(await snapshots.load())
+
+        run(main)
+
+
 class ForgettingTest(unittest.TestCase):
     """The log drops records that a snapshot holds."""
 
