--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -8,12 +8,13 @@
 from swifthoist_emulator.faults import NO_FAULT, Fault, Harm
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.site import STANDARD
-from tests.simulation.cluster import Cluster, play, wait_until
+from tests.simulation.cluster import STORE, Cluster, play, wait_until
 
 SHORT = StepWork(2_000, (4_000, 8_000, 1))
 LONG = StepWork(4_000, (4_000, 8_000, 1))
 TINY = StepWork(500, (100, 100, 0))
 LASTING = StepWork(20_000, (4_000, 8_000, 1))
+ENDLESS = StepWork(30_000, (4_000, 8_000, 1))
 
 
 async def _begin(cluster: Cluster, work: StepWork) -> Order:
@@ -292,3 +293,29 @@
         world = play(scene, count=1, site=STANDARD._replace(runners=1))
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(world.witness.starts, 5)
+
+    def test_leases_outlast_a_holder_that_was_cut_from_the_store(self) -> None:
+        """It renews them for as long as it can't know of its replacement."""
+
+        async def scene(cluster: Cluster) -> None:
+            first = await cluster.holder()
+            second = next(node for node in cluster.nodes if node is not first)
+            await anyio.sleep(12)
+            order = cluster.order('/batch/', ENDLESS, width=4)
+            await cluster.submit(order)
+            running = cluster.world.witness.running_of
+            await wait_until(lambda: len(running(order.job)) == 4)
+            hosts = cluster.world.fleet.hosts
+            busy = [at for at, host in hosts.items() if host.life.runs]
+            second.link.cut.update(hosts)
+            first.link.cut.add(STORE)
+            await wait_until(lambda: second.holds)
+            await anyio.sleep(9)
+            second.link.cut.intersection_update(busy)
+            await anyio.sleep(4)
+            first.link.cut.clear()
+            second.link.cut.clear()
+            await cluster.wait_state(order, 'complete', 90)
+
+        world = play(scene, count=2)
+        self.assertEqual(world.witness.broken, [])
