Reserve addresses of instances in tests, instead of finding free ones

Suspected: a port that was free when it was looked up went to a connection of another process before the instance listened there.

--- a/packages/emulator/swifthoist_emulator/serving.py
+++ b/packages/emulator/swifthoist_emulator/serving.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from anyio.abc import TaskGroup
 from hypercorn.asyncio import serve
@@ -110,17 +110,27 @@
     return f'{host}:{port}'
 
 
-def free_addresses(count: int) -> Sequence[str]:
-    """Find addresses that are free now.
+class Reserved:
+    """Addresses of loopback that nobody else is given until they are let go.
 
-    :param count: how many.
-    :returns: the addresses, on loopback.
+    A server with ``SO_REUSEADDR`` may listen at them; connections of others are
+    not given their ports, as those of addresses that were merely free are.
+
+    :ivar addresses: the addresses.
     """
-    listeners = [open_listener() for _ in range(count)]
-    found = [address_of(listener) for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return found
+
+    def __init__(self, count: int) -> None:
+        """Reserve some.
+
+        :param count: how many.
+        """
+        self._holders = [open_listener() for _ in range(count)]
+        self.addresses = tuple(map(address_of, self._holders))
+
+    def close(self) -> None:
+        """Let them go."""
+        for holder in self._holders:
+            holder.close()
 
 
 def open_listener() -> socket.socket:
--- a/packages/emulator/swifthoist_emulator/stage.py
+++ b/packages/emulator/swifthoist_emulator/stage.py
@@ -16,7 +16,7 @@
 from swifthoist_core.clock import SystemClock
 from swifthoist_emulator.callers import Caller, Order
 from swifthoist_emulator.lives import StepWork
-from swifthoist_emulator.serving import ServedWorld, free_addresses
+from swifthoist_emulator.serving import Reserved, ServedWorld
 from swifthoist_emulator.site import STANDARD, write_settings
 from swifthoist_platform.boot import BOOT_VARIABLE
 
@@ -31,7 +31,8 @@
     def __init__(self, name: str, folder: Path, store: str) -> None:
         """Prepare its settings; it is not started yet."""
         self.name = name
-        listen = free_addresses(3)
+        self._reserved = Reserved(3)
+        listen = self._reserved.addresses
         self.callers = listen[0]
         self.ready = listen[1]
         self.internal = listen[2]
@@ -65,6 +66,11 @@
             self.popen.kill()
             self.popen.wait(WAIT_S)
 
+    def close(self) -> None:
+        """End the process for good."""
+        self.end()
+        self._reserved.close()
+
     def lines(self) -> list[str]:
         """Read what it has logged since it was started last."""
         return self._log.read_bytes()[self._began :].decode().splitlines()
@@ -128,7 +134,7 @@
     async def close(self) -> None:
         """End every process, and the stand-ins."""
         for instance in self.instances:
-            instance.end()
+            instance.close()
         with anyio.CancelScope(shield=True):
             await self.caller.close()
         self.world.faults.over.set()
