Let one done end stand for a gang in the stand-ins' judgement

The check that a job shown as complete has all its tasks done was wrong for gangs: the protocol says that one done end represents all members.

--- a/packages/emulator/swifthoist_emulator/callers.py
+++ b/packages/emulator/swifthoist_emulator/callers.py
@@ -39,13 +39,17 @@
     steps: tuple[StepWork, ...]
     width: int = 1
 
-    def tasks(self) -> list[TaskId]:
-        """List its tasks."""
-        return [
-            TaskId(self.job, 0, number, index)
-            for number, work in enumerate(self.steps)
-            for index in range(work.gang or self.width)
-        ]
+    def units(self) -> list[frozenset[TaskId]]:
+        """List what has to be done: its tasks, and its gangs as a whole."""
+        found: list[frozenset[TaskId]] = []
+        for number, work in enumerate(self.steps):
+            count = work.gang or self.width
+            tasks = [TaskId(self.job, 0, number, at) for at in range(count)]
+            if work.gang:
+                found.append(frozenset(tasks))
+            else:
+                found.extend(frozenset((task,)) for task in tasks)
+        return found
 
 
 class Caller:
@@ -93,7 +97,7 @@
             return ''
         found: str = msgspec.json.decode(reply.content)[names.STATE]
         if found == 'complete':
-            self._witness.note_complete(order.job, order.tasks())
+            self._witness.note_complete(order.job, order.units())
         return found
 
     async def close(self) -> None:
--- a/packages/emulator/swifthoist_emulator/witness.py
+++ b/packages/emulator/swifthoist_emulator/witness.py
@@ -127,13 +127,16 @@
         if (task, place) in self._overtaken:
             self.broken.append(f'{task} started again after {place} was done')
 
-    def note_complete(self, job: JobId, tasks: Iterable[TaskId]) -> None:
+    def note_complete(
+        self, job: JobId, units: Iterable[frozenset[TaskId]]
+    ) -> None:
         """Note that a job was shown as complete.
 
         :param job: the job.
-        :param tasks: its tasks, all of which have to be done.
+        :param units: its tasks, and its gangs, of which the done end of one
+            member stands for all.
         """
-        missing = frozenset(tasks) - self.done[job]
+        missing = [unit for unit in units if unit.isdisjoint(self.done[job])]
         if missing:
             self.broken.append(f'{job} is complete without {missing}')
 
