Play ends that can't be accounted for, across takeovers

The account fails for each end of a first step, while three holders in a row are killed: all jobs are complete, no task starts twice, and all instances list the same jobs. Before the fold left a sound cell behind such a record, no job was complete within 15 s, since its tasks started again and again.

--- a/tests/simulation/test_own_faults.py
+++ b/tests/simulation/test_own_faults.py
@@ -6,6 +6,7 @@
 import anyio
 
 from swifthoist_emulator.lives import StepWork
+from swifthoist_engine.account import Account
 from swifthoist_engine.evidence import Evidence
 from swifthoist_engine.placing import Placer
 from tests.engine.scenes import failing
@@ -108,3 +109,36 @@
         with patch.object(Placer, 'place', broken):
             world = play(scene, faulty=True)
         self.assertEqual(world.witness.broken, [])
+
+
+class FoldFaultTest(unittest.TestCase):
+    """Records that can't be folded whole hold up nobody, and run none twice."""
+
+    def test_ends_that_can_not_be_accounted_for_count(self) -> None:
+        """Also at holders that begin while that goes on."""
+        broken = failing(Account.add_run, lambda *args: args[2].task.step == 0)
+
+        async def scene(cluster: Cluster) -> None:
+            orders = []
+            for _ in range(3):
+                await cluster.holder()
+                order = cluster.order('/batch/', TINY, TINY, width=8)
+                orders.append(order)
+                await cluster.submit(order)
+                await anyio.sleep(0.5)
+                holder = await cluster.holder()
+                holder.kill()
+                holder.start()
+            for order in orders:
+                await cluster.wait_state(order, 'complete', 15)
+            shown = [
+                (await node.app.web.api.answer('GET', '/v1/jobs', '', b''))
+                for node in cluster.nodes
+            ]
+            self.assertEqual(shown[0], shown[1])
+            self.assertEqual(shown[0], shown[2])
+
+        with patch.object(Account, 'add_run', broken):
+            world = play(scene, faulty=True)
+        self.assertEqual(world.witness.broken, [])
+        self.assertEqual(world.witness.starts, 3 * 2 * 8)
