Close no session of a replaced runner while a run is open there

The holder found another life at the address of a runner and listed the runs there, to record that they are gone; a start that was decided just before was folded behind that list and dropped, since the runner was replaced, and the session closed. Ruled out: a late done end or a refused start (no run of the job had either). Change: the session closes only once no run is open on the runner, and a replaced runner takes no more starts. Test: simulation/test_losses, failed before (the jobs were not complete in 30 s).

--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -67,7 +67,9 @@
     @property
     def open(self) -> bool:
         """Whether tasks may be started on the runner."""
-        return self.synced and not self.closed and not self.contact.silent
+        contact = self.contact
+        gone = contact.closed or contact.replaced
+        return self.synced and not gone and not contact.silent
 
     @property
     def closed(self) -> bool:
@@ -134,9 +136,13 @@
             return
         runs = self._shared.cell.runs_on(self.contact.runner)
         reason = 'another life of the runner answers'
-        if await record_vanished(self._shared, runs, reason, self._saved):
-            self.close()
-            self._shared.wake.give()
+        if not await record_vanished(self._shared, runs, reason, self._saved):
+            return
+        if self._shared.cell.runs_on(self.contact.runner):
+            # A start that was decided before is folded only now.
+            return
+        self.close()
+        self._shared.wake.give()
 
     async def _look(self, orders: Orders) -> None:
         contact = self.contact
--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -241,3 +241,35 @@
 
         world = play(scene, count=1)
         self.assertEqual(world.witness.broken, [])
+
+    def test_a_start_on_a_runner_that_is_found_replaced_is_given_up(
+        self,
+    ) -> None:
+        """Also where it is folded while the runs there are recorded as gone.
+
+        Seen as a gang that stood still: one of its runs stayed open on a life
+        of a runner whose session had closed.
+        """
+
+        async def scene(cluster: Cluster) -> None:
+            await cluster.holder()
+            await anyio.sleep(1)
+            faults = cluster.world.faults
+            faults.store_writes = Fault(Harm.SLOW, delay_s=0.2)
+            fleet = cluster.world.fleet
+            for host in fleet.hosts.values():
+                fleet.kill(host)
+                fleet.revive(host)
+            orders = [
+                cluster.order('/batch/', SHORT, width=4) for _ in range(12)
+            ]
+            async with anyio.create_task_group() as tasks:
+                for order in orders:
+                    tasks.start_soon(cluster.submit, order)
+                    await anyio.sleep(0.1)
+            faults.store_writes = NO_FAULT
+            for order in orders:
+                await cluster.wait_state(order, 'complete', 30)
+
+        world = play(scene, count=1)
+        self.assertEqual(world.witness.broken, [])
