--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -137,9 +137,13 @@
             return
         runs = self._shared.cell.runs_on(self.contact.runner)
         reason = 'another life of the runner answers'
-        if await record_vanished(self._shared, runs, reason, self._saved):
-            self.close()
-            self._shared.wake.give()
+        if not await record_vanished(self._shared, runs, reason, self._saved):
+            return
+        if self._shared.cell.runs_on(self.contact.runner):
+            # A start that was decided before is folded only now.
+            return
+        self.close()
+        self._shared.wake.give()
 
     async def _look(self, orders: Orders) -> None:
         contact = self.contact
