Carry no order out on a runner's life that is over, in the stand-ins

Cause: the stand-in delivers late orders to the life that it found when they came, also when that life had ended; the witness then saw run 1 begin on a runner that was gone. Ruled out: the scheduler, which sent nothing after run 2. Change: a life that is over answers like another one.

--- a/packages/emulator/swifthoist_emulator/lives.py
+++ b/packages/emulator/swifthoist_emulator/lives.py
@@ -144,6 +144,7 @@
     :ivar witness: keeps what it did.
     :ivar behavior: how it behaves.
     :ivar now_ms: time on its clock.
+    :ivar over: it has lost power.
     """
 
     runner: RunnerId
@@ -155,6 +156,7 @@
     until_ms: Millis = 0
     runs: dict[TaskId, TaskRun] = field(default_factory=dict)
     ends: list[EndRow] = field(default_factory=list)
+    over: bool = False
     _barred: dict[TaskId, int] = field(default_factory=dict)
     _ended: int = 0
     _void: int = 0
@@ -270,6 +272,7 @@
 
     def die(self) -> None:
         """Lose power: whatever runs is gone."""
+        self.over = True
         for run in tuple(self.runs.values()):
             self.witness.note_end(self.runner, run.task, run.run, 'lost')
         self.runs.clear()
--- a/packages/emulator/swifthoist_emulator/runner_calls.py
+++ b/packages/emulator/swifthoist_emulator/runner_calls.py
@@ -106,6 +106,9 @@
 
 
 def _carry_out(call: str, body: dict[str, Any], life: Life) -> Response:
+    if life.over:
+        # The order was held up until after the runner had crashed.
+        return Response(421)
     task = parse_task(body[names.TASK])
     if task is None:
         return Response(400)
--- a/tests/soaking/test_soak.py
+++ b/tests/soaking/test_soak.py
@@ -24,6 +24,8 @@
 BROKEN_ONCE = (
     # The stand-in of the store took a call that broke off in its body for an
     # append without records, and answered its repeat as done: a job was lost.
+    # The stand-in of a runner carried an order out on a life that had ended, and
+    # the witness asked for a done end of each member of a gang.
     Case(202, 20),
 )
 
