--- a/tests/instance/test_leases.py
+++ b/tests/instance/test_leases.py
@@ -28,11 +28,7 @@
         self.assertTrue(self.lease.lapsed(UNKNOWN_MS + 1))
 
     def test_a_lease_of_an_earlier_holder_outlasts_the_first_look(self) -> None:
-        """The first answer tells the time, but not what was granted before.
-
-        Seen as two runs of one task: the look after the first one got no
-        answer, and the runs there were taken for gone.
-        """
+        """The first answer tells the time, but not what was granted before."""
         self.lease.note_clock(100_000, 1_000)
         self.assertFalse(self.lease.lapsed(1_200))
         self.assertFalse(self.lease.lapsed(1_000 + LEASE_MS))
--- a/tests/instance/test_session_end.py
+++ b/tests/instance/test_session_end.py
@@ -62,10 +62,7 @@
     """A session that ends takes no more orders."""
 
     def test_a_start_is_not_taken_while_the_session_ends(self) -> None:
-        """It would be lost, or meet a task group that is closed already.
-
-        Seen as a decision that failed with "nursery is closed".
-        """
+        """It would be lost, or meet a task group that is closed already."""
         scene = Scene(job_spec('j', BATCH, task(Resources(1, 1, 1))))
         scene.start(UnitId('j', 0, 0, 0), 'r')
         order = scene.cell.find_run(TaskId('j', 0, 0, 0), 1)
--- a/tests/instance/test_shared.py
+++ b/tests/instance/test_shared.py
@@ -13,11 +13,7 @@
     """A tenure that was not in force for a moment is over."""
 
     def test_a_gap_ends_it_for_everybody(self) -> None:
-        """Else those that saw the gap stop, and the others go on without them.
-
-        Sessions that had seen it were not opened again, and nobody looked at
-        their runners any more.
-        """
+        """Else those that saw the gap stop, and others go on without them."""
 
         async def main() -> None:
             hold = Hold(3, 0)
--- a/tests/simulation/test_clocks.py
+++ b/tests/simulation/test_clocks.py
@@ -149,10 +149,7 @@
     def test_a_finished_job_is_known_for_its_time_whatever_clocks_say(
         self,
     ) -> None:
-        """A clock that was far ahead had it forgotten at once.
-
-        The holder's clock jumps, and the next holder's is ahead as well.
-        """
+        """A clock that was far ahead had it forgotten at once."""
 
         async def scene(cluster: Cluster) -> None:
             holder = await cluster.holder()
--- a/tests/simulation/test_losses.py
+++ b/tests/simulation/test_losses.py
@@ -54,11 +54,7 @@
         self.assertEqual(world.witness.broken, [])
 
     def test_a_decision_of_unknown_outcome_is_not_made_again(self) -> None:
-        """Both could be on the log in the end, with runs at two places.
-
-        Seen as a task that ran twice: the store was away until the term had
-        ended, and the runners had changed when the next one began.
-        """
+        """Both could be on the log in the end, with runs at two places."""
 
         async def scene(cluster: Cluster) -> None:
             holder = await cluster.holder()
@@ -90,11 +86,7 @@
         self.assertEqual(world.witness.broken, [])
 
     def test_an_order_that_ended_with_its_term_is_given_again(self) -> None:
-        """When the term goes on with the same epoch.
-
-        Seen as a job that stood still: its start had got no answer when the
-        store went away, and nobody carried it to the runner any more.
-        """
+        """When the term goes on with the same epoch."""
 
         async def scene(cluster: Cluster) -> None:
             holder = await cluster.holder()
@@ -116,11 +108,7 @@
         self.assertEqual(world.witness.broken, [])
 
     def test_starts_renew_the_lease_as_looks_do(self) -> None:
-        """So an end that looks did not bring for long is still in force.
-
-        Seen as a task that started again after its end: the looks got no
-        answer for the length of a lease, while starts did.
-        """
+        """So an end that looks did not bring for long is still in force."""
         tiny = StepWork(600, (1_000, 1_000, 0))
 
         async def scene(cluster: Cluster) -> None:
@@ -251,10 +239,7 @@
     def test_a_start_of_an_earlier_term_that_is_refused_may_be_there(
         self,
     ) -> None:
-        """A term goes on with its epoch and gives all starts again.
-
-        A runner that refuses one then may run the task all the same.
-        """
+        """A runner that refuses a call may run the task all the same."""
         work = StepWork(20_000, (4_000, 8_000, 1))
 
         async def scene(cluster: Cluster) -> None:
@@ -323,11 +308,7 @@
     def test_a_start_on_a_runner_that_is_found_replaced_is_given_up(
         self,
     ) -> None:
-        """Also where it is folded while the runs there are recorded as gone.
-
-        Seen as a gang that stood still: one of its runs stayed open on a life
-        of a runner whose session had closed.
-        """
+        """Also where it is folded while the runs there are recorded as gone."""
 
         async def scene(cluster: Cluster) -> None:
             await cluster.holder()
