Name the time of decisions for what it is by now

Docstrings of five modules still called it time since the Unix epoch; since it is the time of the cell.

--- a/packages/engine/swifthoist_engine/blame.py
+++ b/packages/engine/swifthoist_engine/blame.py
@@ -28,7 +28,7 @@
     :param cell: the cell.
     :param runners: the runners.
     :param aside: jobs whose runs are not looked at.
-    :param now_ms: time since the Unix epoch.
+    :param now_ms: time of the cell.
     :returns: a fault for each runner, and for each job of such a run.
     """
     guard = Guard()
--- a/packages/engine/swifthoist_engine/board.py
+++ b/packages/engine/swifthoist_engine/board.py
@@ -49,7 +49,7 @@
 
         :param cell: the cell with its open runs.
         :param views: the runners.
-        :param now_ms: time since the Unix epoch.
+        :param now_ms: time of the cell.
         :param aside: jobs whose runs take room, and are not looked at.
         """
         self.views: dict[RunnerId, RunnerView] = {}
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -59,7 +59,7 @@
         """Decide on a board.
 
         :param board: free room; it is updated with each choice.
-        :param now_ms: time since the Unix epoch.
+        :param now_ms: time of the cell.
         :param allowed: runners that the policy of a step's queue names.
         """
         self.board = board
--- a/packages/engine/swifthoist_engine/planner.py
+++ b/packages/engine/swifthoist_engine/planner.py
@@ -266,7 +266,7 @@
     """List the open runs that have to end.
 
     :param cell: the cell.
-    :param now_ms: time since the Unix epoch.
+    :param now_ms: time of the cell.
     :param guard: keeps faults to the job that brings them out.
     :returns: runs of final jobs, of units that are done, and of gangs of
         which a member is missing.
--- a/packages/engine/swifthoist_engine/preemption.py
+++ b/packages/engine/swifthoist_engine/preemption.py
@@ -72,7 +72,7 @@
         :param cell: the cell.
         :param placer: chooses runners on the board.
         :param stopping: runs that are being stopped already.
-        :param now_ms: time since the Unix epoch.
+        :param now_ms: time of the cell.
         """
         self._cell = cell
         self._placer = placer
