Let transfers take as long as a narrow link needs, while they go on

Cause: a read of the log of up to 1 MB was given 1.7 s as a whole; on a link of 5 Mbit/s it takes as long, was thrown away and asked for again for ever.

Now the time of a read goes until its answer begins, and then for each pause between pieces. A first read that fails and each refusal are logged.

Stand-ins: links of a width, reads that keep to the size asked for.

--- a/packages/emulator/swifthoist_emulator/site.py
+++ b/packages/emulator/swifthoist_emulator/site.py
@@ -139,7 +139,11 @@
 
 
 def write_settings(
-    instance: str, zone: str, listen: Sequence[str], store: str
+    instance: str,
+    zone: str,
+    listen: Sequence[str],
+    store: str,
+    link_mbps: float = 1_000,
 ) -> bytes:
     """Write the settings file of an instance.
 
@@ -147,6 +151,7 @@
     :param zone: its zone.
     :param listen: where callers, the balancer and operators connect.
     :param store: address of the store.
+    :param link_mbps: width of its machine's link, in Mbit/s.
     :returns: the document.
     """
     document: dict[str, Any] = {
@@ -158,6 +163,7 @@
             names.FRONTEND: listen[0],
             names.READY_ADDRESS: listen[1],
         },
+        names.LIMITS: {names.LINK_MBPS: link_mbps},
         names.PLATFORM: {names.ADDRESS: store},
         names.CLOUD_API: {names.ADDRESS: store},
         names.ADVICE: store,
--- a/packages/emulator/swifthoist_emulator/store_calls.py
+++ b/packages/emulator/swifthoist_emulator/store_calls.py
@@ -2,7 +2,7 @@
 
 import base64
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from typing import NamedTuple
 
 import anyio
@@ -12,11 +12,14 @@
 from swifthoist_emulator.http import Request, Response, answer_json
 from swifthoist_emulator.topics import Numbered, Topic
 from swifthoist_platform import names
+from swifthoist_platform.store import MAX_READ_KB
 
 KEEP_MS = 300_000
 PAGE = 500
 KEYED = 'keyed.'
 
+_KB = 1_024
+
 _HEAD = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
 
@@ -166,7 +169,9 @@
         if records is None:
             return answer_json(410, {names.FIRST_OFFSET: topic.first})
         head = _HEAD.pack(topic.end, topic.first)
-        framed = (_LENGTH.pack(len(item)) + item for item in records)
+        most_kb = int(request.query.get(names.MAX_KB, str(MAX_READ_KB)))
+        taken = _take(records, most_kb * _KB)
+        framed = (_LENGTH.pack(len(item)) + item for item in taken)
         return Response(200, head + b''.join(framed))
 
     async def _newest(self, request: Request) -> Response:
@@ -196,6 +201,16 @@
     return request.headers.get('user-agent', '')
 
 
+def _take(records: Iterable[bytes], most: int) -> Iterator[bytes]:
+    """Take the records of one answer: one at least, then up to a size."""
+    size = 0
+    for record in records:
+        if size and size + len(record) > most:
+            return
+        size += len(record)
+        yield record
+
+
 def _split(content: bytes) -> list[bytes]:
     records: list[bytes] = []
     position = 0
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -108,7 +108,9 @@
             snapshots.load,
             self.faults,
         )
-        self._journal = Journal(self._open_store(), self._life, clock)
+        self._journal = Journal(
+            self._open_store(), self._life, clock, boot.link_bytes_s
+        )
         self._configuration = Configuration(self._open_store(), clock)
         self.tenure = Tenure(
             self._life, self._follower, self._journal, clock, boot.cores
@@ -243,7 +245,8 @@
 
     def _open_store(self) -> StoreClient:
         return StoreClient(
-            self._open(lambda: self._settings.boot.store.address)
+            self._open(lambda: self._settings.boot.store.address),
+            self._settings.boot.link_bytes_s,
         )
 
     def _open_advice(self) -> AdviceClient:
--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -94,6 +94,7 @@
         self.confirmed_ms: Millis | None = None
         self.healthy_ms: Millis | None = None
         self.heard_ms: Millis = clock.boot_ms()
+        self._began_ms = self.heard_ms
         self.eager = False
         self.reads = 0
         self.unfolded = 0
@@ -103,6 +104,7 @@
         self._load = load
         self.time = CellTime(clock)
         self._behind_ms: Millis | None = None
+        self._failing = False
         self._progress = anyio.Event()
         # Whether a read waits at the store that brings whatever comes.
         self._current = False
@@ -215,8 +217,10 @@
         self._behind_ms = None
 
     def _note_failure(self, exc: LogUnavailableError) -> None:
-        if self.healthy_ms is not None:
-            _log.warning('log lost', extra={'reason': str(exc)})
+        if not self._failing:
+            about = {'position': self.position, 'reason': str(exc)}
+            _log.warning('log lost', extra=about)
+        self._failing = True
         self.healthy_ms = None
         self._current = False
         self._announce()
@@ -226,10 +230,15 @@
         if self.healthy_ms is None:
             _log.info('log reached', extra={'position': self.position})
             self.healthy_ms = began_ms
+            self._failing = False
         for payload in batch.records:
             self._fold(payload)
             self.position += 1
         self.time.note(self.cell.state, fresh=self.caught_up)
+        if not self.caught_up and self.position >= batch.end:
+            took_ms = self._clock.boot_ms() - self._began_ms
+            about = {'position': self.position, 'took_ms': took_ms}
+            _log.info('log caught up', extra=about)
         self.caught_up = self.position >= batch.end
         self.confirmed_ms = began_ms
         self._announce()
--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -165,9 +165,9 @@
             case Verb.SUBMIT.value if is_job_id(rest):
                 return await self._submit(call, admitted, rest)
             case Verb.SHOW.value if not rest:
-                return self._show_queue(admitted.queue)
+                return self._show_queue(call, admitted.queue)
             case Verb.SHOW.value:
-                return await self._show_job(admitted.queue, rest)
+                return await self._show_job(call, admitted.queue, rest)
             case Verb.CANCEL.value:
                 return await self._cancel(call, admitted.queue, rest)
             case Verb.SUBMIT.value:
@@ -179,7 +179,7 @@
     def _admit(self, call: Call) -> _Admitted | Answer:
         catalogue = self._configuration.catalogue
         if catalogue is None or not self._confirmed:
-            return self._refuse('configuration not confirmed')
+            return self._refuse(call, 'configuration not confirmed')
         queue = catalogue.find_queue(call.host, call.path)
         if queue is None:
             return Answer(NOT_FOUND)
@@ -203,7 +203,7 @@
         if decoded.request is None:
             return Answer(INVALID, encode_error(decoded.findings))
         if not self.ready:
-            return self._refuse('log not followed')
+            return self._refuse(call, 'log not followed')
         request = decoded.request
         spec = JobSpec(
             job_id,
@@ -217,13 +217,13 @@
         )
         return await self._record(Submitted(spec), job_id, call)
 
-    def _show_queue(self, queue: Queue) -> Answer:
+    def _show_queue(self, call: Call, queue: Queue) -> Answer:
         if not self.ready:
-            return self._refuse('log not followed')
+            return self._refuse(call, 'log not followed')
         waiting = count_waiting(self._follower.cell.state, queue.name)
         return Answer(OK, encode_waiting(waiting))
 
-    async def _show_job(self, queue: Queue, job_id: str) -> Answer:
+    async def _show_job(self, call: Call, queue: Queue, job_id: str) -> Answer:
         job = self._find(queue, job_id)
         if job is None or not job.state.final:
             await self._follower.refresh()
@@ -231,7 +231,7 @@
         if job is not None:
             return Answer(OK, encode_state(job.state))
         if not self.ready:
-            return self._refuse('log not followed')
+            return self._refuse(call, 'log not followed')
         return Answer(GONE)
 
     async def _cancel(self, call: Call, queue: Queue, job_id: str) -> Answer:
@@ -241,7 +241,7 @@
         if not is_job_id(job_id):
             return Answer(GONE)
         if not self.ready:
-            return self._refuse('log not followed')
+            return self._refuse(call, 'log not followed')
         record = Canceled(job_id, self._follower.time.now_ms())
         answer = await self._record(record, job_id, call)
         # The fold may lag behind an acceptance elsewhere, but not behind a
@@ -260,7 +260,7 @@
     ) -> Answer:
         kind = type(record).__name__
         if not self._journal.available:
-            return self._refuse('log away')
+            return self._refuse(call, 'log away')
         wait_s = min(call.wait_s, MAX_WAIT_S) * APPEND_SHARE
         about = {
             'job': job_id,
@@ -271,8 +271,7 @@
         try:
             offset = await self._journal.append([record], wait_s)
         except LogUnavailableError as exc:
-            _log.warning('refused', extra={**about, 'why': str(exc)})
-            return self._refuse('log away')
+            return self._refuse(call, str(exc))
         except OutcomeUnknownError as exc:
             _log.warning('unknown', extra={**about, 'why': str(exc)})
             return Answer(UNKNOWN)
@@ -283,7 +282,16 @@
             await self._follower.wait_folded(offset, FOLD_S)
         return Answer(OK)
 
-    def _refuse(self, reason: str) -> Answer:
+    def _refuse(self, call: Call, reason: str) -> Answer:
+        about = {
+            'job': call.path.rpartition('/')[2],
+            'method': call.method,
+            'path': call.path,
+            'why': reason,
+            'log_age_ms': self._follower.age_ms,
+            'configuration_age_ms': self._configuration.age_ms,
+        }
+        _log.warning('refused', extra=about)
         spread_s = self._random.randint(0, RETURN_SPREAD_S)
         finding = Finding('instance', reason)
         return Answer(
--- a/packages/instance/swifthoist_instance/journal.py
+++ b/packages/instance/swifthoist_instance/journal.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -43,6 +44,10 @@
 MAX_GROUP_BYTES = 1_000_000
 """Most bytes of records in one append; half of what the store takes."""
 
+LINK_S = 0.2
+"""Longest time that one append takes the machine's link, in seconds, unless
+it has one record only: half of what makes the store count as away."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -82,14 +87,20 @@
     """
 
     def __init__(
-        self, store: AppendsRecords, producer: str, clock: Clock
+        self,
+        store: AppendsRecords,
+        producer: str,
+        clock: Clock,
+        link_bytes_s: float = math.inf,
     ) -> None:
         """Append to a store.
 
         :param store: the store.
         :param producer: name of this life of the instance; unique.
         :param clock: tells the time.
+        :param link_bytes_s: width of the machine's link, in bytes a second.
         """
+        self._group_bytes = min(MAX_GROUP_BYTES, link_bytes_s * LINK_S)
         self.appends = 0
         self._store = store
         self._producer = producer
@@ -154,7 +165,7 @@
         while self._waiting and count < MAX_GROUP:
             group = self._waiting[0]
             size += sum(map(len, group.records))
-            if groups and size > MAX_GROUP_BYTES:
+            if groups and size > self._group_bytes:
                 break
             self._waiting.popleft()
             group.outcome = _Outcome.SENT
--- a/packages/platform/swifthoist_platform/boot.py
+++ b/packages/platform/swifthoist_platform/boot.py
@@ -1,5 +1,6 @@
 """The settings file that the platform gives each process."""
 
+import math
 from pathlib import Path
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
 """Environment variable that holds the path of the settings file."""
 
 _MS_PER_S = 1_000
+_BYTES_PER_MBIT = 125_000
 
 
 class StoreTerms(NamedTuple):
@@ -71,6 +73,7 @@
     :ivar machines_address: where machines are listed and ordered.
     :ivar beat_ms: interval of the runners' heartbeats.
     :ivar cores: processor of the machine, in cores of one's usual speed.
+    :ivar link_bytes_s: width of the machine's link, in bytes a second.
     """
 
     instance: InstanceId
@@ -85,6 +88,7 @@
     machines_address: str
     beat_ms: Millis
     cores: float
+    link_bytes_s: float
 
 
 def read_boot(path: Path) -> Boot:
@@ -124,6 +128,7 @@
         machines_address=reader.table(names.CLOUD_API).text(names.ADDRESS),
         beat_ms=reader.whole(names.HEARTBEAT_MS, 1_500),
         cores=limits.number(names.CPU_SHARE, 1) * limits.number(names.CORES, 1),
+        link_bytes_s=_width(limits),
     )
     raise_findings('settings file', reader.findings)
     return boot
@@ -133,6 +138,11 @@
     return isinstance(port, int) and 0 < port < 65_536
 
 
+def _width(limits: Reader) -> float:
+    mbit_s = limits.number(names.LINK_MBPS, 0)
+    return mbit_s * _BYTES_PER_MBIT if mbit_s > 0 else math.inf
+
+
 def _store(reader: Reader) -> StoreTerms:
     return StoreTerms(
         reader.text(names.ADDRESS),
--- a/packages/platform/swifthoist_platform/calls.py
+++ b/packages/platform/swifthoist_platform/calls.py
@@ -22,7 +22,10 @@
 
     :ivar method: HTTP method.
     :ivar path: path and query.
-    :ivar timeout_s: time for the whole call, in seconds.
+    :ivar timeout_s: time for the whole call, in seconds; where ``pause_s`` is
+        given, time until the first piece of the body.
+    :ivar pause_s: longest pause between two pieces of the body, in seconds,
+        where a link may need long for all of it; 0 for none.
     :ivar content: body, empty for none.
     :ivar headers: headers beside those of the address.
     """
@@ -32,6 +35,7 @@
     timeout_s: float
     content: bytes = b''
     headers: Mapping[str, str] = {}
+    pause_s: float = 0
 
 
 class Reply(NamedTuple):
@@ -69,11 +73,23 @@
         extensions={'timeout': limits},
     )
     try:
-        with anyio.fail_after(call.timeout_s):
+        with anyio.fail_after(call.timeout_s) as limit:
             reply = await transport.handle_async_request(request)
-            content = await reply.aread()
+            content = await _read_body(reply, call, limit)
     except _UNOPENED as exc:
         raise UnreachableError(f'{url}: {exc!r}') from exc
     except (httpx.HTTPError, httpx.StreamError, TimeoutError) as exc:
         raise OutcomeUnknownError(f'{url}: {exc!r}') from exc
     return Reply(reply.status_code, content)
+
+
+async def _read_body(
+    reply: httpx.Response, call: Call, limit: anyio.CancelScope
+) -> bytes:
+    """Read a body; each piece that comes may allow for another one."""
+    pieces: list[bytes] = []
+    async for piece in reply.aiter_raw():
+        pieces.append(piece)
+        if call.pause_s:
+            limit.deadline = anyio.current_time() + call.pause_s
+    return b''.join(pieces)
--- a/packages/platform/swifthoist_platform/store.py
+++ b/packages/platform/swifthoist_platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store: topics of records with offsets."""
 
 import base64
+import math
 import struct
 from collections.abc import Sequence
 from enum import StrEnum
@@ -27,6 +28,15 @@
 WAVE_PREFIX = 'wave/'
 
 MAX_READ_KB = 1_024
+
+PAUSE_S = 1.0
+"""Longest pause within an answer, in seconds: twice the time that packets
+wait at a link that is counted as choked."""
+
+LINK_SHARES = 2
+"""A body gets at least half of the machine's link: looks, answers to callers
+and the log share it."""
+
 PAGE_LIMIT = 200
 """Most pages of a keyed topic that one listing reads."""
 
@@ -115,18 +125,23 @@
 class StoreClient:
     """Appends to topics of the store and reads them."""
 
-    def __init__(self, endpoint: MakesCalls) -> None:
+    def __init__(
+        self, endpoint: MakesCalls, link_bytes_s: float = math.inf
+    ) -> None:
         """Use an endpoint.
 
         :param endpoint: address of the store.
+        :param link_bytes_s: width of the machine's link, in bytes a second.
         """
         self._endpoint = endpoint
+        self._link_bytes_s = link_bytes_s
 
     async def append(self, batch: Append, timeout_s: float) -> Offset:
         """Append records, all or none.
 
         :param batch: the records.
-        :param timeout_s: time for the call, in seconds.
+        :param timeout_s: time for the call, in seconds, beside what the
+            link needs for the records.
         :returns: offset of the first record.
         :raises AppendConflictError: when another number was expected.
         :raises LogUnavailableError: when nothing was appended.
@@ -161,7 +176,8 @@
         :param topic: a keyed topic.
         :param key: the key, at most 255 bytes.
         :param content: its value.
-        :param timeout_s: time for the call, in seconds.
+        :param timeout_s: time for the call, in seconds, beside what the
+            link needs for the value.
         :raises LogUnavailableError: when nothing was written.
         :raises OutcomeUnknownError: when it may have been.
         """
@@ -181,7 +197,7 @@
         :param topic: the topic.
         :param start: offset of the first record.
         :param wait_s: how long to wait for one, in seconds.
-        :param timeout_s: time for the whole call, in seconds.
+        :param timeout_s: time until the answer begins, in seconds.
         :returns: the records; none when none came in time.
         :raises LogExpiredError: when ``start`` is no longer kept.
         :raises LogUnavailableError: when the store did not serve.
@@ -206,7 +222,7 @@
         """Read the newest record of each key of a keyed topic.
 
         :param topic: the topic.
-        :param timeout_s: time for each page, in seconds.
+        :param timeout_s: time until each page begins, in seconds.
         :returns: the records, and where to read on. Later records may be
             among them already.
         :raises LogUnavailableError: when the store did not serve.
@@ -237,17 +253,24 @@
 
     async def _get(self, path: str, timeout_s: float) -> Reply:
         try:
-            return await self._send('GET', path, timeout_s)
+            return await self._send('GET', path, timeout_s, pause_s=PAUSE_S)
         except OutcomeUnknownError as exc:
             raise LogUnavailableError(str(exc)) from exc
 
     async def _send(
-        self, method: str, path: str, timeout_s: float, body: bytes = b''
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes = b'',
+        pause_s: float = 0,
     ) -> Reply:
+        whole = f'{names.ROOT}{path}'
+        needed_s = LINK_SHARES * len(body) / self._link_bytes_s
+        limit_s = timeout_s + needed_s
+        call = Call(method, whole, limit_s, body, pause_s=pause_s)
         try:
-            return await self._endpoint.call(
-                Call(method, f'{names.ROOT}{path}', timeout_s, body)
-            )
+            return await self._endpoint.call(call)
         except UnreachableError as exc:
             raise LogUnavailableError(str(exc)) from exc
 
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -46,6 +46,7 @@
 class Node:
     """An instance that may be killed, frozen and started again.
 
+    :ivar link_mbps: width of its link by its settings.
     :ivar keeps_going: duties that fail run again, as in the program; else a
         fault of the program's own fails the play.
     """
@@ -58,6 +59,7 @@
         self.faults: list[Faults] = []
         self.link = Link(world, name, tasks)
         self.keeps_going = False
+        self.link_mbps = float(1_000)
         self._world = world
         self._tasks = tasks
         self._lives = 0
@@ -69,7 +71,9 @@
         if self.app is not None:
             return
         self._lives += 1
-        content = write_settings(self.name, 'north', LISTEN, STORE)
+        content = write_settings(
+            self.name, 'north', LISTEN, STORE, self.link_mbps
+        )
         outside = Outside(self.clock, self.open_endpoint, str(self._lives))
         self.app = Application(_Fixed(decode_boot(content)), Logs(), outside)
         self.faults.append(self.app.faults)
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -21,6 +21,24 @@
 WAY_S = 0.001
 """Time of a piece on its way, in seconds."""
 
+PIECE = 16_384
+"""Most bytes that pass a link at a time."""
+
+
+class NarrowLink:
+    """A link that all connections of one caller share, one way each."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        """Give it a width."""
+        self._bytes_per_s = bytes_per_s
+        self._calls = anyio.Lock()
+        self._answers = anyio.Lock()
+
+    async def carry(self, piece: bytes, *, answer: bool) -> None:
+        """Take the time that a piece needs."""
+        async with self._answers if answer else self._calls:
+            await anyio.sleep(len(piece) / self._bytes_per_s)
+
 
 class Connection(httpcore.AsyncNetworkStream):
     """One connection, as its caller sees it.
@@ -33,10 +51,13 @@
     :ivar busy: a call is on it that has no answer yet.
     """
 
-    def __init__(self, caller: str, address: str) -> None:
+    def __init__(
+        self, caller: str, address: str, link: NarrowLink | None = None
+    ) -> None:
         """Open it."""
         self.caller = caller
         self.address = address
+        self.link = link
         self.silent = False
         self.mute = False
         self.closed = False
@@ -50,7 +71,7 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send a piece of a call."""
-        await anyio.sleep(WAY_S)
+        await self._pass_link(buffer, answer=False)
         if buffer and not self.silent:
             await self._sent.send(buffer)
 
@@ -60,9 +81,17 @@
 
     async def reply(self, content: bytes) -> None:
         """Send an answer back."""
+        for start in range(0, len(content), PIECE):
+            piece = content[start : start + PIECE]
+            await self._pass_link(piece, answer=True)
+            if self.silent or self.mute or self.closed:
+                return
+            await self._answers.send(piece)
+
+    async def _pass_link(self, piece: bytes, *, answer: bool) -> None:
         await anyio.sleep(WAY_S)
-        if not self.silent and not self.mute:
-            await self._answers.send(content)
+        if self.link is not None:
+            await self.link.carry(piece, answer=answer)
 
     async def aclose(self) -> None:
         """Close it."""
@@ -78,11 +107,13 @@
     """All connections.
 
     :ivar opened: every connection that was ever opened.
+    :ivar links: links of callers; others are as wide as can be.
     """
 
     def __init__(self, world: World, tasks: TaskGroup) -> None:
         """Lead to a world."""
         self.opened: list[Connection] = []
+        self.links: dict[str, NarrowLink] = {}
         self._world = world
         self._tasks = tasks
 
@@ -126,7 +157,7 @@
 
     def open(self, caller: str, address: str) -> Connection:
         """Open a connection."""
-        conn = Connection(caller, address)
+        conn = Connection(caller, address, self.links.get(caller))
         self.opened = [*self.live(), conn]
         self._tasks.start_soon(self._serve, conn)
         return conn
--- /dev/null
+++ b/tests/simulation/test_links.py
@@ -0,0 +1,107 @@
+"""What holds on links that take seconds for what the store sends."""
+
+import unittest
+
+import anyio
+import msgspec
+
+from swifthoist_engine.model import JobSpec, QueueTerms, Resources, StepSpec
+from swifthoist_engine.records import Submitted
+from swifthoist_instance.journal import CELL_TOPIC
+from swifthoist_platform.store import MAX_READ_KB
+from tests.simulation.cluster import Cluster, Node, play, wait_until
+from tests.simulation.network import NarrowLink
+
+UNKNOWN = msgspec.msgpack.encode(('KindOfAnotherVersion', [bytes(9_000)]))
+"""A record that is passed over, and takes its time on a link."""
+
+START_S = 5.0
+"""For whatever an instance does beside reading, in seconds."""
+
+SHARE = 0.6
+"""Share of a link that is used for the log."""
+
+
+PAYLOAD = 'x' * 4_000
+BURST = 60
+NARROW_MBPS = 0.8
+
+
+def _large(number: int) -> Submitted:
+    """Make a job with as much text as can be, which no runner serves."""
+    terms = QueueTerms(1, 1, 1, 1_000, 'a pool without runners')
+    steps = (StepSpec(1, Resources(1, 1, 1), 1_000),)
+    job = f'{number:016x}'
+    return Submitted(JobSpec(job, 'no queue', 'red', PAYLOAD, steps, terms, 0))
+
+
+def _ready(node: Node) -> bool:
+    return node.app is not None and node.app.web.intake.ready
+
+
+async def _grow_log(cluster: Cluster, size: int) -> None:
+    topic = cluster.world.store.topic(CELL_TOPIC)
+    now_ms = cluster.nodes[0].clock.boot_ms()
+    for _ in range(size // len(UNKNOWN)):
+        topic.append([UNKNOWN], now_ms)
+
+
+class NarrowLinkTest(unittest.TestCase):
+    """A transfer takes as long as its size needs, while it goes on."""
+
+    def start_all(self, width: float, log: int) -> None:
+        """Lose all instances, and have each ready when its link allows."""
+
+        async def scene(cluster: Cluster) -> None:
+            await cluster.holder()
+            await _grow_log(cluster, log)
+            for node in cluster.nodes:
+                node.kill()
+                cluster.network.links[node.name] = NarrowLink(width)
+            await anyio.sleep(1)
+            for node in cluster.nodes:
+                node.start()
+            limit_s = START_S + log / (SHARE * width)
+            await wait_until(lambda: all(map(_ready, cluster.nodes)), limit_s)
+            await cluster.holder()
+
+        world = play(scene, wired=True)
+        self.assertEqual(world.witness.broken, [])
+
+    def test_every_instance_follows_a_log_that_takes_longer_than_a_read(
+        self,
+    ) -> None:
+        """One read of the largest size takes over two seconds here."""
+        self.start_all(width=400_000, log=3 * MAX_READ_KB * 1_024)
+
+    def test_every_instance_follows_the_log_over_a_very_narrow_link(
+        self,
+    ) -> None:
+        """One read takes half a minute here."""
+        self.start_all(width=40_000, log=2 * MAX_READ_KB * 1_024)
+
+    def test_a_burst_of_large_jobs_is_appended_over_a_narrow_link(
+        self,
+    ) -> None:
+        """One append of all of them would not pass in its time."""
+
+        async def scene(cluster: Cluster) -> None:
+            node = cluster.nodes[0]
+            node.kill()
+            width = NARROW_MBPS * 125_000
+            cluster.network.links[node.name] = NarrowLink(width)
+            node.link_mbps = NARROW_MBPS
+            node.start()
+            await wait_until(lambda: _ready(node))
+            limit_s = BURST * len(PAYLOAD) / (SHARE * width)
+            with anyio.fail_after(START_S + limit_s):
+                async with anyio.create_task_group() as tasks:
+                    for number in range(BURST):
+                        record = _large(number)
+                        tasks.start_soon(node.app._journal.append, [record], 30)
+
+        play(scene, wired=True)
+
+
+if __name__ == '__main__':
+    unittest.main()
