--- a/bench/load.py
+++ b/bench/load.py
@@ -1,4 +1,4 @@
-"""The load that the placement bench plays: the sites' kinds of jobs."""
+"""The loads that the placement bench plays: kinds of jobs, and runners."""
 
 import math
 import random
@@ -7,13 +7,6 @@
 
 from swifthoist_engine.model import JobSpec, QueueTerms, Resources, StepSpec
 
-RACKS = 4
-PER_RACK = 6
-TEAMS = 4
-
-ESTIMATE_SPREAD = 0.7
-"""Standard deviation of the logarithm of a declared duration's error."""
-
 
 class Kind(NamedTuple):
     """A kind of job.
@@ -34,6 +27,8 @@
     :ivar saves: share of its jobs that checkpoint.
     :ivar terms: terms of its queue.
     :ivar fails: share of its runs that fail by themselves.
+    :ivar misjudged: standard deviation of the logarithm of a declared
+        duration's error.
     """
 
     queue: str
@@ -52,6 +47,54 @@
     saves: float
     terms: QueueTerms
     fails: float
+    misjudged: float = 0.7
+
+
+class Spell(NamedTuple):
+    """Some runners are unwell for a while.
+
+    :ivar share: share of the runners.
+    :ivar length_ms: for how long, in ms.
+    """
+
+    share: float
+    length_ms: float
+
+
+class Ground(NamedTuple):
+    """The runners of a site, and what becomes of them in a play.
+
+    :ivar racks: number of racks.
+    :ivar per_rack: runners of a rack.
+    :ivar speeds: speeds of runners, of which each has one.
+    :ivar saved_ms: work between two checkpoints, in ms.
+    :ivar restore_ms: time to go on from a checkpoint, in ms.
+    :ivar stop_ms: time that a stop takes, in ms.
+    :ivar failing: runners that fail whatever they start.
+    :ivar hanging: runners on which whatever they start stands still.
+    :ivar slow: runners that take :data:`bench.site_play.SLOW_FACTOR` as long.
+    :ivar leaving: share of the runners that leave for good.
+    :ivar teams: number of teams.
+    :ivar sure: share of the accelerators that is guaranteed to teams.
+    """
+
+    racks: int = 4
+    per_rack: int = 6
+    speeds: tuple[float, ...] = (0.8, 1.0, 1.25)
+    saved_ms: int = 500
+    restore_ms: int = 300
+    stop_ms: int = 250
+    failing: Spell = Spell(0.084, 6_500)
+    hanging: Spell = Spell(0, 0)
+    slow: Spell = Spell(0.167, 6_000)
+    leaving: float = 0
+    teams: int = 4
+    sure: float = 0
+
+    @property
+    def runners(self) -> int:
+        """Number of runners."""
+        return self.racks * self.per_rack
 
 
 class SiteLoad(NamedTuple):
@@ -60,11 +103,13 @@
     :ivar name: its name.
     :ivar room: capacity of a runner.
     :ivar kinds: kinds of jobs.
+    :ivar ground: its runners.
     """
 
     name: str
     room: Resources
     kinds: tuple[Kind, ...]
+    ground: Ground = Ground()
 
 
 _LARGE = (1, 2, 4, 8, 8)
@@ -95,6 +140,22 @@
     ),
 )  # fmt: skip
 
+DHUAN = SiteLoad(
+    'dhuan-naqsha',
+    Resources(128_000, 262_144, 8),
+    (
+        Kind('batch', 0.393, 3, 0.9, 6_800, 0.3, 5, 30, 52_000, 75_000,
+             _LARGE, 1, 0.6, 0.45, QueueTerms(1, 3, 3, 1_000, 'pool'), 0.05,
+             0.5),
+        Kind('urgent', 1.19, 4, 0.8, 2_500, 0.5, 3.4, 21, 15_000, 31_000,
+             _LARGE, 1, 0.8, 0, QueueTerms(0, 4, 1.5, 250, 'pool'), 0.02, 0.5),
+        Kind('bulk', 0.295, 1, 0.3, 7_600, 0.3, 16, 94, 11_000, 23_000,
+             (1,), 0, 0, 0.45, QueueTerms(2, 4, 3, 3_000, 'pool'), 0.005, 0.9),
+    ),
+    Ground(3, 8, (1.0,), 2_000, 100, 200, Spell(0.1, 5_400), Spell(0.1, 5_400),
+           Spell(0.18, 6_900), 0.077, 4, 0.62),
+)  # fmt: skip
+
 
 class Arrival(NamedTuple):
     """A job and what only the runners know of it.
@@ -124,7 +185,7 @@
     """
     rng = random.Random(seed)
     found = [
-        _draw(kind, number, at_ms, rng)
+        _draw(kind, number, at_ms, rng, site.ground.teams)
         for kind in site.kinds
         for number, at_ms in enumerate(_times(kind, rng, seconds, intensity))
     ]
@@ -142,12 +203,14 @@
         yield int(now * 1_000)
 
 
-def _draw(kind: Kind, number: int, at_ms: int, rng: random.Random) -> Arrival:
+def _draw(
+    kind: Kind, number: int, at_ms: int, rng: random.Random, teams: int
+) -> Arrival:
     work_ms = _lognormal(rng, kind.work_ms, kind.spread)
     width = min(max(round(_lognormal(rng, kind.width, 0.8)), 1), kind.most)
     accelerators = rng.choice(kind.accelerators)
     gang = width > 1 and rng.random() < kind.gang
-    estimate_ms = work_ms * math.exp(rng.gauss(0, ESTIMATE_SPREAD))
+    estimate_ms = work_ms * math.exp(rng.gauss(0, kind.misjudged))
     step = StepSpec(
         width,
         Resources(kind.cpu, kind.memory, accelerators),
@@ -169,7 +232,7 @@
     spec = JobSpec(
         f'{kind.queue}-{number}',
         kind.queue,
-        f'team-{rng.randrange(TEAMS)}',
+        f'team-{rng.randrange(teams)}',
         '',
         (step,),
         kind.terms,
--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -1,39 +1,51 @@
 """Plays a load on the decisions alone: no network, and a clock of its own."""
 
 import heapq
+import math
 import random
+import statistics
+from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from bench.load import PER_RACK, RACKS, Arrival, SiteLoad, arrivals
+from bench.load import Arrival, SiteLoad, Spell, arrivals
 from swifthoist_engine.catalogue import Catalogue, Queue, Team
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.evidence import Evidence
 from swifthoist_engine.jobs import OpenRun
-from swifthoist_engine.model import StepSpec
+from swifthoist_engine.mechanisms import ALL, Mechanisms
+from swifthoist_engine.model import SiteTerms, StepSpec
 from swifthoist_engine.planner import Decision, World
 from swifthoist_engine.records import Claimed, Ended, Ending, Started, Submitted
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView
+from swifthoist_engine.standstill import HUNG_AFTER_MS
 
 START_MS = 20
-STOP_MS = 250
 SETTLE_MS = 15
 KEEP_MS = 10_000_000
 FAR_FACTOR = 3
-CHECKPOINT_MS = 500
-RESTORE_MS = 300
-SPEEDS = (0.8, 1.0, 1.25)
-GREY_RUNNERS = 2
-GREY_MS = 6_500
 GREY_FAILS_MS = 300
-SLOW_RUNNERS = 4
-SLOW_MS = 6_000
 SLOW_FACTOR = 6
 LATE_FACTOR = 3
+RECLAIM_MS = 2_700
+
+LOOK_MS = 500
+"""Until a look shows that a run stands still, in ms."""
+
+WINDOW_MS = 4_000
+"""Length of the windows of which the worst two count, in ms."""
+
+BEST_LOST = 0.001
+"""Share of jobs that are not served at which their count is best."""
+
+WASTE_PRICE = 0.0015
+"""What a core-second that came to nothing costs, in worth."""
+
 DECIDE = 'decide'
 IDLE = 'idle'
+LEAVE = 'leave'
 IDLE_MS = 250
 
 Policy = Callable[[World, int], Decision]
@@ -43,12 +55,19 @@
     """What came of a load.
 
     :ivar worth: credit earned of the credit owed.
+    :ivar served: share of the jobs that were done at all.
+    :ivar windows: worth of the worst two windows.
+    :ivar goal: worth, served in nines, windows and the worst queue and teams
+        together, less what was wasted: what customers go by.
     :ivar by_queue: the same for each queue.
     :ivar wasted: core-seconds that came to nothing, for each job.
     :ivar reclaim_ms: waits of urgent jobs for their first start.
     """
 
     worth: float
+    served: float
+    windows: float
+    goal: float
     by_queue: dict[str, float]
     wasted: float
     reclaim_ms: list[int]
@@ -69,6 +88,7 @@
 
     :ivar site: the site.
     :ivar policy: makes the decisions.
+    :ivar mechanisms: parts of the decisions that take part.
     """
 
     site: SiteLoad
@@ -76,6 +96,7 @@
     seed: int
     seconds: float = 60
     intensity: float = 1
+    mechanisms: Mechanisms = ALL
     _events: list[tuple[float, int, object]] = field(default_factory=list)
     _made: int = 0
     _now: float = 0
@@ -114,12 +135,24 @@
             Queue(kind.queue, 'h', f'/{kind.queue}/', kind.terms)
             for kind in kinds
         )
-        self._catalogue = Catalogue(1, queues, (Team('t', frozenset()),), 0)
-        count = RACKS * PER_RACK
-        self._speeds = [self._rng.choice(SPEEDS) for _ in range(count)]
+        ground = self.site.ground
+        self._ground = ground
+        names = [f'team-{number}' for number in range(ground.teams)]
+        sure = ground.sure * ground.runners * self.site.room.accelerators
+        share = int(sure / ground.teams)
+        teams = tuple(Team(name, frozenset(), share) for name in names)
+        self._catalogue = Catalogue(1, queues, teams, 0)
+        self._speeds = [
+            self._rng.choice(ground.speeds) for _ in range(ground.runners)
+        ]
         span = self.seconds * 1_000
-        self._grey = self._spells(GREY_RUNNERS, GREY_MS, span)
-        self._slow = self._spells(SLOW_RUNNERS, SLOW_MS, span)
+        self._grey = self._spells(ground.failing, span)
+        self._hangs = self._spells(ground.hanging, span)
+        self._slow = self._spells(ground.slow, span)
+        gone = Spell(ground.leaving, math.inf)
+        self._gone = self._spells(gone, span)
+        for began, _ in self._gone.values():
+            self._push(began, LEAVE)
         self._jobs: dict[str, Arrival] = {}
         for item in arrivals(
             self.site, self.seed, self.seconds, self.intensity
@@ -128,11 +161,12 @@
             self._push(item.spec.accepted_ms, item)
 
     def _spells(
-        self, count: int, length: float, span: float
+        self, spell: Spell, span: float
     ) -> dict[int, tuple[float, float]]:
-        chosen = self._rng.sample(range(RACKS * PER_RACK), count)
+        runners = self._ground.runners
+        chosen = self._rng.sample(range(runners), round(spell.share * runners))
         began = self._rng.uniform(0, span)
-        return {number: (began, began + length) for number in chosen}
+        return {n: (began, began + spell.length_ms) for n in chosen}
 
     def _push(self, at_ms: float, event: object) -> None:
         self._made += 1
@@ -147,6 +181,10 @@
                 self._finish(event)
             case ('stopped', key):
                 self._stopped(key)
+            case ('hung', key):
+                self._hung(key)
+            case 'leave':
+                self._leave()
             case 'idle':
                 self._idle = False
                 self._plan_soon()
@@ -160,9 +198,11 @@
             self._push(self._now + SETTLE_MS, DECIDE)
 
     def _views(self) -> Iterator[RunnerView]:
-        for number in range(RACKS * PER_RACK):
-            rack = f'rack-{number // PER_RACK}'
-            name = f'runner-{number:02}'
+        for number in range(self._ground.runners):
+            if self._within(self._gone, number):
+                continue
+            rack = f'rack-{self._rack(number)}'
+            name = _name(number)
             suspicion = self._evidence.suspicion(name, int(self._now))
             yield RunnerView(
                 name, 'pool', self.site.room, frozenset((rack,)), rack, 'z',
@@ -177,6 +217,11 @@
             frozenset(self._stopping),
             {},
             int(self._now),
+            mechanisms=self.mechanisms,
+            terms=SiteTerms(
+                self._ground.restore_ms,
+                RECLAIM_MS,
+            ),
         )
         decision = self.policy(world, 1)
         assert not decision.faults
@@ -186,14 +231,14 @@
             self._start(started)
         if decision.starts:
             self._plan_soon()
-        elif self._cell.runs.all() and not self._idle:
+        elif self._cell.dirty and not self._idle:
             self._idle = True
             self._push(self._now + IDLE_MS, IDLE)
 
     def _stop(self, key: RunKey) -> None:
         if key not in self._stopping:
             self._stopping.add(key)
-            self._push(self._now + STOP_MS, ('stopped', key))
+            self._push(self._now + self._ground.stop_ms, ('stopped', key))
 
     def _start(self, started: Started) -> None:
         job = self._cell.find_job(started.unit.job)
@@ -209,16 +254,16 @@
     def _launch(self, runs: list[OpenRun]) -> None:
         item = self._jobs[runs[0].task.job]
         step = item.spec.steps[0]
-        numbers = [int(run.runner[-2:]) for run in runs]
-        racks = {number // PER_RACK for number in numbers}
-        pace = min(self._pace(number) for number in numbers)
-        if step.same_rack and len(racks) > 1:
-            pace /= FAR_FACTOR
+        numbers = [_number(run) for run in runs]
+        racks = set(map(self._rack, numbers))
+        far = FAR_FACTOR if step.same_rack and len(racks) > 1 else 1
         key = (runs[0].task.job, -1 if step.gang else runs[0].task.ordinal)
         left = item.work_ms - self._saved.get(key, 0)
         if key in self._saved:
-            left += RESTORE_MS
-        ends = self._now + START_MS + left / pace
+            left += self._ground.restore_ms
+        took = self._time_for(left * far, numbers)
+        pace = left / took
+        ends = self._now + START_MS + took
         fails = self._rng.random() < item.kind.fails
         for run in runs:
             self._run(run, ends, pace, fails=fails and run is runs[0])
@@ -226,18 +271,53 @@
     def _run(
         self, run: OpenRun, ends_ms: float, pace: float, *, fails: bool
     ) -> None:
-        number = int(run.runner[-2:])
+        number = _number(run)
+        if self._within(self._hangs, number):
+            ends_ms = math.inf
         grey = self._within(self._grey, number)
         running = _Running(run, self._now, ends_ms, pace, fails or grey)
         self._running[run.task, run.run] = running
         if grey:
             ends_ms = self._now + START_MS + GREY_FAILS_MS
+        if ends_ms == math.inf:
+            found_ms = self._now + HUNG_AFTER_MS + LOOK_MS
+            self._push(found_ms, ('hung', (run.task, run.run)))
+            return
         # Members end one after the other, as they are seen to.
         self._push(ends_ms + number / 100, running)
 
-    def _pace(self, number: int) -> float:
-        slow = SLOW_FACTOR if self._within(self._slow, number) else 1
-        return self._speeds[number] / slow
+    def _rack(self, number: int) -> int:
+        return number // self._ground.per_rack
+
+    def _hung(self, key: RunKey) -> None:
+        running = self._running.get(key)
+        if running is None:
+            return
+        run = running.run
+        now = int(self._now)
+        self._evidence.note_hang(run.runner, run.task.job, now)
+        self._stop(key)
+
+    def _leave(self) -> None:
+        """Have whatever runs on runners that leave start elsewhere."""
+        for key, running in list(self._running.items()):
+            if self._within(self._gone, _number(running.run)):
+                if key in self._running:
+                    self._end(key, Ending.STOPPED)
+                    self._break_gang(running.run)
+        self._plan_soon()
+
+    def _time_for(self, work: float, numbers: list[int]) -> float:
+        """Tell how long work takes; runners that are slow recover."""
+        usual = min(self._speeds[number] for number in numbers)
+        slow = [n for n in numbers if self._within(self._slow, n)]
+        if not slow:
+            return work / usual
+        pace = min(self._speeds[number] for number in slow) / SLOW_FACTOR
+        left_ms = self._slow[slow[0]][1] - self._now
+        if work <= left_ms * pace:
+            return work / pace
+        return left_ms + (work - left_ms * pace) / usual
 
     def _within(
         self, spells: dict[int, tuple[float, float]], number: int
@@ -274,10 +354,10 @@
         running = self._running.pop(key)
         run = running.run
         if ending is not Ending.DONE:
-            self._lose(running)
+            self._lose(running, stopped=ending is Ending.STOPPED)
         now = int(self._now)
         if ending is Ending.DONE:
-            self._evidence.note_done(run.runner)
+            self._evidence.note_done(run.runner, run.started_ms)
         elif ending is Ending.FAILED:
             self._evidence.note_failed(run.runner, run.task.job, now)
         number = self._numbers.get(run.runner, 0) + 1
@@ -287,7 +367,7 @@
         )
         self._plan_soon()
 
-    def _lose(self, running: _Running) -> None:
+    def _lose(self, running: _Running, *, stopped: bool) -> None:
         run = running.run
         step = self._step(run)
         worked = max(self._now - running.began_ms - START_MS, 0)
@@ -295,7 +375,9 @@
         if step.checkpointing:
             key = (run.task.job, -1 if step.gang else run.task.ordinal)
             gained = worked * running.pace
-            whole = gained // CHECKPOINT_MS * CHECKPOINT_MS
+            whole = gained // self._ground.saved_ms * self._ground.saved_ms
+            if stopped:
+                whole = gained
             if run.task.ordinal == 0 or not step.gang:
                 self._saved[key] = self._saved.get(key, 0) + whole
             lost = worked - whole / running.pace
@@ -313,13 +395,44 @@
             queue = item.kind.queue
             owed[queue] = owed.get(queue, 0) + item.worth
             earned[queue] = earned.get(queue, 0) + self._credit(item)
+        by_queue = {queue: earned[queue] / owed[queue] for queue in owed}
+        worth = sum(earned.values()) / sum(owed.values())
+        served = sum(map(self._done, self._jobs)) / len(self._jobs)
+        windows = self._worst(lambda it: it.spec.accepted_ms // WINDOW_MS)
+        teams = self._worst(lambda it: it.spec.team)
+        lost = max(1 - served, BEST_LOST)
+        nines = math.log(lost) / math.log(BEST_LOST)
+        goal = (
+            0.4 * worth
+            + 0.35 * nines
+            + 0.15 * windows
+            + 0.1 * min(by_queue.values())
+            + 0.2 * teams
+        ) / 1.2 - WASTE_PRICE * self._wasted / sum(owed.values())
         return Played(
-            sum(earned.values()) / sum(owed.values()),
-            {queue: earned[queue] / owed[queue] for queue in owed},
+            worth,
+            served,
+            windows,
+            goal,
+            by_queue,
             self._wasted / len(self._jobs),
             sorted(self._waits),
         )
 
+    def _done(self, name: str) -> bool:
+        job = self._cell.state.jobs.get(name)
+        return job is not None and job.complete
+
+    def _worst(self, part: Callable[[Arrival], object]) -> float:
+        """Tell the mean worth of the two worst parts of the jobs."""
+        owed: dict[object, float] = defaultdict(float)
+        earned: dict[object, float] = defaultdict(float)
+        for item in self._jobs.values():
+            owed[part(item)] += item.worth
+            earned[part(item)] += self._credit(item)
+        shares = sorted(earned[key] / owed[key] for key in owed)
+        return statistics.mean(shares[:2])
+
     def _credit(self, item: Arrival) -> float:
         job = self._cell.state.jobs.get(item.spec.job)
         if job is None or not job.complete:
@@ -332,3 +445,11 @@
         if took <= LATE_FACTOR * objective:
             return item.worth * item.kind.late / item.kind.worth
         return 0
+
+
+def _name(number: int) -> str:
+    return f'runner-{number:03}'
+
+
+def _number(run: OpenRun) -> int:
+    return int(run.runner.rpartition('-')[2])
--- a/experiments/plays.py
+++ b/experiments/plays.py
@@ -6,9 +6,9 @@
 import statistics
 import sys
 
-from bench.load import PER_RACK, RACKS, Arrival, SiteLoad, arrivals
+from bench.load import Arrival, SiteLoad, arrivals
 from bench.placement import PLAYS, SITES, show
-from bench.site_play import FAR_FACTOR, SPEEDS, Play
+from bench.site_play import FAR_FACTOR, Play
 from experiments.bound import Bound, Demand, best_worth
 from swifthoist_engine.planner import decide
 
@@ -27,18 +27,19 @@
     """
     step = arrival.spec.steps[0]
     terms = arrival.spec.terms
-    chain_ms = arrival.work_ms / max(SPEEDS)
+    ground = site.ground
+    chain_ms = arrival.work_ms / max(ground.speeds)
     copies = min(
         have // want for have, want in zip(site.room, step.need, strict=True)
     )
-    if step.same_rack and step.width > copies * PER_RACK:
+    if step.same_rack and step.width > copies * ground.per_rack:
         chain_ms *= FAR_FACTOR
     return Demand(
         arrival.spec.accepted_ms / MS_PER_S,
         chain_ms / MS_PER_S,
         (terms.slack * arrival.work_ms + terms.objective_ms) / MS_PER_S,
         step.width * arrival.work_ms / MS_PER_S,
-        min(step.width, copies * PER_RACK * RACKS) * max(SPEEDS),
+        min(step.width, copies * ground.runners) * max(ground.speeds),
         tuple(map(float, step.need)),
         arrival.worth,
         arrival.worth * arrival.kind.late / arrival.kind.worth,
@@ -53,7 +54,7 @@
     :param intensity: multiple of the usual rates.
     :returns: the bound.
     """
-    runners = RACKS * PER_RACK * statistics.mean(SPEEDS)
+    runners = site.ground.runners * statistics.mean(site.ground.speeds)
     jobs = arrivals(site, seed, Play.seconds, intensity)
     demands = [demand_of(item, site) for item in jobs]
     return best_worth(demands, tuple(runners * part for part in site.room))
--- a/packages/engine/swifthoist_engine/evidence.py
+++ b/packages/engine/swifthoist_engine/evidence.py
@@ -40,12 +40,19 @@
         default_factory=lambda: defaultdict(list)
     )
 
-    def note_done(self, runner: RunnerId) -> None:
+    def note_done(self, runner: RunnerId, began_ms: Millis) -> None:
         """Note that a task was done; what spoke against the runner is void.
 
+        A run that began before a failure says nothing about the runner since:
+        one that fails whatever it starts still ends what it had.
+
         :param runner: the runner.
+        :param began_ms: when the run began.
         """
-        self.strikes.pop(runner, None)
+        strikes = self.strikes.pop(runner, [])
+        left = [strike for strike in strikes if strike.at_ms >= began_ms]
+        if left:
+            self.strikes[runner] = left
 
     def note_failed(self, runner: RunnerId, job: JobId, now_ms: Millis) -> None:
         """Note that a task failed.
--- a/packages/engine/swifthoist_engine/model.py
+++ b/packages/engine/swifthoist_engine/model.py
@@ -118,6 +118,21 @@
     service: str
 
 
+class SiteTerms(NamedTuple):
+    """Terms of the site that decisions go by.
+
+    :ivar restore_ms: time that a run needs to go on from a checkpoint, in ms.
+    :ivar reclaim_ms: time within which a guarantee is to be met, in ms.
+    """
+
+    restore_ms: Millis
+    reclaim_ms: Millis
+
+
+USUAL_TERMS = SiteTerms(restore_ms=100, reclaim_ms=2_900)
+"""What is gone by where settings tell nothing, in ms."""
+
+
 class Schedule(NamedTuple):
     """Times at which the steps of a job run.
 
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -12,7 +12,13 @@
 
 from swifthoist_core.types import Millis, RackId, RunnerId
 from swifthoist_engine.board import Board, StepKey
-from swifthoist_engine.model import Resources, StepSpec
+from swifthoist_engine.mechanisms import ALL, Mechanisms
+from swifthoist_engine.model import (
+    USUAL_TERMS,
+    Resources,
+    SiteTerms,
+    StepSpec,
+)
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.records import Placement
 from swifthoist_engine.runners import RunnerView
@@ -21,9 +27,9 @@
 """How long a task waits for the rack of its data, as a multiple of its
 declared duration: far away it takes longer than that in addition."""
 
-PROMISED_RACK_PATIENCE_MS = 1_900
-"""How long a unit that its team's guarantee covers waits for one rack, in ms:
-two thirds of the time within which the guarantee is to be reclaimed."""
+PROMISED_RACK_SHARE = 2 / 3
+"""Share of the time within which a guarantee is to be met that a unit covered by
+it waits for one rack; stops and starts elsewhere take the rest."""
 
 URGENT_RACK_PATIENCE = 3.5
 """How long another urgent unit waits for one rack, as a multiple of its
@@ -35,6 +41,10 @@
 multiple of its declared duration has passed."""
 
 
+NO_LIMIT = 1_000_000
+"""Attempts of a unit that may fail as often as it likes."""
+
+
 class _Rank(NamedTuple):
     """What speaks against a runner, the weightiest first."""
 
@@ -55,14 +65,20 @@
         board: Board,
         now_ms: Millis,
         allowed: Mapping[StepKey, frozenset[RunnerId]],
+        mechanisms: Mechanisms = ALL,
+        terms: SiteTerms = USUAL_TERMS,
     ) -> None:
         """Decide on a board.
 
         :param board: free room; it is updated with each choice.
         :param now_ms: time of the cell.
         :param allowed: runners that the policy of a step's queue names.
+        :param mechanisms: parts of the decision that take part.
+        :param terms: terms of the site.
         """
         self.board = board
+        self._terms = terms
+        self._mechanisms = mechanisms
         self._now_ms = now_ms
         self._allowed = allowed
 
@@ -112,16 +128,25 @@
         return [
             name
             for name, view in self.board.views.items()
-            if _may_run(waiting, view) and (allowed is None or name in allowed)
+            if _may_run(waiting, view)
+            and (allowed is None or name in allowed)
+            and not self._too_doubtful(waiting, view)
         ]
 
+    def _too_doubtful(self, waiting: Waiting, view: RunnerView) -> bool:
+        return self._mechanisms.sound_attempts and (
+            view.suspicion >= attempts_left(waiting)
+        )
+
     def _patience_over(self, waiting: Waiting) -> bool:
+        if not self._mechanisms.rack_patience:
+            return True
         since = waiting.due_ms
         if waiting.state is not None:
             since = max(since, waiting.state.idle_since_ms)
         patience = RACK_PATIENCE * waiting.step.estimate_ms
         if waiting.promised:
-            patience = PROMISED_RACK_PATIENCE_MS
+            patience = PROMISED_RACK_SHARE * self._terms.reclaim_ms
         elif waiting.urgent:
             patience = URGENT_RACK_PATIENCE * waiting.step.estimate_ms
         return self._now_ms - since > patience
@@ -151,8 +176,8 @@
         self, waiting: Waiting, rack: RackId, names: Sequence[RunnerId]
     ) -> tuple[bool, int, int, RackId]:
         board = self.board
-        suspicion = sum(board.views[name].suspicion for name in names)
-        left = board.rack_free[rack]
+        suspicion = sum(self._doubts(board.views[name]) for name in names)
+        left = board.rack_free[rack] if self._mechanisms.packing else 0
         return (rack != waiting.step.data_rack, suspicion, left, rack)
 
     def _fill(
@@ -174,6 +199,9 @@
             return (Placement(waiting.unit.ordinal, taken[0]),)
         return tuple(starmap(Placement, enumerate(taken)))
 
+    def _doubts(self, view: RunnerView) -> int:
+        return view.suspicion if self._mechanisms.evidence else 0
+
     def _rank(self, waiting: Waiting, name: RunnerId) -> '_Rank':
         view = self.board.views[name]
         failed = 0
@@ -184,16 +212,28 @@
             view.rack != waiting.step.data_rack
         )
         return _Rank(
-            view.suspicion + failed,
+            self._doubts(view) + failed,
             far,
             self.board.crowd(waiting, name),
-            self.board.rack_free[view.rack],
-            free.accelerators,
+            self.board.rack_free[view.rack] if self._mechanisms.packing else 0,
+            free.accelerators if self._mechanisms.packing else 0,
             free.memory,
             name,
         )
 
 
+def attempts_left(waiting: Waiting) -> int:
+    """Tell how many runs of a unit may still fail, its next one among them.
+
+    :param waiting: the unit.
+    :returns: the number; a unit that lasts has no end of them.
+    """
+    failures = 0 if waiting.state is None else waiting.state.failures
+    if waiting.step.lasting:
+        return NO_LIMIT
+    return waiting.terms.max_attempts - failures
+
+
 def _may_run(waiting: Waiting, view: RunnerView) -> bool:
     step = waiting.step
     if not view.open or view.service != waiting.terms.service:
--- a/packages/engine/swifthoist_engine/planner.py
+++ b/packages/engine/swifthoist_engine/planner.py
@@ -13,8 +13,11 @@
 from swifthoist_engine.board import Board, StepKey
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.demand import urgent_accelerators
 from swifthoist_engine.faults import Fault, Guard, Kind
 from swifthoist_engine.jobs import Job, OpenRun, Unit
+from swifthoist_engine.mechanisms import ALL, Mechanisms
+from swifthoist_engine.model import USUAL_TERMS, SiteTerms
 from swifthoist_engine.placing import Placer
 from swifthoist_engine.preemption import Preemption
 from swifthoist_engine.queueing import LOST, Waiting, waiting_units
@@ -29,9 +32,9 @@
 """Members of a gang end together, but are not seen to at the same moment; only
 what still runs after this time needs a stop."""
 
-HEADROOM_SHARE = 0.06
-"""Share of the accelerators that is left to urgent and other gangs: one and a
-half runners of a site of 24, about half of the mean urgent gang."""
+HEADROOM_S = 0.65
+"""Room is left for what urgent jobs ask for in this time, in seconds, at the rate
+that was seen lately. Plays with 0.3 to 2.5 s differ by less than their spread."""
 
 RESERVE_AFTER_MS = 4_000
 """How long a blocked unit waits before room is kept for it, in ms."""
@@ -56,6 +59,8 @@
     :ivar aside: jobs that decisions failed on, and that are left out.
     :ivar ahead_ms: how far the time of day is ahead of ``now_ms``; occurrences
         are due by the time of day.
+    :ivar mechanisms: parts of the decision that take part.
+    :ivar terms: terms of the site.
     """
 
     cell: Cell
@@ -66,6 +71,8 @@
     now_ms: Millis
     aside: frozenset[JobId] = frozenset()
     ahead_ms: Millis = 0
+    mechanisms: Mechanisms = ALL
+    terms: SiteTerms = USUAL_TERMS
 
     def without(self, faults: Iterable[Fault]) -> 'World':
         """Leave out what a decision failed on.
@@ -130,6 +137,7 @@
         guard,
         world.aside,
         world.ahead_ms,
+        world.mechanisms,
     )
     world = world.without(guard.faults)
     for _ in range(MAX_ATTEMPTS):
@@ -176,12 +184,26 @@
         self.tasks = 0
         self._blocked: set[StepKey] = set()
         self._kept = 0
-        self._headroom = int(HEADROOM_SHARE * board.accelerators)
+        self._headroom = 0
+        if world.mechanisms.headroom:
+            rate = urgent_accelerators(world.cell.state, world.now_ms)
+            self._headroom = int(HEADROOM_S * rate)
         self._world = world
         self._epoch = epoch
-        self._placer = Placer(board, world.now_ms, world.allowed)
+        self._placer = Placer(
+            board,
+            world.now_ms,
+            world.allowed,
+            world.mechanisms,
+            world.terms,
+        )
         self._preemption = Preemption(
-            world.cell, self._placer, world.stopping, world.now_ms
+            world.cell,
+            self._placer,
+            world.stopping,
+            world.now_ms,
+            world.mechanisms,
+            world.terms,
         )
 
     def serve_all(self, units: Iterable[Waiting]) -> tuple[Fault, ...]:
@@ -208,9 +230,9 @@
         placed = self._place(waiting)
         if placed is not None:
             self._start(waiting, placed)
-        elif waiting.urgent:
+        elif waiting.urgent and self._world.mechanisms.preemption:
             self._make_room(waiting)
-        elif self._kept < RESERVED_UNITS and self._keeps_room(waiting):
+        elif self._keeps_room(waiting):
             self._kept += int(reserve_room(waiting, self._placer))
 
     def _place(self, waiting: Waiting) -> tuple[Placement, ...] | None:
@@ -258,8 +280,11 @@
             self.stops.extend(Stop(run, 'preempted') for run in victims)
 
     def _keeps_room(self, waiting: Waiting) -> bool:
+        if not self._world.mechanisms.reservations:
+            return False
         waited_ms = self._world.now_ms - waiting.due_ms
-        return waiting.tier < LOST and waited_ms > RESERVE_AFTER_MS
+        late = waiting.tier < LOST and waited_ms > RESERVE_AFTER_MS
+        return late and self._kept < RESERVED_UNITS
 
 
 def unwanted_runs(cell: Cell, now_ms: Millis, guard: Guard) -> Iterator[Stop]:
--- a/packages/engine/swifthoist_engine/preemption.py
+++ b/packages/engine/swifthoist_engine/preemption.py
@@ -11,7 +11,8 @@
 from swifthoist_core.types import Millis, RunnerId
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.jobs import OpenRun
-from swifthoist_engine.model import Resources
+from swifthoist_engine.mechanisms import ALL, Mechanisms
+from swifthoist_engine.model import USUAL_TERMS, Resources, SiteTerms
 from swifthoist_engine.placing import Placer
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.run_index import RunKey
@@ -19,10 +20,6 @@
 ACCELERATOR_CORES = 8
 """An accelerator that is lost counts as this many cores."""
 
-CHECKPOINT_LOSS_MS = 400
-"""Work that a stop of a checkpointing task loses, in ms: about half of the
-time between checkpoints, and the time to restore one."""
-
 START_LOSS_MS = 200
 """What a stop costs beside the work, in ms: the time until another start."""
 
@@ -66,6 +63,8 @@
         placer: Placer,
         stopping: frozenset[RunKey],
         now_ms: Millis,
+        mechanisms: Mechanisms = ALL,
+        terms: SiteTerms = USUAL_TERMS,
     ) -> None:
         """Decide on a board.
 
@@ -73,8 +72,12 @@
         :param placer: chooses runners on the board.
         :param stopping: runs that are being stopped already.
         :param now_ms: time of the cell.
+        :param mechanisms: parts of the decision that take part.
+        :param terms: terms of the site.
         """
         self._cell = cell
+        self._terms = terms
+        self._mechanisms = mechanisms
         self._placer = placer
         self._board = placer.board
         self._stopping = stopping
@@ -164,8 +167,10 @@
         tasks = step.width if step.gang else 1
         worked = max(self._now_ms - run.started_ms, 0)
         if step.checkpointing:
-            worked = min(worked, CHECKPOINT_LOSS_MS)
-        again = REPEAT_SHARE * step.estimate_ms * (run.run - 1)
+            # A stop saves a checkpoint.
+            worked = min(worked, self._terms.restore_ms)
+        share = REPEAT_SHARE if self._mechanisms.repeat_loss else 0
+        again = share * step.estimate_ms * (run.run - 1)
         return cores * tasks * (worked + again + START_LOSS_MS)
 
     def _with_gangs(self, victims: Iterable[OpenRun]) -> tuple[OpenRun, ...]:
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -16,6 +16,7 @@
 from swifthoist_engine.cell import Cell, CellState
 from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.jobs import Job, Unit
+from swifthoist_engine.mechanisms import ALL, Mechanisms
 from swifthoist_engine.model import (
     QueueTerms,
     StepSpec,
@@ -93,10 +94,12 @@
 
     :ivar cell_ms: time of the cell.
     :ivar ahead_ms: how far the time of day is ahead of that.
+    :ivar mechanisms: parts of the decision that take part.
     """
 
     cell_ms: Millis
     ahead_ms: Millis
+    mechanisms: Mechanisms
 
 
 def waiting_units(
@@ -106,6 +109,7 @@
     guard: Guard,
     aside: frozenset[JobId],
     ahead_ms: Millis = 0,
+    mechanisms: Mechanisms = ALL,
 ) -> list[Waiting]:
     """List the units that could start now, first things first.
 
@@ -115,9 +119,10 @@
     :param guard: keeps faults to the job that brings them out.
     :param aside: jobs that are left out; they stay to be decided on.
     :param ahead_ms: how far the time of day is ahead of that.
+    :param mechanisms: parts of the decision that take part.
     :returns: the units in the order in which they are served.
     """
-    now = _Now(now_ms, ahead_ms)
+    now = _Now(now_ms, ahead_ms, mechanisms)
     promised = promised_teams(cell.state, catalogue, guard)
     found: list[Waiting] = []
     for job in cell.dirty_jobs():
@@ -186,7 +191,7 @@
             if due > now.cell_ms and not job.began(occurrence):
                 return
         yield from _of_occurrence(
-            job, catalogue, occurrence, due, now.cell_ms, promised
+            job, catalogue, occurrence, due, now, promised
         )
 
 
@@ -195,7 +200,7 @@
     catalogue: Catalogue,
     occurrence: int,
     due: Millis,
-    now_ms: Millis,
+    now: _Now,
     promised: frozenset[OwnerId],
 ) -> Iterator[Waiting]:
     terms = terms_now(job, catalogue)
@@ -204,8 +209,10 @@
     objective = terms.slack * chain + terms.objective_ms
     for number in job.ready_steps(occurrence):
         step = job.spec.steps[number]
-        tier = _tier(step, now_ms, due, objective)
-        for unit_id in _startable_units(job, occurrence, number, now_ms):
+        tier = IN_TIME
+        if now.mechanisms.in_time_first:
+            tier = _tier(step, now.cell_ms, due, objective)
+        for unit_id in _startable_units(job, occurrence, number, now):
             yield Waiting(
                 unit_id,
                 step,
@@ -261,20 +268,22 @@
 
 
 def _startable_units(
-    job: Job, occurrence: int, number: int, now_ms: Millis
+    job: Job, occurrence: int, number: int, now: _Now
 ) -> Iterator[UnitId]:
     for unit_id in job.step_units(occurrence, number):
-        if _startable(job.find(unit_id), now_ms):
+        if _startable(job.find(unit_id), now):
             yield unit_id
 
 
-def _startable(unit: Unit | None, now_ms: Millis) -> bool:
+def _startable(unit: Unit | None, now: _Now) -> bool:
     if unit is None:
         return True
     if unit.done or unit.open:
         return False
     # An end may carry the time of a clock that was ahead.
-    idle_ms = now_ms - unit.idle_since_ms
+    if not now.mechanisms.retry_pause:
+        return True
+    idle_ms = now.cell_ms - unit.idle_since_ms
     return not 0 <= idle_ms < retry_pause_ms(unit.last_run)
 
 
--- a/packages/instance/swifthoist_instance/anomalies.py
+++ b/packages/instance/swifthoist_instance/anomalies.py
@@ -60,6 +60,7 @@
         for run in self._shared.standstill.hung(cell, running, now_ms):
             if (run.task, run.run) not in orders.stops:
                 evidence = self._shared.evidence
-                evidence.note_hang(self._runner, run.task.job, now_ms)
+                at_ms = self._shared.follower.time.now_ms()
+                evidence.note_hang(self._runner, run.task.job, at_ms)
                 orders.stop(run, 'stands still')
         self._shared.standstill.forget_closed(cell)
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -12,15 +12,17 @@
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import InstanceId
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.model import SiteTerms
 from swifthoist_instance.api import Api
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.faults import Aside, Faults
 from swifthoist_instance.follower import Follower
-from swifthoist_instance.holding import Holding, Parts
+from swifthoist_instance.holding import Holding
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.jsonlogs import BoundedHandler
 from swifthoist_instance.metrics import Metrics
+from swifthoist_instance.parts import Parts
 from swifthoist_instance.registry import Registry
 from swifthoist_instance.settings import MovingEndpoint, Settings
 from swifthoist_instance.snapshotting import Snapshots
@@ -130,6 +132,7 @@
                 self._open_machines,
                 self._open_store(),
                 self._aside,
+                self._site_terms,
             )
         )
         intake = Intake(
@@ -239,6 +242,10 @@
             'faults': self.faults.describe(),
         }
 
+    def _site_terms(self) -> SiteTerms:
+        bounds = self._settings.boot.bounds
+        return SiteTerms(bounds.restore_ms, bounds.reclaim_ms)
+
     def _open_machines(self) -> MachinesClient:
         endpoint = self._open(lambda: self._settings.boot.machines_address)
         return MachinesClient(endpoint, self._settings.boot.instance)
--- a/packages/instance/swifthoist_instance/deciding.py
+++ b/packages/instance/swifthoist_instance/deciding.py
@@ -1,13 +1,14 @@
 """Makes the holder's decisions on what this instance knows right now."""
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from anyio.abc import TaskGroup
 
 from swifthoist_core.types import RunnerId
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.faults import Guard, Kind
+from swifthoist_engine.model import SiteTerms
 from swifthoist_engine.planner import Decision, World, decide
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.runners import RunnerView
@@ -31,6 +32,7 @@
         waves: Waves,
         policies: Policies,
         aside: Aside,
+        terms: Callable[[], SiteTerms],
     ) -> None:
         """Decide for a tenure.
 
@@ -39,12 +41,14 @@
         :param waves: tells which of them get no more work.
         :param policies: permissions by step.
         :param aside: what decisions leave out, since they failed on it.
+        :param terms: tells the terms of the site.
         """
         self._shared = shared
         self._roster = roster
         self._waves = waves
         self._policies = policies
         self._aside = aside
+        self._terms = terms
         self._random = random.Random(shared.epoch)
 
     def decide(self, catalogue: Catalogue, tasks: TaskGroup) -> Decision:
@@ -67,6 +71,7 @@
             now_ms,
             self._aside.jobs,
             self._shared.clock.wall_ms() - now_ms,
+            terms=self._terms(),
         )
         decision = decide(world, self._shared.epoch)
         self._ask_policies(decision.unadvised, world.runners, tasks, guard)
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -1,37 +1,24 @@
 """What the holder of the cell does: sessions with runners, and decisions."""
 
 import logging
-from collections.abc import Callable
-from typing import NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
 
-from swifthoist_core.clock import Clock
-from swifthoist_core.types import Millis
 from swifthoist_engine.evidence import Evidence
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.planner import Decision
 from swifthoist_engine.records import Beat
 from swifthoist_engine.standstill import Standstill
-from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.deciding import Decider
-from swifthoist_instance.faults import Aside
-from swifthoist_instance.follower import Follower
-from swifthoist_instance.journal import Journal
 from swifthoist_instance.outcomes import record_all, record_vanished
+from swifthoist_instance.parts import Parts
 from swifthoist_instance.policies import Policies
-from swifthoist_instance.registry import Registry
 from swifthoist_instance.roster import Roster
 from swifthoist_instance.shared import Shared
 from swifthoist_instance.signals import Signal
-from swifthoist_instance.snapshotting import Snapshots
-from swifthoist_instance.tenure import Hold, Tenure
-from swifthoist_instance.waves import PutsStatus, Waves
-from swifthoist_platform.advice import AdviceClient
-from swifthoist_platform.documents import Registration
-from swifthoist_platform.machines import MachinesClient
-from swifthoist_platform.runner_calls import RunnerClient
+from swifthoist_instance.tenure import Hold
+from swifthoist_instance.waves import Waves
 
 IDLE_S = 0.25
 """Longest pause between two decisions, in seconds: occurrences become due,
@@ -45,39 +32,6 @@
 _log = logging.getLogger(__name__)
 
 
-class Parts(NamedTuple):
-    """What the holder is wired with.
-
-    :ivar tenure: tells whether this instance holds the cell.
-    :ivar follower: folds the log.
-    :ivar journal: appends to it.
-    :ivar configuration: the configuration.
-    :ivar snapshots: writes snapshots.
-    :ivar lease_max_ms: tells the longest lease that runners grant.
-    :ivar clock: tells the time.
-    :ivar open_registry: opens the runners' registry.
-    :ivar open_runner: opens a client of a runner.
-    :ivar open_advice: opens the client of policies.
-    :ivar open_machines: opens the client of machines.
-    :ivar status: where the state of waves is written.
-    :ivar aside: what decisions leave out, since they failed on it.
-    """
-
-    tenure: Tenure
-    follower: Follower
-    journal: Journal
-    configuration: Configuration
-    snapshots: Snapshots
-    lease_max_ms: Callable[[], Millis]
-    clock: Clock
-    open_registry: Callable[[], Registry]
-    open_runner: Callable[[Registration], RunnerClient]
-    open_advice: Callable[[], AdviceClient]
-    open_machines: Callable[[], MachinesClient]
-    status: PutsStatus
-    aside: Aside
-
-
 class Holding:
     """Acts as the holder for as long as this instance holds the cell."""
 
@@ -144,6 +98,7 @@
             self._waves,
             self._policies,
             parts.aside,
+            parts.terms,
         )
 
     async def run(self) -> None:
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -164,7 +164,7 @@
     ) -> None:
         if verdict in {Verdict.UNHEALTHY, Verdict.NO_ROOM}:
             self._shared.evidence.note_failed(
-                run.runner, run.task.job, self._shared.clock.boot_ms()
+                run.runner, run.task.job, self._shared.follower.time.now_ms()
             )
         if unsure:
             self.stop(run, 'rejected after an order without answer')
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -193,7 +193,7 @@
     ) -> RunnerView:
         entry = session.contact.registration
         present = self._registry.present(entry.runner) is not None
-        now_ms = self._shared.clock.boot_ms()
+        now_ms = self._shared.follower.time.now_ms()
         leaving_ms = entry.leaving_ms or 0
         return RunnerView(
             entry.runner,
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -23,6 +23,7 @@
     vanished,
 )
 from swifthoist_instance.paces import filling, keep_pace
+from swifthoist_instance.shared import Shared
 from swifthoist_platform.documents import Registration
 from swifthoist_platform.runner_calls import (
     ListedEnd,
@@ -207,6 +208,7 @@
         self._note_saved()
         seen = self._shared.cell.seen_of(self.contact.runner)
         ends = [end for end in look.ends if end.number > seen]
+        began = [_began_ms(self._shared, end) for end in ends]
         records: list[Record] = [
             ended(self._shared, self.contact.runner, end) for end in ends
         ]
@@ -215,8 +217,8 @@
         if not await record_all(self._shared, records):
             await anyio.sleep(UNRECORDED_S)
             return
-        for end in ends:
-            self._note_end(end, orders)
+        for end, began_ms in zip(ends, began, strict=True):
+            self._note_end(end, began_ms, orders)
         if look.whole:
             orders.bar_orphans(_there(look))
         self._anomalies.stop_all(self._running, orders)
@@ -245,19 +247,27 @@
                     self._shared, run, 'not on its runner', self._saved
                 )
 
-    def _note_end(self, end: ListedEnd, orders: Orders) -> None:
+    def _note_end(
+        self, end: ListedEnd, began_ms: Millis, orders: Orders
+    ) -> None:
         orders.note_ended((end.task, end.run))
         evidence = self._shared.evidence
         match end.ending:
             case Ending.DONE:
-                evidence.note_done(self.contact.runner)
+                evidence.note_done(self.contact.runner, began_ms)
             case Ending.FAILED:
-                now_ms = self._shared.clock.boot_ms()
+                now_ms = self._shared.follower.time.now_ms()
                 evidence.note_failed(self.contact.runner, end.task.job, now_ms)
             case _:
                 return
 
 
+def _began_ms(shared: Shared, end: ListedEnd) -> Millis:
+    """Tell when a run that ended had begun; 0 if it is not open."""
+    run = shared.cell.find_run(end.task, end.run)
+    return 0 if run is None else run.started_ms
+
+
 def _there(look: Look) -> set[RunKey]:
     """List the runs that a look shows, running or ended."""
     running = {(row.task, row.run) for row in look.running}
--- a/packages/platform/swifthoist_platform/boot.py
+++ b/packages/platform/swifthoist_platform/boot.py
@@ -6,6 +6,7 @@
 
 from swifthoist_core.errors import raise_findings
 from swifthoist_core.types import InstanceId, Millis, ZoneId
+from swifthoist_engine.model import USUAL_TERMS
 from swifthoist_platform import names
 from swifthoist_platform.values import Reader, read_json
 
@@ -44,6 +45,8 @@
     :ivar harm_ms: how long a serving task may be over its target.
     :ivar notice_ms: span for which absences of a lasting task count.
     :ivar duty_lease_ms: lease of whoever orders work on machines.
+    :ivar restore_ms: time that a run needs to go on from a checkpoint.
+    :ivar reclaim_ms: time within which a guarantee is to be met.
     """
 
     lease_max_ms: Millis
@@ -56,6 +59,8 @@
     harm_ms: Millis
     notice_ms: Millis
     duty_lease_ms: Millis
+    restore_ms: Millis
+    reclaim_ms: Millis
 
 
 class Boot(NamedTuple):
@@ -164,4 +169,6 @@
         harm_ms=reader.whole(names.INTERFERENCE_MS, 4_000),
         notice_ms=reader.whole(names.NOTICE_MS, 4_500),
         duty_lease_ms=reader.whole(names.LEASE_MS, 3_000),
+        restore_ms=reader.whole(names.RESTORE_MS, USUAL_TERMS.restore_ms),
+        reclaim_ms=reader.whole(names.RECLAIM_MS, USUAL_TERMS.reclaim_ms),
     )
--- /dev/null
+++ b/tests/engine/test_attempts.py
@@ -0,0 +1,97 @@
+"""Attempts are scarce: what they are spent on, and what callers get by it."""
+
+import unittest
+
+from bench.load import DHUAN, Spell
+from bench.site_play import Play, Played
+from swifthoist_engine.evidence import FORGET_MS, Evidence
+from swifthoist_engine.mechanisms import ALL
+from swifthoist_engine.model import TaskId, UnitId
+from swifthoist_engine.planner import decide
+from swifthoist_engine.records import Ending
+from tests.engine.scenes import (
+    BATCH,
+    BULK,
+    NOW_MS,
+    Scene,
+    gang,
+    job_spec,
+    places,
+    task,
+    view,
+)
+
+GANG = UnitId('j', 0, 0, -1)
+LATER_MS = NOW_MS + 500
+FAILING = DHUAN._replace(
+    ground=DHUAN.ground._replace(
+        failing=Spell(0.125, 8_000), hanging=Spell(0, 0), leaving=0
+    )
+)
+SEEDS = range(5)
+SECONDS = 20
+
+
+def _play(seed: int, *, sound: bool) -> Played:
+    mechanisms = ALL._replace(sound_attempts=sound)
+    play = Play(FAILING, decide, seed, SECONDS, mechanisms=mechanisms)
+    return play.run()
+
+
+class ScarceAttemptsTest(unittest.TestCase):
+    """The last attempt of a unit is spent on a sound runner, or waits."""
+
+    def setUp(self) -> None:
+        """Have a gang with one attempt left of two."""
+        self.scene = Scene(job_spec('j', BATCH, gang(1)))
+        self.scene.start(GANG, 'runner-0')
+        self.scene.end(TaskId('j', 0, 0, 0), 'runner-0', Ending.FAILED)
+
+    def test_a_last_attempt_waits_for_a_sound_runner_and_takes_it(self) -> None:
+        """The runner that has just failed it is free, and stays so."""
+        bad = view(0, suspicion=1)
+        decision = self.scene.decide([bad], now_ms=LATER_MS)
+        self.assertEqual(decision.starts, ())
+        decision = self.scene.decide([bad, view(1)], now_ms=LATER_MS)
+        self.assertEqual(places(decision), {GANG: ['runner-1']})
+
+    def test_a_last_attempt_stops_nothing_on_a_doubtful_runner(self) -> None:
+        """Room there would be of no use to it."""
+        decision = self.scene.decide([view(0, suspicion=2)], now_ms=LATER_MS)
+        self.assertEqual((decision.starts, decision.stops), ((), ()))
+
+    def test_a_doubtful_runner_takes_work_that_can_afford_to_fail(self) -> None:
+        """So it can prove itself, and gets back into use."""
+        scene = Scene(job_spec('k', BULK, task()))
+        decision = scene.decide([view(0, suspicion=2)])
+        self.assertEqual(len(decision.starts), 1)
+
+    def test_a_runner_gets_last_attempts_again_once_its_failures_are_old(
+        self,
+    ) -> None:
+        """Nobody has to prove it meanwhile."""
+        evidence = Evidence()
+        evidence.note_failed('runner-0', 'j', NOW_MS)
+        now_ms = NOW_MS + FORGET_MS
+        suspicion = evidence.suspicion('runner-0', now_ms)
+        views = [view(0, suspicion=suspicion)]
+        decision = self.scene.decide(views, now_ms=now_ms)
+        self.assertEqual(places(decision), {GANG: ['runner-0']})
+
+
+class FailingRunnersTest(unittest.TestCase):
+    """An eighth of the runners fails whatever it starts, for 8 s."""
+
+    def test_more_jobs_are_done_than_if_attempts_went_to_any_runner(
+        self,
+    ) -> None:
+        """And none of the plays fares worse by a job."""
+        with_care = [_play(seed, sound=True) for seed in SEEDS]
+        without = [_play(seed, sound=False) for seed in SEEDS]
+        done = [played.served for played in with_care]
+        self.assertGreater(sum(done), sum(it.served for it in without))
+        self.assertGreater(min(done), 0.95)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/engine/test_evidence.py
+++ b/tests/engine/test_evidence.py
@@ -27,9 +27,17 @@
         """It can do work after all."""
         self.evidence.note_hang('r', 'one', NOW_MS)
         self.assertGreater(self.evidence.suspicion('r', NOW_MS), 1)
-        self.evidence.note_done('r')
+        self.evidence.note_done('r', NOW_MS + 1)
         self.assertEqual(self.evidence.suspicion('r', NOW_MS), 0)
 
+    def test_a_run_that_began_before_a_failure_does_not_clear_a_runner(
+        self,
+    ) -> None:
+        """A runner that fails what it starts still ends what it had."""
+        self.evidence.note_failed('r', 'one', NOW_MS)
+        self.evidence.note_done('r', NOW_MS - 1)
+        self.assertEqual(self.evidence.suspicion('r', NOW_MS), 1)
+
     def test_evidence_grows_old(self) -> None:
         """A spell passes, and a runner must not stay out of use."""
         for job in 'abcdef':
--- a/tests/engine/test_planner.py
+++ b/tests/engine/test_planner.py
@@ -2,9 +2,10 @@
 
 import unittest
 
+from swifthoist_engine.demand import WINDOW_MS
 from swifthoist_engine.model import GANG_ORDINAL, Schedule, TaskId, UnitId
 from swifthoist_engine.queueing import retry_pause_ms
-from swifthoist_engine.records import Canceled, Ending, Vanished
+from swifthoist_engine.records import Canceled, Ending, Submitted, Vanished
 from tests.engine.scenes import (
     BATCH,
     BULK,
@@ -268,12 +269,33 @@
     """Some room is left to urgent gangs."""
 
     def test_tasks_that_save_nothing_leave_some_room(self) -> None:
-        """Of three runners they leave one accelerator; of one runner none."""
+        """As much as urgent jobs asked for in two thirds of a second."""
+        views = [view(number) for number in range(3)]
+        for saves, starts in ((False, 22), (True, 24)):
+            waiting = task(count=40, checkpointing=saves)
+            scene = Scene(job_spec('j', BULK, waiting))
+            self._end_urgent(scene, 5)
+            found = scene.decide(views, now_ms=NOW_MS + 1_000).starts
+            self.assertEqual(len(found), starts)
+
+    def test_no_room_is_left_where_nothing_urgent_came_lately(self) -> None:
+        """Nobody would use it."""
         views = [view(number) for number in range(3)]
         scene = Scene(job_spec('j', BULK, task(count=40)))
-        self.assertEqual(len(scene.decide(views).starts), 23)
-        scene = Scene(job_spec('j', BULK, task(count=40, checkpointing=True)))
         self.assertEqual(len(scene.decide(views).starts), 24)
+        self._end_urgent(scene, 5)
+        found = scene.decide(views, now_ms=NOW_MS + WINDOW_MS).starts
+        self.assertEqual(len(found), 24)
+
+    def _end_urgent(self, scene: Scene, count: int) -> None:
+        """Have gangs of eight accelerators that have come and ended."""
+        for number in range(count):
+            name = f'u{number}'
+            spec = job_spec(name, URGENT, gang(1), accepted_ms=NOW_MS)
+            scene.fold(Submitted(spec))
+            scene.start(UnitId(name, 0, 0, -1), 'runner-0')
+            end = TaskId(name, 0, 0, 0)
+            scene.end(end, 'runner-0', Ending.DONE)
 
 
 class RetryTest(unittest.TestCase):
