--- a/packages/platform/swifthoist_platform/boot.py
+++ b/packages/platform/swifthoist_platform/boot.py
@@ -1,10 +1,12 @@
 """The settings file that the platform gives each process."""
 
+import math
 from pathlib import Path
 from typing import NamedTuple
 
 from swifthoist_core.errors import raise_findings
 from swifthoist_core.types import InstanceId, Millis, ZoneId
+from swifthoist_engine.model import USUAL_TERMS
 from swifthoist_platform import names
 from swifthoist_platform.values import Reader, read_json
 
@@ -12,6 +14,7 @@
 """Environment variable that holds the path of the settings file."""
 
 _MS_PER_S = 1_000
+_BYTES_PER_MBIT = 125_000
 
 
 class StoreTerms(NamedTuple):
@@ -42,6 +45,8 @@
     :ivar harm_ms: how long a serving task may be over its target.
     :ivar notice_ms: span for which absences of a lasting task count.
     :ivar duty_lease_ms: lease of whoever orders work on machines.
+    :ivar restore_ms: time that a run needs to go on from a checkpoint.
+    :ivar reclaim_ms: time within which a guarantee is to be met.
     """
 
     lease_max_ms: Millis
@@ -54,6 +59,8 @@
     harm_ms: Millis
     notice_ms: Millis
     duty_lease_ms: Millis
+    restore_ms: Millis
+    reclaim_ms: Millis
 
 
 class Boot(NamedTuple):
@@ -71,6 +78,7 @@
     :ivar machines_address: where machines are listed and ordered.
     :ivar beat_ms: interval of the runners' heartbeats.
     :ivar cores: processor of the machine, in cores of one's usual speed.
+    :ivar link_bytes_s: width of the machine's link, in bytes a second.
     """
 
     instance: InstanceId
@@ -85,6 +93,7 @@
     machines_address: str
     beat_ms: Millis
     cores: float
+    link_bytes_s: float
 
 
 def read_boot(path: Path) -> Boot:
@@ -124,6 +133,7 @@
         machines_address=reader.table(names.CLOUD_API).text(names.ADDRESS),
         beat_ms=reader.whole(names.HEARTBEAT_MS, 1_500),
         cores=limits.number(names.CPU_SHARE, 1) * limits.number(names.CORES, 1),
+        link_bytes_s=_width(limits),
     )
     raise_findings('settings file', reader.findings)
     return boot
@@ -133,6 +143,11 @@
     return isinstance(port, int) and 0 < port < 65_536
 
 
+def _width(limits: Reader) -> float:
+    mbit_s = limits.number(names.LINK_MBPS, 0)
+    return mbit_s * _BYTES_PER_MBIT if mbit_s > 0 else math.inf
+
+
 def _store(reader: Reader) -> StoreTerms:
     return StoreTerms(
         reader.text(names.ADDRESS),
@@ -154,4 +169,6 @@
         harm_ms=reader.whole(names.INTERFERENCE_MS, 4_000),
         notice_ms=reader.whole(names.NOTICE_MS, 4_500),
         duty_lease_ms=reader.whole(names.LEASE_MS, 3_000),
+        restore_ms=reader.whole(names.RESTORE_MS, USUAL_TERMS.restore_ms),
+        reclaim_ms=reader.whole(names.RECLAIM_MS, USUAL_TERMS.reclaim_ms),
     )
