--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 .DEFAULT_GOAL := help
 
 .PHONY: help setup demo test simulate soak format lint types clean \
-	bench bench-decisions bench-placement bench-takeover bench-control bound
+	ablation losses bench bench-decisions bench-placement bench-takeover bench-control bound
 
 help:  ## Show this list.
 	@awk -F ':.*## ' '/^[a-z-]+:.*## / {printf "%-18s %s\n", $$1, $$2}' Makefile
@@ -59,6 +59,12 @@
 bench-control: setup  ## Measure memory, processor and bytes of an instance.
 	$(PY) -m bench.control
 
+ablation: setup  ## Leave each part of a decision out in turn (SEEDS=plays a load).
+	$(PY) -m bench.ablation --seeds=$(or $(SEEDS),5)
+
+losses: setup  ## Tell where the time of late jobs went (LOG=logs of all instances).
+	$(PY) -m experiments.losses $(LOG)
+
 bound: setup  ## Compare the decisions with what any scheduler could reach.
 	$(PY) -m pip install -q -c constraints.txt -r requirements-experiments.txt
 	$(PY) -m experiments.plays
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -10,7 +10,7 @@
 from itertools import starmap
 from typing import NamedTuple
 
-from bench.load import PILHA, SALTAMONTES, SiteLoad
+from bench.load import DHUAN, PILHA, SALTAMONTES, SiteLoad
 from bench.site_play import Play, Played, Policy
 from swifthoist_engine.board import Board
 from swifthoist_engine.faults import Guard
@@ -37,7 +37,7 @@
     intensity: float
 
 
-SITES = (PILHA, SALTAMONTES)
+SITES = (PILHA, SALTAMONTES, DHUAN)
 PLAYS = tuple(
     Setting(seed, intensity) for seed in range(6) for intensity in (1.0, 1.3)
 )
