--- a/soak/play.py
+++ b/soak/play.py
@@ -18,6 +18,7 @@
 from swifthoist_emulator.serving import ServedWorld
 from swifthoist_emulator.site import STANDARD
 from swifthoist_emulator.stage import Stage, open_stage
+from swifthoist_instance.application import agent_of
 
 INSTANCES = 4
 ORDER_S = 0.5
@@ -28,6 +29,10 @@
 
 CANCEL_SHARE = 0.15
 
+NARROW_BYTES_S = 50_000.0
+"""Width of the link of the last instance, in bytes a second: the log of a soak
+takes it seconds."""
+
 ONE = StepWork(500, (4_000, 8_000, 1))
 LONG = StepWork(3_000, (4_000, 8_000, 2))
 GANG = StepWork(1_200, (8_000, 32_000, 8), gang=3)
@@ -86,6 +91,8 @@
 
     async def _disturb(self, stage: Stage) -> None:
         addresses = [proxy.address for proxy in self._proxies]
+        narrow = agent_of(stage.instances[-1].name)
+        self._weather.widths[narrow] = NARROW_BYTES_S
         strikes = Strikes(self._rng, self._world, self._weather, addresses)
         with anyio.move_on_after(self._seconds):
             async with anyio.create_task_group() as tasks:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -17,6 +17,9 @@
 from swifthoist_emulator.serving import address_of, open_listener
 
 PIECE = 65_536
+SLICE = 4_096
+"""Most bytes that a narrow link carries at a time."""
+
 BACKLOG = 128
 
 _AGENT = re.compile(rb'user-agent: *([^\r]+)\r', re.IGNORECASE)
@@ -115,7 +118,18 @@
             case _:
                 pass
         if not self._silent:
+            await self._send(piece, to)
+
+    async def _send(self, piece: bytes, to: SocketStream) -> None:
+        """Send a piece on, as fast as the link of the instance bears."""
+        width = self._weather.widths.get(self._agent)
+        if width is None:
             await to.send(piece)
+            return
+        for start in range(0, len(piece), SLICE):
+            part = piece[start : start + SLICE]
+            await anyio.sleep(len(part) / width)
+            await to.send(part)
 
 
 async def _pieces(stream: SocketStream) -> AsyncIterator[bytes]:
--- a/soak/weather.py
+++ b/soak/weather.py
@@ -37,6 +37,7 @@
     """The troubles in force.
 
     :ivar fronts: the troubles.
+    :ivar widths: bytes a second that links of instances bear; others bear any.
     """
 
     def __init__(self, seed: int) -> None:
@@ -45,6 +46,7 @@
         :param seed: seed of what they meet.
         """
         self.fronts: list[Front] = []
+        self.widths: dict[str, float] = {}
         self._random = random.Random(seed)
 
     def over(self, agent: str, address: str) -> Trouble | None:
