Wait for a rack as long as several would cost, and hold no runner liable for hopeless jobs

Hypothesis 1: a gang or task that waits for its rack gains until the wait is as long as what a far one costs in addition, (RemoteFactor - 1) times its duration; so far it was once the duration, a figure without a source.

Hypothesis 2 (found by reading): jobs that can never be done strike every runner that they fail on, so two of them with many tasks would leave nowhere to go for last attempts, and for all batch jobs where two attempts are allowed. A job that failed on three runners, and of which nothing was done, counts no more.

The test of patience asks for both sides of the new bound.

--- a/bench/drawn.py
+++ b/bench/drawn.py
@@ -74,7 +74,7 @@
         0.3, rng.uniform(3, 6), 30, int(room.cpu * 0.4),
         int(room.memory * 0.35), sizes, 1, rng.uniform(0.3, 0.9),
         rng.uniform(0.2, 0.7), terms, rng.choice((0.005, 0.02, 0.05)),
-        rng.choice((0.5, 0.9)),
+        rng.choice((0.5, 0.9)), rng.choice((0, 0.03)),
     )  # fmt: skip
 
 
@@ -97,6 +97,7 @@
         0.3, rng.uniform(8, 20), 94, int(room.cpu * 0.09),
         int(room.memory * 0.09), (1,), 0, 0, rng.uniform(0.2, 0.7), terms,
         rng.choice((0.005, 0.02)), rng.choice((0.5, 0.9)),
+        rng.choice((0, 0.03)),
     )  # fmt: skip
 
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -29,6 +29,7 @@
     :ivar fails: share of its runs that fail by themselves.
     :ivar misjudged: standard deviation of the logarithm of a declared
         duration's error.
+    :ivar hopeless: share of its jobs of which every run fails.
     """
 
     queue: str
@@ -48,6 +49,7 @@
     terms: QueueTerms
     fails: float
     misjudged: float = 0.7
+    hopeless: float = 0
 
 
 class Spell(NamedTuple):
@@ -119,7 +121,8 @@
     Resources(64_000, 262_144, 8),
     (
         Kind('batch', 0.314, 3, 0.9, 8_500, 0.3, 5, 30, 26_000, 110_000,
-             _LARGE, 1, 0.6, 0.45, QueueTerms(1, 2, 3, 1_000, 'pool'), 0.005),
+             _LARGE, 1, 0.6, 0.45, QueueTerms(1, 2, 3, 1_000, 'pool'), 0.005,
+             hopeless=0.03),
         Kind('urgent', 0.955, 4, 0.8, 2_500, 0.5, 3.4, 21, 7_500, 39_000,
              _LARGE, 1, 0.8, 0, QueueTerms(0, 3, 1.5, 250, 'pool'), 0.05),
         Kind('bulk', 0.295, 1, 0.3, 7_600, 0.3, 16, 94, 5_600, 23_000,
@@ -146,11 +149,12 @@
     (
         Kind('batch', 0.393, 3, 0.9, 6_800, 0.3, 5, 30, 52_000, 75_000,
              _LARGE, 1, 0.6, 0.45, QueueTerms(1, 3, 3, 1_000, 'pool'), 0.05,
-             0.5),
+             0.5, 0.03),
         Kind('urgent', 1.19, 4, 0.8, 2_500, 0.5, 3.4, 21, 15_000, 31_000,
              _LARGE, 1, 0.8, 0, QueueTerms(0, 4, 1.5, 250, 'pool'), 0.02, 0.5),
         Kind('bulk', 0.295, 1, 0.3, 7_600, 0.3, 16, 94, 11_000, 23_000,
-             (1,), 0, 0, 0.45, QueueTerms(2, 4, 3, 3_000, 'pool'), 0.005, 0.9),
+             (1,), 0, 0, 0.45, QueueTerms(2, 4, 3, 3_000, 'pool'), 0.005, 0.9,
+             0.01),
     ),
     Ground(3, 8, (1.0,), 2_000, 100, 200, Spell(0.1, 5_400), Spell(0.1, 5_400),
            Spell(0.18, 6_900), 0.077, 4, 0.62),
@@ -164,12 +168,14 @@
     :ivar kind: its kind.
     :ivar work_ms: true work of each task of its one step, in ms.
     :ivar worth: what it is worth in time.
+    :ivar hopeless: every run of it fails.
     """
 
     spec: JobSpec
     kind: Kind
     work_ms: float
     worth: float
+    hopeless: bool = False
 
 
 def arrivals(
@@ -238,7 +244,7 @@
         kind.terms,
         at_ms,
     )
-    return Arrival(spec, kind, work_ms, worth)
+    return Arrival(spec, kind, work_ms, worth, rng.random() < kind.hopeless)
 
 
 def _lognormal(rng: random.Random, mean: float, spread: float) -> float:
--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -221,6 +221,7 @@
             terms=SiteTerms(
                 self._ground.restore_ms,
                 RECLAIM_MS,
+                FAR_FACTOR,
             ),
         )
         decision = self.policy(world, 1)
@@ -264,7 +265,7 @@
         took = self._time_for(left * far, numbers)
         pace = left / took
         ends = self._now + START_MS + took
-        fails = self._rng.random() < item.kind.fails
+        fails = item.hopeless or self._rng.random() < item.kind.fails
         for run in runs:
             self._run(run, ends, pace, fails=fails and run is runs[0])
 
@@ -357,7 +358,7 @@
             self._lose(running, stopped=ending is Ending.STOPPED)
         now = int(self._now)
         if ending is Ending.DONE:
-            self._evidence.note_done(run.runner, run.started_ms)
+            self._evidence.note_done(run.runner, run.task.job, run.started_ms)
         elif ending is Ending.FAILED:
             self._evidence.note_failed(run.runner, run.task.job, now)
         number = self._numbers.get(run.runner, 0) + 1
@@ -421,7 +422,9 @@
 
     def _done(self, name: str) -> bool:
         job = self._cell.state.jobs.get(name)
-        return job is not None and job.complete
+        if job is None:
+            return False
+        return job.failed if self._jobs[name].hopeless else job.complete
 
     def _worst(self, part: Callable[[Arrival], object]) -> float:
         """Tell the mean worth of the two worst parts of the jobs."""
@@ -435,7 +438,7 @@
 
     def _credit(self, item: Arrival) -> float:
         job = self._cell.state.jobs.get(item.spec.job)
-        if job is None or not job.complete:
+        if job is None or not self._done(item.spec.job):
             return 0
         terms = item.spec.terms
         objective = terms.slack * item.work_ms + terms.objective_ms
--- a/packages/engine/swifthoist_engine/model.py
+++ b/packages/engine/swifthoist_engine/model.py
@@ -123,14 +123,17 @@
 
     :ivar restore_ms: time that a run needs to go on from a checkpoint, in ms.
     :ivar reclaim_ms: time within which a guarantee is to be met, in ms.
+    :ivar far_factor: how many times as long a task takes that is far from its
+        data, or a gang over several racks.
     """
 
     restore_ms: Millis
     reclaim_ms: Millis
+    far_factor: float
 
 
-USUAL_TERMS = SiteTerms(restore_ms=100, reclaim_ms=2_900)
-"""What is gone by where settings tell nothing, in ms."""
+USUAL_TERMS = SiteTerms(restore_ms=100, reclaim_ms=2_900, far_factor=3)
+"""What is gone by where settings tell nothing."""
 
 
 class Schedule(NamedTuple):
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -23,10 +23,6 @@
 from swifthoist_engine.records import Placement
 from swifthoist_engine.runners import RunnerView
 
-RACK_PATIENCE = 1.0
-"""How long a task waits for the rack of its data, as a multiple of its
-declared duration: far away it takes longer than that in addition."""
-
 PROMISED_RACK_SHARE = 2 / 3
 """Share of the time within which a guarantee is to be met that a unit covered by
 it waits for one rack; stops and starts elsewhere take the rest."""
@@ -144,7 +140,8 @@
         since = waiting.due_ms
         if waiting.state is not None:
             since = max(since, waiting.state.idle_since_ms)
-        patience = RACK_PATIENCE * waiting.step.estimate_ms
+        # Far away it takes so much longer; then it would have been worth it.
+        patience = (self._terms.far_factor - 1) * waiting.step.estimate_ms
         if waiting.promised:
             patience = PROMISED_RACK_SHARE * self._terms.reclaim_ms
         elif waiting.urgent:
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -244,7 +244,9 @@
 
     def _site_terms(self) -> SiteTerms:
         bounds = self._settings.boot.bounds
-        return SiteTerms(bounds.restore_ms, bounds.reclaim_ms)
+        return SiteTerms(
+            bounds.restore_ms, bounds.reclaim_ms, bounds.far_factor
+        )
 
     def _open_machines(self) -> MachinesClient:
         endpoint = self._open(lambda: self._settings.boot.machines_address)
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -254,7 +254,8 @@
         evidence = self._shared.evidence
         match end.ending:
             case Ending.DONE:
-                evidence.note_done(self.contact.runner, began_ms)
+                runner = self.contact.runner
+                evidence.note_done(runner, end.task.job, began_ms)
             case Ending.FAILED:
                 now_ms = self._shared.follower.time.now_ms()
                 evidence.note_failed(self.contact.runner, end.task.job, now_ms)
--- a/packages/platform/swifthoist_platform/boot.py
+++ b/packages/platform/swifthoist_platform/boot.py
@@ -33,7 +33,7 @@
 
 
 class Bounds(NamedTuple):
-    """Bounds of the platform, all in ms.
+    """Bounds of the platform, all times in ms.
 
     :ivar lease_max_ms: longest lease that a runner grants.
     :ivar stop_ms: longest time that a stop takes.
@@ -47,6 +47,7 @@
     :ivar duty_lease_ms: lease of whoever orders work on machines.
     :ivar restore_ms: time that a run needs to go on from a checkpoint.
     :ivar reclaim_ms: time within which a guarantee is to be met.
+    :ivar far_factor: how many times as long a task takes far from its data.
     """
 
     lease_max_ms: Millis
@@ -61,6 +62,7 @@
     duty_lease_ms: Millis
     restore_ms: Millis
     reclaim_ms: Millis
+    far_factor: float
 
 
 class Boot(NamedTuple):
@@ -171,4 +173,5 @@
         duty_lease_ms=reader.whole(names.LEASE_MS, 3_000),
         restore_ms=reader.whole(names.RESTORE_MS, USUAL_TERMS.restore_ms),
         reclaim_ms=reader.whole(names.RECLAIM_MS, USUAL_TERMS.reclaim_ms),
+        far_factor=reader.number(names.REMOTE_FACTOR, USUAL_TERMS.far_factor),
     )
--- a/tests/engine/test_evidence.py
+++ b/tests/engine/test_evidence.py
@@ -27,7 +27,7 @@
         """It can do work after all."""
         self.evidence.note_hang('r', 'one', NOW_MS)
         self.assertGreater(self.evidence.suspicion('r', NOW_MS), 1)
-        self.evidence.note_done('r', NOW_MS + 1)
+        self.evidence.note_done('r', 'two', NOW_MS + 1)
         self.assertEqual(self.evidence.suspicion('r', NOW_MS), 0)
 
     def test_a_run_that_began_before_a_failure_does_not_clear_a_runner(
@@ -35,7 +35,22 @@
     ) -> None:
         """A runner that fails what it starts still ends what it had."""
         self.evidence.note_failed('r', 'one', NOW_MS)
-        self.evidence.note_done('r', NOW_MS - 1)
+        self.evidence.note_done('r', 'two', NOW_MS - 1)
+        self.assertEqual(self.evidence.suspicion('r', NOW_MS), 1)
+
+    def test_a_job_that_fails_everywhere_says_nothing_about_runners(
+        self,
+    ) -> None:
+        """Else two of them would put all runners out of use."""
+        for runner in 'rstu':
+            self.evidence.note_failed(runner, 'one', NOW_MS)
+        self.assertEqual(self.evidence.suspicion('r', NOW_MS), 0)
+
+    def test_a_job_of_which_a_task_was_done_counts_on(self) -> None:
+        """It is not at fault itself, however many runners fail it."""
+        for runner in 'rstu':
+            self.evidence.note_failed(runner, 'one', NOW_MS)
+        self.evidence.note_done('v', 'one', NOW_MS)
         self.assertEqual(self.evidence.suspicion('r', NOW_MS), 1)
 
     def test_evidence_grows_old(self) -> None:
--- a/tests/engine/test_planner.py
+++ b/tests/engine/test_planner.py
@@ -89,14 +89,16 @@
         self.assertEqual(set(placed[unit]), {'runner-1', 'runner-2'})
 
     def test_a_gang_waits_for_one_rack_for_a_while(self) -> None:
-        """Then it takes what there is, rather than starve."""
+        """For as long as several racks would cost it, which is 2 s here."""
         scene = Scene(
             job_spec('j', BATCH, gang(2)), job_spec('k', BULK, task(WHOLE))
         )
         scene.start(UnitId('k', 0, 0, 0), 'runner-1')
         views = [view(0, 0), view(1, 0), view(2, 1)]
         self.assertEqual(scene.decide(views).starts, ())
-        later = scene.decide(views, now_ms=NOW_MS + 1_100)
+        later = scene.decide(views, now_ms=NOW_MS + 1_900)
+        self.assertEqual(later.starts, ())
+        later = scene.decide(views, now_ms=NOW_MS + 2_100)
         self.assertEqual(len(later.starts), 1)
 
     def test_a_gang_starts_whole_or_not_at_all(self) -> None:
