Let a unit wait for sound runners only while these could hold it, or for 2 s

Found by reading: where too much speaks against all runners that may run a unit (few have its label, or two hopeless jobs struck all), it waited for up to 12 s on a site that may be idle, and a job that stands still for 3 s counts as lost. Now doubts bar nothing after 2 s where the other runners could not hold the unit if they were empty. A gang's rack that has a doubtful runner is waited for, too, in place of spreading the gang over racks at once. Both have a test that fails on the code before.

--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -37,6 +37,10 @@
 multiple of its declared duration has passed."""
 
 
+DOUBT_PATIENCE_MS = 2_000
+"""How long a unit waits for sound runners where there are too few of them, in ms:
+less than the 3 s after which a job counts as standing still."""
+
 NO_LIMIT = 1_000_000
 """Attempts of a unit that may fail as often as it likes."""
 
@@ -101,7 +105,7 @@
         if step.gang and step.same_rack and waiting.members > 1:
             racks = self._by_rack(names)
             groups = [racks[rack] for rack in self._rank_racks(waiting, racks)]
-            if not groups or self._patience_over(waiting):
+            if self._patience_over(waiting) or not self._has_rack(waiting):
                 groups.append(names)
             return groups
         if not step.data_rack:
@@ -113,40 +117,52 @@
         return [near, names]
 
     def eligible(self, waiting: Waiting) -> list[RunnerId]:
-        """List the runners that may run a task of a unit at all.
+        """List the runners that may run a task of a unit now.
+
+        Those against which too much speaks are left out, unless the others
+        could not hold the unit even if they were empty, for a while.
 
         :param waiting: the unit.
         :returns: ids of runners, whatever room they have.
         """
+        able = self._able(waiting)
+        if not self._mechanisms.sound_attempts:
+            return able
+        views = self.board.views
+        left = attempts_left(waiting)
+        sound = [name for name in able if views[name].suspicion < left]
+        if self._waited_ms(waiting) <= DOUBT_PATIENCE_MS:
+            return sound
+        enough = _could_hold(waiting, [views[name] for name in sound])
+        return sound if enough else able
+
+    def _able(self, waiting: Waiting) -> list[RunnerId]:
+        """List the runners that could run a task of a unit at all."""
         allowed = None
         if waiting.advised:
             allowed = self._allowed.get(waiting.unit[:3], frozenset())
         return [
             name
             for name, view in self.board.views.items()
-            if _may_run(waiting, view)
-            and (allowed is None or name in allowed)
-            and not self._too_doubtful(waiting, view)
+            if _may_run(waiting, view) and (allowed is None or name in allowed)
         ]
 
-    def _too_doubtful(self, waiting: Waiting, view: RunnerView) -> bool:
-        return self._mechanisms.sound_attempts and (
-            view.suspicion >= attempts_left(waiting)
-        )
+    def _waited_ms(self, waiting: Waiting) -> Millis:
+        since = waiting.due_ms
+        if waiting.state is not None:
+            since = max(since, waiting.state.idle_since_ms)
+        return self._now_ms - since
 
     def _patience_over(self, waiting: Waiting) -> bool:
         if not self._mechanisms.rack_patience:
             return True
-        since = waiting.due_ms
-        if waiting.state is not None:
-            since = max(since, waiting.state.idle_since_ms)
         # Far away it takes so much longer; then it would have been worth it.
         patience = (self._terms.far_factor - 1) * waiting.step.estimate_ms
         if waiting.promised:
             patience = PROMISED_RACK_SHARE * self._terms.reclaim_ms
         elif waiting.urgent:
             patience = URGENT_RACK_PATIENCE * waiting.step.estimate_ms
-        return self._now_ms - since > patience
+        return self._waited_ms(waiting) > patience
 
     def _by_rack(
         self, names: Iterable[RunnerId]
@@ -156,6 +172,11 @@
             racks[self.board.views[name].rack].append(name)
         return racks
 
+    def _has_rack(self, waiting: Waiting) -> bool:
+        """Tell whether some rack could hold a unit, if all of it were sound."""
+        racks = self._by_rack(self._able(waiting))
+        return bool(self._rank_racks(waiting, racks))
+
     def _rank_racks(
         self, waiting: Waiting, racks: Mapping[RackId, list[RunnerId]]
     ) -> list[RackId]:
--- a/tests/engine/test_attempts.py
+++ b/tests/engine/test_attempts.py
@@ -13,6 +13,7 @@
     BATCH,
     BULK,
     NOW_MS,
+    WHOLE,
     Scene,
     gang,
     job_spec,
@@ -43,7 +44,10 @@
 
     def setUp(self) -> None:
         """Have a gang with one attempt left of two."""
-        self.scene = Scene(job_spec('j', BATCH, gang(1)))
+        self.scene = Scene(
+            job_spec('j', BATCH, gang(1)), job_spec('k', BULK, task(WHOLE))
+        )
+        self.scene.start(UnitId('k', 0, 0, 0), 'runner-9')
         self.scene.start(GANG, 'runner-0')
         self.scene.end(TaskId('j', 0, 0, 0), 'runner-0', Ending.FAILED)
 
@@ -55,6 +59,28 @@
         decision = self.scene.decide([bad, view(1)], now_ms=LATER_MS)
         self.assertEqual(places(decision), {GANG: ['runner-1']})
 
+    def test_a_last_attempt_does_not_stand_still_where_all_are_doubtful(
+        self,
+    ) -> None:
+        """There is nothing to wait for; after 3 s it would count as lost."""
+        views = [view(0, suspicion=1), view(1, suspicion=1)]
+        early = self.scene.decide(views, now_ms=NOW_MS + 1_900)
+        self.assertEqual(early.starts, ())
+        late = self.scene.decide(views, now_ms=NOW_MS + 2_100)
+        self.assertEqual(len(late.starts), 1)
+        views.append(view(9))
+        late = self.scene.decide(views, now_ms=NOW_MS + 2_100)
+        self.assertEqual(late.starts, ())
+
+    def test_a_rack_with_a_doubtful_runner_is_waited_for(self) -> None:
+        """Several racks would cost more than the wait."""
+        scene = Scene(job_spec('g', BATCH, gang(2)))
+        scene.start(UnitId('g', 0, 0, -1), 'runner-0', 'runner-1')
+        scene.end(TaskId('g', 0, 0, 0), 'runner-0', Ending.FAILED)
+        scene.end(TaskId('g', 0, 0, 1), 'runner-1', Ending.BROKEN)
+        views = [view(0, 0, suspicion=1), view(1, 0), view(2, 1)]
+        self.assertEqual(scene.decide(views, now_ms=LATER_MS).starts, ())
+
     def test_a_last_attempt_stops_nothing_on_a_doubtful_runner(self) -> None:
         """Room there would be of no use to it."""
         decision = self.scene.decide([view(0, suspicion=2)], now_ms=LATER_MS)
