--- a/Makefile
+++ b/Makefile
@@ -62,8 +62,9 @@
 ablation: setup  ## Leave each part of a decision out in turn (SEEDS=plays a load).
 	$(PY) -m bench.ablation --seeds=$(or $(SEEDS),5)
 
-losses: setup  ## Tell where the time of late jobs went (LOG=logs of all instances).
-	$(PY) -m experiments.losses $(LOG)
+losses: setup  ## Tell where the time of late jobs went (LOG=logs, PLOT=picture).
+	$(PY) -m pip install -q -c constraints.txt -r requirements-experiments.txt
+	$(PY) -m experiments.losses $(LOG) --picture=$(PLOT)
 
 bound: setup  ## Compare the decisions with what any scheduler could reach.
 	$(PY) -m pip install -q -c constraints.txt -r requirements-experiments.txt
--- a/experiments/lines.py
+++ b/experiments/lines.py
@@ -1,7 +1,8 @@
-"""Lines of the logs of instances, with the time of the play before each."""
+"""Lines of the logs of instances, as they are or with the time of a play before."""
 
 import json
 from collections.abc import Iterable, Iterator
+from datetime import datetime
 from typing import Any, NamedTuple, TypeAlias
 
 JSON_MARK = '{"time"'
@@ -12,7 +13,8 @@
 class Moment(NamedTuple):
     """A line of a log.
 
-    :ivar at_s: when it was written, from the start of traffic.
+    :ivar at_s: when it was written, in seconds from the start of traffic or
+        since the Unix epoch.
     :ivar line: what it says.
     """
 
@@ -21,7 +23,7 @@
 
 
 def read_lines(lines: Iterable[str]) -> Iterator[Moment]:
-    """Read logs with the time of the play before each line.
+    """Read logs; lines without a time of a play have their own time of day.
 
     :param lines: lines of the logs of all instances.
     :returns: those that can be read.
@@ -31,6 +33,13 @@
         if not mark:
             continue
         try:
-            yield Moment(float(head.split()[0]), json.loads(mark + rest))
-        except (ValueError, IndexError):
+            line = json.loads(mark + rest)
+            at_s = float(head.split()[0]) if head.strip() else _seconds(line)
+            yield Moment(at_s, line)
+        except (ValueError, KeyError):
             continue
+
+
+def _seconds(line: Line) -> float:
+    """Tell when a line was written, in seconds since the Unix epoch."""
+    return datetime.fromisoformat(line['time'].replace(',', '.')).timestamp()
--- a/tests/accounts/test_losses.py
+++ b/tests/accounts/test_losses.py
@@ -63,6 +63,13 @@
         self.assertAlmostEqual(account.parts['no holder'], 2.5)
         self.assertEqual(account.cause, 'no holder')
 
+    def test_lines_without_a_time_of_a_play_go_by_their_own(self) -> None:
+        """So do those of a real day."""
+        text = '{"time": "2026-12-04 05:00:01,500", "message": "start"}'
+        later = text.replace('01,500', '02,250')
+        moments = list(read_lines([text, later]))
+        self.assertAlmostEqual(moments[1].at_s - moments[0].at_s, 0.75)
+
     def test_a_job_that_is_canceled_is_not_owed(self) -> None:
         """Nor is it counted."""
         lines = [_accepted(0), _line(1.0, 'recorded', record='Canceled')]
