--- a/experiments/losses.py
+++ b/experiments/losses.py
@@ -213,12 +213,12 @@
 
     late = [it for it in accounts if it.verdict != 'in time']
     causes = sorted({it.cause for it in late})
-    figure, axes = pyplot.subplots()
+    figure, axes = pyplot.subplots(layout='constrained')
     times = [[it.asked_s for it in late if it.cause == c] for c in causes]
     axes.hist(times, bins=20, stacked=True, label=causes)
     axes.set_xlabel('first asked for, seconds of traffic')
     axes.set_ylabel('jobs not in time')
-    axes.legend()
+    figure.legend(loc='outside upper center', ncols=4)
     figure.savefig(path)
 
 
