--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -30,6 +30,7 @@
 SLOW_FACTOR = 6
 LATE_FACTOR = 3
 RECLAIM_MS = 2_700
+"""Time within which a guarantee is to be met, in ms; least of the sites' settings."""
 
 LOOK_MS = 500
 """Until a look shows that a run stands still, in ms."""
@@ -40,6 +41,14 @@
 BEST_LOST = 0.001
 """Share of jobs that are not served at which their count is best."""
 
+WORTH_WEIGHT = 0.4
+NINES_WEIGHT = 0.35
+WINDOWS_WEIGHT = 0.15
+QUEUE_WEIGHT = 0.1
+TEAMS_WEIGHT = 0.2
+WEIGHTS = 1.2
+"""What counts on the sheet of dhuan-naqsha, and its sum."""
+
 WASTE_PRICE = 0.0015
 """What a core-second that came to nothing costs, in worth."""
 
@@ -302,10 +311,11 @@
     def _leave(self) -> None:
         """Have whatever runs on runners that leave start elsewhere."""
         for key, running in list(self._running.items()):
-            if self._within(self._gone, _number(running.run)):
-                if key in self._running:
-                    self._end(key, Ending.STOPPED)
-                    self._break_gang(running.run)
+            gone = self._within(self._gone, _number(running.run))
+            # It may have been broken off with its gang meanwhile.
+            if gone and key in self._running:
+                self._end(key, Ending.STOPPED)
+                self._break_gang(running.run)
         self._plan_soon()
 
     def _time_for(self, work: float, numbers: list[int]) -> float:
@@ -404,12 +414,12 @@
         lost = max(1 - served, BEST_LOST)
         nines = math.log(lost) / math.log(BEST_LOST)
         goal = (
-            0.4 * worth
-            + 0.35 * nines
-            + 0.15 * windows
-            + 0.1 * min(by_queue.values())
-            + 0.2 * teams
-        ) / 1.2 - WASTE_PRICE * self._wasted / sum(owed.values())
+            WORTH_WEIGHT * worth
+            + NINES_WEIGHT * nines
+            + WINDOWS_WEIGHT * windows
+            + QUEUE_WEIGHT * min(by_queue.values())
+            + TEAMS_WEIGHT * teams
+        ) / WEIGHTS - WASTE_PRICE * self._wasted / sum(owed.values())
         return Played(
             worth,
             served,
--- a/experiments/losses.py
+++ b/experiments/losses.py
@@ -22,6 +22,8 @@
 the longest pause between its decisions."""
 
 WINDOW_S = 4.0
+"""Length of the windows by which late jobs are summed, in seconds."""
+
 UNACCEPTED = 'not accepted'
 HOLDERLESS = 'no holder'
 WAITING = 'no room'
