--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -3,12 +3,10 @@
 import heapq
 import math
 import random
-import statistics
-from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
+from bench.judging import Judge, Played
 from bench.load import Arrival, SiteLoad, Spell, arrivals
 from swifthoist_engine.catalogue import Catalogue, Queue, Team
 from swifthoist_engine.cell import Cell
@@ -28,30 +26,12 @@
 FAR_FACTOR = 3
 GREY_FAILS_MS = 300
 SLOW_FACTOR = 6
-LATE_FACTOR = 3
 RECLAIM_MS = 2_700
 """Time within which a guarantee is to be met, in ms; least of the sites' settings."""
 
 LOOK_MS = 500
 """Until a look shows that a run stands still, in ms."""
 
-WINDOW_MS = 4_000
-"""Length of the windows of which the worst two count, in ms."""
-
-BEST_LOST = 0.001
-"""Share of jobs that are not served at which their count is best."""
-
-WORTH_WEIGHT = 0.4
-NINES_WEIGHT = 0.35
-WINDOWS_WEIGHT = 0.15
-QUEUE_WEIGHT = 0.1
-TEAMS_WEIGHT = 0.2
-WEIGHTS = 1.2
-"""What counts on the sheet of dhuan-naqsha, and its sum."""
-
-WASTE_PRICE = 0.0015
-"""What a core-second that came to nothing costs, in worth."""
-
 DECIDE = 'decide'
 IDLE = 'idle'
 LEAVE = 'leave'
@@ -60,28 +40,6 @@
 Policy = Callable[[World, int], Decision]
 
 
-class Played(NamedTuple):
-    """What came of a load.
-
-    :ivar worth: credit earned of the credit owed.
-    :ivar served: share of the jobs that were done at all.
-    :ivar windows: worth of the worst two windows.
-    :ivar goal: worth, served in nines, windows and the worst queue and teams
-        together, less what was wasted: what customers go by.
-    :ivar by_queue: the same for each queue.
-    :ivar wasted: core-seconds that came to nothing, for each job.
-    :ivar reclaim_ms: waits of urgent jobs for their first start.
-    """
-
-    worth: float
-    served: float
-    windows: float
-    goal: float
-    by_queue: dict[str, float]
-    wasted: float
-    reclaim_ms: list[int]
-
-
 @dataclass(slots=True)
 class _Running:
     run: OpenRun
@@ -121,7 +79,8 @@
             if self._now > limit_ms:
                 break
             self._handle(event)
-        return self._judge()
+        judge = Judge(self._cell, self._jobs)
+        return judge.judge(self._wasted, self._waits)
 
     def _next(self) -> object:
         at_ms, _, event = heapq.heappop(self._events)
@@ -399,66 +358,6 @@
         spec = self._jobs[run.task.job].spec
         return spec.steps[0]
 
-    def _judge(self) -> Played:
-        owed: dict[str, float] = {}
-        earned: dict[str, float] = {}
-        for item in self._jobs.values():
-            queue = item.kind.queue
-            owed[queue] = owed.get(queue, 0) + item.worth
-            earned[queue] = earned.get(queue, 0) + self._credit(item)
-        by_queue = {queue: earned[queue] / owed[queue] for queue in owed}
-        worth = sum(earned.values()) / sum(owed.values())
-        served = sum(map(self._done, self._jobs)) / len(self._jobs)
-        windows = self._worst(lambda it: it.spec.accepted_ms // WINDOW_MS)
-        teams = self._worst(lambda it: it.spec.team)
-        lost = max(1 - served, BEST_LOST)
-        nines = math.log(lost) / math.log(BEST_LOST)
-        goal = (
-            WORTH_WEIGHT * worth
-            + NINES_WEIGHT * nines
-            + WINDOWS_WEIGHT * windows
-            + QUEUE_WEIGHT * min(by_queue.values())
-            + TEAMS_WEIGHT * teams
-        ) / WEIGHTS - WASTE_PRICE * self._wasted / sum(owed.values())
-        return Played(
-            worth,
-            served,
-            windows,
-            goal,
-            by_queue,
-            self._wasted / len(self._jobs),
-            sorted(self._waits),
-        )
-
-    def _done(self, name: str) -> bool:
-        job = self._cell.state.jobs.get(name)
-        if job is None:
-            return False
-        return job.failed if self._jobs[name].hopeless else job.complete
-
-    def _worst(self, part: Callable[[Arrival], object]) -> float:
-        """Tell the mean worth of the two worst parts of the jobs."""
-        owed: dict[object, float] = defaultdict(float)
-        earned: dict[object, float] = defaultdict(float)
-        for item in self._jobs.values():
-            owed[part(item)] += item.worth
-            earned[part(item)] += self._credit(item)
-        shares = sorted(earned[key] / owed[key] for key in owed)
-        return statistics.mean(shares[:2])
-
-    def _credit(self, item: Arrival) -> float:
-        job = self._cell.state.jobs.get(item.spec.job)
-        if job is None or not self._done(item.spec.job):
-            return 0
-        terms = item.spec.terms
-        objective = terms.slack * item.work_ms + terms.objective_ms
-        took = job.finished_ms - item.spec.accepted_ms
-        if took <= objective:
-            return item.worth
-        if took <= LATE_FACTOR * objective:
-            return item.worth * item.kind.late / item.kind.worth
-        return 0
-
 
 def _name(number: int) -> str:
     return f'runner-{number:03}'
