Failing test: newcomers that press the store's reads never follow the log

What callers see: 503 from every instance, for as long as it lasts. The time until an answer begins is fixed (1.7 s), and the size that is asked for is, too (1 MB); where the store serves all reads at a common rate, more newcomers than it can serve in that time give their reads up, and ask for the same again, for ever. The stand-in has such a rate now; as other plays give it none, nothing changes in them.

--- a/packages/emulator/swifthoist_emulator/store_calls.py
+++ b/packages/emulator/swifthoist_emulator/store_calls.py
@@ -1,6 +1,7 @@
 """The store stand-in's calls."""
 
 import base64
+import math
 import struct
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from typing import NamedTuple
@@ -34,6 +35,7 @@
     """The store.
 
     :ivar topics: topics by name.
+    :ivar read_bytes_s: rate that all reads share, in bytes a second.
     """
 
     def __init__(self, faults: Faults, now_ms: Callable[[], Millis]) -> None:
@@ -43,6 +45,8 @@
         :param now_ms: tells the store's time.
         """
         self.topics: dict[str, Topic] = {}
+        self.read_bytes_s = math.inf
+        self._reading = anyio.Lock()
         self._faults = faults
         self._now_ms = now_ms
         self._grown = anyio.Event()
@@ -101,7 +105,11 @@
                 await anyio.sleep(fault.delay_s)
             case _:
                 pass
-        return await serve(request)
+        response = await serve(request)
+        if math.isfinite(self.read_bytes_s):
+            async with self._reading:
+                await anyio.sleep(len(response.content) / self.read_bytes_s)
+        return response
 
     async def _append(self, request: Request) -> Response:
         append = self._decode(request)
--- a/tests/simulation/test_links.py
+++ b/tests/simulation/test_links.py
@@ -103,5 +103,31 @@
         play(scene, wired=True)
 
 
+class SharedReadsTest(unittest.TestCase):
+    """Reads that all instances make at once are served at a common rate."""
+
+    def test_newcomers_read_the_log_from_a_store_that_is_pressed_by_all(
+        self,
+    ) -> None:
+        """Three reads of the largest size take four seconds here."""
+        rate = 800_000
+        log = 3 * MAX_READ_KB * 1_024
+
+        async def scene(cluster: Cluster) -> None:
+            await cluster.holder()
+            await _grow_log(cluster, log)
+            for node in cluster.nodes:
+                node.kill()
+            cluster.world.store.read_bytes_s = rate
+            for node in cluster.nodes:
+                node.start()
+            limit_s = START_S + len(cluster.nodes) * log / (SHARE * rate)
+            await wait_until(lambda: all(map(_ready, cluster.nodes)), limit_s)
+            await cluster.holder()
+
+        world = play(scene, wired=True)
+        self.assertEqual(world.witness.broken, [])
+
+
 if __name__ == '__main__':
     unittest.main()
