Ask for less of the log behind a read that failed

Callers got 503 from every newcomer, for good, where more instances read the log at once than the store serves in the time of a read. Cause: a read always asked for 1 MB and always had 1.7 s until its answer began; one that was given up was asked for again in the same size, beside what the store still did for those before.

Ruled out as remedies: more time for each try (a newcomer would wait on connections that fell silent), and a smaller read for all (a call is priced, and 1 MB is right where the store serves it). Now the size is halved behind a failure, down to 16 KB, and grows by 64 KB behind each read that succeeds; a record that is larger than what is asked for stops nobody. The log tells the size with log lost and log caught up.

--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -16,6 +16,7 @@
 from swifthoist_instance.cell_time import CellTime
 from swifthoist_instance.faults import Faults
 from swifthoist_instance.journal import CELL_TOPIC
+from swifthoist_instance.read_size import ReadSize
 from swifthoist_platform.store import Batch
 
 READ_WAIT_S = 1.0
@@ -49,7 +50,12 @@
     """What the follower asks of the store."""
 
     async def read(
-        self, topic: str, start: Offset, wait_s: float, timeout_s: float
+        self,
+        topic: str,
+        start: Offset,
+        wait_s: float,
+        timeout_s: float,
+        most_kb: int,
     ) -> Batch:
         """Read records in order, waiting for the first one."""
 
@@ -105,6 +111,7 @@
         self.time = CellTime(clock)
         self._behind_ms: Millis | None = None
         self._failing = False
+        self._size = ReadSize()
         self._progress = anyio.Event()
         # Whether a read waits at the store that brings whatever comes.
         self._current = False
@@ -153,8 +160,10 @@
                 await self._catch_up(exc.earliest)
             except LogUnavailableError as exc:
                 self._note_failure(exc)
+                self._size.note_failed()
                 await anyio.sleep(RETRY_S)
             else:
+                self._size.note_served()
                 self._note_read(began_ms, batch)
                 await self._gather(batch)
 
@@ -164,7 +173,11 @@
         wait_s = READ_WAIT_S if self.caught_up and self._current else 0
         timeout_s = READ_WAIT_S + READ_GRACE_S
         return await self._store.read(
-            CELL_TOPIC, self.position, wait_s, timeout_s
+            CELL_TOPIC,
+            self.position,
+            wait_s,
+            timeout_s,
+            self._size.most_kb,
         )
 
     async def _gather(self, batch: Batch) -> None:
@@ -218,7 +231,11 @@
 
     def _note_failure(self, exc: LogUnavailableError) -> None:
         if not self._failing:
-            about = {'position': self.position, 'reason': str(exc)}
+            about = {
+                'position': self.position,
+                'most_kb': self._size.most_kb,
+                'reason': str(exc),
+            }
             _log.warning('log lost', extra=about)
         self._failing = True
         self.healthy_ms = None
@@ -237,7 +254,11 @@
         self.time.note(self.cell.state, fresh=self.caught_up)
         if not self.caught_up and self.position >= batch.end:
             took_ms = self._clock.boot_ms() - self._began_ms
-            about = {'position': self.position, 'took_ms': took_ms}
+            about = {
+                'position': self.position,
+                'took_ms': took_ms,
+                'most_kb': self._size.most_kb,
+            }
             _log.info('log caught up', extra=about)
         self.caught_up = self.position >= batch.end
         self.confirmed_ms = began_ms
--- /dev/null
+++ b/packages/instance/swifthoist_instance/read_size.py
@@ -0,0 +1,34 @@
+"""How much a read of the log asks for.
+
+Reads share the machine's link and the store. Where one can't be served in its
+time, asking for the same again may fail for ever, so the size follows what is
+served: it is halved behind a failure and grows by steps while reads succeed.
+"""
+
+from swifthoist_platform.store import MAX_READ_KB
+
+MIN_READ_KB = 16
+"""Least that a read asks for, in KB: a few dozen records of the usual size."""
+
+STEP_KB = 64
+"""Growth behind a read that succeeded, in KB; four of them reach the largest
+record that a store takes."""
+
+
+class ReadSize:
+    """The size of the next read.
+
+    :ivar most_kb: most that it asks for, in KB.
+    """
+
+    def __init__(self) -> None:
+        """Begin with the largest read."""
+        self.most_kb = MAX_READ_KB
+
+    def note_failed(self) -> None:
+        """Ask for less."""
+        self.most_kb = max(self.most_kb // 2, MIN_READ_KB)
+
+    def note_served(self) -> None:
+        """Ask for more."""
+        self.most_kb = min(self.most_kb + STEP_KB, MAX_READ_KB)
--- a/tests/instance/fakes.py
+++ b/tests/instance/fakes.py
@@ -13,6 +13,7 @@
 from swifthoist_core.types import Offset
 from swifthoist_emulator.topics import Numbered, Topic
 from swifthoist_platform.store import (
+    MAX_READ_KB,
     Append,
     AppendConflictError,
     Batch,
@@ -98,7 +99,12 @@
         self.publish(topic, key, content)
 
     async def read(
-        self, topic: str, start: Offset, wait_s: float, timeout_s: float
+        self,
+        topic: str,
+        start: Offset,
+        wait_s: float,
+        timeout_s: float,
+        most_kb: int = MAX_READ_KB,
     ) -> Batch:
         """Read records, waiting for the first."""
         await self._fail_to_read(timeout_s)
--- /dev/null
+++ b/tests/instance/test_read_size.py
@@ -0,0 +1,97 @@
+"""Tests of how much a read of the log asks for."""
+
+import unittest
+
+import anyio
+
+from swifthoist_core.errors import LogUnavailableError
+from swifthoist_core.types import Offset
+from swifthoist_engine.cell import Cell
+from swifthoist_instance.follower import Follower
+from swifthoist_instance.read_size import MIN_READ_KB, ReadSize
+from swifthoist_platform.store import MAX_READ_KB, Batch
+from tests.engine.scenes import KEEP_MS
+from tests.instance.fakes import LoopClock, run
+
+LARGEST_KB = 256
+"""Largest record of the platform's store, in KB."""
+
+RECORD = bytes(LARGEST_KB * 1_024)
+LIMIT_S = 10
+
+
+class _Strict:
+    """A store that fails for a while, then sends nothing beyond the size.
+
+    :ivar asked: sizes that were asked for, in KB.
+    """
+
+    def __init__(self, failures: int) -> None:
+        """Fail some reads, and have one record of the largest size."""
+        self.asked: list[int] = []
+        self._failures = failures
+
+    async def read(
+        self,
+        topic: str,
+        start: Offset,
+        wait_s: float,
+        timeout_s: float,
+        most_kb: int,
+    ) -> Batch:
+        """Read the record, if it is asked for."""
+        self.asked.append(most_kb)
+        await anyio.sleep(0.01)
+        if len(self.asked) <= self._failures:
+            raise LogUnavailableError('no answer in time')
+        if start or most_kb * 1_024 < len(RECORD):
+            return Batch(start, (), 1)
+        return Batch(start, (RECORD,), 1)
+
+
+class ReadSizeTest(unittest.TestCase):
+    """Reads shrink until they are served."""
+
+    def test_a_read_that_fails_is_followed_by_smaller_ones_down_to_a_floor(
+        self,
+    ) -> None:
+        """Each asks for half."""
+        size = ReadSize()
+        sizes = []
+        for _ in range(9):
+            sizes.append(size.most_kb)
+            size.note_failed()
+        self.assertEqual(sizes[:3], [MAX_READ_KB, 512, 256])
+        self.assertEqual(size.most_kb, MIN_READ_KB)
+
+    def test_reads_that_succeed_grow_back_to_the_largest(self) -> None:
+        """They never ask for more than that."""
+        size = ReadSize()
+        size.note_failed()
+        for _ in range(MAX_READ_KB):
+            before = size.most_kb
+            size.note_served()
+            self.assertGreaterEqual(size.most_kb, before)
+        self.assertEqual(size.most_kb, MAX_READ_KB)
+
+    def test_a_record_larger_than_the_smallest_read_does_not_stop_a_newcomer(
+        self,
+    ) -> None:
+        """The store sends nothing of it until enough is asked for."""
+        store = _Strict(failures=8)
+
+        async def scene() -> None:
+            follower = Follower(store, Cell(KEEP_MS), LoopClock())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(follower.run)
+                with anyio.fail_after(LIMIT_S):
+                    while not follower.caught_up:
+                        await follower.wait_progress()
+                tasks.cancel_scope.cancel()
+
+        run(scene)
+        self.assertIn(MIN_READ_KB, store.asked)
+
+
+if __name__ == '__main__':
+    unittest.main()
