Ask for less only where no answer came in time, and catch up without pauses

A refusal leaves the size alone now, a read grows only where there is more than it brought, and whoever is behind reads on at once. test_a_store_that_refuses_is_not_asked_for_less fails without this.

--- a/packages/core/swifthoist_core/errors.py
+++ b/packages/core/swifthoist_core/errors.py
@@ -80,6 +80,10 @@
     """The platform's log did not answer in time or refused to serve."""
 
 
+class LogSilentError(LogUnavailableError):
+    """A read of the platform's log got no whole answer in its time."""
+
+
 class LogExpiredError(SwifthoistError):
     """The records asked for are older than the log keeps.
 
--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -8,7 +8,11 @@
 import msgspec
 
 from swifthoist_core.clock import Clock
-from swifthoist_core.errors import LogExpiredError, LogUnavailableError
+from swifthoist_core.errors import (
+    LogExpiredError,
+    LogSilentError,
+    LogUnavailableError,
+)
 from swifthoist_core.types import Millis, Offset
 from swifthoist_engine.cell import Cell, CellState
 from swifthoist_engine.records import Record, decode_record
@@ -160,10 +164,11 @@
                 await self._catch_up(exc.earliest)
             except LogUnavailableError as exc:
                 self._note_failure(exc)
-                self._size.note_failed()
+                # A refusal says nothing about what can be carried in time.
+                if isinstance(exc, LogSilentError):
+                    self._size.note_unserved()
                 await anyio.sleep(RETRY_S)
             else:
-                self._size.note_served()
                 self._note_read(began_ms, batch)
                 await self._gather(batch)
 
@@ -182,7 +187,7 @@
 
     async def _gather(self, batch: Batch) -> None:
         self._current = self.eager or not batch.records
-        if self._current:
+        if self._current or not self.caught_up:
             return
         self._hurried = anyio.Event()
         with anyio.move_on_after(GATHER_S):
@@ -261,6 +266,8 @@
             }
             _log.info('log caught up', extra=about)
         self.caught_up = self.position >= batch.end
+        if not self.caught_up:
+            self._size.note_filled()
         self.confirmed_ms = began_ms
         self._announce()
 
--- a/packages/instance/swifthoist_instance/read_size.py
+++ b/packages/instance/swifthoist_instance/read_size.py
@@ -2,7 +2,8 @@
 
 Reads share the machine's link and the store. Where one can't be served in its
 time, asking for the same again may fail for ever, so the size follows what is
-served: it is halved behind a failure and grows by steps while reads succeed.
+served: it is halved where no answer came in time, and grows by steps while reads
+bring all that they ask for.
 """
 
 from swifthoist_platform.store import MAX_READ_KB
@@ -11,7 +12,7 @@
 """Least that a read asks for, in KB: a few dozen records of the usual size."""
 
 STEP_KB = 64
-"""Growth behind a read that succeeded, in KB; four of them reach the largest
+"""Growth behind a read that was filled, in KB; four of them reach the largest
 record that a store takes."""
 
 
@@ -25,10 +26,10 @@
         """Begin with the largest read."""
         self.most_kb = MAX_READ_KB
 
-    def note_failed(self) -> None:
-        """Ask for less."""
+    def note_unserved(self) -> None:
+        """Ask for less: no whole answer came in time."""
         self.most_kb = max(self.most_kb // 2, MIN_READ_KB)
 
-    def note_served(self) -> None:
-        """Ask for more."""
+    def note_filled(self) -> None:
+        """Ask for more: there is more than the answer brought."""
         self.most_kb = min(self.most_kb + STEP_KB, MAX_READ_KB)
--- a/packages/platform/swifthoist_platform/store.py
+++ b/packages/platform/swifthoist_platform/store.py
@@ -10,6 +10,7 @@
 
 from swifthoist_core.errors import (
     LogExpiredError,
+    LogSilentError,
     LogUnavailableError,
     OutcomeUnknownError,
     UnreachableError,
@@ -207,6 +208,7 @@
             is larger may not come.
         :returns: the records; none when none came in time.
         :raises LogExpiredError: when ``start`` is no longer kept.
+        :raises LogSilentError: when the answer did not come in time.
         :raises LogUnavailableError: when the store did not serve.
         """
         query = urlencode(
@@ -262,7 +264,7 @@
         try:
             return await self._send('GET', path, timeout_s, pause_s=PAUSE_S)
         except OutcomeUnknownError as exc:
-            raise LogUnavailableError(str(exc)) from exc
+            raise LogSilentError(str(exc)) from exc
 
     async def _send(
         self,
--- a/tests/instance/test_read_size.py
+++ b/tests/instance/test_read_size.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from swifthoist_core.errors import LogUnavailableError
+from swifthoist_core.errors import LogSilentError, LogUnavailableError
 from swifthoist_core.types import Offset
 from swifthoist_engine.cell import Cell
 from swifthoist_instance.follower import Follower
@@ -26,7 +26,7 @@
     :ivar asked: sizes that were asked for, in KB.
     """
 
-    def __init__(self, failures: int) -> None:
+    def __init__(self, *failures: LogUnavailableError) -> None:
         """Fail some reads, and have one record of the largest size."""
         self.asked: list[int] = []
         self._failures = failures
@@ -42,13 +42,28 @@
         """Read the record, if it is asked for."""
         self.asked.append(most_kb)
         await anyio.sleep(0.01)
-        if len(self.asked) <= self._failures:
-            raise LogUnavailableError('no answer in time')
+        if len(self.asked) <= len(self._failures):
+            raise self._failures[len(self.asked) - 1]
         if start or most_kb * 1_024 < len(RECORD):
             return Batch(start, (), 1)
         return Batch(start, (RECORD,), 1)
 
 
+def _catch_up(store: _Strict) -> None:
+    """Have a newcomer read all of the log, or fail."""
+
+    async def scene() -> None:
+        follower = Follower(store, Cell(KEEP_MS), LoopClock())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            with anyio.fail_after(LIMIT_S):
+                while not follower.caught_up:
+                    await follower.wait_progress()
+            tasks.cancel_scope.cancel()
+
+    run(scene)
+
+
 class ReadSizeTest(unittest.TestCase):
     """Reads shrink until they are served."""
 
@@ -60,17 +75,17 @@
         sizes = []
         for _ in range(9):
             sizes.append(size.most_kb)
-            size.note_failed()
+            size.note_unserved()
         self.assertEqual(sizes[:3], [MAX_READ_KB, 512, 256])
         self.assertEqual(size.most_kb, MIN_READ_KB)
 
     def test_reads_that_succeed_grow_back_to_the_largest(self) -> None:
         """They never ask for more than that."""
         size = ReadSize()
-        size.note_failed()
+        size.note_unserved()
         for _ in range(MAX_READ_KB):
             before = size.most_kb
-            size.note_served()
+            size.note_filled()
             self.assertGreaterEqual(size.most_kb, before)
         self.assertEqual(size.most_kb, MAX_READ_KB)
 
@@ -78,20 +93,16 @@
         self,
     ) -> None:
         """The store sends nothing of it until enough is asked for."""
-        store = _Strict(failures=8)
-
-        async def scene() -> None:
-            follower = Follower(store, Cell(KEEP_MS), LoopClock())
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(follower.run)
-                with anyio.fail_after(LIMIT_S):
-                    while not follower.caught_up:
-                        await follower.wait_progress()
-                tasks.cancel_scope.cancel()
-
-        run(scene)
+        store = _Strict(*(LogSilentError('no answer'),) * 8)
+        _catch_up(store)
         self.assertIn(MIN_READ_KB, store.asked)
 
+    def test_a_store_that_refuses_is_not_asked_for_less(self) -> None:
+        """Smaller reads are more calls, which a busy store refuses, too."""
+        store = _Strict(*(LogUnavailableError('answered 503'),) * 8)
+        _catch_up(store)
+        self.assertEqual(set(store.asked), {MAX_READ_KB})
+
 
 if __name__ == '__main__':
     unittest.main()
