--- a/tests/simulation/test_links.py
+++ b/tests/simulation/test_links.py
@@ -80,17 +80,15 @@
         """One read takes half a minute here."""
         self.start_all(width=40_000, log=2 * MAX_READ_KB * 1_024)
 
-    def test_a_burst_of_large_jobs_is_appended_over_a_narrow_link(
-        self,
-    ) -> None:
-        """One append of all of them would not pass in its time."""
+    def append_burst(self, settings_mbps: float) -> None:
+        """Have a burst of large jobs appended as fast as the link allows."""
 
         async def scene(cluster: Cluster) -> None:
             node = cluster.nodes[0]
             node.kill()
             width = NARROW_MBPS * 125_000
             cluster.network.links[node.name] = NarrowLink(width)
-            node.link_mbps = NARROW_MBPS
+            node.link_mbps = settings_mbps
             node.start()
             await wait_until(lambda: _ready(node))
             limit_s = BURST * len(PAYLOAD) / (SHARE * width)
@@ -102,6 +100,18 @@
 
         play(scene, wired=True)
 
+    def test_a_burst_of_large_jobs_is_appended_over_a_narrow_link(
+        self,
+    ) -> None:
+        """One append of all of them would not pass in its time."""
+        self.append_burst(NARROW_MBPS)
+
+    def test_a_burst_is_appended_over_a_link_narrower_than_its_settings_say(
+        self,
+    ) -> None:
+        """An append that was sent once can't be cut any more."""
+        self.append_burst(settings_mbps=1_000)
+
 
 class SharedReadsTest(unittest.TestCase):
     """Reads that all instances make at once are served at a common rate."""
