--- a/packages/instance/swifthoist_instance/snapshotting.py
+++ b/packages/instance/swifthoist_instance/snapshotting.py
@@ -6,11 +6,12 @@
 import anyio
 
 from swifthoist_core.errors import (
+    LogExpiredError,
     LogUnavailableError,
     OutcomeUnknownError,
     SnapshotError,
 )
-from swifthoist_core.types import Epoch, Millis
+from swifthoist_core.types import Epoch, Millis, Offset
 from swifthoist_engine.snapshots import (
     HEAD_KEY,
     Restored,
@@ -19,8 +20,9 @@
     stale_chunks,
     take_snapshot,
 )
+from swifthoist_instance.configuration import KeyedTopics
 from swifthoist_instance.follower import Follower
-from swifthoist_platform.store import Listing
+from swifthoist_platform.store import split_keyed
 
 SNAPSHOT_TOPIC = 'keyed.swifthoist.snapshot'
 """Topic of the chunks; the newest of each key is kept for good."""
@@ -41,7 +43,7 @@
 _log = logging.getLogger(__name__)
 
 
-class KeepsSnapshots(Protocol):
+class KeepsSnapshots(KeyedTopics, Protocol):
     """What snapshots ask of the store."""
 
     async def put(
@@ -49,9 +51,6 @@
     ) -> None:
         """Write the newest record of a key."""
 
-    async def newest(self, topic: str, timeout_s: float) -> Listing:
-        """Read the newest record of each key."""
-
 
 class Snapshots:
     """The snapshots of the cell.
@@ -79,18 +78,39 @@
         :returns: the state; none if there is none, or none that is whole.
         :raises LogUnavailableError: when the store did not serve.
         """
+        contents, position = await self._list()
         for _ in range(TRIES):
-            listing = await self._store.newest(SNAPSHOT_TOPIC, CALL_S)
-            contents = {item.key: item.content for item in listing.items}
             try:
                 return restore(contents)
             except SnapshotError as exc:
                 # It may have been replaced between two pages.
-                _log.warning('snapshot unread', extra={'why': str(exc)})
-                await anyio.sleep(RETRY_S)
+                about = {'why': str(exc), 'position': position}
+                _log.warning('snapshot unread', extra=about)
+            try:
+                position = await self._read_on(contents, position)
+            except LogExpiredError:
+                contents, position = await self._list()
+            await anyio.sleep(RETRY_S)
         _log.error('no snapshot is whole')
         return None
 
+    async def _list(self) -> tuple[dict[str, bytes], Offset]:
+        listing = await self._store.newest(SNAPSHOT_TOPIC, CALL_S)
+        contents = {item.key: item.content for item in listing.items}
+        return contents, listing.end
+
+    async def _read_on(
+        self, contents: dict[str, bytes], position: Offset
+    ) -> Offset:
+        """Apply what was written since; then the head names whole chunks."""
+        while True:
+            batch = await self._store.read(SNAPSHOT_TOPIC, position, 0, CALL_S)
+            for item in filter(None, map(split_keyed, batch.records)):
+                contents[item.key] = item.content
+            position += len(batch.records)
+            if position >= batch.end:
+                return position
+
     async def run(self, follower: Follower, epoch: Epoch) -> None:
         """Write snapshots of a tenure, until canceled.
 
@@ -130,7 +150,6 @@
 
     async def _drop_stale(self, epoch: Epoch) -> None:
         """Drop chunks of earlier tenures, one snapshot later than could be."""
-        listing = await self._store.newest(SNAPSHOT_TOPIC, CALL_S)
-        contents = {item.key: item.content for item in listing.items}
+        contents, _ = await self._list()
         for key in stale_chunks(contents, epoch):
             await self._store.put(SNAPSHOT_TOPIC, key, b'', CALL_S)
--- a/tests/instance/test_snapshotting.py
+++ b/tests/instance/test_snapshotting.py
@@ -16,7 +16,8 @@
 )
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import CELL_TOPIC
-from swifthoist_instance.snapshotting import Snapshots
+from swifthoist_instance.snapshotting import SNAPSHOT_TOPIC, Snapshots
+from swifthoist_platform.store import Listing
 from tests.engine.scenes import BATCH, KEEP_MS, Scene, job_spec, task
 from tests.instance.entry import JOB, Entry, configure
 from tests.instance.fakes import FakeStore, LoopClock, run
@@ -124,6 +125,60 @@
         run(main)
 
 
+class _Written(FakeStore):
+    """A store whose snapshot is replaced while it is listed.
+
+    :ivar count: snapshots that were written.
+    """
+
+    def __init__(self) -> None:
+        """Have no snapshot yet."""
+        super().__init__()
+        self.count = 0
+
+    async def write(self) -> None:
+        """Write one more snapshot, of a state that differs."""
+        scene = _scene()
+        scene.cell.state.time_ms = self.count
+        snapshot = take_snapshot(
+            scene.cell.state, self.count, self.count, LIMIT
+        )
+        for key, chunk in snapshot.chunks.items():
+            await self.put(SNAPSHOT_TOPIC, key, chunk, 1)
+        head = encode_head(snapshot.head)
+        await self.put(SNAPSHOT_TOPIC, HEAD_KEY, head, 1)
+        self.count += 1
+
+    async def newest(self, topic: str, timeout_s: float) -> Listing:
+        """Give the chunks first; the head comes with a later page."""
+        early = await super().newest(topic, timeout_s)
+        await self.write()
+        await self.write()
+        late = await super().newest(topic, timeout_s)
+        chunks = [item for item in early.items if item.key != HEAD_KEY]
+        heads = [item for item in late.items if item.key == HEAD_KEY]
+        return Listing((*chunks, *heads), early.end)
+
+
+class ListingTest(unittest.TestCase):
+    """A listing may take longer than the next snapshots."""
+
+    def test_a_snapshot_that_is_replaced_while_it_is_listed_is_not_lost(
+        self,
+    ) -> None:
+        """Without one a newcomer begins empty, though a holder lives."""
+
+        async def main() -> None:
+            store = _Written()
+            await store.write()
+            await store.write()
+            restored = await Snapshots(store, 1_000, 1_000).load()
+            assert restored is not None
+            self.assertEqual(restored.position, store.count - 1)
+
+        run(main)
+
+
 class ForgettingTest(unittest.TestCase):
     """The log drops records that a snapshot holds."""
 
