--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,9 @@
 	SIMULATION_FRESH=1 SIMULATION_EXAMPLES=100 $(PY) -m nose2 \
 		-c unittest.cfg tests.simulation.test_faults
 
-soak: setup  ## Soak the programs with five seeds (SEED=first, COUNT=how many).
-	$(PY) -m soak --first $(or $(SEED),1) --count $(or $(COUNT),5)
+soak: setup  ## Soak the programs with five seeds (SEED=first, COUNT=how many, INSTANCES).
+	$(PY) -m soak --first $(or $(SEED),1) --count $(or $(COUNT),5) \
+		--instances $(or $(INSTANCES),4)
 
 format: setup  ## Rewrite the code in the project's format.
 	$(VENV)/bin/ruff check -q --fix --select I $(CODE)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,7 +7,7 @@
 
 import fire
 
-from soak.play import play
+from soak.play import INSTANCES, play
 
 SECONDS = 20.0
 
@@ -17,6 +17,7 @@
     count: int = 5,
     seconds: float = SECONDS,
     logs: str = '',
+    instances: int = INSTANCES,
 ) -> int:
     """Play soaks.
 
@@ -24,12 +25,13 @@
     :param count: number of seeds.
     :param seconds: how long faults come in each.
     :param logs: folder that exists, where logs are kept; none by default.
+    :param instances: number of instances in each.
     :returns: 0 if no promise was broken, else 1.
     """
     broken = 0
     for seed in range(first, first + count):
         with tempfile.TemporaryDirectory() as folder:
-            verdict = play(seed, seconds, Path(logs or folder))
+            verdict = play(seed, seconds, Path(logs or folder), instances)
         broken += bool(verdict.broken)
         line = json.dumps({'seed': seed, **verdict._asdict()})
         sys.stdout.write(f'{line}\n')
--- a/soak/play.py
+++ b/soak/play.py
@@ -54,14 +54,16 @@
 class Soak:
     """One soak."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, instances: int) -> None:
         """Prepare a soak.
 
         :param seed: seed of everything that is drawn.
         :param seconds: how long faults come.
+        :param instances: number of instances.
         """
         self._rng = random.Random(seed)
         self._seconds = seconds
+        self._instances = instances
         self._weather = Weather(seed)
         self._proxies: list[Proxy] = []
         self._world = ServedWorld(STANDARD, SystemClock(), seed, self._front)
@@ -78,7 +80,9 @@
         async with anyio.create_task_group() as proxies:
             for proxy in self._proxies:
                 proxies.start_soon(proxy.run)
-            async with open_stage(self._world, folder, INSTANCES) as stage:
+            async with open_stage(
+                self._world, folder, self._instances
+            ) as stage:
                 await self._disturb(stage)
                 broken = await self._settle(stage)
             proxies.cancel_scope.cancel()
@@ -151,12 +155,15 @@
         return [*self._world.witness.broken, *late]
 
 
-def play(seed: int, seconds: float, folder: Path) -> Verdict:
+def play(
+    seed: int, seconds: float, folder: Path, instances: int = INSTANCES
+) -> Verdict:
     """Play one soak.
 
     :param seed: seed of everything that is drawn.
     :param seconds: how long faults come.
     :param folder: where settings and logs are written.
+    :param instances: number of instances, each a process.
     :returns: what came of it.
     """
-    return anyio.run(partial(Soak(seed, seconds).run, folder))
+    return anyio.run(partial(Soak(seed, seconds, instances).run, folder))
