--- a/packages/instance/swifthoist_instance/journal.py
+++ b/packages/instance/swifthoist_instance/journal.py
@@ -28,14 +28,6 @@
 """Time for one append, in seconds: over twice the answer of a store that is
 sixty times as slow as usual."""
 
-MORE_TIME = 4
-"""Factor by which the time for the bytes of an append grows behind each try
-that got no answer. A connection on which nothing passes ends sooner by itself."""
-
-MOST_GROWTHS = 4
-"""How often that time grows: the link then bears a 256th of what the settings
-say."""
-
 RETRY_S = 0.1
 """Pause before an append without an answer is sent again, in seconds."""
 
@@ -215,12 +207,10 @@
             return await self._try(records)
         except OutcomeUnknownError as exc:
             _log.warning('append unanswered', extra={'why': str(exc)})
-        tries = 1
         while True:
             await anyio.sleep(RETRY_S)
-            tries += 1
             try:
-                return await self._try(records, tries)
+                return await self._try(records)
             except (LogUnavailableError, OutcomeUnknownError) as exc:
                 # The first try may still be carried out, so only an answer
                 # to the same append settles it.
@@ -228,16 +218,11 @@
                 if isinstance(exc, AppendConflictError):
                     raise OutcomeUnknownError(str(exc)) from exc
 
-    async def _try(self, records: list[bytes], tries: int = 1) -> Offset:
+    async def _try(self, records: list[bytes]) -> Offset:
         producer = f'{self._producer}.{self._lives}'
         batch = Append(CELL_TOPIC, records, producer, self._sequence)
-        # The link may bear less than the settings say, and an append that was
-        # sent can't be cut any more.
-        link_s = sum(map(len, records)) / self._group_bytes * LINK_S
-        factor = MORE_TIME ** min(tries - 1, MOST_GROWTHS)
-        timeout_s = APPEND_TIMEOUT_S + link_s * (factor - 1)
         try:
-            return await self._store.append(batch, timeout_s)
+            return await self._store.append(batch, APPEND_TIMEOUT_S)
         except AppendConflictError:
             # The numbering is lost; a new producer starts a new one.
             self._renumber()
