Begin with small reads, and shrink them for late answers only

Reads grow with every one that brings records now, only an answer that is late makes them smaller, and empty answers end a try. Tests: the late answer told apart from a broken one (adapter), no pause while behind, several reads behind a listing, a store that forgot, answers without records.

--- a/packages/core/swifthoist_core/errors.py
+++ b/packages/core/swifthoist_core/errors.py
@@ -81,7 +81,7 @@
 
 
 class LogSilentError(LogUnavailableError):
-    """A read of the platform's log got no whole answer in its time."""
+    """A read of the platform's log was not answered in its time."""
 
 
 class LogExpiredError(SwifthoistError):
@@ -103,6 +103,10 @@
     """A call may or may not have taken effect."""
 
 
+class AnswerLateError(OutcomeUnknownError):
+    """The answer to a call did not come in its time."""
+
+
 class UnreachableError(SwifthoistError):
     """The other end was not reached, so the call did not take effect."""
 
--- a/packages/emulator/swifthoist_emulator/store_calls.py
+++ b/packages/emulator/swifthoist_emulator/store_calls.py
@@ -35,7 +35,8 @@
     """The store.
 
     :ivar topics: topics by name.
-    :ivar read_bytes_s: rate that all reads share, in bytes a second.
+    :ivar read_bytes_s: rate of all reads together, in bytes a second. Answers
+        are served one after the other, also for callers that have gone.
     """
 
     def __init__(self, faults: Faults, now_ms: Callable[[], Millis]) -> None:
--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -166,7 +166,7 @@
                 self._note_failure(exc)
                 # A refusal says nothing about what can be carried in time.
                 if isinstance(exc, LogSilentError):
-                    self._size.note_unserved()
+                    self._size.note_late()
                 await anyio.sleep(RETRY_S)
             else:
                 self._note_read(began_ms, batch)
@@ -266,8 +266,8 @@
             }
             _log.info('log caught up', extra=about)
         self.caught_up = self.position >= batch.end
-        if not self.caught_up:
-            self._size.note_filled()
+        if batch.records or not self.caught_up:
+            self._size.note_served()
         self.confirmed_ms = began_ms
         self._announce()
 
--- a/packages/instance/swifthoist_instance/snapshotting.py
+++ b/packages/instance/swifthoist_instance/snapshotting.py
@@ -108,7 +108,7 @@
             for item in filter(None, map(split_keyed, batch.records)):
                 contents[item.key] = item.content
             position += len(batch.records)
-            if position >= batch.end:
+            if position >= batch.end or not batch.records:
                 return position
 
     async def run(self, follower: Follower, epoch: Epoch) -> None:
--- a/packages/platform/swifthoist_platform/calls.py
+++ b/packages/platform/swifthoist_platform/calls.py
@@ -9,7 +9,11 @@
 import anyio
 import httpx
 
-from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
+from swifthoist_core.errors import (
+    AnswerLateError,
+    OutcomeUnknownError,
+    UnreachableError,
+)
 
 _CONNECT_SHARE = 0.5
 """Share of a call's time within which its connection must be open."""
@@ -62,7 +66,8 @@
     :param call: the request.
     :returns: the reply, whatever its status.
     :raises UnreachableError: when no connection was opened in time.
-    :raises OutcomeUnknownError: when the reply was lost or came too late.
+    :raises AnswerLateError: when the reply came too late.
+    :raises OutcomeUnknownError: when it was lost.
     """
     limits = {'connect': call.timeout_s * _CONNECT_SHARE}
     request = httpx.Request(
@@ -78,7 +83,9 @@
             content = await _read_body(reply, call, limit)
     except _UNOPENED as exc:
         raise UnreachableError(f'{url}: {exc!r}') from exc
-    except (httpx.HTTPError, httpx.StreamError, TimeoutError) as exc:
+    except TimeoutError as exc:
+        raise AnswerLateError(f'{url}: {exc!r}') from exc
+    except (httpx.HTTPError, httpx.StreamError) as exc:
         raise OutcomeUnknownError(f'{url}: {exc!r}') from exc
     return Reply(reply.status_code, content)
 
--- a/packages/platform/swifthoist_platform/store.py
+++ b/packages/platform/swifthoist_platform/store.py
@@ -9,6 +9,7 @@
 from urllib.parse import urlencode
 
 from swifthoist_core.errors import (
+    AnswerLateError,
     LogExpiredError,
     LogSilentError,
     LogUnavailableError,
@@ -263,8 +264,10 @@
     async def _get(self, path: str, timeout_s: float) -> Reply:
         try:
             return await self._send('GET', path, timeout_s, pause_s=PAUSE_S)
-        except OutcomeUnknownError as exc:
+        except AnswerLateError as exc:
             raise LogSilentError(str(exc)) from exc
+        except OutcomeUnknownError as exc:
+            raise LogUnavailableError(str(exc)) from exc
 
     async def _send(
         self,
--- a/tests/adapter/test_endpoint.py
+++ b/tests/adapter/test_endpoint.py
@@ -6,7 +6,7 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
-from swifthoist_core.errors import OutcomeUnknownError
+from swifthoist_core.errors import AnswerLateError, OutcomeUnknownError
 from swifthoist_platform.calls import Call
 from swifthoist_platform.endpoint import MAX_CONNECTIONS, Endpoint
 
@@ -15,7 +15,7 @@
 
 
 class _Server:
-    """Answers everything after a while, but what is called ``/never``."""
+    """Answers everything after a while, but ``/never`` and ``/reset``."""
 
     def __init__(self) -> None:
         self.open = 0
@@ -27,10 +27,14 @@
         self.most = max(self.most, self.open)
         try:
             async with stream:
-                while b'/never' not in await stream.receive():
+                while True:
+                    request = await stream.receive()
+                    if b'/reset' in request:
+                        return
+                    if b'/never' in request:
+                        await anyio.sleep_forever()
                     await anyio.sleep(WORK_S)
                     await stream.send(ANSWER)
-                await anyio.sleep_forever()
         except (anyio.EndOfStream, anyio.BrokenResourceError):
             return
         finally:
@@ -77,6 +81,20 @@
 
         self.play(scene)
 
+    def test_an_answer_that_is_late_is_told_apart_from_one_that_breaks_off(
+        self,
+    ) -> None:
+        """Only the former says that less may be served in time."""
+
+        async def scene(endpoint: Endpoint, server: _Server) -> None:
+            with self.assertRaises(AnswerLateError):
+                await endpoint.call(Call('GET', '/never', WORK_S / 2))
+            with self.assertRaises(OutcomeUnknownError) as caught:
+                await endpoint.call(Call('GET', '/reset', 2))
+            self.assertNotIsInstance(caught.exception, AnswerLateError)
+
+        self.play(scene)
+
     def test_many_calls_share_few_connections(self) -> None:
         """A burst of openings would overflow the other end's queue."""
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -2,11 +2,26 @@
 
 import struct
 import unittest
+from functools import partial
+from typing import NamedTuple
 
-from swifthoist_core.errors import LogUnavailableError
+from swifthoist_core.errors import (
+    AnswerLateError,
+    LogSilentError,
+    LogUnavailableError,
+    OutcomeUnknownError,
+    UnreachableError,
+)
 from swifthoist_engine.model import TaskId
+from swifthoist_platform.calls import Call, Reply
 from swifthoist_platform.runner_calls import parse_task, task_name
-from swifthoist_platform.store import Keyed, split_keyed, split_records
+from swifthoist_platform.store import (
+    Keyed,
+    StoreClient,
+    split_keyed,
+    split_records,
+)
+from tests.instance.fakes import run
 
 
 def _reply(*records: bytes) -> bytes:
@@ -39,6 +54,36 @@
             self.assertIsNone(split_keyed(damaged))
 
 
+class _Failing(NamedTuple):
+    """An address whose calls all fail in one way."""
+
+    error: Exception
+
+    async def call(self, call: Call) -> Reply:
+        """Fail."""
+        raise self.error
+
+    async def close(self) -> None:
+        """Nothing is open."""
+
+
+class ReadTest(unittest.TestCase):
+    """A read that fails tells whether it was late."""
+
+    def test_only_a_late_answer_counts_as_silence(self) -> None:
+        """A connection that was refused or broken is a refusal."""
+        failures = (
+            (AnswerLateError('late'), LogSilentError),
+            (OutcomeUnknownError('reset'), LogUnavailableError),
+            (UnreachableError('refused'), LogUnavailableError),
+        )
+        for error, expected in failures:
+            client = StoreClient(_Failing(error))
+            with self.assertRaises(LogUnavailableError) as caught:
+                run(partial(client.read, 'topic', 0, 0, 1))
+            self.assertIs(type(caught.exception), expected)
+
+
 class TaskNameTest(unittest.TestCase):
     """Names of tasks at runners."""
 
--- a/tests/instance/fakes.py
+++ b/tests/instance/fakes.py
@@ -7,6 +7,7 @@
 
 from swifthoist_core.errors import (
     LogExpiredError,
+    LogSilentError,
     LogUnavailableError,
     OutcomeUnknownError,
 )
@@ -136,7 +137,7 @@
         try:
             await self._fail(timeout_s)
         except OutcomeUnknownError as exc:
-            raise LogUnavailableError(str(exc)) from exc
+            raise LogSilentError(str(exc)) from exc
 
     def _announce(self) -> None:
         self._grown.set()
--- a/tests/instance/test_read_size.py
+++ b/tests/instance/test_read_size.py
@@ -8,7 +8,12 @@
 from swifthoist_core.types import Offset
 from swifthoist_engine.cell import Cell
 from swifthoist_instance.follower import Follower
-from swifthoist_instance.read_size import MIN_READ_KB, ReadSize
+from swifthoist_instance.read_size import (
+    FIRST_KB,
+    MIN_READ_KB,
+    STEP_KB,
+    ReadSize,
+)
 from swifthoist_platform.store import MAX_READ_KB, Batch
 from tests.engine.scenes import KEEP_MS
 from tests.instance.fakes import LoopClock, run
@@ -18,6 +23,7 @@
 
 RECORD = bytes(LARGEST_KB * 1_024)
 LIMIT_S = 10
+ANSWER_S = 0.01
 
 
 class _Strict:
@@ -26,10 +32,13 @@
     :ivar asked: sizes that were asked for, in KB.
     """
 
-    def __init__(self, *failures: LogUnavailableError) -> None:
-        """Fail some reads, and have one record of the largest size."""
+    def __init__(
+        self, *failures: LogUnavailableError, records: int = 1
+    ) -> None:
+        """Fail some reads, and have records of the largest size."""
         self.asked: list[int] = []
         self._failures = failures
+        self._end = records
 
     async def read(
         self,
@@ -39,24 +48,23 @@
         timeout_s: float,
         most_kb: int,
     ) -> Batch:
-        """Read the record, if it is asked for."""
+        """Read as many records as were asked for."""
         self.asked.append(most_kb)
-        await anyio.sleep(0.01)
+        await anyio.sleep(ANSWER_S)
         if len(self.asked) <= len(self._failures):
             raise self._failures[len(self.asked) - 1]
-        if start or most_kb * 1_024 < len(RECORD):
-            return Batch(start, (), 1)
-        return Batch(start, (RECORD,), 1)
+        count = min(most_kb // LARGEST_KB, self._end - start)
+        return Batch(start, (RECORD,) * count, self._end)
 
 
-def _catch_up(store: _Strict) -> None:
+def _catch_up(store: _Strict, limit_s: float = LIMIT_S) -> None:
     """Have a newcomer read all of the log, or fail."""
 
     async def scene() -> None:
         follower = Follower(store, Cell(KEEP_MS), LoopClock())
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follower.run)
-            with anyio.fail_after(LIMIT_S):
+            with anyio.fail_after(limit_s):
                 while not follower.caught_up:
                     await follower.wait_progress()
             tasks.cancel_scope.cancel()
@@ -67,7 +75,7 @@
 class ReadSizeTest(unittest.TestCase):
     """Reads shrink until they are served."""
 
-    def test_a_read_that_fails_is_followed_by_smaller_ones_down_to_a_floor(
+    def test_a_read_that_is_late_is_followed_by_smaller_ones_down_to_a_floor(
         self,
     ) -> None:
         """Each asks for half."""
@@ -75,19 +83,27 @@
         sizes = []
         for _ in range(9):
             sizes.append(size.most_kb)
-            size.note_unserved()
-        self.assertEqual(sizes[:3], [MAX_READ_KB, 512, 256])
+            size.note_late()
+        self.assertEqual(sizes[:3], [FIRST_KB, FIRST_KB // 2, FIRST_KB // 4])
         self.assertEqual(size.most_kb, MIN_READ_KB)
 
-    def test_reads_that_succeed_grow_back_to_the_largest(self) -> None:
+    def test_reads_that_are_served_grow_by_steps_to_the_largest(self) -> None:
         """They never ask for more than that."""
         size = ReadSize()
-        size.note_unserved()
-        for _ in range(MAX_READ_KB):
-            before = size.most_kb
-            size.note_filled()
-            self.assertGreaterEqual(size.most_kb, before)
-        self.assertEqual(size.most_kb, MAX_READ_KB)
+        sizes = []
+        for _ in range(MAX_READ_KB // STEP_KB):
+            size.note_served()
+            sizes.append(size.most_kb)
+        self.assertEqual(sizes[0], FIRST_KB + STEP_KB)
+        self.assertEqual(sizes[-1], MAX_READ_KB)
+
+    def test_a_newcomer_does_not_pause_while_there_is_more_to_read(
+        self,
+    ) -> None:
+        """Its reads follow each other."""
+        store = _Strict(records=40)
+        _catch_up(store, limit_s=0.5)
+        self.assertGreater(len(store.asked), 10)
 
     def test_a_record_larger_than_the_smallest_read_does_not_stop_a_newcomer(
         self,
@@ -101,7 +117,7 @@
         """Smaller reads are more calls, which a busy store refuses, too."""
         store = _Strict(*(LogUnavailableError('answered 503'),) * 8)
         _catch_up(store)
-        self.assertEqual(set(store.asked), {MAX_READ_KB})
+        self.assertEqual(min(store.asked), FIRST_KB)
 
 
 if __name__ == '__main__':
--- a/tests/instance/test_snapshotting.py
+++ b/tests/instance/test_snapshotting.py
@@ -1,11 +1,17 @@
 """Tests of snapshots: a log that forgets loses nothing."""
 
 import unittest
+from typing import Any
 from unittest import mock
 
 import anyio
 
-from swifthoist_core.errors import LogUnavailableError, SnapshotError
+from swifthoist_core.errors import (
+    LogExpiredError,
+    LogUnavailableError,
+    SnapshotError,
+)
+from swifthoist_core.types import Offset
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.model import UnitId
 from swifthoist_engine.snapshots import (
@@ -17,7 +23,7 @@
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_instance.snapshotting import SNAPSHOT_TOPIC, Snapshots
-from swifthoist_platform.store import Listing
+from swifthoist_platform.store import Batch, Listing
 from tests.engine.scenes import BATCH, KEEP_MS, Scene, job_spec, task
 from tests.instance.entry import JOB, Entry, configure
 from tests.instance.fakes import FakeStore, LoopClock, run
@@ -129,12 +135,14 @@
     """A store whose snapshot is replaced while it is listed.
 
     :ivar count: snapshots that were written.
+    :ivar busy: snapshots are written during each listing.
     """
 
     def __init__(self) -> None:
         """Have no snapshot yet."""
         super().__init__()
         self.count = 0
+        self.busy = True
 
     async def write(self) -> None:
         """Write one more snapshot, of a state that differs."""
@@ -152,14 +160,23 @@
     async def newest(self, topic: str, timeout_s: float) -> Listing:
         """Give the chunks first; the head comes with a later page."""
         early = await super().newest(topic, timeout_s)
-        await self.write()
-        await self.write()
+        if self.busy:
+            await self.write()
+            await self.write()
         late = await super().newest(topic, timeout_s)
         chunks = [item for item in early.items if item.key != HEAD_KEY]
         heads = [item for item in late.items if item.key == HEAD_KEY]
         return Listing((*chunks, *heads), early.end)
 
 
+async def _replaced() -> _Written:
+    """Make a store with both slots in use."""
+    store = _Written()
+    await store.write()
+    await store.write()
+    return store
+
+
 class ListingTest(unittest.TestCase):
     """A listing may take longer than the next snapshots."""
 
@@ -169,15 +186,67 @@
         """Without one a newcomer begins empty, though a holder lives."""
 
         async def main() -> None:
-            store = _Written()
-            await store.write()
-            await store.write()
+            store = await _replaced()
             restored = await Snapshots(store, 1_000, 1_000).load()
             assert restored is not None
             self.assertEqual(restored.position, store.count - 1)
 
         run(main)
 
+    def test_what_was_written_since_may_take_several_reads(self) -> None:
+        """Each brings one record here."""
+
+        async def main() -> None:
+            store = await _replaced()
+            read = store.read
+
+            async def read_one(*args: Any) -> Batch:
+                batch = await read(*args)
+                return batch._replace(records=batch.records[:1])
+
+            with mock.patch.object(store, 'read', read_one):
+                restored = await Snapshots(store, 1_000, 1_000).load()
+            assert restored is not None
+            self.assertEqual(restored.position, store.count - 1)
+
+        run(main)
+
+    def test_a_store_that_forgot_what_was_written_is_listed_again(
+        self,
+    ) -> None:
+        """By then nobody writes."""
+
+        async def main() -> None:
+            store = await _replaced()
+
+            async def forget(*_: Any) -> Batch:
+                store.busy = False
+                raise LogExpiredError(0)
+
+            with mock.patch.object(store, 'read', forget):
+                restored = await Snapshots(store, 1_000, 1_000).load()
+            assert restored is not None
+            self.assertEqual(restored.position, store.count - 1)
+
+        run(main)
+
+    def test_answers_without_records_do_not_hold_up_a_newcomer(self) -> None:
+        """It gives up behind some tries."""
+
+        async def main() -> None:
+            store = await _replaced()
+
+            async def read_none(topic: str, start: Offset, *_: Any) -> Batch:
+                await anyio.sleep(0.01)
+                return Batch(start, (), start + 1)
+
+            with mock.patch.object(store, 'read', read_none):
+                with anyio.fail_after(10):
+                    restored = await Snapshots(store, 1_000, 1_000).load()
+            self.assertIsNone(restored)
+
+        run(main)
+
 
 class ForgettingTest(unittest.TestCase):
     """The log drops records that a snapshot holds."""
