--- a/bench/load.py
+++ b/bench/load.py
@@ -160,6 +160,21 @@
            Spell(0.18, 6_900), 0.077, 4, 0.62),
 )  # fmt: skip
 
+LARGE = SiteLoad(
+    'pilha-certa-large',
+    Resources(64_000, 262_144, 8),
+    (
+        Kind('batch', 2.14, 3, 0.9, 6_800, 0.3, 13, 78, 26_000, 110_000,
+             _LARGE, 1, 0.6, 0.45, QueueTerms(1, 2, 3, 1_000, 'pool'), 0.005,
+             hopeless=0.03),
+        Kind('urgent', 6.85, 4, 0.8, 2_500, 0.5, 5, 31, 7_500, 39_000,
+             _LARGE, 1, 0.8, 0, QueueTerms(0, 3, 1.5, 250, 'pool'), 0.05),
+        Kind('bulk', 1.35, 1, 0.3, 9_500, 0.3, 38, 223, 5_600, 23_000,
+             (1,), 0, 0, 0.45, QueueTerms(2, 3, 3, 3_000, 'pool'), 0.02),
+    ),
+    Ground(14, 20, restore_ms=100, stop_ms=400, teams=24),
+)  # fmt: skip
+
 
 class Arrival(NamedTuple):
     """A job and what only the runners know of it.
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -15,6 +15,7 @@
 from swifthoist_engine.board import Board
 from swifthoist_engine.faults import Guard
 from swifthoist_engine.model import UnitId
+from swifthoist_engine.occupancy import occupancy_of
 from swifthoist_engine.planner import (
     Decision,
     Stop,
@@ -52,7 +53,12 @@
     :param epoch: epoch of the holder.
     :returns: the decision.
     """
-    board = Board(world.cell, world.runners, world.now_ms, world.aside)
+    board = Board(
+        world.cell,
+        occupancy_of(world.cell, world.runners),
+        world.now_ms,
+        world.aside,
+    )
     starts: list[Started] = []
     guard = Guard()
     waiting = waiting_units(
--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -14,6 +14,7 @@
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.mechanisms import ALL, Mechanisms
 from swifthoist_engine.model import SiteTerms, StepSpec
+from swifthoist_engine.occupancy import Occupancy
 from swifthoist_engine.planner import Decision, World
 from swifthoist_engine.records import Claimed, Ended, Ending, Started, Submitted
 from swifthoist_engine.run_index import RunKey
@@ -92,6 +93,7 @@
         self._cell = Cell(KEEP_MS)
         self._cell.fold(Claimed(1, 'bench', 0))
         self._evidence = Evidence()
+        self._occupancy = Occupancy()
         self._numbers: dict[str, int] = {}
         self._running: dict[RunKey, _Running] = {}
         self._stopping: set[RunKey] = set()
@@ -191,6 +193,7 @@
                 RECLAIM_MS,
                 FAR_FACTOR,
             ),
+            occupancy=self._occupancy,
         )
         decision = self.policy(world, 1)
         assert not decision.faults
--- a/packages/engine/swifthoist_engine/blame.py
+++ b/packages/engine/swifthoist_engine/blame.py
@@ -11,6 +11,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.faults import Fault, Guard, Kind
 from swifthoist_engine.model import QueueTerms, Resources, StepSpec, UnitId
+from swifthoist_engine.occupancy import occupancy_of, share_of
 from swifthoist_engine.placing import Placer
 from swifthoist_engine.preemption import Preemption
 from swifthoist_engine.queueing import IN_TIME, Waiting
@@ -34,9 +35,9 @@
     guard = Guard()
     for view in runners:
         with guard.looking_at(Kind.RUNNER, view.runner):
-            board = Board(cell, (view,), now_ms, aside)
+            board = Board(cell, occupancy_of(cell, (view,)), now_ms, aside)
             Placer(board, now_ms, {}).place(_plain_unit(view, now_ms))
-    board = Board(cell, (), now_ms, aside)
+    board = Board(cell, occupancy_of(cell, ()), now_ms, aside)
     placer = Placer(board, now_ms, {})
     preemption = Preemption(cell, placer, frozenset(), now_ms)
     # Runs of a step differ in little; one stands for all.
@@ -45,8 +46,9 @@
         if run.task.job in aside:
             continue
         with guard.looking_at(Kind.JOB, run.task.job):
-            preemption.weigh(run)
-            board.expected_end(run)
+            share = share_of(cell, run)
+            preemption.weigh(share)
+            board.expected_end(share)
     return guard.faults
 
 
--- a/packages/engine/swifthoist_engine/board.py
+++ b/packages/engine/swifthoist_engine/board.py
@@ -1,15 +1,14 @@
 """The board of one decision: free room, and room that is kept for others."""
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from swifthoist_core.types import JobId, Millis, RackId, RunnerId
+from swifthoist_core.types import JobId, Millis, RunnerId
 from swifthoist_engine.cell import Cell
-from swifthoist_engine.jobs import OpenRun
-from swifthoist_engine.model import Resources, StepSpec
+from swifthoist_engine.model import Resources
+from swifthoist_engine.occupancy import Occupancy, RunShare
 from swifthoist_engine.queueing import Waiting
-from swifthoist_engine.runners import RunnerView
 
 OVERDUE_SHARE = 0.3
 """A run that is over its declared duration is expected to go on for this
@@ -19,6 +18,19 @@
 """Job, occurrence and number of a step."""
 
 
+class ExpectedEnd(NamedTuple):
+    """When a run is expected to end.
+
+    :ivar at_ms: the time.
+    :ivar runner: its runner.
+    :ivar need: what it frees.
+    """
+
+    at_ms: Millis
+    runner: RunnerId
+    need: Resources
+
+
 class _Hold(NamedTuple):
     """Room of a runner that is kept for a blocked unit.
 
@@ -33,53 +45,45 @@
 class Board:
     """Free room of all runners while one decision is made.
 
-    :ivar views: the runners by id.
-    :ivar free: free room by runner.
-    :ivar rack_free: free accelerators by rack.
+    :ivar fleet: the runners.
+    :ivar views: the same by id.
+    :ivar room: their free room.
+    :ivar free: the same by runner.
     """
 
     def __init__(
         self,
         cell: Cell,
-        views: Iterable[RunnerView],
+        occupancy: Occupancy,
         now_ms: Millis,
         aside: frozenset[JobId],
     ) -> None:
-        """Count what is free.
+        """Begin a decision.
 
         :param cell: the cell with its open runs.
-        :param views: the runners.
+        :param occupancy: what runs on the runners.
         :param now_ms: time of the cell.
         :param aside: jobs whose runs take room, and are not looked at.
         """
-        self.views: dict[RunnerId, RunnerView] = {}
-        self.free: dict[RunnerId, Resources] = {}
-        self.rack_free: Counter[RackId] = Counter()
+        self.fleet = occupancy.fleet
+        self.views = occupancy.fleet.views
+        self.room = occupancy.room()
+        self.free = self.room.free
         self._on_runner: dict[StepKey, Counter[RunnerId]] = {}
         self._cell = cell
+        self._occupancy = occupancy
         self._aside = aside
         self._now_ms = now_ms
         self._holds: dict[RunnerId, _Hold] = {}
-        for view in views:
-            self._add(view)
+        self._ends: dict[RunnerId, list[ExpectedEnd]] = {}
+        self._settle: Callable[[], None] | None = None
 
-    def need_of(self, run: OpenRun) -> Resources:
-        """Tell what an open run takes of its runner.
+    def defer(self, settle: Callable[[], None]) -> None:
+        """Have room kept only once something could take it.
 
-        :param run: the run.
-        :returns: its resources.
+        :param settle: keeps the room; called at most once.
         """
-        return self._step_of(run).counted
-
-    @property
-    def free_accelerators(self) -> int:
-        """Accelerators that are free on all runners."""
-        return sum(self.rack_free.values())
-
-    @property
-    def accelerators(self) -> int:
-        """Accelerators of all runners."""
-        return sum(view.room.accelerators for view in self.views.values())
+        self._settle = settle
 
     def fits(self, waiting: Waiting, runner: RunnerId) -> bool:
         """Tell whether a task of a unit may start on a runner now.
@@ -88,11 +92,11 @@
         :param runner: the runner.
         :returns: whether there is room, and its spread allows it.
         """
-        need = waiting.step.counted
-        return (
-            need.fits(self.free[runner])
-            and self.spread_left(waiting, runner)
-            and self._may_pass(waiting, runner)
+        if not waiting.step.counted.fits(self.free[runner]):
+            return False
+        self._settle_deferred()
+        return self.spread_left(waiting, runner) and self._may_pass(
+            waiting, runner
         )
 
     def hold(
@@ -117,22 +121,43 @@
         :returns: free room, by the declared durations of what runs.
         """
         room = self.free[runner]
-        for run in self.runs(runner):
-            if self.expected_end(run) <= at_ms:
-                room = room.plus(self.need_of(run))
+        for end in self.expected_ends(runner):
+            if end.at_ms <= at_ms:
+                room = room.plus(end.need)
         return room
 
-    def expected_end(self, run: OpenRun) -> Millis:
+    def expected_end(self, share: RunShare) -> Millis:
         """Tell when a run is expected to end.
 
-        :param run: the run.
+        :param share: the run.
         :returns: its declared end, or later the longer it is overdue.
         """
-        step = self._step_of(run)
-        ran_ms = self._now_ms - run.started_ms
-        left_ms = max(step.estimate_ms - ran_ms, int(ran_ms * OVERDUE_SHARE))
+        estimate_ms = share.step.estimate_ms
+        ran_ms = self._now_ms - share.run.started_ms
+        left_ms = max(estimate_ms - ran_ms, int(ran_ms * OVERDUE_SHARE))
         return self._now_ms + left_ms
 
+    def expected_ends(self, runner: RunnerId) -> list[ExpectedEnd]:
+        """List when the runs of a runner are expected to end.
+
+        :param runner: the runner.
+        :returns: their ends, in no order.
+        """
+        found = self._ends.get(runner)
+        if found is None:
+            found = [
+                ExpectedEnd(self.expected_end(share), runner, share.need)
+                for share in self.runs(runner)
+            ]
+            self._ends[runner] = found
+        return found
+
+    def _settle_deferred(self) -> None:
+        settle = self._settle
+        if settle is not None:
+            self._settle = None
+            settle()
+
     def _may_pass(self, waiting: Waiting, runner: RunnerId) -> bool:
         """Tell whether a task leaves room that is kept for others alone."""
         hold = self._holds.get(runner)
@@ -165,21 +190,18 @@
         """
         step = waiting.step
         if step.filling:
-            steps = map(self._step_of, self.runs(runner))
+            steps = [share.step for share in self.runs(runner)]
             others = sum(it.filling or it.tail_target_ms > 0 for it in steps)
             return others + self._spread(waiting)[runner]
         return self._spread(waiting)[runner] if step.may_miss else 0
 
-    def runs(self, runner: RunnerId) -> list[OpenRun]:
+    def runs(self, runner: RunnerId) -> tuple[RunShare, ...]:
         """List the open runs of a runner.
 
         :param runner: the runner.
         :returns: its runs, but for those of jobs that are set aside.
         """
-        runs = self._cell.runs_on(runner)
-        if not self._aside:
-            return runs
-        return [run for run in runs if run.task.job not in self._aside]
+        return self._occupancy.runs(runner, self._aside)
 
     def _spread(self, waiting: Waiting) -> Counter[RunnerId]:
         """Count the tasks of a step on each runner, once a decision."""
@@ -202,13 +224,13 @@
         self._take(waiting, runner, 1)
 
     def _take(self, waiting: Waiting, runner: RunnerId, tasks: int) -> None:
+        self._settle_deferred()
         need = waiting.step.counted
         taken = Resources(*(tasks * part for part in need))
-        self.free[runner] = self.free[runner].minus(taken)
+        rack = self.views[runner].rack
+        self.room.put(runner, rack, self.free[runner].minus(taken))
         if waiting.unit[:3] in self._on_runner:
             self._spread(waiting)[runner] += tasks
-        rack = self.views[runner].rack
-        self.rack_free[rack] -= taken.accelerators
         hold = self._holds.get(runner)
         if hold and self._now_ms + waiting.step.estimate_ms > hold.until_ms:
             self._holds[runner] = hold._replace(spare=hold.spare.minus(taken))
@@ -221,13 +243,3 @@
         """
         for runner in runners:
             self._take(waiting, runner, -1)
-
-    def _step_of(self, run: OpenRun) -> StepSpec:
-        jobs = self._cell.state.jobs
-        return jobs[run.task.job].step(run.task)
-
-    def _add(self, view: RunnerView) -> None:
-        self.views[view.runner] = view
-        free = view.room.minus(self._cell.runs.used_on(view.runner))
-        self.free[view.runner] = free
-        self.rack_free[view.rack] += free.accelerators
--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -101,6 +101,7 @@
     :ivar runs: the open runs by runner.
     :ivar dirty: jobs of which a unit may start or a run may have to end;
         a decision takes out those that it finds settled.
+    :ivar urgent: jobs of urgent queues, those that are finished among them.
     """
 
     def __init__(self, keep_ms: Millis, state: CellState | None = None) -> None:
@@ -112,6 +113,7 @@
         self.state = CellState()
         self.runs = RunIndex()
         self.dirty: set[JobId] = set()
+        self.urgent: dict[JobId, Job] = {}
         self._keep_ms = keep_ms
         if state is not None:
             self.replace_state(state)
@@ -124,6 +126,11 @@
         self.state = state
         self.runs = RunIndex()
         self.mark_all_dirty()
+        self.urgent = {
+            job.job: job
+            for job in state.jobs.values()
+            if job.spec.terms.priority == 0
+        }
         for job in state.jobs.values():
             for run in job.open_runs():
                 self.runs.add(run, job.step(run.task).counted)
@@ -200,7 +207,9 @@
     def _fold_any(self, record: Record) -> None:
         match record:
             case Submitted(spec):
-                self.state.jobs.setdefault(spec.job, Job(spec))
+                job = self.state.jobs.setdefault(spec.job, Job(spec))
+                if spec.terms.priority == 0:
+                    self.urgent[spec.job] = job
                 self.dirty.add(spec.job)
             case Canceled():
                 self._cancel(record)
@@ -245,11 +254,12 @@
         ]
         for job_id in old:
             self.state.jobs.pop(job_id)
+            self.urgent.pop(job_id, None)
             self.dirty.discard(job_id)
 
     def _cancel(self, record: Canceled) -> None:
         job = self.state.jobs.get(record.job)
-        if job is None or job.state.final:
+        if job is None or job.final:
             return
         self.dirty.add(job.job)
         job.canceled = True
@@ -291,7 +301,7 @@
         unit = job.find(job.unit_of(record.task))
         if unit is None:
             return
-        was_final = job.state.final
+        was_final = job.final
         _note_end(job, unit, record)
         run = self._close(record.task, record.run)
         self.dirty.add(job.job)
@@ -299,7 +309,7 @@
         account = self.state.account
         if run is not None:
             account.add_run(job, run, self.state.time_ms, record.ending.value)
-        if job.state.final and not was_final:
+        if job.final and not was_final:
             account.add_finish(job, job.state)
 
     def _vanish(self, record: Vanished) -> None:
@@ -359,7 +369,7 @@
 
 def _conclude(job: Job, unit: Unit, record: Ended) -> None:
     """Tell what the end of a unit's run means for its job."""
-    if job.state.final or job.step(record.task).lasting:
+    if job.final or job.step(record.task).lasting:
         return
     match record.ending:
         case Ending.DONE:
@@ -368,7 +378,7 @@
             job.failed = unit.failures >= job.spec.terms.max_attempts
         case _:
             return
-    if job.state.final:
+    if job.final:
         job.finished_ms = record.at_ms
 
 
--- a/packages/engine/swifthoist_engine/demand.py
+++ b/packages/engine/swifthoist_engine/demand.py
@@ -4,27 +4,26 @@
 """
 
 from swifthoist_core.types import Millis
-from swifthoist_engine.cell import CellState
+from swifthoist_engine.cell import Cell
 
 WINDOW_MS = 10_000
 """Span over which jobs are counted, in ms: some ten urgent jobs of a site of 24
 runners, and short against the spells of a day."""
 
 
-def urgent_accelerators(state: CellState, now_ms: Millis) -> float:
+def urgent_accelerators(cell: Cell, now_ms: Millis) -> float:
     """Tell how many accelerators urgent jobs ask for in a second.
 
     Nothing is taken for granted: it is 0 before the first urgent job.
 
-    :param state: state of the cell.
+    :param cell: the cell.
     :param now_ms: time of the cell.
     :returns: accelerators a second, over the last :data:`WINDOW_MS`.
     """
     asked = sum(
         step.width * step.need.accelerators
-        for job in state.jobs.values()
-        if job.spec.terms.priority == 0
-        and 0 <= now_ms - job.spec.accepted_ms < WINDOW_MS
+        for job in cell.urgent.values()
+        if 0 <= now_ms - job.spec.accepted_ms < WINDOW_MS
         for step in job.spec.steps
         if not step.lasting
     )
--- a/packages/engine/swifthoist_engine/faults.py
+++ b/packages/engine/swifthoist_engine/faults.py
@@ -4,9 +4,8 @@
 fails, the decision goes on without it.
 """
 
-from collections.abc import Iterator
-from contextlib import contextmanager
 from enum import StrEnum
+from types import TracebackType
 from typing import NamedTuple
 
 
@@ -43,17 +42,14 @@
         """The faults, in the order in which they were met."""
         return tuple(self._faults.values())
 
-    @contextmanager
-    def looking_at(self, kind: Kind, name: str) -> Iterator[None]:
+    def looking_at(self, kind: Kind, name: str) -> '_Look':
         """Keep a fault to what is looked at; what follows goes on.
 
         :param kind: what kind of thing is looked at.
         :param name: its id or name.
+        :returns: a context that notes the fault.
         """
-        try:
-            yield
-        except Exception as exc:
-            self.note(Fault(kind, name, exc))
+        return _Look(self, kind, name)
 
     def note(self, fault: Fault) -> None:
         """Note a fault, unless one of the same thing is noted.
@@ -61,3 +57,29 @@
         :param fault: the fault.
         """
         self._faults.setdefault((fault.kind, fault.name), fault)
+
+
+class _Look:
+    """Notes the fault of one look, and goes on."""
+
+    __slots__ = ('_guard', '_kind', '_name')
+
+    def __init__(self, guard: Guard, kind: Kind, name: str) -> None:
+        self._guard = guard
+        self._kind = kind
+        self._name = name
+
+    def __enter__(self) -> None:
+        """Begin the look."""
+
+    def __exit__(
+        self,
+        _type: type[BaseException] | None,
+        error: BaseException | None,
+        _trace: TracebackType | None,
+    ) -> bool:
+        """End the look, and note what it failed on."""
+        if not isinstance(error, Exception):
+            return False
+        self._guard.note(Fault(self._kind, self._name, error))
+        return True
--- /dev/null
+++ b/packages/engine/swifthoist_engine/fleet.py
@@ -0,0 +1,216 @@
+"""The runners that decisions choose from, and which of them suit a unit.
+
+Runners that differ in nothing that matters are looked at once for all of them.
+What is found holds for as long as the runners stay as they are.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator, Mapping, Sequence
+from functools import cached_property
+from typing import NamedTuple
+
+from swifthoist_core.types import RackId, RunnerId
+from swifthoist_engine.model import Resources
+from swifthoist_engine.queueing import Waiting
+from swifthoist_engine.runners import RunnerView
+
+
+class Shape(NamedTuple):
+    """What units have in common that may run on the same runners.
+
+    :ivar service: the service of their queue.
+    :ivar label: the label that a runner must have; empty for none.
+    :ivar need: what a task takes.
+    :ivar spread_limit: most tasks on a runner; 0 for any.
+    :ivar width: number of tasks of a step that takes nothing; else 0.
+    """
+
+    service: str
+    label: str
+    need: Resources
+    spread_limit: int
+    width: int
+
+
+def shape_of(waiting: Waiting) -> Shape:
+    """Tell the shape of a unit.
+
+    :param waiting: the unit.
+    :returns: its shape.
+    """
+    step = waiting.step
+    return Shape(
+        waiting.terms.service,
+        step.label,
+        step.counted,
+        step.spread_limit,
+        0 if any(step.counted) else step.width,
+    )
+
+
+class Candidates:
+    """Runners that may run units of one shape, whatever room is free.
+
+    :ivar names: their ids.
+    """
+
+    def __init__(self, shape: Shape, views: Sequence[RunnerView]) -> None:
+        """Describe them.
+
+        :param shape: the shape.
+        :param views: the runners.
+        """
+        self.names = [view.runner for view in views]
+        self._views = views
+        self._shape = shape
+
+    @cached_property
+    def racks(self) -> Mapping[RackId, list[RunnerId]]:
+        """Ids of the runners by rack."""
+        racks: dict[RackId, list[RunnerId]] = defaultdict(list)
+        for view in self._views:
+            racks[view.rack].append(view.runner)
+        return dict(racks)
+
+    @cached_property
+    def copies(self) -> Mapping[RackId, int]:
+        """How many tasks each rack could hold if it were empty."""
+        copies: dict[RackId, int] = defaultdict(int)
+        held: dict[Resources, int] = {}
+        for view in self._views:
+            room = view.room
+            if room not in held:
+                held[room] = _copies(self._shape, room)
+            copies[view.rack] += held[room]
+        return dict(copies)
+
+    @cached_property
+    def suspicion(self) -> Mapping[RackId, int]:
+        """How much speaks against the runners of each rack."""
+        found: dict[RackId, int] = defaultdict(int)
+        for view in self._views:
+            found[view.rack] += view.suspicion
+        return dict(found)
+
+    def could_hold(self, members: int) -> bool:
+        """Tell whether the runners could hold some tasks if they were empty.
+
+        :param members: number of the tasks.
+        :returns: whether they could.
+        """
+        return sum(self.copies.values()) >= members
+
+    def only(self, names: frozenset[RunnerId]) -> 'Candidates':
+        """Leave out all runners but some.
+
+        :param names: ids of those that stay.
+        :returns: the rest.
+        """
+        views = [view for view in self._views if view.runner in names]
+        return Candidates(self._shape, views)
+
+    def less_doubted(self, suspicion: int) -> 'Candidates':
+        """Leave out the runners against which too much speaks.
+
+        :param suspicion: least suspicion of those that are left out.
+        :returns: the rest.
+        """
+        views = [view for view in self._views if view.suspicion < suspicion]
+        return Candidates(self._shape, views)
+
+
+class _Kind(NamedTuple):
+    """What runners have in common that suit the same units."""
+
+    open: bool
+    leaving: bool
+    service: str
+    labels: frozenset[str]
+    room: Resources
+
+
+class Fleet:
+    """Runners as they are at the time of some decisions.
+
+    :ivar views: the runners by id.
+    :ivar listed: the same as they were told of.
+    """
+
+    def __init__(self, views: tuple[RunnerView, ...]) -> None:
+        """Index the runners.
+
+        :param views: the runners.
+        """
+        self.listed = views
+        self.views = {view.runner: view for view in views}
+        self.most_doubted = max((it.suspicion for it in views), default=0)
+        self._kinds = [_kind_of(view) for view in self.views.values()]
+        self._samples = dict(zip(self._kinds, self.views.values(), strict=True))
+        self._able: dict[Shape, Candidates] = {}
+        self._sound: dict[tuple[Shape, int], Candidates] = {}
+
+    def able(self, shape: Shape) -> Candidates:
+        """Find the runners that could run a task of a unit at all.
+
+        :param shape: shape of the unit.
+        :returns: the runners.
+        """
+        found = self._able.get(shape)
+        if found is None:
+            found = Candidates(shape, list(self._find(shape)))
+            self._able[shape] = found
+        return found
+
+    def sound(self, shape: Shape, suspicion: int) -> Candidates:
+        """Find those of them against which not too much speaks.
+
+        :param shape: shape of the unit.
+        :param suspicion: least suspicion of those that are left out.
+        :returns: the runners.
+        """
+        key = (shape, suspicion)
+        found = self._sound.get(key)
+        if found is None:
+            found = self.able(shape).less_doubted(suspicion)
+            self._sound[key] = found
+        return found
+
+    def _find(self, shape: Shape) -> Iterator[RunnerView]:
+        able = {
+            kind
+            for kind, view in self._samples.items()
+            if _may_run(shape, view)
+        }
+        for kind, view in zip(self._kinds, self.views.values(), strict=True):
+            if kind in able:
+                yield view
+
+
+def _kind_of(view: RunnerView) -> _Kind:
+    return _Kind(
+        view.open,
+        view.leaving_ms is not None,
+        view.service,
+        view.labels,
+        view.room,
+    )
+
+
+def _may_run(shape: Shape, view: RunnerView) -> bool:
+    if not view.open or view.service != shape.service:
+        return False
+    if shape.label and shape.label not in view.labels:
+        return False
+    if view.leaving_ms is not None:
+        return False
+    return shape.need.fits(view.room)
+
+
+def _copies(shape: Shape, room: Resources) -> int:
+    counts = [
+        have // want
+        for have, want in zip(room, shape.need, strict=True)
+        if want > 0
+    ]
+    most = min(counts, default=shape.width)
+    return min(most, shape.spread_limit) if shape.spread_limit else most
--- a/packages/engine/swifthoist_engine/jobs.py
+++ b/packages/engine/swifthoist_engine/jobs.py
@@ -112,6 +112,11 @@
             return JobState.FAILED
         return JobState.ACTIVE if self.started else JobState.QUEUED
 
+    @property
+    def final(self) -> bool:
+        """Whether nothing of it may start any more."""
+        return self.complete or self.canceled or self.failed
+
     @property
     def occurrences(self) -> int:
         """How often its steps run."""
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -5,20 +5,15 @@
 one rack as long as some rack could hold it.
 """
 
-from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from itertools import starmap
 from typing import NamedTuple
 
 from swifthoist_core.types import Millis, RackId, RunnerId
 from swifthoist_engine.board import Board, StepKey
+from swifthoist_engine.fleet import Candidates, Shape, shape_of
 from swifthoist_engine.mechanisms import ALL, Mechanisms
-from swifthoist_engine.model import (
-    USUAL_TERMS,
-    Resources,
-    SiteTerms,
-    StepSpec,
-)
+from swifthoist_engine.model import USUAL_TERMS, SiteTerms
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.records import Placement
 from swifthoist_engine.runners import RunnerView
@@ -57,6 +52,15 @@
     runner: RunnerId
 
 
+class _RackRank(NamedTuple):
+    """What speaks against a rack, the weightiest first."""
+
+    far: bool
+    suspicion: int
+    free: int
+    rack: RackId
+
+
 class Placer:
     """Chooses runners for units, one unit after the other."""
 
@@ -77,6 +81,7 @@
         :param terms: terms of the site.
         """
         self.board = board
+        self._fleet = board.fleet
         self._terms = terms
         self._mechanisms = mechanisms
         self._now_ms = now_ms
@@ -88,64 +93,71 @@
         :param waiting: the unit.
         :returns: the choice; none when it has to wait.
         """
-        for names in self.choices(waiting):
+        for names in self._choices(waiting, roomy=True):
             placed = self._fill(waiting, names)
             if placed is not None:
                 return placed
         return None
 
-    def choices(self, waiting: Waiting) -> list[list[RunnerId]]:
+    def choices(self, waiting: Waiting) -> list[Sequence[RunnerId]]:
         """List the groups of runners that a unit may take, best first.
 
         :param waiting: the unit.
         :returns: groups of runners that may run its tasks.
         """
-        names = self.eligible(waiting)
-        step = waiting.step
-        if step.gang and step.same_rack and waiting.members > 1:
-            racks = self._by_rack(names)
-            groups = [racks[rack] for rack in self._rank_racks(waiting, racks)]
-            if self._patience_over(waiting) or not self._has_rack(waiting):
-                groups.append(names)
-            return groups
-        if not step.data_rack:
-            return [names]
-        views = self.board.views
-        near = [name for name in names if views[name].rack == step.data_rack]
-        if near and not self._patience_over(waiting):
-            return [near]
-        return [near, names]
+        return self._choices(waiting, roomy=False)
 
-    def eligible(self, waiting: Waiting) -> list[RunnerId]:
+    def eligible(self, waiting: Waiting) -> Candidates:
         """List the runners that may run a task of a unit now.
 
         Those against which too much speaks are left out, unless the others
         could not hold the unit even if they were empty, for a while.
 
         :param waiting: the unit.
-        :returns: ids of runners, whatever room they have.
+        :returns: the runners, whatever room they have.
         """
-        able = self._able(waiting)
-        if not self._mechanisms.sound_attempts:
-            return able
-        views = self.board.views
+        shape = shape_of(waiting)
         left = attempts_left(waiting)
-        sound = [name for name in able if views[name].suspicion < left]
+        doubted = self._fleet.most_doubted >= left
+        if not doubted or not self._mechanisms.sound_attempts:
+            return self._able(waiting, shape)
+        sound = self._allow(waiting, self._fleet.sound(shape, left))
         if self._waited_ms(waiting) <= DOUBT_PATIENCE_MS:
             return sound
-        enough = _could_hold(waiting, [views[name] for name in sound])
-        return sound if enough else able
+        enough = sound.could_hold(waiting.members)
+        return sound if enough else self._able(waiting, shape)
+
+    def _choices(
+        self, waiting: Waiting, *, roomy: bool
+    ) -> list[Sequence[RunnerId]]:
+        """List groups of runners; only those that may have room, if asked."""
+        found = self.eligible(waiting)
+        step = waiting.step
+        if step.gang and step.same_rack and waiting.members > 1:
+            racks = self._rank_racks(waiting, found, roomy=roomy)
+            groups: list[Sequence[RunnerId]] = [
+                found.racks[rack] for rack in racks
+            ]
+            if self._patience_over(waiting) or not self._has_rack(waiting):
+                groups.append(found.names)
+            return groups
+        if not step.data_rack:
+            return [found.names]
+        near = found.racks.get(step.data_rack, [])
+        if near and not self._patience_over(waiting):
+            return [near]
+        return [near, found.names]
 
-    def _able(self, waiting: Waiting) -> list[RunnerId]:
+    def _able(self, waiting: Waiting, shape: Shape) -> Candidates:
         """List the runners that could run a task of a unit at all."""
-        allowed = None
-        if waiting.advised:
-            allowed = self._allowed.get(waiting.unit[:3], frozenset())
-        return [
-            name
-            for name, view in self.board.views.items()
-            if _may_run(waiting, view) and (allowed is None or name in allowed)
-        ]
+        return self._allow(waiting, self._fleet.able(shape))
+
+    def _allow(self, waiting: Waiting, found: Candidates) -> Candidates:
+        """Leave out the runners that the policy of a queue does not name."""
+        if not waiting.advised:
+            return found
+        step = waiting.unit[:3]
+        return found.only(self._allowed.get(step, frozenset()))
 
     def _waited_ms(self, waiting: Waiting) -> Millis:
         since = waiting.due_ms
@@ -164,44 +176,40 @@
             patience = URGENT_RACK_PATIENCE * waiting.step.estimate_ms
         return self._waited_ms(waiting) > patience
 
-    def _by_rack(
-        self, names: Iterable[RunnerId]
-    ) -> dict[RackId, list[RunnerId]]:
-        racks: dict[RackId, list[RunnerId]] = defaultdict(list)
-        for name in names:
-            racks[self.board.views[name].rack].append(name)
-        return racks
-
     def _has_rack(self, waiting: Waiting) -> bool:
         """Tell whether some rack could hold a unit, if all of it were sound."""
-        racks = self._by_rack(self._able(waiting))
-        return bool(self._rank_racks(waiting, racks))
+        copies = self._able(waiting, shape_of(waiting)).copies
+        return max(copies.values(), default=0) >= waiting.members
 
     def _rank_racks(
-        self, waiting: Waiting, racks: Mapping[RackId, list[RunnerId]]
+        self, waiting: Waiting, found: Candidates, *, roomy: bool
     ) -> list[RackId]:
-        able = [
-            rack
-            for rack, names in racks.items()
-            if _could_hold(waiting, [self.board.views[name] for name in names])
+        """List the racks that could hold a unit, best first."""
+        members = waiting.members
+        wanted = members * waiting.step.counted.accelerators
+        room = self.board.room
+        ranked = [
+            self._rack_rank(waiting, found, rack)
+            for rack, held in found.copies.items()
+            if held >= members and (not roomy or room.may_hold(rack, wanted))
         ]
-
-        return sorted(
-            able, key=lambda rack: self._rack_rank(waiting, rack, racks[rack])
-        )
+        ranked.sort()
+        return [rank.rack for rank in ranked]
 
     def _rack_rank(
-        self, waiting: Waiting, rack: RackId, names: Sequence[RunnerId]
-    ) -> tuple[bool, int, int, RackId]:
-        board = self.board
-        suspicion = sum(self._doubts(board.views[name]) for name in names)
-        left = board.rack_free[rack] if self._mechanisms.packing else 0
-        return (rack != waiting.step.data_rack, suspicion, left, rack)
+        self, waiting: Waiting, found: Candidates, rack: RackId
+    ) -> '_RackRank':
+        return _RackRank(
+            rack != waiting.step.data_rack,
+            found.suspicion[rack] if self._mechanisms.evidence else 0,
+            self.board.room.rack_free[rack] if self._mechanisms.packing else 0,
+            rack,
+        )
 
     def _fill(
         self, waiting: Waiting, names: Sequence[RunnerId]
     ) -> tuple[Placement, ...] | None:
-        fitting = [name for name in names if self.board.fits(waiting, name)]
+        fitting = self._fitting(waiting, names)
         ranked = sorted(fitting, key=lambda name: self._rank(waiting, name))
         taken: list[RunnerId] = []
         for name in ranked:
@@ -217,6 +225,20 @@
             return (Placement(waiting.unit.ordinal, taken[0]),)
         return tuple(starmap(Placement, enumerate(taken)))
 
+    def _fitting(
+        self, waiting: Waiting, names: Sequence[RunnerId]
+    ) -> list[RunnerId]:
+        """List the runners that have room for a task; none if too few do."""
+        board = self.board
+        free = board.free
+        least = waiting.step.counted.accelerators
+        roomy = [name for name in names if free[name].accelerators >= least]
+        if least:
+            held = sum(free[name].accelerators // least for name in roomy)
+            if held < waiting.members:
+                return []
+        return [name for name in roomy if board.fits(waiting, name)]
+
     def _doubts(self, view: RunnerView) -> int:
         return view.suspicion if self._mechanisms.evidence else 0
 
@@ -233,7 +255,9 @@
             self._doubts(view) + failed,
             far,
             self.board.crowd(waiting, name),
-            self.board.rack_free[view.rack] if self._mechanisms.packing else 0,
+            self.board.room.rack_free[view.rack]
+            if self._mechanisms.packing
+            else 0,
             free.accelerators if self._mechanisms.packing else 0,
             free.memory,
             name,
@@ -250,29 +274,3 @@
     if waiting.step.lasting:
         return NO_LIMIT
     return waiting.terms.max_attempts - failures
-
-
-def _may_run(waiting: Waiting, view: RunnerView) -> bool:
-    step = waiting.step
-    if not view.open or view.service != waiting.terms.service:
-        return False
-    if step.label and step.label not in view.labels:
-        return False
-    if view.leaving_ms is not None:
-        return False
-    return step.counted.fits(view.room)
-
-
-def _could_hold(waiting: Waiting, views: Sequence[RunnerView]) -> bool:
-    held = sum(_copies(waiting.step, view.room) for view in views)
-    return held >= waiting.members
-
-
-def _copies(step: StepSpec, room: Resources) -> int:
-    counts = [
-        have // want
-        for have, want in zip(room, step.counted, strict=True)
-        if want > 0
-    ]
-    most = min(counts, default=step.width)
-    return min(most, step.spread_limit) if step.spread_limit else most
--- a/packages/engine/swifthoist_engine/planner.py
+++ b/packages/engine/swifthoist_engine/planner.py
@@ -5,7 +5,7 @@
 blame, and nothing of the failed attempt is kept.
 """
 
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
 from swifthoist_core.types import Epoch, JobId, Millis, RunnerId
@@ -18,10 +18,12 @@
 from swifthoist_engine.jobs import Job, OpenRun, Unit
 from swifthoist_engine.mechanisms import ALL, Mechanisms
 from swifthoist_engine.model import USUAL_TERMS, SiteTerms
+from swifthoist_engine.occupancy import Occupancy
 from swifthoist_engine.placing import Placer
 from swifthoist_engine.preemption import Preemption
 from swifthoist_engine.queueing import LOST, Waiting, waiting_units
 from swifthoist_engine.records import Placement, Started
+from swifthoist_engine.reservations import Reservations
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView
 
@@ -43,9 +45,6 @@
 """How often a decision is made again without what it failed on. One attempt
 meets all faults that don't hide behind others; the next decision goes on."""
 
-RESERVED_UNITS = 2
-"""Most units that room is kept for at a time."""
-
 
 class World(NamedTuple):
     """What a decision is made on.
@@ -61,6 +60,8 @@
         are due by the time of day.
     :ivar mechanisms: parts of the decision that take part.
     :ivar terms: terms of the site.
+    :ivar occupancy: what the decisions before it have counted; none for the
+        first one.
     """
 
     cell: Cell
@@ -73,6 +74,7 @@
     ahead_ms: Millis = 0
     mechanisms: Mechanisms = ALL
     terms: SiteTerms = USUAL_TERMS
+    occupancy: Occupancy | None = None
 
     def without(self, faults: Iterable[Fault]) -> 'World':
         """Leave out what a decision failed on.
@@ -81,9 +83,12 @@
         :returns: the rest.
         """
         names = {(fault.kind, fault.name) for fault in faults}
+        if not names:
+            return self
         jobs = {name for kind, name in names if kind is Kind.JOB}
         return self._replace(
             aside=self.aside | jobs,
+            occupancy=None,
             runners=tuple(
                 view
                 for view in self.runners
@@ -177,16 +182,17 @@
     """Serves the waiting units in their order on one board."""
 
     def __init__(self, world: World, epoch: Epoch) -> None:
-        board = Board(world.cell, world.runners, world.now_ms, world.aside)
+        occupancy = world.occupancy or Occupancy()
+        occupancy.look(world.cell, world.runners)
+        board = Board(world.cell, occupancy, world.now_ms, world.aside)
         self.starts: list[Started] = []
         self.stops: list[Stop] = []
         self.unadvised: list[Waiting] = []
         self.tasks = 0
         self._blocked: set[StepKey] = set()
-        self._kept = 0
         self._headroom = 0
         if world.mechanisms.headroom:
-            rate = urgent_accelerators(world.cell.state, world.now_ms)
+            rate = urgent_accelerators(world.cell, world.now_ms)
             self._headroom = int(HEADROOM_S * rate)
         self._world = world
         self._epoch = epoch
@@ -197,6 +203,7 @@
             world.mechanisms,
             world.terms,
         )
+        self._reservations = Reservations(self._placer)
         self._preemption = Preemption(
             world.cell,
             self._placer,
@@ -214,7 +221,7 @@
         """
         guard = Guard()
         for waiting in units:
-            if waiting.unit.job in self._world.aside:
+            if waiting.unit.job in self._world.aside or self._waits(waiting):
                 continue
             with guard.looking_at(Kind.JOB, waiting.unit.job):
                 self._serve(waiting)
@@ -233,7 +240,13 @@
         elif waiting.urgent and self._world.mechanisms.preemption:
             self._make_room(waiting)
         elif self._keeps_room(waiting):
-            self._kept += int(reserve_room(waiting, self._placer))
+            self._reservations.ask(waiting)
+
+    def _waits(self, waiting: Waiting) -> bool:
+        """Tell whether nothing can be done for a unit of a blocked step."""
+        if waiting.urgent or waiting.unit[:3] not in self._blocked:
+            return False
+        return not self._keeps_room(waiting)
 
     def _place(self, waiting: Waiting) -> tuple[Placement, ...] | None:
         """Place a unit, unless another one of its step is blocked.
@@ -257,7 +270,7 @@
         step = waiting.step
         if waiting.urgent or step.gang or step.checkpointing or step.lasting:
             return False
-        free = self._placer.board.free_accelerators
+        free = self._placer.board.room.accelerators
         return free - step.need.accelerators < self._headroom
 
     def _start(self, waiting: Waiting, placed: tuple[Placement, ...]) -> None:
@@ -282,9 +295,10 @@
     def _keeps_room(self, waiting: Waiting) -> bool:
         if not self._world.mechanisms.reservations:
             return False
+        if self._reservations.full:
+            return False
         waited_ms = self._world.now_ms - waiting.due_ms
-        late = waiting.tier < LOST and waited_ms > RESERVE_AFTER_MS
-        return late and self._kept < RESERVED_UNITS
+        return waiting.tier < LOST and waited_ms > RESERVE_AFTER_MS
 
 
 def unwanted_runs(cell: Cell, now_ms: Millis, guard: Guard) -> Iterator[Stop]:
@@ -333,7 +347,7 @@
 def _why_unwanted(job: Job, unit: Unit, now_ms: Millis) -> str:
     if unit.done and now_ms < unit.done_ms + DONE_TOGETHER_MS:
         return ''
-    if job.state.final:
+    if job.final:
         return f'job is {job.state}'
     if unit.done:
         return 'unit is done'
@@ -341,50 +355,3 @@
     if step.gang and len(unit.open) < step.width:
         return 'gang in part'
     return ''
-
-
-def reserve_room(waiting: Waiting, placer: Placer) -> bool:
-    """Keep the room for a blocked unit that is expected to be free first.
-
-    Others may use it until then, and what is left of it beyond.
-
-    :param waiting: the unit.
-    :param placer: chooses runners; the room is kept on its board.
-    :returns: whether any room could be kept.
-    """
-    plans = [
-        plan
-        for names in placer.choices(waiting)
-        if (plan := _earliest(waiting, placer.board, names)) is not None
-    ]
-    if not plans:
-        return False
-    best = min(plans, key=lambda plan: plan.at_ms)
-    for name in best.runners:
-        placer.board.hold(waiting, best.at_ms, name)
-    return True
-
-
-class _Reservation(NamedTuple):
-    at_ms: Millis
-    runners: tuple[RunnerId, ...]
-
-
-def _earliest(
-    waiting: Waiting, board: Board, names: Sequence[RunnerId]
-) -> _Reservation | None:
-    """Find the time at which a group of runners is expected to have room."""
-    need = waiting.step.counted
-    times = sorted(
-        {board.expected_end(run) for name in names for run in board.runs(name)}
-    )
-    for at_ms in times:
-        found: list[RunnerId] = []
-        for name in names:
-            room = board.room_at(name, at_ms)
-            while need.fits(room) and len(found) < waiting.members:
-                room = room.minus(need)
-                found.append(name)
-        if len(found) >= waiting.members:
-            return _Reservation(at_ms, tuple(found))
-    return None
--- a/packages/engine/swifthoist_engine/preemption.py
+++ b/packages/engine/swifthoist_engine/preemption.py
@@ -5,14 +5,19 @@
 does not stop more than it needs.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+import heapq
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from operator import attrgetter
 from typing import NamedTuple
 
 from swifthoist_core.types import Millis, RunnerId
+from swifthoist_engine.board import Board
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.mechanisms import ALL, Mechanisms
 from swifthoist_engine.model import USUAL_TERMS, Resources, SiteTerms
+from swifthoist_engine.occupancy import RunShare
 from swifthoist_engine.placing import Placer
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.run_index import RunKey
@@ -43,15 +48,33 @@
     loss: float
 
 
+_LOSS = attrgetter('loss')
+
+
+class _Outlook(NamedTuple):
+    """What becomes of the room of a runner.
+
+    :ivar freed: room that stops under way will free.
+    :ivar victims: runs that may be stopped, the least loss first.
+    :ivar accelerators: what they hold together.
+    """
+
+    freed: Resources
+    victims: tuple[Victim, ...]
+    accelerators: int
+
+
 class Plan(NamedTuple):
     """How an urgent unit gets its room.
 
     :ivar runners: where its tasks will go.
     :ivar victims: runs to stop.
+    :ivar loss: core-milliseconds that are lost with them.
     """
 
     runners: tuple[RunnerId, ...]
     victims: tuple[OpenRun, ...]
+    loss: float
 
 
 class Preemption:
@@ -83,6 +106,7 @@
         self._stopping = stopping
         self._now_ms = now_ms
         self._chosen: set[RunKey] = set()
+        self._outlooks: dict[RunnerId, _Outlook] = {}
 
     def make_room(self, waiting: Waiting) -> Plan | None:
         """Find room for an urgent unit and take it on the board.
@@ -90,97 +114,113 @@
         :param waiting: the unit.
         :returns: what to stop; none if no stop would make room.
         """
-        plans = [
-            plan
-            for names in self._placer.choices(waiting)
-            if (plan := self._try_group(waiting, names)) is not None
-        ]
-        if not plans:
-            plan = self._try_group(waiting, self._placer.eligible(waiting))
-            if plan is None:
-                return None
-            plans = [plan]
-        best = min(plans, key=self._total_loss)
+        best = self._cheapest(waiting, self._placer.choices(waiting))
+        if best is None:
+            names = self._placer.eligible(waiting).names
+            best = self._cheapest(waiting, [names])
+        if best is None:
+            return None
         for run in best.victims:
             self._chosen.add((run.task, run.run))
+            self._outlooks.pop(run.runner, None)
         for name in best.runners:
             self._board.put(waiting, name)
         return best
 
-    def weigh(self, run: OpenRun) -> Victim:
+    def _cheapest(
+        self, waiting: Waiting, groups: Iterable[Sequence[RunnerId]]
+    ) -> Plan | None:
+        best: Plan | None = None
+        for names in groups:
+            most = math.inf if best is None else best.loss
+            if most == 0:
+                return best
+            plan = self._try_group(waiting, names, most)
+            if plan is not None and plan.loss < most:
+                best = plan
+        return best
+
+    def weigh(self, share: RunShare) -> Victim:
         """Tell what the stop of a run would free, and what it would lose.
 
-        :param run: the run.
+        :param share: the run.
         :returns: the run as a victim.
         """
-        return Victim(run, self._board.need_of(run), self._loss(run))
-
-    def _total_loss(self, plan: Plan) -> float:
-        return sum(self._loss(run) for run in plan.victims)
+        return Victim(share.run, share.need, self._loss(share))
 
     def _try_group(
-        self, waiting: Waiting, names: Sequence[RunnerId]
+        self, waiting: Waiting, names: Sequence[RunnerId], most: float
     ) -> Plan | None:
-        attempt = _Attempt(waiting, self._free_soon(names), self._victims)
+        """Find the cheapest room on a group of runners, up to some loss."""
+        outlooks = {name: self._outlook(name) for name in names}
+        attempt = _Attempt(waiting, outlooks, self._board)
         for _ in range(waiting.members):
-            if not attempt.add_member(self._board.spread_left):
+            if not attempt.add_member() or attempt.loss > most:
                 return None
-        victims = self._with_gangs(attempt.victims)
-        return Plan(tuple(attempt.runners), victims)
-
-    def _free_soon(
-        self, names: Iterable[RunnerId]
-    ) -> dict[RunnerId, Resources]:
-        soon: dict[RunnerId, Resources] = {}
-        for name in names:
-            free = self._board.free[name]
-            for run in self._board.runs(name):
-                if self._ends_soon(run):
-                    free = free.plus(self._board.need_of(run))
-            soon[name] = free
-        return soon
-
-    def _ends_soon(self, run: OpenRun) -> bool:
-        key = (run.task, run.run)
-        return key in self._stopping or key in self._chosen
-
-    def _victims(self, name: RunnerId) -> list[Victim]:
-        found = [
-            self.weigh(run)
-            for run in self._board.runs(name)
-            if not self._ends_soon(run) and self._may_stop(run)
-        ]
-        return sorted(found, key=lambda victim: victim.loss)
-
-    def _may_stop(self, run: OpenRun) -> bool:
-        job = self._cell.state.jobs[run.task.job]
-        step = job.step(run.task)
-        return job.spec.terms.priority > 0 and not step.may_miss
-
-    def _loss(self, run: OpenRun) -> float:
-        job = self._cell.state.jobs[run.task.job]
-        step = job.step(run.task)
+        return self._with_gangs(attempt)
+
+    def _outlook(self, name: RunnerId) -> '_Outlook':
+        """Tell what will be free on a runner, and what could be."""
+        found = self._outlooks.get(name)
+        if found is None:
+            found = self._look_ahead(name)
+            self._outlooks[name] = found
+        return found
+
+    def _look_ahead(self, name: RunnerId) -> '_Outlook':
+        freed = Resources()
+        victims: list[Victim] = []
+        for share in self._board.runs(name):
+            if share.key in self._stopping or share.key in self._chosen:
+                freed = freed.plus(share.need)
+            elif share.priority > 0 and not share.step.may_miss:
+                victims.append(self.weigh(share))
+        victims.sort(key=_LOSS)
+        accelerators = sum(victim.need.accelerators for victim in victims)
+        return _Outlook(freed, tuple(victims), accelerators)
+
+    def _loss(self, share: RunShare) -> float:
+        step = share.step
         cores = (
             step.need.cpu / _CPU_PER_CORE
             + ACCELERATOR_CORES * step.need.accelerators
         )
         tasks = step.width if step.gang else 1
-        worked = max(self._now_ms - run.started_ms, 0)
+        worked = max(self._now_ms - share.run.started_ms, 0)
         if step.checkpointing:
             # A stop saves a checkpoint.
             worked = min(worked, self._terms.restore_ms)
-        share = REPEAT_SHARE if self._mechanisms.repeat_loss else 0
-        again = share * step.estimate_ms * (run.run - 1)
+        repeated = REPEAT_SHARE if self._mechanisms.repeat_loss else 0
+        again = repeated * step.estimate_ms * (share.run.run - 1)
         return cores * tasks * (worked + again + START_LOSS_MS)
 
-    def _with_gangs(self, victims: Iterable[OpenRun]) -> tuple[OpenRun, ...]:
+    def _with_gangs(self, attempt: '_Attempt') -> Plan:
+        """Stop whole gangs; each member of one loses as much as the others."""
         whole: dict[RunKey, OpenRun] = {}
-        for victim in victims:
-            job = self._cell.state.jobs[victim.task.job]
-            unit = job.find(job.unit_of(victim.task))
+        loss = float(0)
+        for victim in attempt.victims:
+            task = victim.run.task
+            if (task, victim.run.run) in whole:
+                continue
+            job = self._cell.state.jobs[task.job]
+            unit = job.find(job.unit_of(task))
             for run in unit.open.values() if unit else ():
                 whole[run.task, run.run] = run
-        return tuple(whole.values())
+                loss += victim.loss
+        return Plan(tuple(attempt.runners), tuple(whole.values()), loss)
+
+
+class _Option(NamedTuple):
+    """The cheapest way to put one task on a runner, the cheapest first.
+
+    :ivar loss: what its stops lose.
+    :ivar stops: number of stops.
+    :ivar runner: the runner.
+    """
+
+    loss: float
+    stops: int
+    runner: RunnerId
 
 
 class _Attempt:
@@ -189,51 +229,65 @@
     def __init__(
         self,
         waiting: Waiting,
-        free: dict[RunnerId, Resources],
-        victims_on: Callable[[RunnerId], list[Victim]],
+        outlooks: Mapping[RunnerId, _Outlook],
+        board: Board,
     ) -> None:
         self.runners: list[RunnerId] = []
-        self.victims: list[OpenRun] = []
+        self.victims: list[Victim] = []
+        self.loss = float(0)
         self._waiting = waiting
-        self._free = free
-        self._left = {name: victims_on(name) for name in free}
+        self._need = waiting.step.counted
+        self._free = {
+            name: board.free[name].plus(outlook.freed)
+            for name, outlook in outlooks.items()
+        }
+        self._left = {name: it.victims for name, it in outlooks.items()}
+        # What one runner costs does not change with a choice of another.
+        found = (
+            self._find(name)
+            for name, outlook in outlooks.items()
+            if self._may_do(name, outlook) and board.spread_left(waiting, name)
+        )
+        self._options = [option for option in found if option is not None]
+        heapq.heapify(self._options)
 
-    def add_member(
-        self, spread_left: Callable[[Waiting, RunnerId], bool]
-    ) -> bool:
+    def add_member(self) -> bool:
         """Put one more task where that costs least."""
-        options = [
-            (cost, len(chosen), name)
-            for name in self._free
-            if spread_left(self._waiting, name)
-            and self._spread_here(name)
-            and (chosen := self._cheapest(name)) is not None
-            for cost in (sum(victim.loss for victim in chosen),)
-        ]
-        if not options:
+        if not self._options:
             return False
-        name = min(options)[2]
-        chosen = self._cheapest(name) or []
+        loss, stops, name = heapq.heappop(self._options)
+        self.loss += loss
+        victims = self._left[name]
+        self._left[name] = victims[stops:]
         free = self._free[name]
-        for victim in chosen:
+        for victim in victims[:stops]:
             free = free.plus(victim.need)
-            self._left[name].remove(victim)
-            self.victims.append(victim.run)
-        self._free[name] = free.minus(self._waiting.step.counted)
+            self.victims.append(victim)
+        self._free[name] = free.minus(self._need)
         self.runners.append(name)
+        option = self._find(name) if self._spread_here(name) else None
+        if option is not None:
+            heapq.heappush(self._options, option)
         return True
 
+    def _may_do(self, name: RunnerId, outlook: _Outlook) -> bool:
+        """Tell whether a runner has the accelerators, if all is stopped."""
+        most = self._free[name].accelerators + outlook.accelerators
+        return most >= self._need.accelerators
+
     def _spread_here(self, name: RunnerId) -> bool:
         limit = self._waiting.step.spread_limit
         return not limit or self.runners.count(name) < limit
 
-    def _cheapest(self, name: RunnerId) -> list[Victim] | None:
-        need = self._waiting.step.counted
+    def _find(self, name: RunnerId) -> _Option | None:
+        """Find the cheapest way to put one more task on a runner."""
         free = self._free[name]
-        chosen: list[Victim] = []
+        loss = float(0)
+        stops = 0
         for victim in self._left[name]:
-            if need.fits(free):
+            if self._need.fits(free):
                 break
             free = free.plus(victim.need)
-            chosen.append(victim)
-        return chosen if need.fits(free) else None
+            loss += victim.loss
+            stops += 1
+        return _Option(loss, stops, name) if self._need.fits(free) else None
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -13,7 +13,7 @@
 
 from swifthoist_core.types import JobId, Millis, OwnerId
 from swifthoist_engine.catalogue import Catalogue
-from swifthoist_engine.cell import Cell, CellState
+from swifthoist_engine.cell import Cell
 from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.jobs import Job, Unit
 from swifthoist_engine.mechanisms import ALL, Mechanisms
@@ -123,14 +123,14 @@
     :returns: the units in the order in which they are served.
     """
     now = _Now(now_ms, ahead_ms, mechanisms)
-    promised = promised_teams(cell.state, catalogue, guard)
+    promised = promised_teams(cell, catalogue, guard)
     found: list[Waiting] = []
     for job in cell.dirty_jobs():
         if job.job in aside:
             continue
         with guard.looking_at(Kind.JOB, job.job):
             units: list[Waiting] = []
-            if not job.state.final:
+            if not job.final:
                 units.extend(_of_job(job, catalogue, now, promised))
             if not units and _is_settled(job):
                 cell.dirty.discard(job.job)
@@ -145,10 +145,10 @@
     Times that pass do so as well: occurrences become due, pauses after
     failures end, and members of a gang have only so long to end together.
     """
-    if job.spec.schedule is not None and not job.state.final:
+    if job.spec.schedule is not None and not job.final:
         return False
     for unit in job.units.values():
-        unsettled = unit.done or job.state.final
+        unsettled = unit.done or job.final
         if unit.open and unsettled:
             return False
         if not unit.open and not unsettled:
@@ -239,21 +239,18 @@
 
 
 def promised_teams(
-    state: CellState, catalogue: Catalogue, guard: Guard
+    cell: Cell, catalogue: Catalogue, guard: Guard
 ) -> frozenset[OwnerId]:
     """List the teams whose urgent jobs their guarantees cover.
 
-    :param state: state of the cell.
+    :param cell: the cell.
     :param catalogue: configuration in force.
     :param guard: keeps faults to the job or team that brings them out.
     :returns: names of the teams.
     """
     asked: Counter[OwnerId] = Counter()
-    urgent = (
-        job for job in state.jobs.values() if job.spec.terms.priority == 0
-    )
-    for job in urgent:
-        if job.state.final:
+    for job in cell.urgent.values():
+        if job.final:
             continue
         with guard.looking_at(Kind.JOB, job.job):
             asked[job.spec.team] += sum(
--- /dev/null
+++ b/packages/engine/swifthoist_engine/reservations.py
@@ -0,0 +1,129 @@
+"""Room that is kept for units which have waited for long.
+
+Others may use it until the unit is expected to start, and what is left of it
+beyond. Room is kept only once something could take it: where nothing is free,
+nothing has to be foreseen.
+"""
+
+from collections.abc import Sequence
+from itertools import groupby
+from operator import attrgetter
+from typing import NamedTuple
+
+from swifthoist_core.types import Millis, RunnerId
+from swifthoist_engine.board import Board
+from swifthoist_engine.model import Resources
+from swifthoist_engine.placing import Placer
+from swifthoist_engine.queueing import Waiting
+
+RESERVED_UNITS = 2
+"""Most units that room is kept for at a time."""
+
+_AT_MS = attrgetter('at_ms')
+
+
+class Reservation(NamedTuple):
+    """Where a unit is expected to find room.
+
+    :ivar at_ms: when.
+    :ivar runners: the runner of each task.
+    """
+
+    at_ms: Millis
+    runners: tuple[RunnerId, ...]
+
+
+class Reservations:
+    """Keeps room on the board of one decision."""
+
+    def __init__(self, placer: Placer) -> None:
+        """Keep room.
+
+        :param placer: chooses runners; the room is kept on its board.
+        """
+        self._placer = placer
+        self._asked: list[Waiting] = []
+        self._kept = 0
+
+    @property
+    def full(self) -> bool:
+        """Whether room is kept for as many units as it may be."""
+        return self._kept >= RESERVED_UNITS
+
+    def ask(self, waiting: Waiting) -> None:
+        """Ask for the room that a blocked unit is expected to get first.
+
+        :param waiting: the unit.
+        """
+        if self.full:
+            return
+        self._asked.append(waiting)
+        self._placer.board.defer(self._settle)
+
+    def _settle(self) -> None:
+        asked = self._asked
+        self._asked = []
+        for waiting in asked:
+            if self.full:
+                return
+            self._kept += int(self._reserve(waiting))
+
+    def _reserve(self, waiting: Waiting) -> bool:
+        board = self._placer.board
+        best: Reservation | None = None
+        for names in self._placer.choices(waiting):
+            found = find_earliest(
+                waiting, board, names, None if best is None else best.at_ms
+            )
+            best = found or best
+        if best is None:
+            return False
+        for name in best.runners:
+            board.hold(waiting, best.at_ms, name)
+        return True
+
+
+def find_earliest(
+    waiting: Waiting,
+    board: Board,
+    names: Sequence[RunnerId],
+    before_ms: Millis | None = None,
+) -> Reservation | None:
+    """Find when a group of runners is expected to have room for a unit.
+
+    :param waiting: the unit.
+    :param board: the board.
+    :param names: the runners.
+    :param before_ms: only earlier times count; any without.
+    :returns: the earliest time at which some run ends, and the first runners
+        that have the room by then; none if it does not come.
+    """
+    need = waiting.step.counted
+    room = {name: board.free[name] for name in names}
+    held = {name: _copies(need, room[name], waiting.members) for name in names}
+    total = sum(held.values())
+    ends = [end for name in names for end in board.expected_ends(name)]
+    ends.sort(key=_AT_MS)
+    for at_ms, together in groupby(ends, _AT_MS):
+        if before_ms is not None and at_ms >= before_ms:
+            return None
+        for end in together:
+            name = end.runner
+            room[name] = room[name].plus(end.need)
+            total -= held[name]
+            held[name] = _copies(need, room[name], waiting.members)
+            total += held[name]
+        if total >= waiting.members:
+            runners = [name for name in names for _ in range(held[name])]
+            return Reservation(at_ms, tuple(runners[: waiting.members]))
+    return None
+
+
+def _copies(need: Resources, room: Resources, most: int) -> int:
+    """Tell how many tasks fit into some room, up to a number."""
+    if need.accelerators > room.accelerators or not need.fits(room):
+        return 0
+    counts = [
+        have // want for have, want in zip(room, need, strict=True) if want > 0
+    ]
+    return min(counts, default=most)
--- a/packages/engine/swifthoist_engine/run_index.py
+++ b/packages/engine/swifthoist_engine/run_index.py
@@ -10,10 +10,15 @@
 
 
 class RunIndex:
-    """The open runs of a cell."""
+    """The open runs of a cell.
+
+    :ivar version: rises with each run that begins or ends.
+    """
 
     def __init__(self) -> None:
         """Start without runs."""
+        self.version = 0
+        self._changed: dict[RunnerId, int] = {}
         self._used: dict[RunnerId, Resources] = defaultdict(Resources)
         self._by_runner: dict[RunnerId, dict[TaskId, OpenRun]] = defaultdict(
             dict
@@ -26,6 +31,7 @@
         :param run: the run.
         :param need: what it takes of its runner's capacity.
         """
+        self._note_change(run.runner)
         self._by_runner[run.runner][run.task] = run
         self._used[run.runner] = self._used[run.runner].plus(need)
 
@@ -35,6 +41,7 @@
         :param run: the run.
         :param need: what it took of its runner's capacity.
         """
+        self._note_change(run.runner)
         self._by_runner[run.runner].pop(run.task, None)
         self._used[run.runner] = self._used[run.runner].minus(need)
         self._fresh.pop((run.task, run.run), None)
@@ -55,6 +62,17 @@
         """
         return self._used.get(runner, Resources())
 
+    def changed_since(self, version: int) -> list[RunnerId]:
+        """List the runners on which runs began or ended.
+
+        :param version: an earlier version.
+        :returns: ids of the runners.
+        """
+        if version == self.version:
+            return []
+        changes = self._changed.items()
+        return [runner for runner, at in changes if at > version]
+
     def runners(self) -> set[RunnerId]:
         """List the runners that have runs."""
         return {name for name, runs in self._by_runner.items() if runs}
@@ -85,3 +103,7 @@
         runs = list(self._fresh.values())
         self._fresh.clear()
         return runs
+
+    def _note_change(self, runner: RunnerId) -> None:
+        self.version += 1
+        self._changed[runner] = self.version
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -28,6 +28,7 @@
 from swifthoist_instance.snapshotting import Snapshots
 from swifthoist_instance.supervision import keep_going
 from swifthoist_instance.tenure import LIFE_MARK, Tenure
+from swifthoist_instance.turns import Turns
 from swifthoist_instance.web import Phase, Web, serve_web
 from swifthoist_platform.advice import AdviceClient
 from swifthoist_platform.documents import Registration
@@ -117,6 +118,7 @@
         self.tenure = Tenure(
             self._life, self._follower, self._journal, clock, boot.cores
         )
+        turns = Turns(clock)
         self._holding = Holding(
             Parts(
                 self.tenure,
@@ -133,6 +135,7 @@
                 self._open_store(),
                 self._aside,
                 self._site_terms,
+                turns,
             )
         )
         intake = Intake(
@@ -152,6 +155,8 @@
         metrics.watch('faults', lambda: self.faults.count)
         metrics.watch('set_aside', lambda: len(self._aside))
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
+        metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
+        metrics.watch('decision_ms', lambda: turns.decision_ms)
         self._phase = Phase()
         api = Api(
             self._configuration,
--- a/packages/instance/swifthoist_instance/deciding.py
+++ b/packages/instance/swifthoist_instance/deciding.py
@@ -9,6 +9,7 @@
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.model import SiteTerms
+from swifthoist_engine.occupancy import Occupancy
 from swifthoist_engine.planner import Decision, World, decide
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.runners import RunnerView
@@ -49,6 +50,7 @@
         self._policies = policies
         self._aside = aside
         self._terms = terms
+        self._occupancy = Occupancy()
         self._random = random.Random(shared.epoch)
 
     def decide(self, catalogue: Catalogue, tasks: TaskGroup) -> Decision:
@@ -72,6 +74,7 @@
             self._aside.jobs,
             self._shared.clock.wall_ms() - now_ms,
             terms=self._terms(),
+            occupancy=self._occupancy,
         )
         decision = decide(world, self._shared.epoch)
         self._ask_policies(decision.unadvised, world.runners, tasks, guard)
@@ -80,11 +83,13 @@
 
     def _ask_policies(
         self,
-        unadvised: Iterable[Waiting],
+        unadvised: Sequence[Waiting],
         runners: Sequence[RunnerView],
         tasks: TaskGroup,
         guard: Guard,
     ) -> None:
+        if not unadvised:
+            return
         # Another sample each time, so that no runner is never asked about.
         views = self._random.sample(runners, len(runners))
         views.sort(key=lambda view: view.suspicion)
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -119,7 +119,7 @@
             tasks.start_soon(self._decide_again, tasks)
             tasks.start_soon(snapshots.run, self._parts.follower, epoch)
             while self._shared.may_act():
-                await anyio.sleep(CHECK_S)
+                await self._parts.turns.pause()
             tasks.cancel_scope.cancel()
         unread_ms = self._parts.follower.age_ms
         _log.info('term ends', extra={'epoch': epoch, 'unread_ms': unread_ms})
@@ -137,8 +137,11 @@
             catalogue = self._parts.configuration.catalogue
             if catalogue is None or not await self._knows_own_past():
                 continue
+            began_ms = self._parts.clock.boot_ms()
             decision = self._decider.decide(catalogue, tasks)
+            took_ms = self._parts.clock.boot_ms() - began_ms
             await self._carry_out(decision)
+            await self._parts.turns.rest(took_ms)
 
     async def _knows_own_past(self) -> bool:
         """Tell whether whatever this instance decided before is folded.
--- a/packages/instance/swifthoist_instance/parts.py
+++ b/packages/instance/swifthoist_instance/parts.py
@@ -13,6 +13,7 @@
 from swifthoist_instance.registry import Registry
 from swifthoist_instance.snapshotting import Snapshots
 from swifthoist_instance.tenure import Tenure
+from swifthoist_instance.turns import Turns
 from swifthoist_instance.waves import PutsStatus
 from swifthoist_platform.advice import AdviceClient
 from swifthoist_platform.documents import Registration
@@ -37,6 +38,7 @@
     :ivar status: where the state of waves is written.
     :ivar aside: what decisions leave out, since they failed on it.
     :ivar terms: tells the terms of the site.
+    :ivar turns: watches the event loop.
     """
 
     tenure: Tenure
@@ -53,3 +55,4 @@
     status: PutsStatus
     aside: Aside
     terms: Callable[[], SiteTerms]
+    turns: Turns
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -81,9 +81,12 @@
         :returns: the runners.
         """
         views: list[RunnerView] = []
+        now_ms = self._shared.follower.time.now_ms()
         for runner, session in self._sessions.items():
             with guard.looking_at(Kind.RUNNER, runner):
-                views.append(self._view(session, cordoned))
+                usable = self._usable(session) and runner not in cordoned
+                suspicion = self._shared.evidence.suspicion(runner, now_ms)
+                views.append(session.describe(suspicion, usable=usable))
         return tuple(views)
 
     def stopping(self) -> frozenset[RunKey]:
@@ -91,7 +94,7 @@
         return frozenset(
             key
             for session in self._sessions.values()
-            for key in session.stopping
+            for key in session.stopping()
         )
 
     def start(self, run: OpenRun, ticket: str) -> bool:
@@ -159,7 +162,7 @@
     async def _close_gone(self) -> None:
         for runner, session in list(self._sessions.items()):
             listed = self._registry.present(runner) is not None
-            if not listed and (session.closed or not session.open):
+            if not listed and (session.contact.closed or not session.open):
                 await self._close(runner, session)
 
     async def _close(self, runner: RunnerId, session: Session) -> None:
@@ -185,21 +188,6 @@
             records.append(RunnerGone(self._shared.epoch, runner))
         await record_all(self._shared, records)
 
-    def _view(
-        self, session: Session, cordoned: frozenset[RunnerId]
-    ) -> RunnerView:
-        entry = session.contact.registration
-        present = self._registry.present(entry.runner) is not None
-        now_ms = self._shared.follower.time.now_ms()
-        leaving_ms = entry.leaving_ms or 0
-        return RunnerView(
-            entry.runner,
-            entry.service,
-            entry.room,
-            entry.labels,
-            entry.rack,
-            entry.zone,
-            session.open and present and entry.runner not in cordoned,
-            self._shared.evidence.suspicion(entry.runner, now_ms),
-            leaving_ms if entry.draining else None,
-        )
+    def _usable(self, session: Session) -> bool:
+        listed = self._registry.present(session.contact.runner) is not None
+        return listed and session.open
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import anyio
 
@@ -13,6 +13,7 @@
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.records import Ending, Record, Vanished
 from swifthoist_engine.run_index import RunKey
+from swifthoist_engine.runners import RunnerView
 from swifthoist_instance.anomalies import Anomalies
 from swifthoist_instance.contacts import CALL_S, LOST, RETRY_S, Contact
 from swifthoist_instance.orders import Orders
@@ -63,6 +64,7 @@
         self._orders: Orders | None = None
         self._running: dict[RunKey, RunningTask] = {}
         self._saved: dict[RunKey, str] = {}
+        self._view: RunnerView | None = None
         self._anomalies = Anomalies(self._shared, contact.runner)
 
     @property
@@ -71,15 +73,34 @@
         contact = self.contact
         return self.synced and not contact.gone and not contact.silent
 
-    @property
-    def closed(self) -> bool:
-        """Whether the runner is gone for good."""
-        return self.contact.closed
+    def stopping(self) -> Iterable[RunKey]:
+        """List the runs that are being stopped."""
+        return self._orders.stops if self._orders else ()
 
-    @property
-    def stopping(self) -> frozenset[RunKey]:
-        """Runs that are being stopped."""
-        return frozenset(self._orders.stops if self._orders else ())
+    def describe(self, suspicion: int, *, usable: bool) -> RunnerView:
+        """Describe the runner for a decision.
+
+        :param suspicion: how much speaks against its health.
+        :param usable: tasks may be started on it.
+        :returns: the runner; the same object for as long as nothing changes,
+            so that decisions see at once that it is as it was.
+        """
+        entry = self.contact.registration
+        leaving_ms = entry.leaving_ms or 0
+        view = RunnerView(
+            entry.runner,
+            entry.service,
+            entry.room,
+            entry.labels,
+            entry.rack,
+            entry.zone,
+            usable,
+            suspicion,
+            leaving_ms if entry.draining else None,
+        )
+        if view != self._view:
+            self._view = view
+        return self._view
 
     def note_entry(self, registration: Registration) -> bool:
         """Note the newest entry of the runner.
--- a/tests/engine/test_faults.py
+++ b/tests/engine/test_faults.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 from unittest.mock import patch
 
-from swifthoist_engine import cell, placing, planner, preemption, queueing
+from swifthoist_engine import cell, fleet, planner, preemption, queueing
 from swifthoist_engine.account import Account
 from swifthoist_engine.board import Board
 from swifthoist_engine.catalogue import Catalogue, Team
@@ -205,7 +205,8 @@
         """Others are stopped for urgent jobs."""
         scene = self._scene()
         broken = failing(
-            preemption.Preemption._loss, lambda _, run: run.task.job == 'bad'
+            preemption.Preemption._loss,
+            lambda _, share: share.run.task.job == 'bad',
         )
         with patch.object(preemption.Preemption, '_loss', broken):
             decision = scene.decide([view(0), view(1)])
@@ -225,7 +226,7 @@
         scene.start(UnitId('bad', 0, 0, 0), 'runner-0')
         scene.start(UnitId('old', 0, 0, 0), 'runner-1')
         broken = failing(
-            Board.expected_end, lambda _, run: run.task.job == 'bad'
+            Board.expected_end, lambda _, share: share.run.task.job == 'bad'
         )
         with patch.object(Board, 'expected_end', broken):
             decision = scene.decide([view(0), view(1), view(2, rack=1)])
@@ -256,11 +257,10 @@
     def test_others_are_used(self) -> None:
         """By all jobs."""
         scene = Scene(*(job_spec(name, BATCH, task()) for name in 'abc'))
-        broken = failing(
-            placing._may_run, lambda _, it: it.runner == 'runner-0'
-        )
-        with patch.object(placing, '_may_run', broken):
-            decision = scene.decide([view(0), view(1)])
+        odd = view(0, labels=frozenset(('odd',)))
+        broken = failing(fleet._may_run, lambda _, it: 'odd' in it.labels)
+        with patch.object(fleet, '_may_run', broken):
+            decision = scene.decide([odd, view(1)])
         self.assertEqual(
             sorted(places(decision).items()),
             [(UnitId(name, 0, 0, 0), ['runner-1']) for name in 'abc'],
