--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -1,14 +1,17 @@
 """Time of one decision, and size of the fold, up to the two-year size.
 
-Each figure is one line of JSON. The cell is full of running tasks, and one
-urgent gang, one other gang and many small tasks wait.
+Each figure is one line of JSON. In the idle cell nothing but one urgent gang, one
+other gang and many small tasks waits, beside running tasks; in the saturated one
+the load of a large site is played, and each decision timed.
 """
 
 import statistics
 import sys
 import time
 
+from bench.load import LARGE, SiteLoad
 from bench.placement import show
+from bench.site_play import Play
 from swifthoist_engine.catalogue import Catalogue, Queue, Team
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.model import (
@@ -18,7 +21,8 @@
     StepSpec,
     UnitId,
 )
-from swifthoist_engine.planner import World, decide
+from swifthoist_engine.occupancy import Occupancy
+from swifthoist_engine.planner import Decision, World, decide
 from swifthoist_engine.records import Claimed, Placement, Started, Submitted
 from swifthoist_engine.runners import RunnerView
 from swifthoist_engine.snapshots import take_snapshot
@@ -35,6 +39,14 @@
 DECISION_MS = 50
 GROWTH = 3
 
+SATURATED_S = 30
+"""How long jobs come in the play of the saturated cell, in seconds."""
+
+SATURATED_SEED = 5
+MEDIAN_MS = 3
+TAIL_MS = 25
+PERCENT = 100
+
 URGENT = QueueTerms(0, 3, 1.5, 250, 'pool')
 BULK = QueueTerms(2, 3, 3, 3_000, 'pool')
 CATALOGUE = Catalogue(
@@ -69,7 +81,15 @@
         cell.fold(Submitted(_spec(name, 'bulk', BULK, step)))
     gang = StepSpec(8, Resources(8_000, 32_000, 2), 2_000, gang=True)
     cell.fold(Submitted(_spec('urgent', 'urgent', URGENT, gang)))
-    return World(cell, CATALOGUE, views, frozenset(), {}, NOW_MS + 100)
+    return World(
+        cell,
+        CATALOGUE,
+        views,
+        frozenset(),
+        {},
+        NOW_MS + 100,
+        occupancy=Occupancy(),
+    )
 
 
 def _view(number: int) -> RunnerView:
@@ -108,6 +128,58 @@
     return statistics.median(times)
 
 
+class _Timed:
+    """Decides, and takes the time."""
+
+    def __init__(self) -> None:
+        self.times_ms: list[float] = []
+
+    def decide(self, world: World, epoch: int) -> Decision:
+        """Decide as usual."""
+        began = time.perf_counter()
+        decision = decide(world, epoch)
+        self.times_ms.append((time.perf_counter() - began) * 1_000)
+        return decision
+
+
+def play_saturated(site: SiteLoad) -> list[float]:
+    """Time the decisions of a play.
+
+    :param site: the load.
+    :returns: times of the decisions, in ms.
+    """
+    timed = _Timed()
+    Play(site, timed.decide, SATURATED_SEED, SATURATED_S).run()
+    return timed.times_ms
+
+
+def tenth_of(site: SiteLoad) -> SiteLoad:
+    """Make a site with a tenth of the runners and of the jobs.
+
+    :param site: the site.
+    :returns: the small one.
+    """
+    ground = site.ground
+    return site._replace(
+        kinds=tuple(it._replace(rate=it.rate / 10) for it in site.kinds),
+        ground=ground._replace(per_rack=ground.per_rack // 10),
+    )
+
+
+def measure_saturated() -> bool:
+    """Time decisions in a cell that is full, and in a tenth of it.
+
+    :returns: whether every target holds.
+    """
+    small = play_saturated(tenth_of(LARGE))
+    cuts = statistics.quantiles(play_saturated(LARGE), n=PERCENT)
+    median = cuts[PERCENT // 2 - 1]
+    holds = show('saturated_p50', median, 'ms', MEDIAN_MS)
+    holds &= show('saturated_p99', cuts[-1], 'ms', TAIL_MS)
+    growth = median / statistics.median(small)
+    return show('saturated_growth', growth, 'times', GROWTH) and holds
+
+
 def main() -> int:
     """Measure a tenth and the whole of the two-year size.
 
@@ -124,6 +196,7 @@
     holds = show('decision_tenth', small, 'ms', DECISION_MS)
     holds &= show('decision_whole', large, 'ms', DECISION_MS)
     show('decision_growth', large / small, 'times', GROWTH)
+    holds &= measure_saturated()
     show('snapshot_bytes', size, 'bytes', None)
     show('snapshot_ms', took_ms, 'ms', None)
     return int(not holds)
--- /dev/null
+++ b/tests/engine/test_occupancy.py
@@ -0,0 +1,207 @@
+"""What decisions keep from one to the next."""
+
+import unittest
+from unittest.mock import patch
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from swifthoist_engine import fleet
+from swifthoist_engine.jobs import OpenRun
+from swifthoist_engine.model import Resources, UnitId
+from swifthoist_engine.occupancy import Occupancy, Room, occupancy_of
+from swifthoist_engine.planner import World, decide
+from swifthoist_engine.records import Canceled, Ending, Vanished
+from swifthoist_engine.runners import RunnerView
+from tests.engine.scenes import (
+    BATCH,
+    BULK,
+    CATALOGUE,
+    NOW_MS,
+    URGENT,
+    Scene,
+    gang,
+    job_spec,
+    task,
+    view,
+)
+
+RUNNERS = 6
+PER_RACK = 3
+JOBS = (
+    job_spec('urgent', URGENT, gang(2)),
+    job_spec('tight', BATCH, gang(3, checkpointing=True)),
+    job_spec('wide', BULK, task(count=12)),
+    job_spec('late', URGENT, gang(4)),
+    job_spec('spread', BULK, task(count=3, spread_limit=1)),
+)
+
+endings = st.sampled_from((Ending.DONE, Ending.FAILED, Ending.STOPPED))
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just('end'), st.integers(0, 30), endings),
+        st.tuples(st.just('vanish'), st.integers(0, 30)),
+        st.tuples(st.just('cancel'), st.integers(0, len(JOBS) - 1)),
+        st.tuples(
+            st.just('runner'),
+            st.integers(0, RUNNERS - 1),
+            st.booleans(),
+            st.integers(0, 3),
+        ),
+        st.tuples(st.just('restore')),
+        st.tuples(st.just('wait'), st.integers(1, 6_000)),
+    ),
+    max_size=25,
+)
+
+
+class History:
+    """A cell that lives through some steps, and is decided on after each."""
+
+    def __init__(self) -> None:
+        """Begin with all jobs waiting."""
+        self.scene = Scene(*JOBS)
+        self.views = [view(n, rack=n // PER_RACK) for n in range(RUNNERS)]
+        self.now_ms = NOW_MS
+
+    def world(self, occupancy: Occupancy | None) -> World:
+        """Describe what a decision is made on."""
+        return World(
+            self.scene.cell,
+            CATALOGUE,
+            tuple(self.views),
+            frozenset(),
+            {},
+            self.now_ms,
+            occupancy=occupancy,
+        )
+
+    def live(self, step: tuple) -> None:
+        """Live through one step."""
+        cell = self.scene.cell
+        match step:
+            case ('end', number, ending):
+                run = self._run(number)
+                if run is not None:
+                    self.scene.end(run.task, run.runner, ending, run.run)
+            case ('vanish', number):
+                run = self._run(number)
+                if run is not None:
+                    cell.fold(Vanished(1, run.task, run.run, run.runner, ''))
+            case ('cancel', number):
+                cell.fold(Canceled(JOBS[number].job, self.now_ms))
+            case ('runner', number, usable, suspicion):
+                self.views[number] = self.views[number]._replace(
+                    open=usable, suspicion=suspicion
+                )
+            case ('restore',):
+                cell.replace_state(cell.state)
+            case ('wait', pause_ms):
+                self.now_ms += pause_ms
+
+    def _run(self, number: int) -> OpenRun | None:
+        runs = self.scene.cell.runs.all()
+        return runs[number % len(runs)] if runs else None
+
+
+class OccupancyTest(unittest.TestCase):
+    """What is kept agrees with what is counted anew."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(steps)
+    def test_it_equals_one_made_anew_after_any_records(
+        self, series: list[tuple]
+    ) -> None:
+        """Free room, and the runs of each runner."""
+        history = History()
+        kept = Occupancy()
+        for step in (('wait', 1), *series):
+            history.live(step)
+            views = tuple(history.views)
+            kept.look(history.scene.cell, views)
+            anew = occupancy_of(history.scene.cell, views)
+            self._compare(kept, anew)
+            for started in decide(history.world(None), 1).starts:
+                history.scene.fold(started)
+
+    @settings(max_examples=40, deadline=None)
+    @given(steps)
+    def test_it_changes_no_decision(self, series: list[tuple]) -> None:
+        """Starts, stops and their order."""
+        history = History()
+        kept = Occupancy()
+        for step in (('wait', 1), *series):
+            history.live(step)
+            cell = history.scene.cell
+            # A decision takes settled jobs out of what the next one looks at.
+            dirty = set(cell.dirty)
+            decision = decide(history.world(kept), 1)
+            cell.dirty = dirty
+            self.assertEqual(decision, decide(history.world(None), 1))
+            for started in decision.starts:
+                history.scene.fold(started)
+
+    def _compare(self, kept: Occupancy, anew: Occupancy) -> None:
+        room, other = kept.room(), anew.room()
+        self.assertEqual(room.free, other.free)
+        self.assertEqual(+room.rack_free, +other.rack_free)
+        self.assertEqual(room.accelerators, other.accelerators)
+        for name in kept.fleet.views:
+            runs = kept.runs(name, frozenset())
+            self.assertCountEqual(runs, anew.runs(name, frozenset()))
+
+    def test_room_taken_ahead_on_one_runner_hides_none_on_another(
+        self,
+    ) -> None:
+        """Though the sum of the rack is nothing."""
+        room = occupancy_of(Scene().cell, (view(0), view(1))).room()
+        room.put('runner-0', 'rack-0', Resources(0, 0, -8))
+        self.assertTrue(room.may_hold('rack-0', 8))
+        self.assertFalse(room.may_hold('rack-0', 9))
+
+
+class CostTest(unittest.TestCase):
+    """Cost of a decision, counted in looks at runners."""
+
+    def test_many_waiting_units_do_not_look_at_each_runner_again(self) -> None:
+        """Runners that are alike are looked at once for a shape."""
+        jobs = [job_spec(f'j{n}', BATCH, gang(3)) for n in range(40)]
+        history = History()
+        history.scene = Scene(*jobs)
+        looks: list[RunnerView] = []
+        original = fleet._may_run
+
+        def count(shape: fleet.Shape, seen: RunnerView) -> bool:
+            looks.append(seen)
+            return original(shape, seen)
+
+        kept = Occupancy()
+        with patch.object(fleet, '_may_run', count):
+            for _ in range(5):
+                decide(history.world(kept), 1)
+        racks = RUNNERS // PER_RACK
+        self.assertLessEqual(len(looks), racks)
+
+    def test_runners_on_which_nothing_changed_are_not_counted_again(
+        self,
+    ) -> None:
+        """Only the one on which a run began is."""
+        scene = Scene(job_spec('j', BATCH, task(count=2)))
+        views = tuple(view(n) for n in range(RUNNERS))
+        kept = Occupancy()
+        kept.look(scene.cell, views)
+        scene.start(UnitId('j', 0, 0, 0), 'runner-3')
+        counted: list[str] = []
+        original = Room.put
+
+        def count(room: Room, runner: str, rack: str, free: Resources) -> None:
+            counted.append(runner)
+            original(room, runner, rack, free)
+
+        with patch.object(Room, 'put', count):
+            kept.look(scene.cell, views)
+        self.assertEqual(counted, ['runner-3'])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/engine/test_reservations.py
@@ -0,0 +1,139 @@
+"""When a blocked unit is expected to find room."""
+
+import unittest
+from unittest.mock import patch
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from swifthoist_engine.board import Board
+from swifthoist_engine.model import Resources, StepSpec, UnitId
+from swifthoist_engine.occupancy import occupancy_of
+from swifthoist_engine.placing import Placer
+from swifthoist_engine.queueing import IN_TIME, Waiting
+from swifthoist_engine.records import Submitted
+from swifthoist_engine.reservations import Reservations, find_earliest
+from tests.engine.scenes import BATCH, NOW_MS, Scene, gang, job_spec, task, view
+
+RUNNERS = 4
+
+runs = st.lists(
+    st.tuples(
+        st.integers(0, RUNNERS - 1),
+        st.integers(1, 4),
+        st.integers(100, 5_000),
+        st.integers(0, 8_000),
+    ),
+    max_size=10,
+)
+
+
+def blocked(members: int, accelerators: int) -> Waiting:
+    """Make a gang that waits."""
+    need = Resources(1_000, 1_000, accelerators)
+    return Waiting(
+        UnitId('blocked', 0, 0, -1),
+        gang(members, need),
+        None,
+        BATCH,
+        'red',
+        NOW_MS,
+        NOW_MS,
+        IN_TIME,
+        promised=False,
+        advised=False,
+    )
+
+
+def board_with(running: list[tuple[int, int, int, int]]) -> Board:
+    """Make a board on which some tasks run."""
+    scene = Scene()
+    for number, (runner, size, estimate_ms, ran_ms) in enumerate(running):
+        step = task(Resources(1_000, 1_000, size), estimate_ms=estimate_ms)
+        scene = _add(scene, f'r{number}', step, runner, ran_ms)
+    views = tuple(map(view, range(RUNNERS)))
+    occupancy = occupancy_of(scene.cell, views)
+    return Board(scene.cell, occupancy, NOW_MS, frozenset())
+
+
+def _add(
+    scene: Scene, name: str, step: StepSpec, runner: int, ran_ms: int
+) -> Scene:
+    scene.fold(Submitted(job_spec(name, BATCH, step)))
+    unit = UnitId(name, 0, 0, 0)
+    scene.start(unit, f'runner-{runner}', at_ms=NOW_MS - ran_ms)
+    return scene
+
+
+def plainly_earliest(
+    waiting: Waiting, board: Board, names: list[str]
+) -> tuple[int, tuple[str, ...]] | None:
+    """Try each moment at which a run is expected to end, and each runner."""
+    need = waiting.step.counted
+    ends = {end.at_ms for name in names for end in board.expected_ends(name)}
+    for at_ms in sorted(ends):
+        found: list[str] = []
+        for name in names:
+            room = board.room_at(name, at_ms)
+            while need.fits(room) and len(found) < waiting.members:
+                room = room.minus(need)
+                found.append(name)
+        if len(found) >= waiting.members:
+            return at_ms, tuple(found)
+    return None
+
+
+class EarliestTest(unittest.TestCase):
+    """The sweep over expected ends."""
+
+    @settings(max_examples=150, deadline=None)
+    @given(runs, st.integers(1, 6), st.integers(1, 8))
+    def test_it_finds_what_a_plain_search_finds(
+        self,
+        running: list[tuple[int, int, int, int]],
+        members: int,
+        accelerators: int,
+    ) -> None:
+        """The same moment, and the same runners."""
+        board = board_with(running)
+        names = list(board.views)
+        waiting = blocked(members, accelerators)
+        found = find_earliest(waiting, board, names)
+        plain = plainly_earliest(waiting, board, names)
+        self.assertEqual(None if found is None else tuple(found), plain)
+
+    def test_later_moments_than_one_that_is_known_do_not_count(self) -> None:
+        """What another rack offers sooner is taken."""
+        board = board_with([(0, 8, 1_000, 0)])
+        waiting = blocked(1, 8)
+        names = ['runner-0']
+        ends_ms = NOW_MS + 1_000
+        self.assertIsNone(find_earliest(waiting, board, names, ends_ms))
+        self.assertIsNotNone(find_earliest(waiting, board, names, ends_ms + 1))
+
+
+class DeferredTest(unittest.TestCase):
+    """Room is kept once something could take it."""
+
+    def test_nothing_is_foreseen_where_nothing_fits(self) -> None:
+        """A full cell costs no look ahead."""
+        board = board_with([(n, 8, 1_000, 0) for n in range(RUNNERS)])
+        reservations = Reservations(Placer(board, NOW_MS, {}))
+        reservations.ask(blocked(2, 8))
+        with patch.object(Board, 'expected_end') as foreseen:
+            self.assertFalse(board.fits(blocked(1, 1), 'runner-0'))
+        foreseen.assert_not_called()
+
+    def test_room_is_kept_before_anything_takes_it(self) -> None:
+        """A long task does not pass the gang."""
+        board = board_with([(n, 8, 1_000, 0) for n in range(1, RUNNERS)])
+        reservations = Reservations(Placer(board, NOW_MS, {}))
+        reservations.ask(blocked(RUNNERS, 8))
+        other = blocked(1, 8)
+        long = other._replace(step=other.step._replace(estimate_ms=9_000))
+        self.assertFalse(board.fits(long, 'runner-0'))
+        self.assertTrue(board.fits(other, 'runner-0'))
+
+
+if __name__ == '__main__':
+    unittest.main()
