A runner that can't be counted leaves no half-counted room behind

Cause: where counting failed at one runner, the room that decisions keep had some of the runners only, and was gone by in the next decision, also once the runner was sound. Found by reading; the new test failed first. What is kept is dropped until a count went through.

--- a/packages/engine/swifthoist_engine/occupancy.py
+++ b/packages/engine/swifthoist_engine/occupancy.py
@@ -142,16 +142,18 @@
         :param views: the runners.
         """
         shares = self._shares
-        same = shares is not None and shares.current(cell)
-        if shares is None or not same:
+        # Whatever can't be counted leaves what is kept half counted.
+        self._shares = None
+        fresh = shares is None or not shares.current(cell)
+        if shares is None or fresh:
             shares = _Shares(cell)
         changed = shares.refresh()
-        self._shares = shares
-        if not same or self.fleet.listed != views:
+        if fresh or self.fleet.listed != views:
             self.fleet = Fleet(views)
             self._room = Room()
             changed = self.fleet.views
         self._count(cell.runs, changed)
+        self._shares = shares
 
     def room(self) -> Room:
         """Tell what is free; the caller may change it."""
--- a/tests/engine/test_occupancy.py
+++ b/tests/engine/test_occupancy.py
@@ -141,6 +141,22 @@
             for started in decision.starts:
                 history.scene.fold(started)
 
+    def test_a_runner_that_can_not_be_counted_leaves_nothing_half_counted(
+        self,
+    ) -> None:
+        """Once it is gone, or sound, all of them are counted again."""
+        scene = Scene(job_spec('j', BATCH, task(count=4)))
+        sound = tuple(view(n) for n in range(RUNNERS))
+        kept = Occupancy()
+        kept.look(scene.cell, sound)
+        scene.start(UnitId('j', 0, 0, 0), 'runner-3')
+        odd = (view(0, room=None), *sound[1:])
+        for _ in range(2):
+            with self.assertRaises(AttributeError):
+                kept.look(scene.cell, odd)
+        kept.look(scene.cell, sound)
+        self._compare(kept, occupancy_of(scene.cell, sound))
+
     def _compare(self, kept: Occupancy, anew: Occupancy) -> None:
         room, other = kept.room(), anew.room()
         self.assertEqual(room.free, other.free)
