--- /dev/null
+++ b/tests/engine/test_preemption.py
@@ -0,0 +1,158 @@
+"""Which runs are stopped, compared with a plain search."""
+
+import unittest
+from collections.abc import Sequence
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from swifthoist_engine.board import Board
+from swifthoist_engine.model import Resources, UnitId
+from swifthoist_engine.occupancy import occupancy_of
+from swifthoist_engine.placing import Placer
+from swifthoist_engine.preemption import Preemption, Victim
+from swifthoist_engine.queueing import IN_TIME, Waiting
+from swifthoist_engine.records import Submitted
+from tests.engine.scenes import (
+    BATCH,
+    NOW_MS,
+    URGENT,
+    Scene,
+    gang,
+    job_spec,
+    task,
+    view,
+)
+
+RUNNERS = 6
+PER_RACK = 3
+
+Running = tuple[int, int, int, bool]
+
+runs = st.lists(
+    st.tuples(
+        st.integers(0, RUNNERS - 1),
+        st.integers(1, 5),
+        st.integers(0, 8_000),
+        st.booleans(),
+    ),
+    max_size=14,
+)
+
+
+def urgent(members: int, accelerators: int) -> Waiting:
+    """Make an urgent gang that waits for one rack."""
+    need = Resources(1_000, 1_000, accelerators)
+    return Waiting(
+        UnitId('urgent', 0, 0, -1),
+        gang(members, need),
+        None,
+        URGENT,
+        'red',
+        NOW_MS,
+        NOW_MS,
+        IN_TIME,
+        promised=False,
+        advised=False,
+    )
+
+
+def preemption_beside(running: Sequence[Running]) -> Preemption:
+    """Make a board on which some tasks run, as far as they fit."""
+    scene = Scene()
+    views = [view(n, rack=n // PER_RACK) for n in range(RUNNERS)]
+    for number, (runner, size, ran_ms, saves) in enumerate(running):
+        step = task(Resources(1_000, 1_000, size), checkpointing=saves)
+        used = scene.cell.runs.used_on(views[runner].runner)
+        if not step.need.fits(views[runner].room.minus(used)):
+            continue
+        scene.fold(Submitted(job_spec(f'r{number}', BATCH, step)))
+        unit = UnitId(f'r{number}', 0, 0, 0)
+        scene.start(unit, f'runner-{runner}', at_ms=NOW_MS - ran_ms)
+    occupancy = occupancy_of(scene.cell, tuple(views))
+    board = Board(scene.cell, occupancy, NOW_MS, frozenset())
+    placer = Placer(board, NOW_MS, {})
+    return Preemption(scene.cell, placer, frozenset(), NOW_MS)
+
+
+def plain_plan(
+    waiting: Waiting, preemption: Preemption
+) -> tuple[list[str], list[str]] | None:
+    """Put one member after the other where that costs least, on each rack."""
+    groups = preemption._placer.choices(waiting)
+    plans = [
+        plan for names in groups if (plan := _on(waiting, preemption, names))
+    ]
+    if not plans:
+        names = preemption._placer.eligible(waiting).names
+        plan = _on(waiting, preemption, names)
+        plans = [plan] if plan else []
+    if not plans:
+        return None
+    best = min(plans, key=lambda plan: sum(it.loss for it in plan[1]))
+    return best[0], [victim.run.task.job for victim in best[1]]
+
+
+def _on(
+    waiting: Waiting, preemption: Preemption, names: Sequence[str]
+) -> tuple[list[str], list[Victim]] | None:
+    board = preemption._board
+    need = waiting.step.counted
+    free = {name: board.free[name] for name in names}
+    left = {
+        name: sorted(
+            map(preemption.weigh, board.runs(name)), key=lambda it: it.loss
+        )
+        for name in names
+    }
+    taken: list[str] = []
+    stopped: list[Victim] = []
+    for _ in range(waiting.members):
+        found = (_option(need, free[name], left[name], name) for name in names)
+        options = [option for option in found if option is not None]
+        if not options:
+            return None
+        _, count, name, room = min(options)
+        stopped.extend(left[name][:count])
+        left[name] = left[name][count:]
+        free[name] = room.minus(need)
+        taken.append(name)
+    return taken, stopped
+
+
+def _option(
+    need: Resources, room: Resources, victims: Sequence[Victim], name: str
+) -> tuple[float, int, str, Resources] | None:
+    """Stop the runs with the least loss until a task fits."""
+    loss = float(0)
+    for count, victim in enumerate((*victims, None)):
+        if need.fits(room):
+            return loss, count, name, room
+        if victim is not None:
+            room = room.plus(victim.need)
+            loss += victim.loss
+    return None
+
+
+class PreemptionTest(unittest.TestCase):
+    """Runners are weighed once, and dear racks given up early."""
+
+    @settings(max_examples=150, deadline=None)
+    @given(runs, st.integers(1, 4), st.integers(1, 8))
+    def test_it_stops_what_a_plain_search_stops(
+        self, running: list[Running], members: int, accelerators: int
+    ) -> None:
+        """The same runs, for the same runners."""
+        preemption = preemption_beside(running)
+        waiting = urgent(members, accelerators)
+        plain = plain_plan(waiting, preemption)
+        plan = preemption.make_room(waiting)
+        if plan is None:
+            self.assertIsNone(plain)
+            return
+        victims = [run.task.job for run in plan.victims]
+        self.assertEqual((list(plan.runners), victims), plain)
+
+
+if __name__ == '__main__':
+    unittest.main()
