--- a/tests/engine/scenes.py
+++ b/tests/engine/scenes.py
@@ -15,6 +15,7 @@
     UnitId,
 )
 from swifthoist_engine.planner import Decision, World, decide
+from swifthoist_engine.queueing import IN_TIME, Waiting
 from swifthoist_engine.records import (
     Beat,
     Claimed,
@@ -83,6 +84,23 @@
     return task(need, count, gang=True, same_rack=True)._replace(**changes)
 
 
+def waiting_gang(terms: QueueTerms, members: int, accelerators: int) -> Waiting:
+    """Make a gang that waits for one rack."""
+    need = Resources(1_000, 1_000, accelerators)
+    return Waiting(
+        UnitId('waiting', 0, 0, -1),
+        gang(members, need),
+        None,
+        terms,
+        'red',
+        NOW_MS,
+        NOW_MS,
+        IN_TIME,
+        promised=False,
+        advised=False,
+    )
+
+
 class Scene:
     """A cell that is held, with what tests do to it."""
 
--- a/tests/engine/test_preemption.py
+++ b/tests/engine/test_preemption.py
@@ -11,17 +11,17 @@
 from swifthoist_engine.occupancy import occupancy_of
 from swifthoist_engine.placing import Placer
 from swifthoist_engine.preemption import Preemption, Victim
-from swifthoist_engine.queueing import IN_TIME, Waiting
+from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.records import Submitted
 from tests.engine.scenes import (
     BATCH,
     NOW_MS,
     URGENT,
     Scene,
-    gang,
     job_spec,
     task,
     view,
+    waiting_gang,
 )
 
 RUNNERS = 6
@@ -40,23 +40,6 @@
 )
 
 
-def urgent(members: int, accelerators: int) -> Waiting:
-    """Make an urgent gang that waits for one rack."""
-    need = Resources(1_000, 1_000, accelerators)
-    return Waiting(
-        UnitId('urgent', 0, 0, -1),
-        gang(members, need),
-        None,
-        URGENT,
-        'red',
-        NOW_MS,
-        NOW_MS,
-        IN_TIME,
-        promised=False,
-        advised=False,
-    )
-
-
 def preemption_beside(running: Sequence[Running]) -> Preemption:
     """Make a board on which some tasks run, as far as they fit."""
     scene = Scene()
@@ -144,7 +127,7 @@
     ) -> None:
         """The same runs, for the same runners."""
         preemption = preemption_beside(running)
-        waiting = urgent(members, accelerators)
+        waiting = waiting_gang(URGENT, members, accelerators)
         plain = plain_plan(waiting, preemption)
         plan = preemption.make_room(waiting)
         if plan is None:
--- a/tests/engine/test_reservations.py
+++ b/tests/engine/test_reservations.py
@@ -10,10 +10,18 @@
 from swifthoist_engine.model import Resources, StepSpec, UnitId
 from swifthoist_engine.occupancy import occupancy_of
 from swifthoist_engine.placing import Placer
-from swifthoist_engine.queueing import IN_TIME, Waiting
+from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.records import Submitted
 from swifthoist_engine.reservations import Reservations, find_earliest
-from tests.engine.scenes import BATCH, NOW_MS, Scene, gang, job_spec, task, view
+from tests.engine.scenes import (
+    BATCH,
+    NOW_MS,
+    Scene,
+    job_spec,
+    task,
+    view,
+    waiting_gang,
+)
 
 RUNNERS = 4
 
@@ -28,23 +36,6 @@
 )
 
 
-def blocked(members: int, accelerators: int) -> Waiting:
-    """Make a gang that waits."""
-    need = Resources(1_000, 1_000, accelerators)
-    return Waiting(
-        UnitId('blocked', 0, 0, -1),
-        gang(members, need),
-        None,
-        BATCH,
-        'red',
-        NOW_MS,
-        NOW_MS,
-        IN_TIME,
-        promised=False,
-        advised=False,
-    )
-
-
 def board_with(running: list[tuple[int, int, int, int]]) -> Board:
     """Make a board on which some tasks run."""
     scene = Scene()
@@ -97,7 +88,7 @@
         """The same moment, and the same runners."""
         board = board_with(running)
         names = list(board.views)
-        waiting = blocked(members, accelerators)
+        waiting = waiting_gang(BATCH, members, accelerators)
         found = find_earliest(waiting, board, names)
         plain = plainly_earliest(waiting, board, names)
         self.assertEqual(None if found is None else tuple(found), plain)
@@ -105,7 +96,7 @@
     def test_later_moments_than_one_that_is_known_do_not_count(self) -> None:
         """What another rack offers sooner is taken."""
         board = board_with([(0, 8, 1_000, 0)])
-        waiting = blocked(1, 8)
+        waiting = waiting_gang(BATCH, 1, 8)
         names = ['runner-0']
         ends_ms = NOW_MS + 1_000
         self.assertIsNone(find_earliest(waiting, board, names, ends_ms))
@@ -119,17 +110,17 @@
         """A full cell costs no look ahead."""
         board = board_with([(n, 8, 1_000, 0) for n in range(RUNNERS)])
         reservations = Reservations(Placer(board, NOW_MS, {}))
-        reservations.ask(blocked(2, 8))
+        reservations.ask(waiting_gang(BATCH, 2, 8))
         with patch.object(Board, 'expected_end') as foreseen:
-            self.assertFalse(board.fits(blocked(1, 1), 'runner-0'))
+            self.assertFalse(board.fits(waiting_gang(BATCH, 1, 1), 'runner-0'))
         foreseen.assert_not_called()
 
     def test_room_is_kept_before_anything_takes_it(self) -> None:
         """A long task does not pass the gang."""
         board = board_with([(n, 8, 1_000, 0) for n in range(1, RUNNERS)])
         reservations = Reservations(Placer(board, NOW_MS, {}))
-        reservations.ask(blocked(RUNNERS, 8))
-        other = blocked(1, 8)
+        reservations.ask(waiting_gang(BATCH, RUNNERS, 8))
+        other = waiting_gang(BATCH, 1, 8)
         long = other._replace(step=other.step._replace(estimate_ms=9_000))
         self.assertFalse(board.fits(long, 'runner-0'))
         self.assertTrue(board.fits(other, 'runner-0'))
--- a/tests/instance/test_configuration.py
+++ b/tests/instance/test_configuration.py
@@ -1,6 +1,7 @@
 """How old an instance's knowledge of the configuration may grow."""
 
 import unittest
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -72,40 +73,47 @@
         self.assertLess(self._reads(5_000), 0.7 * self._reads(2_500))
 
     def _oldest_ms(self, revoke_ms: int) -> int:
+        """Tell the greatest age around a read that gets no answer."""
         oldest: list[int] = []
 
-        async def main() -> None:
-            store = LossyStore()
-            configure(store)
-            entry = Entry('a', store, revoke_ms=revoke_ms)
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(entry.configuration.run)
-                await anyio.sleep(5)
-                store.lost = 1
-                for _ in range(2 * revoke_ms // 10):
-                    await anyio.sleep(0.01)
-                    oldest.append(entry.configuration.age_ms or 0)
-                tasks.cancel_scope.cancel()
+        async def watch(store: LossyStore, entry: Entry) -> None:
+            await anyio.sleep(5)
+            store.lost = 1
+            for _ in range(2 * revoke_ms // 10):
+                await anyio.sleep(0.01)
+                oldest.append(entry.configuration.age_ms or 0)
 
-        run(main)
+        _follow(revoke_ms, watch)
         return max(oldest)
 
     def _reads(self, revoke_ms: int) -> int:
+        """Count the reads of a minute."""
         counted: list[int] = []
 
-        async def main() -> None:
-            store = LossyStore()
-            configure(store)
-            entry = Entry('a', store, revoke_ms=revoke_ms)
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(entry.configuration.run)
-                await anyio.sleep(60)
-                counted.append(store.reads)
-                tasks.cancel_scope.cancel()
+        async def watch(store: LossyStore, _entry: Entry) -> None:
+            await anyio.sleep(60)
+            counted.append(store.reads)
 
-        run(main)
+        _follow(revoke_ms, watch)
         return counted[0]
 
 
+def _follow(
+    revoke_ms: int, watch: Callable[[LossyStore, Entry], Awaitable[None]]
+) -> None:
+    """Have an instance read the configuration while a test watches."""
+
+    async def main() -> None:
+        store = LossyStore()
+        configure(store)
+        entry = Entry('a', store, revoke_ms=revoke_ms)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(entry.configuration.run)
+            await watch(store, entry)
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
 if __name__ == '__main__':
     unittest.main()
