The fold keeps what runners told of themselves, and a place for what runs teach

Cause: what is learned of runs and runners lives in the holder's memory and is gone with each takeover; where a run was is not known once its runner has left. Change: RunnerDescribed (machine, rack, zone, kind, birth) beside RunnerMet, a new kind of record, so versions before it read past it; Experience in the state with three empty parts (durations, speeds, breakers) that get each run that is over; RunnerView says whether a runner is cold and how fast it is. No decision changes yet. The end of a run for its unit and job moved to endings.py, as it was; the test that breaks the fold at each step names the function there, and breaks it in Experience, too. Measured: tests.engine and tests.simulation.test_duties pass.

--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -13,17 +13,20 @@
 
 from swifthoist_core.types import Epoch, InstanceId, JobId, Millis, RunnerId
 from swifthoist_engine.account import Account
-from swifthoist_engine.jobs import Job, JobState, OpenRun, Unit
+from swifthoist_engine.endings import conclude, note_end
+from swifthoist_engine.experience import Experience
+from swifthoist_engine.jobs import Job, JobState, OpenRun
 from swifthoist_engine.model import TaskId
+from swifthoist_engine.past_runs import PastRun, RunnerFacts
 from swifthoist_engine.records import (
     Beat,
     Canceled,
     Claimed,
     Ended,
-    Ending,
     HeldRecord,
     Record,
     Released,
+    RunnerDescribed,
     RunnerGone,
     RunnerMet,
     Started,
@@ -55,6 +58,8 @@
     :ivar claimed_ms: time at which the newest epoch was claimed.
     :ivar former: who held the cell before that; empty when it was released.
     :ivar former_ms: how long it did, by its own clock, as far as it noted.
+    :ivar facts: what runners told of themselves.
+    :ivar experience: what was learned from the runs that are over.
     """
 
     epoch: Epoch = 0
@@ -69,6 +74,8 @@
     claimed_ms: Millis = 0
     former: InstanceId = ''
     former_ms: Millis = 0
+    facts: dict[RunnerId, RunnerFacts] = field(default_factory=dict)
+    experience: Experience = field(default_factory=Experience)
 
     def pass_time(self, at_ms: Millis) -> None:
         """Note a time that a holder noted.
@@ -235,9 +242,12 @@
                 self._vanish(record)
             case RunnerMet():
                 self.state.addresses[record.runner] = record.address
+            case RunnerDescribed():
+                self.state.facts[record.runner] = RunnerFacts(*record[2:])
             case RunnerGone():
                 self.state.seen.pop(record.runner, None)
                 self.state.addresses.pop(record.runner, None)
+                self.state.facts.pop(record.runner, None)
             case UpkeepBegun(_, wave, machine, runner):
                 begun = self.state.upkeeps.setdefault(wave, {})
                 begun.setdefault(machine, runner)
@@ -302,15 +312,19 @@
         if unit is None:
             return
         was_final = job.final
-        _note_end(job, unit, record)
+        gang = tuple(unit.open.values())
+        note_end(job, unit, record)
         run = self._close(record.task, record.run)
         self.dirty.add(job.job)
-        _conclude(job, unit, record)
+        conclude(job, unit, record)
         account = self.state.account
         if run is not None:
             account.add_run(job, run, self.state.time_ms, record.ending.value)
         if job.final and not was_final:
             account.add_finish(job, job.state)
+        if run is not None:
+            past = _past_run(self.state, job, run, record, gang)
+            self.state.experience.note(past)
 
     def _vanish(self, record: Vanished) -> None:
         run = self._close(record.task, record.run)
@@ -349,37 +363,26 @@
     }
 
 
-def _note_end(job: Job, unit: Unit, record: Ended) -> None:
-    """Note what an end says of its unit."""
-    unit.idle_since_ms = record.at_ms
-    if record.checkpoint and record.run == unit.last_run:
-        unit.checkpoint = record.checkpoint
-    match record.ending:
-        case Ending.DONE if not job.step(record.task).lasting:
-            unit.done = True
-            unit.done_ms = record.at_ms
-        case Ending.FAILED:
-            unit.failed_on.append(record.runner)
-            if record.run > unit.failed_run:
-                unit.failed_run = record.run
-                unit.failures += 1
-        case _:
-            return
-
-
-def _conclude(job: Job, unit: Unit, record: Ended) -> None:
-    """Tell what the end of a unit's run means for its job."""
-    if job.final or job.step(record.task).lasting:
-        return
-    match record.ending:
-        case Ending.DONE:
-            job.complete = job.all_done()
-        case Ending.FAILED:
-            job.failed = unit.failures >= job.spec.terms.max_attempts
-        case _:
-            return
-    if job.final:
-        job.finished_ms = record.at_ms
+def _past_run(
+    state: CellState,
+    job: Job,
+    run: OpenRun,
+    record: Ended,
+    gang: tuple[OpenRun, ...],
+) -> PastRun:
+    """Describe a run that is over to whatever is learned from it."""
+    facts = state.facts
+    unknown = RunnerFacts()
+    return PastRun(
+        job,
+        job.step(run.task),
+        run,
+        record.ending,
+        state.time_ms,
+        facts.get(run.runner, unknown),
+        gang,
+        tuple(facts.get(member.runner, unknown) for member in gang),
+    )
 
 
 def count_waiting(state: CellState, queue: str) -> int:
--- /dev/null
+++ b/packages/engine/swifthoist_engine/durations.py
@@ -0,0 +1,16 @@
+"""How long tasks take, from the runs that are over."""
+
+from dataclasses import dataclass
+
+from swifthoist_engine.past_runs import PastRun
+
+
+@dataclass(slots=True)
+class Durations:
+    """How long the tasks of each queue took."""
+
+    def note(self, past: PastRun) -> None:
+        """Learn from a run that is over.
+
+        :param past: the run.
+        """
--- /dev/null
+++ b/packages/engine/swifthoist_engine/endings.py
@@ -0,0 +1,47 @@
+"""What the end of a run means for its unit and its job."""
+
+from swifthoist_engine.jobs import Job, Unit
+from swifthoist_engine.records import Ended, Ending
+
+
+def note_end(job: Job, unit: Unit, record: Ended) -> None:
+    """Note what an end says of its unit.
+
+    :param job: the job.
+    :param unit: the unit.
+    :param record: the end.
+    """
+    unit.idle_since_ms = record.at_ms
+    if record.checkpoint and record.run == unit.last_run:
+        unit.checkpoint = record.checkpoint
+    match record.ending:
+        case Ending.DONE if not job.step(record.task).lasting:
+            unit.done = True
+            unit.done_ms = record.at_ms
+        case Ending.FAILED:
+            unit.failed_on.append(record.runner)
+            if record.run > unit.failed_run:
+                unit.failed_run = record.run
+                unit.failures += 1
+        case _:
+            return
+
+
+def conclude(job: Job, unit: Unit, record: Ended) -> None:
+    """Tell what the end of a unit's run means for its job.
+
+    :param job: the job.
+    :param unit: the unit.
+    :param record: the end.
+    """
+    if job.final or job.step(record.task).lasting:
+        return
+    match record.ending:
+        case Ending.DONE:
+            job.complete = job.all_done()
+        case Ending.FAILED:
+            job.failed = unit.failures >= job.spec.terms.max_attempts
+        case _:
+            return
+    if job.final:
+        job.finished_ms = record.at_ms
--- /dev/null
+++ b/packages/engine/swifthoist_engine/experience.py
@@ -0,0 +1,36 @@
+"""What the cell has learned from the runs that are over.
+
+It is part of the fold: whoever takes the cell over knows the same, and a
+snapshot keeps it.
+"""
+
+from dataclasses import dataclass, field
+
+from swifthoist_engine.breakers import Breakers
+from swifthoist_engine.durations import Durations
+from swifthoist_engine.past_runs import PastRun
+from swifthoist_engine.speeds import Speeds
+
+
+@dataclass(slots=True)
+class Experience:
+    """What was learned.
+
+    :ivar durations: how long tasks take.
+    :ivar speeds: how fast runners are.
+    :ivar breakers: which runners fail what they start.
+    """
+
+    durations: Durations = field(default_factory=Durations)
+    speeds: Speeds = field(default_factory=Speeds)
+    breakers: Breakers = field(default_factory=Breakers)
+
+    def note(self, past: PastRun) -> None:
+        """Learn from a run that is over.
+
+        :param past: the run.
+        """
+        # A speed is weighed against the durations before this run.
+        self.speeds.note(past)
+        self.durations.note(past)
+        self.breakers.note(past)
--- /dev/null
+++ b/packages/engine/swifthoist_engine/past_runs.py
@@ -0,0 +1,54 @@
+"""Runs that are over, as whatever is learned from them sees them."""
+
+from typing import NamedTuple
+
+from swifthoist_core.types import Millis, RackId, ZoneId
+from swifthoist_engine.jobs import Job, OpenRun
+from swifthoist_engine.model import StepSpec
+from swifthoist_engine.records import Ending
+
+
+class RunnerFacts(NamedTuple):
+    """What is known of a runner beside its runs.
+
+    :ivar machine: the machine that it is a life of; empty if unknown.
+    :ivar rack: its rack; empty if unknown.
+    :ivar zone: its availability zone; empty if unknown.
+    :ivar kind: its kind; empty if unknown.
+    :ivar born_ms: when this life began, since the Unix epoch; 0 if unknown.
+    """
+
+    machine: str = ''
+    rack: RackId = ''
+    zone: ZoneId = ''
+    kind: str = ''
+    born_ms: Millis = 0
+
+
+class PastRun(NamedTuple):
+    """A run that its runner listed as ended.
+
+    :ivar job: its job.
+    :ivar step: its step.
+    :ivar run: the run of one task; the other members of its gang end, too.
+    :ivar ending: how it ended.
+    :ivar at_ms: time of the cell when the holder read of it.
+    :ivar facts: what is known of its runner.
+    :ivar gang: runs of its gang, this one among them; as they were when it
+        ended, and only the run itself where there is no gang.
+    :ivar gang_facts: what is known of their runners, in the same order.
+    """
+
+    job: Job
+    step: StepSpec
+    run: OpenRun
+    ending: Ending
+    at_ms: Millis
+    facts: RunnerFacts
+    gang: tuple[OpenRun, ...]
+    gang_facts: tuple[RunnerFacts, ...]
+
+    @property
+    def ran_ms(self) -> Millis:
+        """Time from its decision to its end."""
+        return self.at_ms - self.run.started_ms
--- a/packages/engine/swifthoist_engine/records.py
+++ b/packages/engine/swifthoist_engine/records.py
@@ -10,7 +10,15 @@
 
 import msgspec
 
-from swifthoist_core.types import Epoch, InstanceId, JobId, Millis, RunnerId
+from swifthoist_core.types import (
+    Epoch,
+    InstanceId,
+    JobId,
+    Millis,
+    RackId,
+    RunnerId,
+    ZoneId,
+)
 from swifthoist_engine.model import JobSpec, TaskId, UnitId
 
 
@@ -166,6 +174,30 @@
     address: str
 
 
+class RunnerDescribed(NamedTuple):
+    """What a runner told of itself when the holder first reached this life.
+
+    Whatever is learned from runs needs to know where they were, also when the
+    runner has left.
+
+    :ivar epoch: epoch of the holder.
+    :ivar runner: the runner.
+    :ivar machine: the machine that it is a life of; empty if unknown.
+    :ivar rack: its rack; empty if unknown.
+    :ivar zone: its availability zone; empty if unknown.
+    :ivar kind: its kind; empty if unknown.
+    :ivar born_ms: when this life began, since the Unix epoch; 0 if unknown.
+    """
+
+    epoch: Epoch
+    runner: RunnerId
+    machine: str
+    rack: RackId
+    zone: ZoneId
+    kind: str
+    born_ms: Millis
+
+
 class RunnerGone(NamedTuple):
     """A runner has left for good; nothing of it is needed any longer.
 
@@ -210,6 +242,7 @@
     | Ended
     | Vanished
     | RunnerMet
+    | RunnerDescribed
     | RunnerGone
     | UpkeepBegun
     | WaveDone
--- a/packages/engine/swifthoist_engine/runners.py
+++ b/packages/engine/swifthoist_engine/runners.py
@@ -19,6 +19,9 @@
         fence and is not leaving.
     :ivar suspicion: how much speaks against its health; 0 for nothing.
     :ivar leaving_ms: time that is left while it drains; none if it stays.
+    :ivar cold: it is slow for a while after its start.
+    :ivar speed: class of its speed: 0 for the usual one, more for faster ones,
+        less for slower ones.
     """
 
     runner: RunnerId
@@ -30,3 +33,20 @@
     open: bool = True
     suspicion: int = 0
     leaving_ms: Millis | None = None
+    cold: bool = False
+    speed: int = 0
+
+
+class Standing(NamedTuple):
+    """What the holder thinks of a runner beside what it tells of itself.
+
+    :ivar usable: tasks may be started on it.
+    :ivar suspicion: how much speaks against its health; 0 for nothing.
+    :ivar cold: it is slow for a while after its start.
+    :ivar speed: class of its speed, see :class:`RunnerView`.
+    """
+
+    usable: bool
+    suspicion: int = 0
+    cold: bool = False
+    speed: int = 0
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -10,9 +10,14 @@
 from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.planner import Stop
-from swifthoist_engine.records import Record, RunnerGone, RunnerMet
+from swifthoist_engine.records import (
+    Record,
+    RunnerDescribed,
+    RunnerGone,
+    RunnerMet,
+)
 from swifthoist_engine.run_index import RunKey
-from swifthoist_engine.runners import RunnerView
+from swifthoist_engine.runners import RunnerView, Standing
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.leases import Lease, choose_lease_ms, lease_over_ms
 from swifthoist_instance.outcomes import record_all, vanished
@@ -84,9 +89,11 @@
         now_ms = self._shared.follower.time.now_ms()
         for runner, session in self._sessions.items():
             with guard.looking_at(Kind.RUNNER, runner):
-                usable = self._usable(session) and runner not in cordoned
-                suspicion = self._shared.evidence.suspicion(runner, now_ms)
-                views.append(session.describe(suspicion, usable=usable))
+                standing = Standing(
+                    self._usable(session) and runner not in cordoned,
+                    self._shared.evidence.suspicion(runner, now_ms),
+                )
+                views.append(session.describe(standing))
         return tuple(views)
 
     def stopping(self) -> frozenset[RunKey]:
@@ -143,7 +150,7 @@
         ]
 
     async def _note_addresses(self) -> None:
-        """Record where runners answer, until that is folded."""
+        """Record where runners answer and what they are, until it is folded."""
         shared = self._shared
         known = shared.cell.state.addresses
         entries = [
@@ -151,11 +158,18 @@
             for session in self._sessions.values()
             if session.synced
         ]
-        met = [
+        met: list[Record] = [
             RunnerMet(shared.epoch, entry.runner, entry.address)
             for entry in entries
             if known.get(entry.runner) != entry.address
         ]
+        facts = shared.cell.state.facts
+        met.extend(
+            RunnerDescribed(shared.epoch, entry.runner, *entry.facts)
+            for entry in entries
+            # Of a runner that is not listed nothing is known but its address.
+            if entry.service and facts.get(entry.runner) != entry.facts
+        )
         if met and shared.journal.available:
             await record_all(shared, met)
 
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -13,7 +13,7 @@
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.records import Ending, Record, Vanished
 from swifthoist_engine.run_index import RunKey
-from swifthoist_engine.runners import RunnerView
+from swifthoist_engine.runners import RunnerView, Standing
 from swifthoist_instance.anomalies import Anomalies
 from swifthoist_instance.contacts import CALL_S, LOST, RETRY_S, Contact
 from swifthoist_instance.orders import Orders
@@ -77,11 +77,10 @@
         """List the runs that are being stopped."""
         return self._orders.stops if self._orders else ()
 
-    def describe(self, suspicion: int, *, usable: bool) -> RunnerView:
+    def describe(self, standing: Standing) -> RunnerView:
         """Describe the runner for a decision.
 
-        :param suspicion: how much speaks against its health.
-        :param usable: tasks may be started on it.
+        :param standing: what the holder thinks of it.
         :returns: the runner; the same object for as long as nothing changes,
             so that decisions see at once that it is as it was.
         """
@@ -94,9 +93,11 @@
             entry.labels,
             entry.rack,
             entry.zone,
-            usable,
-            suspicion,
+            standing.usable,
+            standing.suspicion,
             leaving_ms if entry.draining else None,
+            standing.cold,
+            standing.speed,
         )
         if view != self._view:
             self._view = view
--- a/packages/platform/swifthoist_platform/documents.py
+++ b/packages/platform/swifthoist_platform/documents.py
@@ -8,6 +8,7 @@
 from swifthoist_core.types import Millis, RunnerId
 from swifthoist_engine.catalogue import AdviceTerms, Catalogue, Queue, Team
 from swifthoist_engine.model import QueueTerms, Resources
+from swifthoist_engine.past_runs import RunnerFacts
 from swifthoist_platform import names
 from swifthoist_platform.values import Reader, read_json
 
@@ -31,6 +32,7 @@
     :ivar rack: its rack; empty if unknown.
     :ivar machine: the machine that it is a life of.
     :ivar leaving_ms: least time that is left while it drains.
+    :ivar kind: its kind; empty if unknown.
     """
 
     runner: RunnerId
@@ -43,6 +45,12 @@
     rack: str
     machine: str
     leaving_ms: Millis | None
+    kind: str = ''
+
+    @property
+    def facts(self) -> RunnerFacts:
+        """What is kept of it beside its runs."""
+        return RunnerFacts(self.machine, self.rack, self.zone, self.kind)
 
 
 class Registered(NamedTuple):
@@ -102,6 +110,7 @@
         rack=labels[1] if len(labels) > 1 else '',
         machine=reader.text(names.MACHINE),
         leaving_ms=_optional(reader, names.REMAINING_MS),
+        kind=labels[0] if labels else '',
     )
     for name in (names.SERVICE, names.ADDRESS, names.CAPACITY):
         if not reader.has(name):
--- a/tests/engine/test_faults.py
+++ b/tests/engine/test_faults.py
@@ -9,6 +9,7 @@
 from swifthoist_engine.board import Board
 from swifthoist_engine.catalogue import Catalogue, Team
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.experience import Experience
 from swifthoist_engine.faults import Kind
 from swifthoist_engine.jobs import Job
 from swifthoist_engine.model import GANG_ORDINAL, TaskId, UnitId
@@ -358,7 +359,8 @@
             (Account, 'add_run'),
             (Account, 'add_finish'),
             (Job, 'all_done'),
-            (cell, '_conclude'),
+            (cell, 'conclude'),
+            (Experience, 'note'),
         )
         for owner, name in steps:
             for failing_call in range(1, 4):
