Waves of upkeep: an order without an answer holds up no other; tests take turns alike in each run

Cause: orders of a wave were given one after the other, and one without an answer ended the round, so with half of the orders unanswered a wave took 15 s at the median and up to 28.8 s of the test's 30 s (40 orders of turns); which it was differed from run to run, since trio draws the order of turns anew in each process. Ruled out: real time (all on virtual time), a wave that stands for good (each of the 40 came to its end), draws without a seed in the stand-ins (they have one). Change: the orders of a round are independent; tests on virtual time seed the order of turns, but where fresh plays are asked for. The new test fails without the change (one machine that does not answer: the wave never ends).

--- a/packages/instance/swifthoist_instance/waves.py
+++ b/packages/instance/swifthoist_instance/waves.py
@@ -136,11 +136,24 @@
         for machine in step.cordon:
             self._since[machine] = now_ms
         self._stop(Stop(run, 'its machine is emptied') for run in step.moved)
-        for item in step.order:
-            await self._order(wave, item)
+        async with anyio.create_task_group() as tasks:
+            for item in step.order:
+                tasks.start_soon(self._try_order, wave, item)
         if step.complete:
             await self._finish(wave)
 
+    async def _try_order(self, wave: Wave, item: MachineState) -> None:
+        """Order an upkeep; one without an answer holds up no other."""
+        try:
+            await self._order(wave, item)
+        except _FAILED as exc:
+            about = {
+                'wave': wave.number,
+                'machine': item.machine,
+                'why': str(exc),
+            }
+            _log.warning('upkeep unanswered', extra=about)
+
     async def _order(self, wave: Wave, item: MachineState) -> None:
         shared = self._shared
         begun = UpkeepBegun(
--- a/tests/instance/fakes.py
+++ b/tests/instance/fakes.py
@@ -1,9 +1,11 @@
 """A store in memory, and runs of coroutines on a clock that jumps."""
 
+import os
 from collections.abc import Awaitable, Callable
 
 import anyio
 import trio.testing
+from trio._core import _run
 
 from swifthoist_core.errors import (
     LogExpiredError,
@@ -147,7 +149,13 @@
 def run(main: Callable[[], Awaitable[None]]) -> None:
     """Run a test on trio; waiting takes no time.
 
+    Trio draws the order in which tasks take their turns. It is the same in each
+    run, but where fresh plays are asked for.
+
     :param main: the test.
     """
+    if not os.environ.get('SIMULATION_FRESH'):
+        _run._ALLOW_DETERMINISTIC_SCHEDULING = True
+        _run._r.seed(0)
     clock = trio.testing.MockClock(autojump_threshold=0)
     anyio.run(main, backend='trio', backend_options={'clock': clock})
--- a/tests/simulation/test_duties.py
+++ b/tests/simulation/test_duties.py
@@ -1,11 +1,14 @@
 """Tests of policies, waves of upkeep and filling tasks, on virtual time."""
 
 import unittest
+from unittest.mock import patch
 
 import anyio
 import msgspec
 
+from swifthoist_emulator.duties import Machines
 from swifthoist_emulator.faults import Fault, Harm
+from swifthoist_emulator.http import Request, Response
 from swifthoist_emulator.lives import TAIL_TARGET_MS, StepWork
 from swifthoist_emulator.site import STANDARD, Line
 from swifthoist_platform import names
@@ -90,6 +93,19 @@
             with self.subTest(harm=harm):
                 self._play(Fault(harm, share=0.5, delay_s=2.5), kill=False)
 
+    def test_an_order_without_an_answer_holds_up_no_other(self) -> None:
+        """One machine answers only once all others are done."""
+        answer = Machines.order_upkeep
+
+        async def order_upkeep(self: Machines, req: Request) -> Response:
+            last = len(self.begun(WAVE)) == len(MACHINES) - 1
+            if req.document()[names.MACHINE] == MACHINES[0] and not last:
+                await self.faults.stay_silent()
+            return await answer(self, req)
+
+        with patch.object(Machines, 'order_upkeep', order_upkeep):
+            self._play(None, kill=False)
+
 
 class FillingTest(unittest.TestCase):
     """Tasks that fill give way to tasks that serve."""
