Nothing starts in an evacuated availability zone

Cause: the operator's request for a zone lies in the same topic as the configuration, and no code read its key, so starts there went on.

Every instance reads requests with the configuration: from a listing (one that is missing there was taken back), from the log and behind a gap. The key names the zone, so an entry whose content can't be read is a request, too. The holder decides on runners of other zones only; a start that is recorded and not sent is given up, one that got no answer is barred by a stop, and neither is sent again. Where the topic was not read for 0.6 of the agreed time, nothing starts anywhere, since any zone may be evacuated by then; only where the settings hold such a time. What runs in the zone goes on.

Weighed: a record of the log for each request (the topic is the platform's store already, and every instance reads it), stopping what runs there (nobody asks for it, and work would be lost), and closing only the zones known (a holder that can't read them can't prove the others open).

--- a/packages/emulator/swifthoist_emulator/runner_calls.py
+++ b/packages/emulator/swifthoist_emulator/runner_calls.py
@@ -63,7 +63,9 @@
             case Harm.LATE:
                 with anyio.CancelScope(shield=True):
                     await anyio.sleep(fault.delay_s)
+                    self._fleet.witness.late = True
                     _carry_out(call, request.document(), life)
+                    self._fleet.witness.late = False
                 await self._faults.stay_silent()
             case _:
                 pass
--- a/packages/emulator/swifthoist_emulator/site.py
+++ b/packages/emulator/swifthoist_emulator/site.py
@@ -13,6 +13,9 @@
 ROOM = Resources(64_000, 262_144, 8)
 RUNNERS_PER_RACK = 6
 
+EVACUATE_MS = 5_000
+"""Time within which an evacuated zone gets no more work, in ms."""
+
 VALID_MS = 5_000
 """How long the tickets of a policy hold, in ms."""
 
@@ -167,6 +170,10 @@
         names.PLATFORM: {names.ADDRESS: store},
         names.CLOUD_API: {names.ADDRESS: store},
         names.ADVICE: store,
-        names.BOUNDS: {names.HOLD_MAX_MS: 10_000, names.REVOKE_MS: 5_000},
+        names.BOUNDS: {
+            names.HOLD_MAX_MS: 10_000,
+            names.REVOKE_MS: 5_000,
+            names.EVACUATE_MS: EVACUATE_MS,
+        },
     }
     return msgspec.json.encode(document)
--- a/packages/emulator/swifthoist_emulator/witness.py
+++ b/packages/emulator/swifthoist_emulator/witness.py
@@ -31,6 +31,9 @@
     :ivar submitted: jobs that callers submitted.
     :ivar canceled: jobs whose cancel was acknowledged.
     :ivar accelerator_ms: accelerator-milliseconds that runners spent.
+    :ivar closed: runners whose zone has been evacuated for longer than starts
+        there may go on.
+    :ivar late: what is carried out now was ordered long before.
     """
 
     broken: list[str] = field(default_factory=list)
@@ -41,6 +44,8 @@
     submitted: set[JobId] = field(default_factory=set)
     canceled: set[JobId] = field(default_factory=set)
     accelerator_ms: int = 0
+    closed: frozenset[RunnerId] = frozenset()
+    late: bool = False
     _running: dict[TaskId, set[Place]] = field(
         default_factory=lambda: defaultdict(set)
     )
@@ -76,6 +81,8 @@
             self.broken.append(f'{task} starts again, though it was done')
         if task.job not in self.submitted:
             self.broken.append(f'{task} starts, though nobody submitted it')
+        if runner in self.closed and not self.late:
+            self.broken.append(f'{task} starts on {runner}, which is evacuated')
         # Whether an end counts is known when it is seen, if it ever is.
         self._overtaken.update((task, it) for it in self._unseen_done[task])
         self._running[task].add(Place(runner, run))
--- a/packages/emulator/swifthoist_emulator/world.py
+++ b/packages/emulator/swifthoist_emulator/world.py
@@ -8,12 +8,14 @@
 from anyio.abc import TaskGroup
 
 from swifthoist_core.clock import Clock
+from swifthoist_core.types import Millis, RunnerId, ZoneId
 from swifthoist_emulator.duties import Machines, advise
 from swifthoist_emulator.faults import Faults
 from swifthoist_emulator.fleet import Fleet, Host, Place
 from swifthoist_emulator.http import Request, Response
 from swifthoist_emulator.runner_calls import RunnerCalls
 from swifthoist_emulator.site import (
+    EVACUATE_MS,
     ROOM,
     RUNNERS_PER_RACK,
     SERVICE,
@@ -26,6 +28,7 @@
 from swifthoist_platform import names
 from swifthoist_platform.store import (
     CONFIG_KEY,
+    EVACUATION_PREFIX,
     OPERATOR_TOPIC,
     RUNNER_TOPIC,
     WAVE_PREFIX,
@@ -70,6 +73,7 @@
         )
         self._runner_calls = RunnerCalls(self.fleet, self.faults)
         self._version = 0
+        self._evacuated: dict[ZoneId, Millis] = {}
         self.store_address = addresses[0]
         for number, address in enumerate(addresses[1:]):
             self._add_host(number, address)
@@ -115,6 +119,22 @@
         content = write_wave(number, machines, at_once, WAVE_S)
         self.store.put(OPERATOR_TOPIC, f'{WAVE_PREFIX}{number}', content)
 
+    def evacuate(self, zone: ZoneId) -> None:
+        """Ask for nothing more in a zone, as the operator does.
+
+        :param zone: the zone.
+        """
+        self.store.put(OPERATOR_TOPIC, f'{EVACUATION_PREFIX}{zone}', b'{}')
+        self._evacuated.setdefault(zone, self._clock.boot_ms())
+
+    def take_back(self, zone: ZoneId) -> None:
+        """Take the evacuation of a zone back, as the operator does.
+
+        :param zone: the zone.
+        """
+        self.store.put(OPERATOR_TOPIC, f'{EVACUATION_PREFIX}{zone}', b'')
+        self._evacuated.pop(zone, None)
+
     async def _serve(self, request: Request) -> Response:
         match request.path.removeprefix(names.ROOT):
             case names.ADVISE:
@@ -137,8 +157,15 @@
             now_ms = self._clock.boot_ms() - self._began_ms
             self.fleet.advance(now_ms)
             self.machines.advance(now_ms)
+            self.witness.closed = self._closed()
             await anyio.sleep(TICK_S)
 
+    def _closed(self) -> frozenset[RunnerId]:
+        by_ms = self._clock.boot_ms() - EVACUATE_MS
+        zones = {zone for zone, at in self._evacuated.items() if at < by_ms}
+        hosts = self.fleet.hosts.values()
+        return frozenset(it.runner for it in hosts if it.place.zone in zones)
+
     async def _register(self) -> None:
         """Keep the entries of the runners up to their lives."""
         listed: dict[str, bytes] = {}
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -12,9 +12,11 @@
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import InstanceId, Millis
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.evacuation import ZoneLine, zone_lines
 from swifthoist_engine.model import SiteTerms
 from swifthoist_instance.api import Api
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Aside, Faults
 from swifthoist_instance.follower import GATHER_S, Follower
 from swifthoist_instance.holding import Holding
@@ -117,7 +119,12 @@
             self._open_store(), self._life, clock, boot.link_bytes_s
         )
         self._configuration = Configuration(
-            self._open_store(), clock, self._revocation_ms
+            self._open_store(), clock, self._change_ms
+        )
+        zones = ZoneGate(
+            self._configuration.requests,
+            lambda: self._configuration.age_ms,
+            lambda: settings.boot.bounds.evacuation_ms,
         )
         self.tenure = Tenure(
             self._life, self._follower, self._journal, clock, boot.cores
@@ -140,6 +147,7 @@
                 self._aside,
                 self._site_terms,
                 turns,
+                zones,
             )
         )
         intake = Intake(
@@ -161,6 +169,13 @@
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
         metrics.watch('decision_ms', lambda: turns.decision_ms)
+        metrics.watch(
+            'zones_evacuated', lambda: len(self._configuration.requests.since)
+        )
+        metrics.watch(
+            'runs_in_evacuated_zones',
+            lambda: sum(line.runs for line in self._zone_lines()),
+        )
         self._phase = Phase()
         api = Api(
             self._configuration,
@@ -247,6 +262,7 @@
             'jobs': len(state.jobs),
             'runs': len(self._follower.cell.runs.all()),
             'leaving': self._phase.leaving,
+            'evacuated': [line._asdict() for line in self._zone_lines()],
             'set_aside': len(self._aside),
             'faults': self.faults.describe(),
         }
@@ -254,6 +270,15 @@
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
+    def _change_ms(self) -> Millis:
+        bounds = self._settings.boot.bounds
+        evacuation_ms = bounds.evacuation_ms or bounds.revocation_ms
+        return min(bounds.revocation_ms, evacuation_ms)
+
+    def _zone_lines(self) -> tuple[ZoneLine, ...]:
+        since = self._configuration.requests.since
+        return zone_lines(self._follower.cell, since)
+
     def _site_terms(self) -> SiteTerms:
         bounds = self._settings.boot.bounds
         return SiteTerms(
--- a/packages/instance/swifthoist_instance/configuration.py
+++ b/packages/instance/swifthoist_instance/configuration.py
@@ -8,15 +8,18 @@
 
 from swifthoist_core.clock import Clock
 from swifthoist_core.errors import LogExpiredError, LogUnavailableError
-from swifthoist_core.types import Millis, Offset
+from swifthoist_core.types import Millis, Offset, ZoneId
 from swifthoist_engine.catalogue import Catalogue
+from swifthoist_instance.evacuations import Requests
 from swifthoist_platform.documents import (
     Wave,
     decode_catalogue,
     decode_wave,
+    find_problems,
 )
 from swifthoist_platform.store import (
     CONFIG_KEY,
+    EVACUATION_PREFIX,
     OPERATOR_TOPIC,
     WAVE_PREFIX,
     Batch,
@@ -26,8 +29,8 @@
 )
 
 READ_SHARE = 0.18
-"""Share of the time within which a revoked key is to be refused, for which a read
-waits for a change. A read that succeeds confirms the configuration as of its
+"""Share of the time within which a change has to take effect, for which a read
+waits for one. A read that succeeds confirms the configuration as of its
 start; two of them and a lost answer between fit into the time for which
 a configuration is gone by."""
 
@@ -61,26 +64,28 @@
 
     :ivar catalogue: the configuration; none before the first.
     :ivar waves: waves of upkeep by number.
+    :ivar requests: evacuations that the operator asks for.
     """
 
     def __init__(
         self,
         store: KeyedTopics,
         clock: Clock,
-        revocation_ms: Callable[[], Millis],
+        bound_ms: Callable[[], Millis],
     ) -> None:
         """Watch a store.
 
         :param store: the store.
         :param clock: tells the time.
-        :param revocation_ms: tells the time within which a revoked key is
-            refused.
+        :param bound_ms: tells the shortest time within which a change has to
+            take effect.
         """
         self.catalogue: Catalogue | None = None
         self.waves: dict[int, Wave] = {}
+        self.requests = Requests(clock)
         self._store = store
         self._clock = clock
-        self._revocation_ms = revocation_ms
+        self._bound_ms = bound_ms
         self._position: Offset | None = None
         self._confirmed_ms: Millis | None = None
         self._failing = False
@@ -123,6 +128,7 @@
             listing = await self._store.newest(OPERATOR_TOPIC, LIST_TIMEOUT_S)
             for newest in listing.items:
                 self._apply(newest)
+            self.requests.keep_only(_evacuated(listing))
             self._position = listing.end
             return
         wait_s = self._wait_s()
@@ -141,18 +147,32 @@
         """
         if self._failing:
             return 0
-        wait_s = READ_SHARE * self._revocation_ms() / 1_000
+        wait_s = READ_SHARE * self._bound_ms() / 1_000
         return min(wait_s, MAX_WAIT_S)
 
     def _apply(self, item: Keyed | None) -> None:
         if item is None:
             _log.error('entry of the operator unread')
-        elif item.key == CONFIG_KEY:
+            return
+        if item.key == CONFIG_KEY:
             self._take(item.content)
         elif item.key.startswith(WAVE_PREFIX) and item.content:
             wave = decode_wave(item.content)
             self.waves[wave.number] = wave
             _log.info('wave', extra={'wave': wave.number})
+        elif item.key.startswith(EVACUATION_PREFIX):
+            self._note_evacuation(item)
+
+    def _note_evacuation(self, item: Keyed) -> None:
+        """Note a request, which its key names: its content may be anything."""
+        zone = item.key.removeprefix(EVACUATION_PREFIX)
+        if not item.content:
+            self.requests.end(zone)
+            return
+        for finding in find_problems(item.content):
+            about = {'zone': zone, 'finding': str(finding)}
+            _log.error('evacuation unread', extra=about)
+        self.requests.begin(zone)
 
     def _take(self, content: bytes) -> None:
         decoded = decode_catalogue(content)
@@ -166,3 +186,13 @@
             return
         self.catalogue = new
         _log.info('configuration', extra={'version': new.version})
+
+
+def _evacuated(listing: Listing) -> set[ZoneId]:
+    """Name the zones of the evacuations that are listed."""
+    keys = [item.key for item in listing.items if item.content]
+    return {
+        key.removeprefix(EVACUATION_PREFIX)
+        for key in keys
+        if key.startswith(EVACUATION_PREFIX)
+    }
--- a/packages/instance/swifthoist_instance/deciding.py
+++ b/packages/instance/swifthoist_instance/deciding.py
@@ -63,6 +63,7 @@
         guard = Guard()
         self._aside.renew(catalogue)
         views = self._roster.views(self._waves.cordoned, guard)
+        self._shared.zones.report(self._shared.cell)
         now_ms = self._shared.follower.time.now_ms()
         world = World(
             self._shared.cell,
--- /dev/null
+++ b/packages/instance/swifthoist_instance/evacuations.py
@@ -0,0 +1,121 @@
+"""Evacuations of availability zones, as this instance has read them."""
+
+import logging
+from collections.abc import Callable, Set
+
+from swifthoist_core.clock import Clock
+from swifthoist_core.types import Millis, ZoneId
+from swifthoist_engine.cell import Cell
+from swifthoist_engine.evacuation import (
+    Evacuations,
+    Gate,
+    is_current,
+    zone_lines,
+)
+
+_log = logging.getLogger(__name__)
+
+
+class Requests:
+    """What the operator asks for.
+
+    :ivar since: time of day at which each evacuation became known here.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without any.
+
+        :param clock: tells the time.
+        """
+        self.since: dict[ZoneId, Millis] = {}
+        self._clock = clock
+
+    def begin(self, zone: ZoneId) -> None:
+        """Note that a zone is evacuated.
+
+        :param zone: the zone.
+        """
+        if not zone:
+            _log.error('evacuation names no zone')
+        elif zone not in self.since:
+            self.since[zone] = self._clock.wall_ms()
+            _log.warning('zone evacuated', extra={'zone': zone})
+
+    def end(self, zone: ZoneId) -> None:
+        """Note that an evacuation was taken back.
+
+        :param zone: the zone.
+        """
+        since_ms = self.since.pop(zone, None)
+        if since_ms is not None:
+            lasted_ms = self._clock.wall_ms() - since_ms
+            about = {'zone': zone, 'lasted_ms': lasted_ms}
+            _log.warning('zone taken back', extra=about)
+
+    def keep_only(self, zones: Set[ZoneId]) -> None:
+        """Note that a whole list of evacuations was read.
+
+        :param zones: the zones that it names; the others were taken back.
+        """
+        for zone in self.since.keys() - zones:
+            self.end(zone)
+
+
+class ZoneGate:
+    """Tells where work may be started, by what was read and how long ago."""
+
+    def __init__(
+        self,
+        requests: Requests,
+        age_ms: Callable[[], Millis | None],
+        bound_ms: Callable[[], Millis | None],
+    ) -> None:
+        """Go by some requests.
+
+        :param requests: what the operator asks for.
+        :param age_ms: tells how long ago they were as read.
+        :param bound_ms: tells the time within which an evacuation has to take
+            effect; none where evacuations are not agreed on.
+        """
+        self._requests = requests
+        self._age_ms = age_ms
+        self._bound_ms = bound_ms
+        self._current = True
+        self._emptied: dict[ZoneId, bool] = {}
+
+    def look(self) -> Evacuations:
+        """Tell what is known right now."""
+        current = is_current(self._age_ms(), self._bound_ms())
+        if current != self._current:
+            self._note_current(current=current)
+        return Evacuations(self._requests.since.keys(), current)
+
+    def gate(self, zone: ZoneId) -> Gate:
+        """Tell whether something may be started in a zone right now.
+
+        :param zone: the zone; empty if a runner did not tell it.
+        :returns: whether it may, or what speaks against it.
+        """
+        return self.look().gate(zone)
+
+    def report(self, cell: Cell) -> None:
+        """Log what still runs in evacuated zones, when that begins and ends.
+
+        :param cell: the cell.
+        """
+        if not self._requests.since and not self._emptied:
+            return
+        lines = zone_lines(cell, self._requests.since)
+        before = self._emptied
+        self._emptied = {line.zone: not line.runs for line in lines}
+        for line in lines:
+            if before.get(line.zone) != self._emptied[line.zone]:
+                _log.info('runs in evacuated zone', extra=line._asdict())
+
+    def _note_current(self, *, current: bool) -> None:
+        self._current = current
+        if current:
+            _log.info('starts allowed again')
+            return
+        about = {'unread_ms': self._age_ms(), 'bound_ms': self._bound_ms()}
+        _log.warning('starts held up, evacuations unread', extra=about)
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -77,6 +77,7 @@
             Standstill(),
             parts.clock,
             wake,
+            parts.zones,
             anyio.Event(),
         )
         self._roster = Roster(
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -12,6 +12,7 @@
 from anyio.abc import TaskGroup
 
 from swifthoist_core.types import Millis
+from swifthoist_engine.evacuation import Gate
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.run_index import RunKey
 from swifthoist_instance.contacts import CALL_S, LOST, RETRY_S, Contact
@@ -101,7 +102,7 @@
 
     async def _carry_start(self, run: OpenRun, ticket: str) -> None:
         unsure = False
-        while self._wanted(run):
+        while self._may_start(run):
             verdict = await self._try_start(run, ticket)
             match verdict:
                 case None:
@@ -117,6 +118,11 @@
                     await self._note_rejected(run, verdict, unsure=unsure)
                     return
             await anyio.sleep(RETRY_S)
+        if self._wanted(run):
+            await self._withdraw(run, 'its zone is evacuated', unsure=unsure)
+
+    def _may_start(self, run: OpenRun) -> bool:
+        return self._wanted(run) and self._gate() is not Gate.CLOSED
 
     def _wanted(self, run: OpenRun) -> bool:
         key = (run.task, run.run)
@@ -127,13 +133,16 @@
             return False
         return self._shared.cell.find_run(*key) is not None
 
+    def _gate(self) -> Gate:
+        return self._shared.zones.gate(self._contact.registration.zone)
+
     def _settle(self, run: OpenRun) -> None:
         self.settled[run.task, run.run] = self._shared.clock.boot_ms()
 
     async def _try_start(self, run: OpenRun, ticket: str) -> Verdict | None:
         contact = self._contact
         job = self._shared.cell.find_job(run.task.job)
-        if contact.silent or job is None:
+        if contact.silent or job is None or self._gate() is not Gate.OPEN:
             return None
         until_ms = contact.lease.next_until(self._shared.clock.boot_ms())
         if until_ms is None:
@@ -166,10 +175,15 @@
             self._shared.evidence.note_failed(
                 run.runner, run.task.job, self._shared.follower.time.now_ms()
             )
+        await self._withdraw(run, f'start rejected: {verdict}', unsure=unsure)
+
+    async def _withdraw(
+        self, run: OpenRun, reason: str, *, unsure: bool
+    ) -> None:
+        """Give a start up; one that may be on its way is barred by a stop."""
         if unsure:
-            self.stop(run, 'rejected after an order without answer')
+            self.stop(run, f'{reason}, after an order without answer')
             return
-        reason = f'start rejected: {verdict}'
         while self._contact.active() and not await record_vanished(
             self._shared, [run], reason
         ):
--- a/packages/instance/swifthoist_instance/parts.py
+++ b/packages/instance/swifthoist_instance/parts.py
@@ -7,6 +7,7 @@
 from swifthoist_core.types import Millis
 from swifthoist_engine.model import SiteTerms
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Aside
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
@@ -39,6 +40,7 @@
     :ivar aside: what decisions leave out, since they failed on it.
     :ivar terms: tells the terms of the site.
     :ivar turns: watches the event loop.
+    :ivar zones: tells in which zones work may be started.
     """
 
     tenure: Tenure
@@ -56,3 +58,4 @@
     aside: Aside
     terms: Callable[[], SiteTerms]
     turns: Turns
+    zones: ZoneGate
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 
 from swifthoist_core.types import Millis, RunnerId
+from swifthoist_engine.evacuation import Gate
 from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.planner import Stop
@@ -86,11 +87,16 @@
         :returns: the runners.
         """
         views: list[RunnerView] = []
+        evacuations = self._shared.zones.look()
         now_ms = self._shared.follower.time.now_ms()
         for runner, session in self._sessions.items():
             with guard.looking_at(Kind.RUNNER, runner):
+                zone = session.contact.registration.zone
+                allowed = evacuations.gate(zone) is Gate.OPEN
                 standing = Standing(
-                    self._usable(session) and runner not in cordoned,
+                    allowed
+                    and self._usable(session)
+                    and runner not in cordoned,
                     self._shared.evidence.suspicion(runner, now_ms),
                 )
                 views.append(session.describe(standing))
--- a/packages/instance/swifthoist_instance/shared.py
+++ b/packages/instance/swifthoist_instance/shared.py
@@ -9,6 +9,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.evidence import Evidence
 from swifthoist_engine.standstill import Standstill
+from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.signals import Signal
@@ -26,6 +27,7 @@
     :ivar standstill: since when runs use no processor.
     :ivar clock: tells the time.
     :ivar wake: wakes the planner.
+    :ivar zones: tells in which zones work may be started.
     :ivar over: set for good once the tenure was not in force at any time.
     """
 
@@ -37,6 +39,7 @@
     standstill: Standstill
     clock: Clock
     wake: Signal
+    zones: ZoneGate
     over: anyio.Event
 
     @property
--- a/packages/platform/swifthoist_platform/boot.py
+++ b/packages/platform/swifthoist_platform/boot.py
@@ -48,6 +48,8 @@
     :ivar restore_ms: time that a run needs to go on from a checkpoint.
     :ivar reclaim_ms: time within which a guarantee is to be met.
     :ivar far_factor: how many times as long a task takes far from its data.
+    :ivar evacuation_ms: time within which an evacuated zone gets no more work;
+        none where evacuations are not agreed on.
     """
 
     lease_max_ms: Millis
@@ -63,6 +65,7 @@
     restore_ms: Millis
     reclaim_ms: Millis
     far_factor: float
+    evacuation_ms: Millis | None = None
 
 
 class Boot(NamedTuple):
@@ -174,4 +177,5 @@
         restore_ms=reader.whole(names.RESTORE_MS, USUAL_TERMS.restore_ms),
         reclaim_ms=reader.whole(names.RECLAIM_MS, USUAL_TERMS.reclaim_ms),
         far_factor=reader.number(names.REMOTE_FACTOR, USUAL_TERMS.far_factor),
+        evacuation_ms=reader.whole(names.EVACUATE_MS) or None,
     )
--- a/packages/platform/swifthoist_platform/documents.py
+++ b/packages/platform/swifthoist_platform/documents.py
@@ -153,6 +153,15 @@
     return Configured(catalogue, tuple(reader.findings))
 
 
+def find_problems(content: bytes) -> tuple[Finding, ...]:
+    """Tell what is wrong with a document of which nothing is needed.
+
+    :param content: its bytes.
+    :returns: the findings.
+    """
+    return tuple(read_json(content).findings)
+
+
 class Wave(NamedTuple):
     """Machines that are to have their upkeep.
 
--- a/packages/platform/swifthoist_platform/store.py
+++ b/packages/platform/swifthoist_platform/store.py
@@ -28,6 +28,8 @@
 
 CONFIG_KEY = 'config'
 WAVE_PREFIX = 'wave/'
+EVACUATION_PREFIX = 'evacuate/'
+"""Before the name of a zone that gets no new work while the key is there."""
 
 MAX_READ_KB = 1_024
 
--- /dev/null
+++ b/tests/engine/test_evacuation.py
@@ -0,0 +1,109 @@
+"""Where work goes while zones are evacuated."""
+
+import unittest
+
+from swifthoist_engine.evacuation import (
+    Evacuations,
+    Gate,
+    is_current,
+    zone_lines,
+)
+from swifthoist_engine.model import UnitId
+from swifthoist_engine.past_runs import RunnerFacts
+from swifthoist_engine.records import RunnerDescribed
+from tests.engine.scenes import (
+    BULK,
+    NOW_MS,
+    URGENT,
+    Scene,
+    gang,
+    job_spec,
+    places,
+    task,
+    view,
+)
+
+BOUND_MS = 5_000
+
+
+class GateTest(unittest.TestCase):
+    """Whether something may be started in a zone."""
+
+    def test_what_is_not_proved_allowed_is_not_open(self) -> None:
+        """A zone nobody told, and requests that were not read for long."""
+        for known, zone, gate in (
+            (Evacuations(), 'a', Gate.OPEN),
+            (Evacuations(), '', Gate.OPEN),
+            (Evacuations(frozenset('a')), 'a', Gate.CLOSED),
+            (Evacuations(frozenset('a')), 'b', Gate.OPEN),
+            (Evacuations(frozenset('a')), '', Gate.UNPROVEN),
+            (Evacuations(frozenset('a'), current=False), 'a', Gate.CLOSED),
+            (Evacuations(frozenset('a'), current=False), 'b', Gate.UNPROVEN),
+        ):
+            with self.subTest(known=known, zone=zone):
+                self.assertIs(known.gate(zone), gate)
+
+    def test_requests_are_gone_by_for_part_of_their_time(self) -> None:
+        """And for ever where evacuations are not agreed on."""
+        self.assertTrue(is_current(2_900, BOUND_MS))
+        self.assertFalse(is_current(3_000, BOUND_MS))
+        self.assertFalse(is_current(None, BOUND_MS))
+        self.assertTrue(is_current(None, None))
+
+
+class DecisionTest(unittest.TestCase):
+    """Decisions while the runners of one zone get nothing."""
+
+    def test_a_promised_gang_preempts_elsewhere(self) -> None:
+        """Its team's room was in the evacuated zone; that is empty."""
+        scene = Scene(
+            job_spec('low', BULK, task(count=16)),
+            job_spec('j', URGENT, gang(2)),
+        )
+        for number in range(16):
+            unit = UnitId('low', 0, 0, number)
+            scene.start(unit, f'runner-{2 + number // 8}')
+        runners = [view(0, 0, open=False), view(1, 0, open=False)]
+        runners += [view(2, 1), view(3, 1)]
+        decision = scene.decide(runners)
+        self.assertEqual(len(decision.stops), 16)
+        self.assertEqual(decision.starts, ())
+
+    def test_no_gang_waits_for_a_rack_that_is_evacuated(self) -> None:
+        """It spreads at once where no other rack could hold it."""
+        scene = Scene(job_spec('j', BULK, gang(2)))
+        runners = [view(0, 0, open=False), view(1, 0, open=False)]
+        runners += [view(2, 1), view(3, 2)]
+        decision = scene.decide(runners)
+        self.assertEqual(
+            list(map(set, places(decision).values())),
+            [{'runner-2', 'runner-3'}],
+        )
+
+    def test_no_task_waits_for_data_in_an_evacuated_zone(self) -> None:
+        """It starts far from its data at once."""
+        scene = Scene(job_spec('j', BULK, task(data_rack='rack-0')))
+        decision = scene.decide([view(0, 0, open=False), view(1, 1)])
+        self.assertEqual(list(places(decision).values()), [['runner-1']])
+
+
+class ReportTest(unittest.TestCase):
+    """What operators see."""
+
+    def test_runs_that_go_on_are_counted_by_zone(self) -> None:
+        """A zone that nobody knows has neither runners nor runs."""
+        scene = Scene(job_spec('j', BULK, task(count=2)))
+        for name, zone in (('r', 'a'), ('s', 'a'), ('t', 'b')):
+            facts = RunnerFacts('m', 'k', zone)
+            scene.fold(RunnerDescribed(1, name, *facts))
+        scene.start(UnitId('j', 0, 0, 0), 'r')
+        scene.start(UnitId('j', 0, 0, 1), 't')
+        since = {'nowhere': NOW_MS, 'a': NOW_MS + 1}
+        self.assertEqual(
+            zone_lines(scene.cell, since),
+            (('a', NOW_MS + 1, 2, 1), ('nowhere', NOW_MS, 0, 0)),
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/instance/test_evacuations.py
@@ -0,0 +1,179 @@
+"""What an instance knows of evacuations, and orders that are under way."""
+
+import unittest
+from types import SimpleNamespace
+from typing import cast
+from unittest import mock
+
+import anyio
+
+from swifthoist_core.errors import OutcomeUnknownError
+from swifthoist_engine.evacuation import TRUST_SHARE
+from swifthoist_engine.model import TaskId, UnitId
+from swifthoist_instance import orders
+from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.contacts import Contact
+from swifthoist_instance.evacuations import Requests, ZoneGate
+from swifthoist_platform.runner_calls import Answer, StartOrder, Verdict
+from swifthoist_platform.store import EVACUATION_PREFIX, OPERATOR_TOPIC
+from tests.engine.scenes import BATCH, Scene, job_spec, task
+from tests.instance.entry import configure
+from tests.instance.fakes import FakeStore, LoopClock, run
+
+BOUND_MS = 5_000
+
+
+def _request(store: FakeStore, zone: str, content: bytes = b'{}') -> None:
+    store.publish(OPERATOR_TOPIC, f'{EVACUATION_PREFIX}{zone}', content)
+
+
+class RequestTest(unittest.TestCase):
+    """Requests are read from the operator's topic, however they come."""
+
+    def test_requests_are_taken_and_taken_back(self) -> None:
+        """From a listing, from the log, and from a listing behind a gap."""
+
+        async def main() -> None:
+            store = FakeStore()
+            configure(store)
+            _request(store, 'a')
+            configuration = Configuration(store, LoopClock(), lambda: BOUND_MS)
+            known = configuration.requests.since
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(configuration.run)
+                await anyio.sleep(2)
+                self.assertEqual(set(known), {'a'})
+                _request(store, 'b')
+                _request(store, 'a', b'')
+                await anyio.sleep(2)
+                self.assertEqual(set(known), {'b'})
+                store.refuses = True
+                await anyio.sleep(1)
+                _request(store, 'b', b'')
+                _request(store, 'c', b'no document')
+                topic = store.topic(OPERATOR_TOPIC)
+                topic.forget(topic.end)
+                store.refuses = False
+                await anyio.sleep(2)
+                self.assertEqual(set(known), {'c'})
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
+    def test_the_time_of_a_request_is_that_of_its_first_read(self) -> None:
+        """An entry that is written again is the same evacuation."""
+
+        async def main() -> None:
+            requests = Requests(LoopClock())
+            requests.begin('a')
+            await anyio.sleep(3)
+            requests.begin('a')
+            self.assertEqual(requests.since, {'a': 0})
+
+        run(main)
+
+
+class _Client:
+    """A runner that answers no start."""
+
+    def __init__(self) -> None:
+        self.starts = 0
+        self.stops = 0
+
+    async def start(self, _: StartOrder, wait_s: float) -> Answer:
+        """Give no answer."""
+        self.starts += 1
+        await anyio.sleep(wait_s)
+        raise OutcomeUnknownError('no answer')
+
+    async def stop(self, *_: object) -> Answer:
+        """Take a stop."""
+        self.stops += 1
+        return Answer(Verdict.TAKEN, 1)
+
+
+class OrderTest(unittest.TestCase):
+    """Orders that are under way when an evacuation comes."""
+
+    def setUp(self) -> None:
+        """Have a run that is recorded, and still to be sent."""
+        scene = Scene(job_spec('j', BATCH, task()))
+        scene.start(UnitId('j', 0, 0, 0), 'r')
+        found = scene.cell.find_run(TaskId('j', 0, 0, 0), 1)
+        assert found is not None
+        self.run_there = found
+        self.client = _Client()
+        self.requests = Requests(LoopClock())
+        self.age_ms = 0
+        shared = SimpleNamespace(
+            cell=scene.cell,
+            clock=LoopClock(),
+            epoch=1,
+            zones=ZoneGate(
+                self.requests, lambda: self.age_ms, lambda: BOUND_MS
+            ),
+            follower=SimpleNamespace(wait_progress=anyio.sleep_forever),
+        )
+        self.contact = SimpleNamespace(
+            registration=SimpleNamespace(zone='a'),
+            client=self.client,
+            shared=shared,
+            silent=False,
+            lease=SimpleNamespace(next_until=lambda now_ms: now_ms + 1),
+            active=lambda: True,
+            note_clock=mock.Mock(),
+            note_verdict=mock.Mock(),
+        )
+
+    def test_a_start_without_an_answer_is_not_sent_again(self) -> None:
+        """It was sent each 0.15 s; now it is barred by a stop."""
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                self._orders(tasks).start(self.run_there, '')
+                await anyio.sleep(0.1)
+                self.requests.begin('a')
+                await anyio.sleep(5)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+        self.assertEqual((self.client.starts, self.client.stops), (1, 1))
+
+    def test_a_start_that_was_never_sent_is_given_up(self) -> None:
+        """Its record was folded before the evacuation was known."""
+        vanish = mock.AsyncMock(return_value=True)
+
+        async def main() -> None:
+            self.requests.begin('a')
+            async with anyio.create_task_group() as tasks:
+                self._orders(tasks).start(self.run_there, '')
+                await anyio.sleep(5)
+                tasks.cancel_scope.cancel()
+
+        with mock.patch.object(orders, 'record_vanished', vanish):
+            run(main)
+        self.assertEqual((self.client.starts, self.client.stops), (0, 0))
+        vanish.assert_awaited_once()
+
+    def test_a_start_waits_while_requests_are_unread(self) -> None:
+        """Nobody can tell whether its zone is evacuated; then it goes on."""
+
+        async def main() -> None:
+            self.age_ms = int(TRUST_SHARE * BOUND_MS)
+            async with anyio.create_task_group() as tasks:
+                self._orders(tasks).start(self.run_there, '')
+                await anyio.sleep(5)
+                self.assertEqual(self.client.starts, 0)
+                self.age_ms = 100
+                await anyio.sleep(0.5)
+                self.assertEqual(self.client.starts, 1)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
+    def _orders(self, tasks: anyio.abc.TaskGroup) -> orders.Orders:
+        return orders.Orders(cast(Contact, self.contact), tasks)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/instance/test_session_end.py
+++ b/tests/instance/test_session_end.py
@@ -9,6 +9,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.model import Resources, TaskId, UnitId
 from swifthoist_instance.contacts import Contact
+from swifthoist_instance.evacuations import Requests, ZoneGate
 from swifthoist_instance.leases import Lease
 from swifthoist_instance.sessions import Session
 from swifthoist_instance.shared import Shared
@@ -52,6 +53,9 @@
         self.cell = cell
         self.clock = LoopClock()
         self.acts = True
+        self.zones = ZoneGate(
+            Requests(self.clock), self.clock.boot_ms, lambda: None
+        )
 
     def may_act(self) -> bool:
         """Tell whether the tenure lasts."""
--- /dev/null
+++ b/tests/simulation/test_evacuation.py
@@ -0,0 +1,161 @@
+"""Evacuated zones get no work, whatever fails meanwhile, on virtual time."""
+
+import unittest
+
+import anyio
+
+from swifthoist_core.errors import LogUnavailableError
+from swifthoist_emulator.callers import Order
+from swifthoist_emulator.faults import NO_FAULT, Fault, Harm
+from swifthoist_emulator.lives import StepWork
+from swifthoist_platform.store import Batch
+from tests.simulation.cluster import Cluster, play
+
+SOUTH = 'south'
+BOUND_S = 5.5
+"""Time after which nothing may start in an evacuated zone, and a bit more."""
+
+SHORT = StepWork(800, (4_000, 8_000, 1))
+GANG = StepWork(1_500, (4_000, 8_000, 8), gang=4)
+
+
+async def _press(cluster: Cluster, seconds: float) -> list[Order]:
+    """Hand in more than one zone can hold, for some time."""
+    orders: list[Order] = []
+    until = anyio.current_time() + seconds
+    while anyio.current_time() < until:
+        for prefix, work in (('/batch/', SHORT), ('/urgent/', GANG)):
+            order = cluster.order(prefix, work, width=work.gang or 30)
+            if await cluster.submit(order):
+                orders.append(order)
+        await anyio.sleep(0.5)
+    return orders
+
+
+async def _await_all(cluster: Cluster, orders: list[Order]) -> None:
+    for order in orders:
+        await cluster.wait_state(order, 'complete', 90)
+
+
+def _runs_south(cluster: Cluster) -> int:
+    hosts = cluster.world.fleet.hosts.values()
+    lives = [host.life for host in hosts if host.place.zone == SOUTH]
+    return sum(len(life.runs) for life in lives if life is not None)
+
+
+class _Unread:
+    """The operator's topic behind a connection that brings nothing more."""
+
+    async def read(self, *_: object) -> Batch:
+        """Fail as the store does where it turns a machine away."""
+        raise LogUnavailableError('refused')
+
+    newest = read
+
+
+class EvacuationTest(unittest.TestCase):
+    """The witness notes each start in an evacuated zone."""
+
+    def test_a_zone_empties_and_gets_work_again(self) -> None:
+        """No code read the request: starts went on."""
+
+        async def scene(cluster: Cluster) -> None:
+            await cluster.holder()
+            orders = await _press(cluster, 3)
+            cluster.world.evacuate(SOUTH)
+            orders += await _press(cluster, 10)
+            self.assertEqual(_runs_south(cluster), 0)
+            cluster.world.take_back(SOUTH)
+            orders += await _press(cluster, 3)
+            self.assertGreater(_runs_south(cluster), 0)
+            await _await_all(cluster, orders)
+
+        self.assertEqual(play(scene).witness.broken, [])
+
+    def test_a_takeover_knows_it(self) -> None:
+        """The holder dies while a zone is evacuated, and again at once."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            orders = await _press(cluster, 3)
+            cluster.world.evacuate(SOUTH)
+            holder.kill()
+            orders += await _press(cluster, 6)
+            (await cluster.holder()).kill()
+            orders += await _press(cluster, 6)
+            self.assertEqual(_runs_south(cluster), 0)
+            for node in cluster.nodes:
+                node.start()
+            cluster.world.take_back(SOUTH)
+            await _await_all(cluster, orders)
+
+        self.assertEqual(play(scene).witness.broken, [])
+
+    def test_it_comes_and_goes_while_the_store_is_away(self) -> None:
+        """What is asked for in an outage holds from its end on."""
+
+        async def scene(cluster: Cluster) -> None:
+            await cluster.holder()
+            orders = await _press(cluster, 3)
+            faults = cluster.world.faults
+            faults.store_reads = Fault(Harm.SILENT)
+            faults.store_writes = Fault(Harm.SILENT)
+            cluster.world.evacuate(SOUTH)
+            await anyio.sleep(BOUND_S)
+            faults.store_reads = NO_FAULT
+            faults.store_writes = NO_FAULT
+            orders += await _press(cluster, 6)
+            self.assertEqual(_runs_south(cluster), 0)
+            faults.store_reads = Fault(Harm.BUSY)
+            cluster.world.take_back(SOUTH)
+            await anyio.sleep(2)
+            faults.store_reads = NO_FAULT
+            await _await_all(cluster, orders)
+
+        self.assertEqual(play(scene).witness.broken, [])
+
+    def test_all_zones_at_once_hold_all_work_up(self) -> None:
+        """Nothing starts; all that was accepted is done afterwards."""
+
+        async def scene(cluster: Cluster) -> None:
+            await cluster.holder()
+            orders = await _press(cluster, 2)
+            for zone in ('north', SOUTH, 'nowhere'):
+                cluster.world.evacuate(zone)
+            await anyio.sleep(BOUND_S)
+            starts = cluster.world.witness.starts
+            orders += await _press(cluster, 4)
+            self.assertEqual(cluster.world.witness.starts, starts)
+            for zone in ('north', SOUTH):
+                cluster.world.take_back(zone)
+            await _await_all(cluster, orders)
+
+        self.assertEqual(play(scene).witness.broken, [])
+
+    def test_a_holder_that_cannot_read_requests_starts_nothing(self) -> None:
+        """It went on for as long as it could read and write the log."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            orders = await _press(cluster, 3)
+            assert holder.app is not None
+            configuration = holder.app._configuration
+            sound = configuration._store
+            configuration._store = _Unread()
+            cluster.world.evacuate(SOUTH)
+            await anyio.sleep(BOUND_S)
+            starts = cluster.world.witness.starts
+            orders += await _press(cluster, 6)
+            self.assertTrue(holder.holds)
+            self.assertEqual(cluster.world.witness.starts, starts)
+            configuration._store = sound
+            orders += await _press(cluster, 3)
+            self.assertEqual(_runs_south(cluster), 0)
+            cluster.world.take_back(SOUTH)
+            await _await_all(cluster, orders)
+
+        self.assertEqual(play(scene).witness.broken, [])
+
+
+if __name__ == '__main__':
+    unittest.main()
