Each job that is over has a log line, and lines are dropped by kind

Cause: the limit on log lines dropped starts, stops and ends alike in the very seconds that matter, and no line said that a job ended, how and why.

The fold keeps what became of a job's runs: counts and times by how they ended, the longest that was done, and up to 8 lost attempts, a gang's members as one. The holder writes one line a job from it once nothing of it runs, with the reasons of the stops that it ordered; a new holder repeats what the former may not have told. Those lines have an allowance of their own and wait for a reader that stands still; others are dropped by kind, counted by kind, and told of. Members of a gang share the lines of starts, stops and ends.

--- a/experiments/lines.py
+++ b/experiments/lines.py
@@ -35,11 +35,23 @@
         try:
             line = json.loads(mark + rest)
             at_s = float(head.split()[0]) if head.strip() else _seconds(line)
-            yield Moment(at_s, line)
+            yield from _each_run(Moment(at_s, line))
         except (ValueError, KeyError):
             continue
 
 
+def _each_run(moment: Moment) -> Iterator[Moment]:
+    """Tell the members of a gang apart that share a line."""
+    runners = moment.line.get('runners')
+    if not isinstance(runners, dict):
+        yield moment
+        return
+    step = moment.line['task'].removesuffix('*')
+    for ordinal, runner in runners.items():
+        own = {'task': f'{step}{ordinal}', 'runner': runner}
+        yield Moment(moment.at_s, {**moment.line, **own})
+
+
 def _seconds(line: Line) -> float:
     """Tell when a line was written, in seconds since the Unix epoch."""
     return datetime.fromisoformat(line['time'].replace(',', '.')).timestamp()
--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -9,15 +9,17 @@
 account last.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from swifthoist_core.types import Epoch, InstanceId, JobId, Millis, RunnerId
 from swifthoist_engine.account import Account
 from swifthoist_engine.endings import conclude, note_end
 from swifthoist_engine.experience import Experience
+from swifthoist_engine.histories import VANISHED
 from swifthoist_engine.jobs import Job, JobState, OpenRun
 from swifthoist_engine.model import TaskId
-from swifthoist_engine.past_runs import PastRun, RunnerFacts
+from swifthoist_engine.past_runs import RunnerFacts, past_run
 from swifthoist_engine.records import (
     Beat,
     Canceled,
@@ -37,8 +39,9 @@
 )
 from swifthoist_engine.run_index import RunIndex
 
-VANISHED = 'vanished'
-"""How a run ended of which no runner told."""
+MAX_FINISHED = 20_000
+"""Most jobs that are listed as finished; the holder takes them out four times
+a second, and others have no use for them."""
 
 
 @dataclass(slots=True)
@@ -109,6 +112,7 @@
     :ivar dirty: jobs of which a unit may start or a run may have to end;
         a decision takes out those that it finds settled.
     :ivar urgent: jobs of urgent queues, those that are finished among them.
+    :ivar finished: jobs that became final, the newest last.
     """
 
     def __init__(self, keep_ms: Millis, state: CellState | None = None) -> None:
@@ -121,6 +125,7 @@
         self.runs = RunIndex()
         self.dirty: set[JobId] = set()
         self.urgent: dict[JobId, Job] = {}
+        self.finished: deque[JobId] = deque(maxlen=MAX_FINISHED)
         self._keep_ms = keep_ms
         if state is not None:
             self.replace_state(state)
@@ -274,6 +279,7 @@
         self.dirty.add(job.job)
         job.canceled = True
         job.finished_ms = max(record.at_ms, self.state.time_ms)
+        self.finished.append(job.job)
         self.state.account.add_finish(job, job.state)
 
     def _start(self, record: Started) -> None:
@@ -297,6 +303,7 @@
             self.runs.add(run, need)
             self.runs.note_fresh(run)
         if first:
+            job.history.began_ms = record.at_ms
             self.state.account.add_wait(job, record.at_ms)
 
     def _end(self, record: Ended) -> None:
@@ -317,13 +324,18 @@
         run = self._close(record.task, record.run)
         self.dirty.add(job.job)
         conclude(job, unit, record)
+        at_ms = self.state.time_ms
+        if job.final and not was_final:
+            self.finished.append(job.job)
+        over = run or _late_run(record, at_ms)
+        job.note_over(over, record.ending.value, at_ms)
         account = self.state.account
         if run is not None:
-            account.add_run(job, run, self.state.time_ms, record.ending.value)
+            account.add_run(job, run, at_ms, record.ending.value)
         if job.final and not was_final:
             account.add_finish(job, job.state)
         if run is not None:
-            past = _past_run(self.state, job, run, record, gang)
+            past = past_run(self.state.facts, job, run, record, gang, at_ms)
             self.state.experience.note(past)
 
     def _vanish(self, record: Vanished) -> None:
@@ -335,6 +347,7 @@
         unit.idle_since_ms = self.state.time_ms
         if record.checkpoint and record.run == unit.last_run:
             unit.checkpoint = record.checkpoint
+        job.note_over(run, VANISHED, self.state.time_ms, record.reason)
         self.state.account.add_run(job, run, self.state.time_ms, VANISHED)
 
     def _close(self, task: TaskId, number: int) -> OpenRun | None:
@@ -363,26 +376,9 @@
     }
 
 
-def _past_run(
-    state: CellState,
-    job: Job,
-    run: OpenRun,
-    record: Ended,
-    gang: tuple[OpenRun, ...],
-) -> PastRun:
-    """Describe a run that is over to whatever is learned from it."""
-    facts = state.facts
-    unknown = RunnerFacts()
-    return PastRun(
-        job,
-        job.step(run.task),
-        run,
-        record.ending,
-        state.time_ms,
-        facts.get(run.runner, unknown),
-        gang,
-        tuple(facts.get(member.runner, unknown) for member in gang),
-    )
+def _late_run(record: Ended, at_ms: Millis) -> OpenRun:
+    """Stand for a run that was given up before its end was read."""
+    return OpenRun(record.task, record.run, record.runner, record.epoch, at_ms)
 
 
 def count_waiting(state: CellState, queue: str) -> int:
--- a/packages/engine/swifthoist_engine/jobs.py
+++ b/packages/engine/swifthoist_engine/jobs.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from swifthoist_core.types import Epoch, JobId, Millis, RunnerId
+from swifthoist_engine.histories import Attempt, History
 from swifthoist_engine.model import (
     GANG_ORDINAL,
     JobSpec,
@@ -13,6 +14,9 @@
     UnitId,
 )
 
+REASON_CHARS = 80
+"""Longest reason that is kept of a run that vanished, in characters."""
+
 
 class JobState(StrEnum):
     """States that callers can read."""
@@ -86,6 +90,7 @@
     :ivar failed: a unit ran out of attempts.
     :ivar complete: every unit is done.
     :ivar finished_ms: time of its final state; 0 before.
+    :ivar history: what became of its runs.
     """
 
     spec: JobSpec
@@ -95,6 +100,7 @@
     failed: bool = False
     complete: bool = False
     finished_ms: Millis = 0
+    history: History = field(default_factory=History)
 
     @property
     def job(self) -> JobId:
@@ -229,3 +235,28 @@
         """List the runs that may be on their runners."""
         for unit in self.units.values():
             yield from unit.open.values()
+
+    def note_over(
+        self, run: OpenRun, ending: str, at_ms: Millis, reason: str = ''
+    ) -> None:
+        """Note in its history that a run is over.
+
+        :param run: the run.
+        :param ending: how it ended.
+        :param at_ms: time when that was folded.
+        :param reason: what made it certain that it vanished; else empty.
+        """
+        unit = self.find(self.unit_of(run.task))
+        self.history.note(
+            Attempt(
+                *run.task[1:],
+                run.run,
+                run.runner,
+                ending,
+                reason[:REASON_CHARS],
+                run.started_ms,
+                at_ms,
+            ),
+            gang=self.step(run.task).gang,
+            needed=unit is None or not unit.done,
+        )
--- a/packages/engine/swifthoist_engine/past_runs.py
+++ b/packages/engine/swifthoist_engine/past_runs.py
@@ -1,11 +1,12 @@
 """Runs that are over, as whatever is learned from them sees them."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
-from swifthoist_core.types import Millis, RackId, ZoneId
+from swifthoist_core.types import Millis, RackId, RunnerId, ZoneId
 from swifthoist_engine.jobs import Job, OpenRun
 from swifthoist_engine.model import StepSpec
-from swifthoist_engine.records import Ending
+from swifthoist_engine.records import Ended, Ending
 
 
 class RunnerFacts(NamedTuple):
@@ -52,3 +53,34 @@
     def ran_ms(self) -> Millis:
         """Time from its decision to its end."""
         return self.at_ms - self.run.started_ms
+
+
+def past_run(
+    facts: Mapping[RunnerId, RunnerFacts],
+    job: Job,
+    run: OpenRun,
+    record: Ended,
+    gang: tuple[OpenRun, ...],
+    at_ms: Millis,
+) -> PastRun:
+    """Describe a run that is over to whatever is learned from it.
+
+    :param facts: what is known of runners.
+    :param job: its job.
+    :param run: the run.
+    :param record: its end.
+    :param gang: the open runs of its unit before that end.
+    :param at_ms: time of the cell.
+    :returns: the run.
+    """
+    unknown = RunnerFacts()
+    return PastRun(
+        job,
+        job.step(run.task),
+        run,
+        record.ending,
+        at_ms,
+        facts.get(run.runner, unknown),
+        gang,
+        tuple(facts.get(member.runner, unknown) for member in gang),
+    )
--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -29,6 +29,7 @@
 from swifthoist_engine.records import Canceled, Record, Submitted
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.follower import Follower
+from swifthoist_instance.job_lines import describe_end
 from swifthoist_instance.journal import Journal
 
 RECORD_S = 3.0
@@ -181,7 +182,8 @@
             }
             for key, unit in sorted(job.units.items())
         ]
-        return Answer(200, {**_summary(job), 'units': units})
+        about = {**_summary(job), 'units': units}
+        return Answer(200, {**about, 'history': describe_end(job, {})})
 
     async def _submit(self, job_id: str, content: bytes) -> Answer:
         try:
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -149,7 +149,8 @@
             self._revocation_ms,
         )
         metrics = Metrics()
-        metrics.watch('log_lines_dropped', lambda: logs.dropped)
+        metrics.watch('log_lines_dropped', logs.dropped.total)
+        metrics.watch_dropped(logs.dropped)
         metrics.watch('records_folded', lambda: self._follower.position)
         metrics.watch('records_not_folded', lambda: self._follower.unfolded)
         metrics.watch('log_reads', lambda: self._follower.reads)
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -11,10 +11,12 @@
 from swifthoist_engine.records import Beat
 from swifthoist_engine.standstill import Standstill
 from swifthoist_instance.deciding import Decider
+from swifthoist_instance.job_lines import JobLines
 from swifthoist_instance.outcomes import record_all, record_vanished
 from swifthoist_instance.parts import Parts
 from swifthoist_instance.policies import Policies
 from swifthoist_instance.roster import Roster
+from swifthoist_instance.run_lines import RunLines
 from swifthoist_instance.shared import Shared
 from swifthoist_instance.signals import Signal
 from swifthoist_instance.tenure import Hold
@@ -29,6 +31,9 @@
 
 CHECK_S = 0.05
 
+LINES_S = 0.25
+"""Pause between looks for lines that have gathered, in seconds."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -77,6 +82,7 @@
             Standstill(),
             parts.clock,
             wake,
+            RunLines(parts.follower.cell, parts.clock),
             anyio.Event(),
         )
         self._roster = Roster(
@@ -114,6 +120,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._registry.run)
             tasks.start_soon(self._wake_on_fold)
+            tasks.start_soon(self._write_lines)
             tasks.start_soon(self._roster.run, tasks)
             tasks.start_soon(self._waves.run)
             tasks.start_soon(self._decide_again, tasks)
@@ -129,6 +136,16 @@
             await self._parts.follower.wait_progress()
             self._shared.wake.give()
 
+    async def _write_lines(self) -> None:
+        job_lines = JobLines(self._parts.follower, self._shared.lines)
+        try:
+            while True:
+                await anyio.sleep(LINES_S)
+                self._shared.lines.flush()
+                job_lines.tell()
+        finally:
+            self._shared.lines.flush(everything=True)
+
     async def _decide_again(self, tasks: TaskGroup) -> None:
         await self._registry.loaded.wait()
         while True:
--- a/packages/instance/swifthoist_instance/metrics.py
+++ b/packages/instance/swifthoist_instance/metrics.py
@@ -1,6 +1,6 @@
 """Metrics: counts for Prometheus, latencies in HDR histograms."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
@@ -34,6 +34,13 @@
             ('figure',),
             registry=self._registry,
         )
+        self._lines = Gauge(
+            'swifthoist_log_lines_dropped',
+            'Log lines that were not written, by their kind',
+            ('kind',),
+            registry=self._registry,
+        )
+        self._dropped: Mapping[str, int] = {}
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count_call(self, method: str, status: int, took_ms: float) -> None:
@@ -58,6 +65,13 @@
         """
         self._state.labels(figure).set_function(read)
 
+    def watch_dropped(self, dropped: Mapping[str, int]) -> None:
+        """Expose how many log lines were dropped.
+
+        :param dropped: number of lines by kind; it may grow.
+        """
+        self._dropped = dropped
+
     def expose(self) -> bytes:
         """Write all metrics.
 
@@ -68,5 +82,7 @@
                 latency = histogram.get_value_at_percentile(quantile)
                 share = f'{quantile / 100:g}'
                 self._latency.labels(method, share).set(latency)
+        for kind, count in self._dropped.items():
+            self._lines.labels(kind).set(count)
         exposed: bytes = generate_latest(self._registry)
         return exposed
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -155,8 +155,14 @@
             return None
         contact.note_clock(answer.clock_ms)
         contact.note_verdict(answer.verdict)
-        about = {**_about(run), 'outcome': answer.verdict.value}
-        _log.info('start', extra=about)
+        self._shared.lines.note(
+            'start',
+            run.task,
+            run.run,
+            run.runner,
+            epoch=run.epoch,
+            outcome=answer.verdict.value,
+        )
         return answer.verdict
 
     async def _note_rejected(
@@ -177,7 +183,7 @@
 
     async def _carry_stop(self, run: OpenRun, reason: str) -> None:
         key = (run.task, run.run)
-        _log.info('stop', extra={**_about(run), 'reason': reason})
+        self._shared.lines.note_stop(run, reason)
         while self._contact.active() and not await self._try_stop(run):
             await anyio.sleep(RETRY_S)
         self._settle(run)
--- a/packages/instance/swifthoist_instance/outcomes.py
+++ b/packages/instance/swifthoist_instance/outcomes.py
@@ -43,7 +43,7 @@
     last = offset + len(records) - 1
     folded = await shared.follower.wait_folded(last, RECORD_S)
     for record in records:
-        _log_record(record)
+        _write_line(shared, record)
     shared.wake.give()
     return folded
 
@@ -110,16 +110,18 @@
     )
 
 
-def _log_record(record: Record) -> None:
+def _write_line(shared: Shared, record: Record) -> None:
     match record:
         case Ended():
-            about = {'number': record.number, 'ending': record.ending.value}
+            about = {'ending': record.ending.value}
         case Vanished():
             about = {'reason': record.reason}
         case _:
             return
-    about['job'] = record.task.job
-    about['task'] = '.'.join(map(str, record.task[1:]))
-    about['run'] = record.run
-    about['runner'] = record.runner
-    _log.info(type(record).__name__.lower(), extra=about)
+    shared.lines.note(
+        type(record).__name__.lower(),
+        record.task,
+        record.run,
+        record.runner,
+        **about,
+    )
--- a/packages/instance/swifthoist_instance/shared.py
+++ b/packages/instance/swifthoist_instance/shared.py
@@ -11,6 +11,7 @@
 from swifthoist_engine.standstill import Standstill
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
+from swifthoist_instance.run_lines import RunLines
 from swifthoist_instance.signals import Signal
 from swifthoist_instance.tenure import Hold, Tenure
 
@@ -26,6 +27,7 @@
     :ivar standstill: since when runs use no processor.
     :ivar clock: tells the time.
     :ivar wake: wakes the planner.
+    :ivar lines: writes what happens to runs.
     :ivar over: set for good once the tenure was not in force at any time.
     """
 
@@ -37,6 +39,7 @@
     standstill: Standstill
     clock: Clock
     wake: Signal
+    lines: RunLines
     over: anyio.Event
 
     @property
--- a/tests/accounts/test_losses.py
+++ b/tests/accounts/test_losses.py
@@ -63,6 +63,19 @@
         self.assertAlmostEqual(account.parts['no holder'], 2.5)
         self.assertEqual(account.cause, 'no holder')
 
+    def test_members_of_a_gang_that_share_a_line_are_told_apart(self) -> None:
+        """Else a gang would count as a task that was never done."""
+        gang = {'task': '0.0.*', 'run': 1, 'runners': {'0': 'r', '1': 's'}}
+        lines = [
+            _accepted(0.5),
+            _line(0.7, 'start', outcome='taken', **gang),
+            _line(1.7, 'ended', ending='done', **gang),
+        ]
+        moments = list(read_lines(lines))
+        runners = [moment.line.get('runner') for moment in moments]
+        self.assertEqual(runners, [None, 'r', 's', 'r', 's'])
+        self.assertEqual(accounts_of(moments)[0].verdict, 'in time')
+
     def test_lines_without_a_time_of_a_play_go_by_their_own(self) -> None:
         """So do those of a real day."""
         text = '{"time": "2026-12-04 05:00:01,500", "message": "start"}'
--- /dev/null
+++ b/tests/engine/test_histories.py
@@ -0,0 +1,75 @@
+"""Tests of what is kept of the runs of a job."""
+
+import unittest
+
+import msgspec
+
+from swifthoist_engine.histories import MOST_LOST
+from swifthoist_engine.jobs import Job
+from swifthoist_engine.model import TaskId, UnitId
+from swifthoist_engine.records import Ending, Vanished
+from swifthoist_engine.snapshots import encode_head, restore, take_snapshot
+from tests.engine.scenes import BATCH, BULK, Scene, gang, job_spec, task
+
+
+class HistoryTest(unittest.TestCase):
+    """A job that is over can be explained from the fold."""
+
+    def test_a_gang_is_one_attempt_whose_failed_member_is_named(self) -> None:
+        """The others only tell that a member ended, and may be read before."""
+        scene = Scene(job_spec('j', BATCH, gang(3)))
+        scene.start(UnitId('j', 0, 0, -1), 'r', 's', 't')
+        scene.end(TaskId('j', 0, 0, 0), 'r', Ending.BROKEN)
+        scene.end(TaskId('j', 0, 0, 2), 't', Ending.FAILED)
+        scene.end(TaskId('j', 0, 0, 1), 's', Ending.BROKEN)
+        lost = scene.job().history.lost
+        self.assertEqual(len(lost), 1)
+        told = (lost[0].runner, lost[0].ordinal, lost[0].ending)
+        self.assertEqual(told, ('t', 2, 'failed'))
+        self.assertEqual(lost[0].members, 3)
+
+    def test_failures_are_kept_whatever_else_is_lost(self) -> None:
+        """They use up attempts; memory stays bounded, and the rest counts."""
+        scene = Scene(job_spec('j', BULK, task()))
+        unit, one = UnitId('j', 0, 0, 0), TaskId('j', 0, 0, 0)
+        for run in range(1, 30):
+            scene.start(unit, 'r', run=run)
+            if run == 1:
+                scene.end(one, 'r', Ending.FAILED, run)
+            else:
+                scene.fold(Vanished(1, one, run, 'r', 'not on its runner'))
+        history = scene.job().history
+        self.assertEqual(len(history.lost), MOST_LOST)
+        self.assertEqual(history.lost[0].ending, 'failed')
+        self.assertEqual(history.omitted, 29 - MOST_LOST)
+        self.assertEqual(history.tallies['vanished'].runs, 28)
+
+    def test_an_end_behind_a_run_that_was_given_up_is_told(self) -> None:
+        """It uses up an attempt, though no run is open."""
+        scene = Scene(job_spec('j', BATCH, task()))
+        one = TaskId('j', 0, 0, 0)
+        scene.start(UnitId('j', 0, 0, 0), 'r')
+        scene.fold(Vanished(1, one, 1, 'r', 'lease ended'))
+        scene.end(one, 'r', Ending.FAILED)
+        lost = scene.job().history.lost
+        self.assertEqual(len(lost), 1)
+        self.assertEqual((lost[0].run, lost[0].ending), (1, 'failed'))
+
+    def test_a_snapshot_keeps_it_and_one_of_an_older_version_is_read(
+        self,
+    ) -> None:
+        """Whoever starts from a snapshot can explain the job, too."""
+        scene = Scene(job_spec('j', BATCH, task()))
+        scene.start(UnitId('j', 0, 0, 0), 'r')
+        scene.end(TaskId('j', 0, 0, 0), 'r', Ending.FAILED)
+        snapshot = take_snapshot(scene.cell.state, 1, 0, 10_000)
+        contents = dict(snapshot.chunks)
+        contents['snapshot/head'] = encode_head(snapshot.head)
+        restored = restore(contents)
+        assert restored is not None
+        job = restored.state.jobs['j']
+        self.assertEqual(job.history, scene.job().history)
+        older = msgspec.to_builtins(scene.job())
+        older.pop('history')
+        read = msgspec.convert(older, Job)
+        self.assertEqual(read.history.lost, [])
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -31,7 +32,7 @@
 class Logs(NamedTuple):
     """Stands in for the log handler, whose drops are counted."""
 
-    dropped: int = 0
+    dropped: Counter[str]
 
 
 class _Fixed(NamedTuple):
@@ -75,7 +76,9 @@
             self.name, 'north', LISTEN, STORE, self.link_mbps
         )
         outside = Outside(self.clock, self.open_endpoint, str(self._lives))
-        self.app = Application(_Fixed(decode_boot(content)), Logs(), outside)
+        self.app = Application(
+            _Fixed(decode_boot(content)), Logs(Counter()), outside
+        )
         self.faults.append(self.app.faults)
         self._scope = anyio.CancelScope()
         self._tasks.start_soon(self._run, self.app, self._scope)
