--- a/packages/instance/swifthoist_instance/shared.py
+++ b/packages/instance/swifthoist_instance/shared.py
@@ -12,6 +12,7 @@
 from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
+from swifthoist_instance.run_lines import RunLines
 from swifthoist_instance.signals import Signal
 from swifthoist_instance.tenure import Hold, Tenure
 
@@ -28,6 +29,7 @@
     :ivar clock: tells the time.
     :ivar wake: wakes the planner.
     :ivar zones: tells in which zones work may be started.
+    :ivar lines: writes what happens to runs.
     :ivar over: set for good once the tenure was not in force at any time.
     """
 
@@ -40,6 +42,7 @@
     clock: Clock
     wake: Signal
     zones: ZoneGate
+    lines: RunLines
     over: anyio.Event
 
     @property
