--- a/packages/engine/swifthoist_engine/durations.py
+++ b/packages/engine/swifthoist_engine/durations.py
@@ -2,8 +2,12 @@
 
 from dataclasses import dataclass
 
+from swifthoist_engine.model import StepSpec
 from swifthoist_engine.past_runs import PastRun
 
+LEAST_MS = 1
+"""Least duration that is told, in ms, so that others can divide by it."""
+
 
 @dataclass(slots=True)
 class Durations:
@@ -14,3 +18,12 @@
 
         :param past: the run.
         """
+
+    def typical_ms(self, queue: str, step: StepSpec) -> float:
+        """Tell what a task takes on a runner of usual speed.
+
+        :param queue: queue of its job.
+        :param step: its step.
+        :returns: time in ms, never 0; the declared one where nothing is known.
+        """
+        return max(step.estimate_ms, LEAST_MS)
--- a/packages/engine/swifthoist_engine/speeds.py
+++ b/packages/engine/swifthoist_engine/speeds.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from swifthoist_engine.past_runs import PastRun
+from swifthoist_engine.past_runs import PastRun, RunnerFacts
 
 
 @dataclass(slots=True)
@@ -14,3 +14,12 @@
 
         :param past: the run.
         """
+
+    def factor(self, facts: RunnerFacts) -> float:
+        """Tell how long a run takes there.
+
+        :param facts: what is known of the runner.
+        :returns: multiple of what it takes on a runner of usual speed; 1
+            where nothing is known.
+        """
+        return 1.0
