Speeds of machines, learned from the runs that are over

Cause: a quarter of a fleet may be over twice as fast as the rest, and nothing in the fold knows; a gang goes as its slowest member does. Change: Speeds holds a run against what its task takes elsewhere: a figure for each machine (mean logarithm, shrunk to its kind's and to 1 by how much runs differ by themselves), gangs taken in by the chance that a member was the slowest one, forgetting by runs, by time and with another life; three classes with hysteresis, counted again each second at most. Ends that are noted after a pause of the holder, resumed and far runs teach nothing. No decision changes. Ruled out: a mean of ratios (three tasks in a hundred take seven times as long); a centre by the mean (the larger part of the fleet then lies near a bound).

--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -83,6 +83,7 @@
         :param at_ms: the time.
         """
         self.time_ms = max(self.time_ms, at_ms)
+        self.experience.hear(at_ms)
 
     def change_holder(
         self, epoch: Epoch, instance: InstanceId, at_ms: Millis
--- a/packages/engine/swifthoist_engine/past_runs.py
+++ b/packages/engine/swifthoist_engine/past_runs.py
@@ -37,6 +37,7 @@
     :ivar gang: runs of its gang, this one among them; as they were when it
         ended, and only the run itself where there is no gang.
     :ivar gang_facts: what is known of their runners, in the same order.
+    :ivar late: the holder may have read of it long after it had ended.
     """
 
     job: Job
@@ -47,6 +48,7 @@
     facts: RunnerFacts
     gang: tuple[OpenRun, ...]
     gang_facts: tuple[RunnerFacts, ...]
+    late: bool = False
 
     @property
     def ran_ms(self) -> Millis:
--- /dev/null
+++ b/tests/engine/test_speeds.py
@@ -0,0 +1,329 @@
+"""What runs tell of the speed of runners."""
+
+import math
+import random
+import unittest
+
+from swifthoist_engine import speeds
+from swifthoist_engine.cell import Cell
+from swifthoist_engine.jobs import Job, OpenRun
+from swifthoist_engine.model import StepSpec, TaskId
+from swifthoist_engine.past_runs import PastRun, RunnerFacts
+from swifthoist_engine.records import (
+    Beat,
+    Claimed,
+    Ended,
+    Ending,
+    Placement,
+    RunnerDescribed,
+    Started,
+    Submitted,
+)
+from swifthoist_engine.snapshots import (
+    HEAD_KEY,
+    encode_head,
+    restore,
+    take_snapshot,
+)
+from swifthoist_engine.speeds import FASTER, SLOWER, USUAL, Speeds
+from tests.engine.scenes import BULK, KEEP_MS, NOW_MS, gang, job_spec, task
+
+TYPICAL_MS = 5_000
+TRUE = (0.55, 1.2, 1.2, 1.2)
+
+
+def facts(number: int, kind: str = 'a', born_ms: int = 1) -> RunnerFacts:
+    """Make a runner of a machine."""
+    return RunnerFacts(f'machine-{number}', 'rack', 'z', kind, born_ms)
+
+
+def past(
+    step: StepSpec,
+    took_ms: float,
+    *members: RunnerFacts,
+    at_ms: int = NOW_MS,
+    **changes: object,
+) -> PastRun:
+    """Make a run that is over."""
+    job = Job(job_spec('j', BULK, step))
+    begun = at_ms - int(took_ms)
+    runs = tuple(
+        OpenRun(TaskId('j', 0, 0, index), 1, 'runner', 1, begun)
+        for index in range(len(members))
+    )
+    done = Ending.DONE
+    base = PastRun(job, step, runs[0], done, at_ms, members[0], runs, members)
+    return base._replace(**changes)
+
+
+class Played:
+    """Draws runs on some machines, with noise as runs have it."""
+
+    def __init__(self, true: tuple[float, ...], seed: int = 1) -> None:
+        """Start without knowledge."""
+        self.found = Speeds()
+        self.true = true
+        self.random = random.Random(seed)
+        self.at_ms = NOW_MS
+
+    def noise(self) -> float:
+        """Draw how far a run is from what is typical."""
+        tail = 7 if self.random.random() < 0.03 else 1
+        return tail * math.exp(self.random.gauss(0, 0.3))
+
+    def singles(self, times: int, only: tuple[int, ...] = ()) -> None:
+        """Run tasks by themselves on each machine."""
+        for _ in range(times):
+            self.at_ms += TYPICAL_MS
+            for number in only or range(len(self.true)):
+                took = TYPICAL_MS * self.true[number] * self.noise()
+                run = past(task(), took, facts(number), at_ms=self.at_ms)
+                self.found.note(run, TYPICAL_MS)
+
+    def gangs(self, times: int, width: int) -> None:
+        """Run gangs on machines drawn for each."""
+        for _ in range(times):
+            self.at_ms += 100
+            chosen = self.random.sample(range(len(self.true)), width)
+            slowest = max(self.true[number] for number in chosen)
+            took = TYPICAL_MS * slowest * self.noise()
+            members = tuple(map(facts, chosen))
+            run = past(gang(width), took, *members, at_ms=self.at_ms)
+            self.found.note(run, TYPICAL_MS)
+
+    def classes(self) -> list[int]:
+        """Tell the class of each machine."""
+        return [
+            self.found.speed(facts(number)) for number in range(len(self.true))
+        ]
+
+
+class LearningTest(unittest.TestCase):
+    """A quarter of the machines is over twice as fast as the others."""
+
+    def test_nothing_is_known_at_first(self) -> None:
+        found = Speeds()
+        self.assertEqual(found.factor(facts(1)), 1)
+        self.assertEqual(found.factor(RunnerFacts()), 1)
+        self.assertEqual(found.speed(facts(1)), USUAL)
+
+    def test_few_tasks_each_tell_the_fast_machines(self) -> None:
+        true = TRUE * 20
+        right = total = 0
+        for seed in range(5):
+            played = Played(true, seed)
+            played.singles(4)
+            for speed, factor in zip(played.classes(), true, strict=True):
+                right += (speed == FASTER) == (factor < 1)
+                total += 1
+        self.assertGreater(right / total, 0.95)
+
+    def test_the_factor_nears_the_true_one(self) -> None:
+        played = Played(TRUE * 10)
+        played.singles(12)
+        usual = max(TRUE)
+        for number, true in enumerate(played.true):
+            found = played.found.factor(facts(number))
+            self.assertLess(abs(math.log(found / (true / usual))), 0.45)
+
+    def test_alike_machines_stay_in_one_class(self) -> None:
+        for seed in range(5):
+            played = Played((1.0,) * 80, seed)
+            played.singles(12)
+            self.assertLessEqual(sum(map(abs, played.classes())), 1)
+
+    def test_wrong_durations_make_no_classes(self) -> None:
+        played = Played((1.0,) * 80)
+        noise = played.noise
+        played.noise = lambda: noise() * played.random.uniform(0.3, 5.5)
+        played.singles(12)
+        self.assertLessEqual(sum(map(abs, played.classes())), 2)
+
+    def test_gangs_alone_tell_fast_machines(self) -> None:
+        played = Played((0.5,) * 12 + (1.2,) * 12)
+        played.gangs(600, 2)
+        fast = [
+            number
+            for number, speed in enumerate(played.classes())
+            if speed == FASTER
+        ]
+        self.assertGreater(len(fast), 6)
+        self.assertLess(max(fast), 12)
+
+    def test_a_slow_gang_says_little_of_each_member(self) -> None:
+        found = Speeds()
+        members = tuple(map(facts, range(5)))
+        found.note(past(gang(5), 4 * TYPICAL_MS, *members), TYPICAL_MS)
+        self.assertTrue(all(0.9 < found.factor(it) < 1.3 for it in members))
+
+    def test_a_fast_gang_proves_every_member_fast(self) -> None:
+        found = Speeds()
+        members = tuple(map(facts, range(5)))
+        for number in range(20):
+            found.note(past(task(), TYPICAL_MS, facts(number)), TYPICAL_MS)
+        for _ in range(4):
+            found.note(past(gang(5), TYPICAL_MS / 4, *members), TYPICAL_MS)
+        self.assertTrue(all(found.factor(it) < 0.8 for it in members))
+        self.assertGreater(found.factor(facts(9)), 0.9)
+
+    def test_a_kind_is_the_prior_of_its_machines(self) -> None:
+        found = Speeds()
+        for turn in range(8):
+            for number in range(40):
+                kind, factor = ('b', 0.5) if number % 4 == 0 else ('a', 1.2)
+                run = past(
+                    task(),
+                    factor * TYPICAL_MS,
+                    facts(number, kind),
+                    at_ms=NOW_MS + turn * TYPICAL_MS,
+                )
+                found.note(run, TYPICAL_MS)
+        self.assertLess(found.factor(facts(99, 'b')), 0.65)
+        self.assertEqual(found.speed(facts(99, 'b')), FASTER)
+        self.assertEqual(found.speed(facts(99, 'a')), USUAL)
+
+
+class ForgettingTest(unittest.TestCase):
+    """Machines change, and machines never return."""
+
+    def test_a_machine_that_turned_slow_is_found_and_comes_back(self) -> None:
+        played = Played((1.0,) * 30)
+        played.singles(6)
+        played.true = (4.0, *played.true[1:])
+        played.singles(3)
+        self.assertEqual(played.classes()[0], SLOWER)
+        played.true = (1.0, *played.true[1:])
+        played.singles(8)
+        self.assertEqual(played.classes()[0], USUAL)
+
+    def test_another_life_begins_from_its_machine(self) -> None:
+        played = Played(TRUE * 10)
+        played.singles(8)
+        found = played.found
+        reborn = facts(0, born_ms=2)
+        self.assertEqual(found.factor(reborn), found.factor(facts(0)))
+        self.assertEqual(found.speed(reborn), FASTER)
+        run = past(task(), 1.2 * TYPICAL_MS, reborn, at_ms=played.at_ms)
+        before = found.machines['machine-0'].runs
+        found.note(run, TYPICAL_MS)
+        self.assertLess(found.machines['machine-0'].runs, before)
+
+    def test_a_machine_of_another_kind_is_not_what_it_was(self) -> None:
+        played = Played(TRUE * 10)
+        played.singles(8)
+        self.assertGreater(played.found.factor(facts(0, 'new')), 0.9)
+
+    def test_what_was_not_seen_for_long_fades(self) -> None:
+        played = Played(TRUE * 10)
+        played.singles(8)
+        played.at_ms += 20 * speeds.HALF_LIFE_MS
+        played.singles(3, tuple(range(1, 40)))
+        self.assertGreater(played.found.factor(facts(0)), 0.9)
+
+    def test_machines_that_never_return_take_bounded_memory(self) -> None:
+        found = Speeds()
+        for number in range(speeds.MOST_MACHINES + 50):
+            run = past(task(), 5_000, facts(number), at_ms=NOW_MS + number)
+            found.note(run, TYPICAL_MS)
+        self.assertEqual(len(found.machines), speeds.MOST_MACHINES)
+        self.assertNotIn('machine-0', found.machines)
+
+
+class ToldApartTest(unittest.TestCase):
+    """Times that are not the runner's to say."""
+
+    def assert_untold(self, run: PastRun) -> None:
+        """Check that a run teaches nothing."""
+        found = Speeds()
+        found.note(run, TYPICAL_MS)
+        self.assertEqual(found, Speeds())
+
+    def test_what_says_nothing_of_its_runner_is_left_out(self) -> None:
+        one = past(task(), 5_000, facts(1))
+        resumed = OpenRun(one.run.task, 2, 'runner', 1, 0, 'saved')
+        far = RunnerFacts('machine-2', 'other')
+        for run in (
+            one._replace(ending=Ending.FAILED),
+            one._replace(ending=Ending.STOPPED),
+            one._replace(run=resumed),
+            one._replace(late=True),
+            past(task(lasting=True), 5_000, facts(1)),
+            past(task(filling=True), 5_000, facts(1)),
+            past(task(data_rack='elsewhere'), 5_000, facts(1)),
+            past(gang(2), 5_000, facts(1), far),
+            past(gang(2), 5_000, facts(1)),
+            past(task(), 5_000, RunnerFacts()),
+        ):
+            with self.subTest(run=run):
+                self.assert_untold(run)
+
+
+class FoldTest(unittest.TestCase):
+    """The state of the fold, through snapshots and takeovers."""
+
+    def play(self, cell: Cell, turns: range, epoch: int) -> None:
+        """Run a task on each of eight machines in each turn."""
+        for turn in turns:
+            at_ms = NOW_MS + turn * 6_000
+            name = f'j{turn}'
+            spec = job_spec(name, BULK, task(count=8, estimate_ms=TYPICAL_MS))
+            cell.fold(Submitted(spec))
+            cell.fold(Beat(epoch, at_ms))
+            for number in range(8):
+                unit = TaskId(name, 0, 0, number)
+                runner = f'runner-{number}'
+                placed = (Placement(number, runner),)
+                cell.fold(Started(epoch, unit, 1, '', placed, at_ms))
+            for beat in range(1, 16):
+                cell.fold(Beat(epoch, at_ms + beat * 400))
+                for number in range(8):
+                    if beat != round(12.5 * TRUE[number % 4]):
+                        continue
+                    cell.fold(
+                        Ended(
+                            epoch,
+                            f'runner-{number}',
+                            turn + 1,
+                            TaskId(name, 0, 0, number),
+                            1,
+                            Ending.DONE,
+                            '',
+                            at_ms + beat * 400,
+                        )
+                    )
+
+    def begin(self) -> Cell:
+        """Make a cell with eight runners that told what they are."""
+        cell = Cell(KEEP_MS)
+        cell.fold(Claimed(1, 'me', NOW_MS))
+        for number in range(8):
+            name = f'runner-{number}'
+            cell.fold(RunnerDescribed(1, name, *facts(number)))
+        return cell
+
+    def test_a_snapshot_and_a_takeover_lose_nothing(self) -> None:
+        whole = self.begin()
+        self.play(whole, range(4), 1)
+        taken = take_snapshot(whole.state, 0, 0, 1_000_000)
+        kept = {HEAD_KEY: encode_head(taken.head), **taken.chunks}
+        restored = restore(kept)
+        assert restored is not None
+        resumed = Cell(KEEP_MS, restored.state)
+        for cell in (whole, resumed):
+            cell.fold(Claimed(2, 'other', NOW_MS + 26_000))
+            self.play(cell, range(5, 9), 2)
+        learned = whole.state.experience.speeds
+        self.assertEqual(learned, resumed.state.experience.speeds)
+        self.assertEqual(learned.speed(facts(0)), FASTER)
+        self.assertEqual(learned.speed(facts(1)), USUAL)
+
+    def test_an_end_noted_after_a_pause_is_no_slow_run(self) -> None:
+        cell = self.begin()
+        unit = TaskId('j', 0, 0, 0)
+        cell.fold(Submitted(job_spec('j', BULK, task())))
+        placed = (Placement(0, 'runner-0'),)
+        cell.fold(Started(1, unit, 1, '', placed, NOW_MS))
+        cell.fold(Claimed(2, 'other', NOW_MS + 9_000))
+        done = Ending.DONE
+        cell.fold(Ended(2, 'runner-0', 1, unit, 1, done, '', NOW_MS + 9_500))
+        self.assertEqual(cell.state.experience.speeds, Speeds())
