--- a/tests/instance/test_evacuations.py
+++ b/tests/instance/test_evacuations.py
@@ -14,6 +14,7 @@
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.evacuations import Requests, ZoneGate
+from swifthoist_instance.run_lines import RunLines
 from swifthoist_platform.runner_calls import Answer, StartOrder, Verdict
 from swifthoist_platform.store import EVACUATION_PREFIX, OPERATOR_TOPIC
 from tests.engine.scenes import BATCH, Scene, job_spec, task
@@ -112,6 +113,7 @@
             zones=ZoneGate(
                 self.requests, lambda: self.age_ms, lambda: BOUND_MS
             ),
+            lines=RunLines(scene.cell, LoopClock()),
             follower=SimpleNamespace(wait_progress=anyio.sleep_forever),
         )
         self.contact = SimpleNamespace(
