Runners that are slow after their start get what can bear it, and in steps

Cause: what a runner tells of how long it stays slow was not decoded, so a zone that came back got urgent gangs like any other, and was filled at once.

An entry's remaining time is counted down on the own clock from when it came; a decision sees a flag, so that the fleet is not counted again each moment. Urgent units, gangs and tasks that would be late only for being slow go to warm runners for up to 2 s, as long as these could hold them if they were empty. The rest takes warm runners first, and a cold one gets a quarter of its room each 0.7 s. No task on a cold runner counts as hung. How many times as long a cold runner takes no setting tells; 2 is the prior. Weighed: leaving cold runners out altogether (a job may stand still then while there is room), and one task for each of them (half of a room in use takes too long).

Operators see `zone has cold runners`, `zone is warm`, the figure `cold_runners` and `cold` in the state; `swifthoist zones`, `GET /v1/zones` and `swifthoist usage` list evacuated zones with what still runs there.

--- a/packages/cli/swifthoist_cli/commands.py
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -40,6 +40,7 @@
     'ended_ms',
     'ending',
 )
+_ZONE_COLUMNS = ('zone', 'since_ms', 'runners', 'runs')
 _BURN_COLUMNS = ('queue', 'long_ms', 'long_rate', 'short_rate', 'severity')
 
 
@@ -105,6 +106,7 @@
             _print_csv(rows, _USAGE_COLUMNS)
         else:
             self._print_rows(rows, _USAGE_COLUMNS)
+            self._note_evacuated()
 
     @verb
     def spans(self, team: str = '') -> None:
@@ -115,6 +117,11 @@
         rows = self._api().call('GET', '/v1/spans', params={'team': team})
         self._print_rows(rows, _SPAN_COLUMNS)
 
+    @verb
+    def zones(self) -> None:
+        """List the evacuated zones: since when, and what still runs there."""
+        self._print_rows(self._api().call('GET', '/v1/zones'), _ZONE_COLUMNS)
+
     @verb
     def burn(self) -> int:
         """Report how fast error budgets are spent.
@@ -149,6 +156,13 @@
         """
         anyio.run(emulate_platform, Path(folder), int(instances), print_text)
 
+    def _note_evacuated(self) -> None:
+        """Tell beside the report that some room is out of use."""
+        rows = [] if self._json else self._api().call('GET', '/v1/zones')
+        if rows:
+            print_text('evacuated zones')
+            print_table(rows, _ZONE_COLUMNS)
+
     def _print_rows(
         self, rows: list[dict[str, object]], columns: tuple[str, ...]
     ) -> None:
--- a/packages/emulator/swifthoist_emulator/fleet.py
+++ b/packages/emulator/swifthoist_emulator/fleet.py
@@ -37,6 +37,7 @@
     :ivar lives: number of lives that it had.
     :ivar draining: it is about to leave.
     :ivar drift: pace of its clock, as a share of true time.
+    :ivar cold_until_ms: true time since the start until which it is slow.
     """
 
     name: str
@@ -46,6 +47,7 @@
     lives: int = 0
     draining: bool = False
     drift: float = 1.0
+    cold_until_ms: Millis = 0
 
     @property
     def runner(self) -> RunnerId:
@@ -105,6 +107,7 @@
         gangs = self._gangs(lives)
         for host in lives:
             if host.life is not None:
+                host.life.cold = now_ms < host.cold_until_ms
                 host.life.advance(int(now_ms * host.drift))
         self._break_gangs(gangs, lives)
         self._join_gangs(lives)
--- a/packages/emulator/swifthoist_emulator/lives.py
+++ b/packages/emulator/swifthoist_emulator/lives.py
@@ -20,6 +20,9 @@
 GANG_WAIT_MS = 3_000
 CHECKPOINT_MS = 500
 
+COLD_SLOWNESS = 3
+"""How many times as long a task takes on a cold runner."""
+
 FULL_PACE = 100
 
 ALONE_TAIL_MS = 40
@@ -145,6 +148,7 @@
     :ivar behavior: how it behaves.
     :ivar now_ms: time on its clock.
     :ivar over: it has lost power.
+    :ivar cold: it is slow after its start.
     """
 
     runner: RunnerId
@@ -157,6 +161,7 @@
     runs: dict[TaskId, TaskRun] = field(default_factory=dict)
     ends: list[EndRow] = field(default_factory=list)
     over: bool = False
+    cold: bool = False
     _barred: dict[TaskId, int] = field(default_factory=dict)
     _ended: int = 0
     _void: int = 0
@@ -287,7 +292,8 @@
     def _work(self, run: TaskRun, passed_ms: Millis) -> None:
         if not run.present or self.behavior.hangs or run.stop_ms is not None:
             return
-        share = run.pace / FULL_PACE / self.behavior.slowness
+        slowness = COLD_SLOWNESS if self.cold else self.behavior.slowness
+        share = run.pace / FULL_PACE / slowness
         run.worked_ms += passed_ms * share
         steps = int(run.worked_ms // CHECKPOINT_MS)
         if steps:
--- a/packages/emulator/swifthoist_emulator/world.py
+++ b/packages/emulator/swifthoist_emulator/world.py
@@ -127,11 +127,16 @@
         self.store.put(OPERATOR_TOPIC, f'{EVACUATION_PREFIX}{zone}', b'{}')
         self._evacuated.setdefault(zone, self._clock.boot_ms())
 
-    def take_back(self, zone: ZoneId) -> None:
+    def take_back(self, zone: ZoneId, cold_s: float = 0) -> None:
         """Take the evacuation of a zone back, as the operator does.
 
         :param zone: the zone.
+        :param cold_s: how long its runners are slow from then on, in seconds.
         """
+        until_ms = self._now_ms() + int(cold_s * 1_000)
+        for host in self.fleet.hosts.values():
+            if host.place.zone == zone:
+                host.cold_until_ms = until_ms
         self.store.put(OPERATOR_TOPIC, f'{EVACUATION_PREFIX}{zone}', b'')
         self._evacuated.pop(zone, None)
 
@@ -154,12 +159,15 @@
 
     async def _pass_time(self) -> None:
         while True:
-            now_ms = self._clock.boot_ms() - self._began_ms
+            now_ms = self._now_ms()
             self.fleet.advance(now_ms)
             self.machines.advance(now_ms)
             self.witness.closed = self._closed()
             await anyio.sleep(TICK_S)
 
+    def _now_ms(self) -> Millis:
+        return self._clock.boot_ms() - self._began_ms
+
     def _closed(self) -> frozenset[RunnerId]:
         by_ms = self._clock.boot_ms() - EVACUATE_MS
         zones = {zone for zone, at in self._evacuated.items() if at < by_ms}
@@ -171,7 +179,7 @@
         listed: dict[str, bytes] = {}
         while True:
             entries = {
-                host.runner: _entry(host)
+                host.runner: _entry(host, self._now_ms())
                 for host in self.fleet.hosts.values()
                 if host.life is not None and not self.faults.unlisted
             }
@@ -184,7 +192,9 @@
             await anyio.sleep(BEAT_S / 10)
 
 
-def _entry(host: Host) -> bytes:
+def _entry(host: Host, now_ms: Millis) -> bytes:
+    beat_ms = int(BEAT_S * 1_000)
+    cold_ms = max(host.cold_until_ms - now_ms, 0)
     document: dict[str, Any] = {
         names.SERVICE: SERVICE,
         names.ADDRESS: host.place.address,
@@ -197,5 +207,6 @@
         },
         names.LABELS: ['standard', host.place.rack],
         names.MACHINE: host.name,
+        names.COLD_LEFT_MS: cold_ms + -cold_ms % beat_ms,
     }
     return msgspec.json.encode(document)
--- a/packages/engine/swifthoist_engine/board.py
+++ b/packages/engine/swifthoist_engine/board.py
@@ -126,6 +126,19 @@
                 room = room.plus(end.need)
         return room
 
+    def begun_since(self, runner: RunnerId, since_ms: Millis) -> Resources:
+        """Tell what tasks take that began lately on a runner.
+
+        :param runner: the runner.
+        :param since_ms: time of the cell.
+        :returns: what began then or later takes, or was put there since.
+        """
+        taken = self.views[runner].room.minus(self.free[runner])
+        for share in self.runs(runner):
+            if share.run.started_ms < since_ms:
+                taken = taken.minus(share.need)
+        return taken
+
     def expected_end(self, share: RunShare) -> Millis:
         """Tell when a run is expected to end.
 
--- a/packages/engine/swifthoist_engine/fleet.py
+++ b/packages/engine/swifthoist_engine/fleet.py
@@ -109,6 +109,12 @@
         views = [view for view in self._views if view.runner in names]
         return Candidates(self._shape, views)
 
+    @cached_property
+    def warm(self) -> 'Candidates':
+        """Those of them that are not slow after their start."""
+        views = [view for view in self._views if not view.cold]
+        return Candidates(self._shape, views)
+
     def less_doubted(self, suspicion: int) -> 'Candidates':
         """Leave out the runners against which too much speaks.
 
@@ -134,6 +140,7 @@
 
     :ivar views: the runners by id.
     :ivar listed: the same as they were told of.
+    :ivar any_cold: some of them are slow after their start.
     """
 
     def __init__(self, views: tuple[RunnerView, ...]) -> None:
@@ -143,6 +150,7 @@
         """
         self.listed = views
         self.views = {view.runner: view for view in views}
+        self.any_cold = any(it.cold for it in views)
         self.most_doubted = max((it.suspicion for it in views), default=0)
         self._kinds = [_kind_of(view) for view in self.views.values()]
         self._samples = dict(zip(self._kinds, self.views.values(), strict=True))
--- a/packages/engine/swifthoist_engine/mechanisms.py
+++ b/packages/engine/swifthoist_engine/mechanisms.py
@@ -16,6 +16,8 @@
     :ivar evidence: runners with failures or hangs come last.
     :ivar sound_attempts: scarce attempts are spent on sound runners only.
     :ivar retry_pause: a unit pauses before it starts again.
+    :ivar warm_first: what can't bear a slow start goes to warm runners, and
+        cold ones get work in steps.
     """
 
     in_time_first: bool = True
@@ -28,6 +30,7 @@
     evidence: bool = True
     sound_attempts: bool = True
     retry_pause: bool = True
+    warm_first: bool = True
 
 
 ALL = Mechanisms()
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -11,6 +11,7 @@
 
 from swifthoist_core.types import Millis, RackId, RunnerId
 from swifthoist_engine.board import Board, StepKey
+from swifthoist_engine.coldness import Coldness
 from swifthoist_engine.fleet import Candidates, Shape, shape_of
 from swifthoist_engine.mechanisms import ALL, Mechanisms
 from swifthoist_engine.model import USUAL_TERMS, SiteTerms
@@ -44,6 +45,7 @@
     """What speaks against a runner, the weightiest first."""
 
     doubts: int
+    cold: bool
     far: bool
     crowd: int
     rack_free: int
@@ -86,6 +88,7 @@
         self._mechanisms = mechanisms
         self._now_ms = now_ms
         self._allowed = allowed
+        self._coldness = Coldness(board, now_ms, minded=mechanisms.warm_first)
 
     def place(self, waiting: Waiting) -> tuple[Placement, ...] | None:
         """Choose a runner for each task of a unit, and take the room.
@@ -110,12 +113,19 @@
     def eligible(self, waiting: Waiting) -> Candidates:
         """List the runners that may run a task of a unit now.
 
-        Those against which too much speaks are left out, unless the others
-        could not hold the unit even if they were empty, for a while.
+        Those against which too much speaks are left out, and cold ones where
+        it can't bear a slow start, unless the others could not hold the unit
+        even if they were empty, for a while.
 
         :param waiting: the unit.
         :returns: the runners, whatever room they have.
         """
+        found = self._sound(waiting)
+        waited_ms = self._waited_ms(waiting)
+        return self._coldness.choose(waiting, found, waited_ms)
+
+    def _sound(self, waiting: Waiting) -> Candidates:
+        """List the runners against which not too much speaks."""
         shape = shape_of(waiting)
         left = attempts_left(waiting)
         doubted = self._fleet.most_doubted >= left
@@ -237,7 +247,12 @@
             held = sum(free[name].accelerators // least for name in roomy)
             if held < waiting.members:
                 return []
-        return [name for name in roomy if board.fits(waiting, name)]
+        may_add = self._coldness.may_add
+        return [
+            name
+            for name in roomy
+            if board.fits(waiting, name) and may_add(waiting, name)
+        ]
 
     def _doubts(self, view: RunnerView) -> int:
         return view.suspicion if self._mechanisms.evidence else 0
@@ -253,6 +268,7 @@
         )
         return _Rank(
             self._doubts(view) + failed,
+            self._coldness.minds(name),
             far,
             self.board.crowd(waiting, name),
             self.board.room.rack_free[view.rack]
--- a/packages/instance/swifthoist_instance/anomalies.py
+++ b/packages/instance/swifthoist_instance/anomalies.py
@@ -25,15 +25,22 @@
         self._orphans: set[RunKey] = set()
 
     def stop_all(
-        self, running: Mapping[RunKey, RunningTask], orders: Orders
+        self,
+        running: Mapping[RunKey, RunningTask],
+        orders: Orders,
+        *,
+        cold: bool,
     ) -> None:
         """Stop what should not go on.
 
         :param running: rows of the newest look.
         :param orders: stops them.
+        :param cold: the runner is slow after its start, so that a task which
+            uses no processor yet says nothing.
         """
         self._stop_orphans(running, orders)
-        self._stop_hung(running, orders)
+        if not cold:
+            self._stop_hung(running, orders)
         orders.forget_closed()
 
     def _stop_orphans(
--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -18,6 +18,7 @@
 from swifthoist_core.types import Millis
 from swifthoist_engine.account import Question, usage_lines
 from swifthoist_engine.burn import burn_lines
+from swifthoist_engine.evacuation import zone_lines
 from swifthoist_engine.job_checks import check_job
 from swifthoist_engine.jobs import Job
 from swifthoist_engine.model import (
@@ -156,6 +157,10 @@
                     if question.team in {'', span.team}
                 )
                 return Answer(200, _plain(spans))
+            case '/v1/zones':
+                since = self._configuration.requests.since
+                zones = zone_lines(self._follower.cell, since)
+                return Answer(200, [line._asdict() for line in zones])
             case '/v1/burn':
                 return Answer(200, _plain(burn_lines(state)))
             case _:
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -15,6 +15,7 @@
 from swifthoist_engine.evacuation import ZoneLine, zone_lines
 from swifthoist_engine.model import SiteTerms
 from swifthoist_instance.api import Api
+from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Aside, Faults
@@ -121,6 +122,7 @@
         self._configuration = Configuration(
             self._open_store(), clock, self._change_ms
         )
+        self._cold_zones = ColdZones()
         zones = ZoneGate(
             self._configuration.requests,
             lambda: self._configuration.age_ms,
@@ -148,6 +150,7 @@
                 self._site_terms,
                 turns,
                 zones,
+                self._cold_zones,
             )
         )
         intake = Intake(
@@ -176,6 +179,7 @@
             'runs_in_evacuated_zones',
             lambda: sum(line.runs for line in self._zone_lines()),
         )
+        metrics.watch('cold_runners', lambda: self._cold_zones.runners.total())
         self._phase = Phase()
         api = Api(
             self._configuration,
@@ -263,6 +267,7 @@
             'runs': len(self._follower.cell.runs.all()),
             'leaving': self._phase.leaving,
             'evacuated': [line._asdict() for line in self._zone_lines()],
+            'cold': dict(self._cold_zones.runners),
             'set_aside': len(self._aside),
             'faults': self.faults.describe(),
         }
--- a/packages/instance/swifthoist_instance/contacts.py
+++ b/packages/instance/swifthoist_instance/contacts.py
@@ -29,6 +29,8 @@
     """What a session and its orders know of their runner.
 
     :ivar registration: newest entry of the runner.
+    :ivar cold_until_ms: until when it is slow after its start, counted on
+        the own clock from when its entry came.
     :ivar client: makes calls to it.
     :ivar lease: its clock and lease.
     :ivar shared: what all sessions share.
@@ -53,6 +55,7 @@
         :param shared: what all sessions share.
         """
         self.registration = registration
+        self.cold_until_ms = shared.clock.boot_ms() + registration.cold_ms
         self.client = client
         self.lease = lease
         self.shared = shared
@@ -66,6 +69,24 @@
         """Id of the runner."""
         return self.registration.runner
 
+    @property
+    def cold(self) -> bool:
+        """Whether the runner is still slow after its start."""
+        return self.shared.clock.boot_ms() < self.cold_until_ms
+
+    def note_entry(self, registration: Registration) -> bool:
+        """Note the newest entry of the runner.
+
+        :param registration: the entry.
+        :returns: whether it changed.
+        """
+        if registration == self.registration:
+            return False
+        self.registration = registration
+        now_ms = self.shared.clock.boot_ms()
+        self.cold_until_ms = now_ms + registration.cold_ms
+        return True
+
     @property
     def silent(self) -> bool:
         """Whether the runner was not heard of for too long."""
--- a/packages/instance/swifthoist_instance/deciding.py
+++ b/packages/instance/swifthoist_instance/deciding.py
@@ -13,6 +13,7 @@
 from swifthoist_engine.planner import Decision, World, decide
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.runners import RunnerView
+from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.faults import Aside
 from swifthoist_instance.policies import Policies
 from swifthoist_instance.roster import Roster
@@ -34,6 +35,7 @@
         policies: Policies,
         aside: Aside,
         terms: Callable[[], SiteTerms],
+        cold_zones: ColdZones,
     ) -> None:
         """Decide for a tenure.
 
@@ -43,6 +45,7 @@
         :param policies: permissions by step.
         :param aside: what decisions leave out, since they failed on it.
         :param terms: tells the terms of the site.
+        :param cold_zones: tells which zones have cold runners.
         """
         self._shared = shared
         self._roster = roster
@@ -50,6 +53,7 @@
         self._policies = policies
         self._aside = aside
         self._terms = terms
+        self._cold_zones = cold_zones
         self._occupancy = Occupancy()
         self._random = random.Random(shared.epoch)
 
@@ -64,6 +68,7 @@
         self._aside.renew(catalogue)
         views = self._roster.views(self._waves.cordoned, guard)
         self._shared.zones.report(self._shared.cell)
+        self._cold_zones.note(views)
         now_ms = self._shared.follower.time.now_ms()
         world = World(
             self._shared.cell,
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -100,6 +100,7 @@
             self._policies,
             parts.aside,
             parts.terms,
+            parts.cold_zones,
         )
 
     async def run(self) -> None:
--- a/packages/instance/swifthoist_instance/parts.py
+++ b/packages/instance/swifthoist_instance/parts.py
@@ -6,6 +6,7 @@
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import Millis
 from swifthoist_engine.model import SiteTerms
+from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Aside
@@ -41,6 +42,7 @@
     :ivar terms: tells the terms of the site.
     :ivar turns: watches the event loop.
     :ivar zones: tells in which zones work may be started.
+    :ivar cold_zones: tells which zones have cold runners.
     """
 
     tenure: Tenure
@@ -59,3 +61,4 @@
     terms: Callable[[], SiteTerms]
     turns: Turns
     zones: ZoneGate
+    cold_zones: ColdZones
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -98,6 +98,7 @@
                     and self._usable(session)
                     and runner not in cordoned,
                     self._shared.evidence.suspicion(runner, now_ms),
+                    session.contact.cold,
                 )
                 views.append(session.describe(standing))
         return tuple(views)
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -109,9 +109,7 @@
         :param registration: the entry.
         :returns: whether it changed.
         """
-        changed = self.contact.registration != registration
-        self.contact.registration = registration
-        return changed
+        return self.contact.note_entry(registration)
 
     def close(self) -> None:
         """End the session, since the runner is gone."""
@@ -243,7 +241,8 @@
             self._note_end(end, began_ms, orders)
         if look.whole:
             orders.bar_orphans(_there(look))
-        self._anomalies.stop_all(self._running, orders)
+        cold = self.contact.cold
+        self._anomalies.stop_all(self._running, orders, cold=cold)
         await keep_pace(self.contact, self._running.values())
 
     def _note_saved(self) -> None:
--- a/packages/platform/swifthoist_platform/documents.py
+++ b/packages/platform/swifthoist_platform/documents.py
@@ -33,6 +33,7 @@
     :ivar machine: the machine that it is a life of.
     :ivar leaving_ms: least time that is left while it drains.
     :ivar kind: its kind; empty if unknown.
+    :ivar cold_ms: how much longer it is slow after its start, as of its entry.
     """
 
     runner: RunnerId
@@ -46,6 +47,7 @@
     machine: str
     leaving_ms: Millis | None
     kind: str = ''
+    cold_ms: Millis = 0
 
     @property
     def facts(self) -> RunnerFacts:
@@ -111,6 +113,7 @@
         machine=reader.text(names.MACHINE),
         leaving_ms=_optional(reader, names.REMAINING_MS),
         kind=labels[0] if labels else '',
+        cold_ms=reader.whole(names.COLD_LEFT_MS),
     )
     for name in (names.SERVICE, names.ADDRESS, names.CAPACITY):
         if not reader.has(name):
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -18,6 +18,7 @@
 from swifthoist_platform.names import (
     ADDRESS,
     CAPACITY,
+    COLD_LEFT_MS,
     DEPENDS_ON,
     GPU,
     LABELS,
@@ -52,6 +53,14 @@
         self.assertEqual(entry.room.accelerators, 8)
         self.assertEqual(entry.rack, 'rack-1')
         self.assertFalse(entry.draining)
+        self.assertEqual(entry.cold_ms, 0)
+
+    def test_a_cold_runner_tells_for_how_long(self) -> None:
+        """Anything but a number names no runner."""
+        for told, cold_ms in ((1_500, 1_500), ('long', None), (-1, None)):
+            content = msgspec.json.encode({**ENTRY, COLD_LEFT_MS: told})
+            entry = decode_registration('r', content).registration
+            self.assertEqual(entry and entry.cold_ms, cold_ms)
 
     def test_missing_fields_other_types_and_states_name_no_runner(self) -> None:
         """Each tells its place."""
@@ -180,6 +189,7 @@
         self.assertEqual(boot.callers_address, '127.0.0.1:1')
         self.assertEqual(boot.internal_ports, (3, 3))
         self.assertEqual(boot.bounds.revocation_ms, 5_000)
+        self.assertEqual(boot.bounds.evacuation_ms, 5_000)
 
     def test_everything_wrong_is_told_at_once(self) -> None:
         """A process does not start on half of its settings."""
--- /dev/null
+++ b/tests/engine/test_coldness.py
@@ -0,0 +1,126 @@
+"""Where work goes while runners are slow after their start."""
+
+import unittest
+from dataclasses import replace
+
+from swifthoist_engine.coldness import COLD_PATIENCE_MS, STEP_MS
+from swifthoist_engine.model import UnitId
+from tests.engine.scenes import (
+    BATCH,
+    BULK,
+    CATALOGUE,
+    NOW_MS,
+    URGENT,
+    Scene,
+    gang,
+    job_spec,
+    places,
+    task,
+    view,
+)
+
+LONG_MS = 10_000
+
+
+def _used(
+    scene: Scene, *views, now_ms: int = NOW_MS, slack: float = 3
+) -> list[str]:
+    """List the runners that a decision starts something on."""
+    queues = tuple(
+        queue._replace(terms=queue.terms._replace(slack=slack))
+        for queue in CATALOGUE.queues
+    )
+    catalogue = replace(CATALOGUE, queues=queues)
+    decision = scene.decide(views, now_ms=now_ms, catalogue=catalogue)
+    return sorted(name for names in places(decision).values() for name in names)
+
+
+class ChoiceTest(unittest.TestCase):
+    """What can't bear a slow start goes elsewhere first."""
+
+    def test_an_urgent_gang_preempts_on_warm_runners(self) -> None:
+        """It was started at once in a zone that had just come back."""
+        scene = Scene(
+            job_spec('low', BULK, task()),
+            job_spec('j', URGENT, gang(1)),
+        )
+        scene.start(UnitId('low', 0, 0, 0), 'runner-1')
+        decision = scene.decide([view(0, cold=True), view(1, 1)])
+        self.assertEqual(decision.starts, ())
+        self.assertEqual([it.run.runner for it in decision.stops], ['runner-1'])
+
+    def test_a_gang_takes_a_cold_rack_where_no_warm_one_could_hold_it(
+        self,
+    ) -> None:
+        """Warm runners of several racks are no rack to wait for."""
+        scene = Scene(job_spec('j', URGENT, gang(2)))
+        cold = [view(0, 0, cold=True), view(1, 0, cold=True)]
+        used = _used(scene, *cold, view(2, 1), view(3, 2))
+        self.assertEqual(used, ['runner-0', 'runner-1'])
+
+    def test_it_does_not_wait_for_ever(self) -> None:
+        """The warm runner is full of what can't be preempted."""
+        scene = Scene(
+            job_spec('first', URGENT, gang(1)), job_spec('j', URGENT, gang(1))
+        )
+        scene.start(UnitId('first', 0, 0, -1), 'runner-1')
+        runners = (view(0, cold=True), view(1, 1))
+        self.assertEqual(_used(scene, *runners), [])
+        late_ms = NOW_MS + COLD_PATIENCE_MS + 1
+        self.assertEqual(_used(scene, *runners, now_ms=late_ms), ['runner-0'])
+
+    def test_a_task_that_would_only_be_late_for_it_goes_elsewhere(self) -> None:
+        """One that has time takes a cold runner, the warm one being full."""
+        for slack, used in ((1.5, []), (4.0, ['runner-0'])):
+            scene = Scene(
+                job_spec('first', URGENT, gang(1)),
+                job_spec('j', BATCH, task(estimate_ms=LONG_MS)),
+            )
+            scene.start(UnitId('first', 0, 0, -1), 'runner-1')
+            with self.subTest(slack=slack):
+                runners = (view(0, cold=True), view(1, 1))
+                found = _used(scene, *runners, slack=slack)
+                self.assertEqual(found, used)
+
+    def test_warm_runners_come_first_for_what_bears_it(self) -> None:
+        """Also where the cold one is the fuller of the two."""
+        scene = Scene(
+            job_spec('first', BULK, task(), accepted_ms=NOW_MS - 1),
+            job_spec('j', BULK, task(estimate_ms=LONG_MS)),
+        )
+        scene.start(UnitId('first', 0, 0, 0), 'runner-0')
+        used = _used(scene, view(0, cold=True), view(1, 1))
+        self.assertEqual(used, ['runner-1'])
+
+
+class StepTest(unittest.TestCase):
+    """A cold zone gets work in steps."""
+
+    def test_a_cold_runner_fills_within_a_few_steps(self) -> None:
+        """It was filled at once, and all of that work was slow."""
+        scene = Scene(
+            job_spec('j', BULK, task(count=8, estimate_ms=LONG_MS)),
+        )
+        counts: list[int] = []
+        for step in range(4):
+            at_ms = NOW_MS + step * (STEP_MS + 1)
+            decision = scene.decide([view(0, cold=True)], now_ms=at_ms)
+            scene.fold(*decision.starts)
+            counts.append(len(scene.cell.runs.on('runner-0')))
+        self.assertEqual(counts, [2, 4, 6, 8])
+
+    def test_a_task_larger_than_a_step_is_started_by_itself(self) -> None:
+        """And the next one a step later."""
+        need = task().need._replace(accelerators=4)
+        scene = Scene(
+            job_spec('j', BULK, task(need, count=2, estimate_ms=LONG_MS)),
+        )
+        cold = view(0, cold=True)
+        scene.fold(*scene.decide([cold]).starts)
+        self.assertEqual(_used(scene, cold), [])
+        later_ms = NOW_MS + STEP_MS + 1
+        self.assertEqual(_used(scene, cold, now_ms=later_ms), ['runner-0'])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/simulation/test_evacuation.py
+++ b/tests/simulation/test_evacuation.py
@@ -15,6 +15,8 @@
 BOUND_S = 5.5
 """Time after which nothing may start in an evacuated zone, and a bit more."""
 
+COLD_S = 6
+
 SHORT = StepWork(800, (4_000, 8_000, 1))
 GANG = StepWork(1_500, (4_000, 8_000, 8), gang=4)
 
@@ -72,6 +74,25 @@
 
         self.assertEqual(play(scene).witness.broken, [])
 
+    def test_a_zone_that_comes_back_cold_is_known_to_be(self) -> None:
+        """Its runners tell for how long; all work is done all the same."""
+
+        async def scene(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            assert holder.app is not None
+            cold = holder.app._cold_zones
+            cluster.world.evacuate(SOUTH)
+            await anyio.sleep(1)
+            cluster.world.take_back(SOUTH, COLD_S)
+            orders = await _press(cluster, COLD_S - 1)
+            self.assertEqual(cold.runners, {SOUTH: 6})
+            self.assertGreater(_runs_south(cluster), 0)
+            orders += await _press(cluster, 3)
+            self.assertEqual(cold.runners, {})
+            await _await_all(cluster, orders)
+
+        self.assertEqual(play(scene).witness.broken, [])
+
     def test_a_takeover_knows_it(self) -> None:
         """The holder dies while a zone is evacuated, and again at once."""
 
