Units get runners by their speed: the slowest that will do, urgent ones the fastest

Cause: a gang of five on mixed runners nearly always goes at the slow pace. Change: speed_match.py lists the least classes that a unit may get, best first; placing tries them in turn near the data or on one rack, then elsewhere; of those that will do the slowest runners go first, so that fast ones stay free. Where all runners are of one class nothing changes. The holder logs a runner's change of class. The play of a load describes its runners, beats, and has a load of uneven runners.

--- a/bench/load.py
+++ b/bench/load.py
@@ -176,6 +176,25 @@
 )  # fmt: skip
 
 
+UNEVEN = SiteLoad(
+    'uneven',
+    Resources(64_000, 131_072, 8),
+    (
+        Kind('batch', 0.725, 3, 0.9, 9_400, 0.3, 13, 78, 26_000, 38_000,
+             _LARGE, 1, 0.6, 0.45, QueueTerms(1, 2, 3, 1_000, 'pool'), 0.005,
+             0.2, 0.03),
+        Kind('urgent', 3.87, 4, 0.8, 2_100, 0.5, 5, 32, 7_500, 11_000,
+             _LARGE, 1, 0.8, 0, QueueTerms(0, 3, 1.5, 250, 'pool'), 0.02, 0.5),
+        Kind('bulk', 0.897, 1, 0.3, 6_500, 0.3, 39, 230, 5_600, 15_000,
+             (1,), 0, 0, 0.45, QueueTerms(2, 4, 3, 3_000, 'pool'), 0.02, 0.2,
+             0.03),
+    ),
+    Ground(22, 8, (1.8, 0.83, 0.83, 0.83), 1_000, 100, 900, Spell(0.085, 6_500),
+           Spell(0, 0), Spell(0, 0), teams=10),
+)  # fmt: skip
+"""A quarter of the runners is over twice as fast as the others."""
+
+
 class Arrival(NamedTuple):
     """A job and what only the runners know of it.
 
--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -16,7 +16,15 @@
 from swifthoist_engine.model import SiteTerms, StepSpec
 from swifthoist_engine.occupancy import Occupancy
 from swifthoist_engine.planner import Decision, World
-from swifthoist_engine.records import Claimed, Ended, Ending, Started, Submitted
+from swifthoist_engine.records import (
+    Beat,
+    Claimed,
+    Ended,
+    Ending,
+    RunnerDescribed,
+    Started,
+    Submitted,
+)
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView
 from swifthoist_engine.standstill import HUNG_AFTER_MS
@@ -116,6 +124,9 @@
             self._rng.choice(ground.speeds) for _ in range(ground.runners)
         ]
         span = self.seconds * 1_000
+        for number in range(ground.runners):
+            name, rack = _name(number), f'rack-{self._rack(number)}'
+            self._cell.fold(RunnerDescribed(1, name, name, rack, 'z', '', 0))
         self._grey = self._spells(ground.failing, span)
         self._hangs = self._spells(ground.hanging, span)
         self._slow = self._spells(ground.slow, span)
@@ -174,12 +185,15 @@
             rack = f'rack-{self._rack(number)}'
             name = _name(number)
             suspicion = self._evidence.suspicion(name, int(self._now))
+            state = self._cell.state
+            speed = state.experience.speeds.speed(state.facts[name])
             yield RunnerView(
                 name, 'pool', self.site.room, frozenset((rack,)), rack, 'z',
-                suspicion=suspicion,
+                suspicion=suspicion, speed=speed,
             )  # fmt: skip
 
     def _decide(self) -> None:
+        self._cell.fold(Beat(1, int(self._now)))
         world = World(
             self._cell,
             self._catalogue,
--- a/packages/engine/swifthoist_engine/board.py
+++ b/packages/engine/swifthoist_engine/board.py
@@ -49,6 +49,7 @@
     :ivar views: the same by id.
     :ivar room: their free room.
     :ivar free: the same by runner.
+    :ivar cell: the cell with its open runs.
     """
 
     def __init__(
@@ -70,7 +71,7 @@
         self.room = occupancy.room()
         self.free = self.room.free
         self._on_runner: dict[StepKey, Counter[RunnerId]] = {}
-        self._cell = cell
+        self.cell = cell
         self._occupancy = occupancy
         self._aside = aside
         self._now_ms = now_ms
@@ -208,7 +209,7 @@
         key = waiting.unit[:3]
         found = self._on_runner.get(key)
         if found is None:
-            job = self._cell.state.jobs[key[0]]
+            job = self.cell.state.jobs[key[0]]
             found = Counter(
                 run.runner for run in job.open_runs() if run.task[:3] == key
             )
--- a/packages/engine/swifthoist_engine/experience.py
+++ b/packages/engine/swifthoist_engine/experience.py
@@ -54,8 +54,11 @@
         """
         # What ended while nobody took notes is noted soon after that.
         past = past._replace(
-            late=past.run.started_ms < self.resumed_ms
-            and past.at_ms < self.resumed_ms + CATCH_UP_MS
+            timely=past.timely
+            and (
+                past.run.started_ms >= self.resumed_ms
+                or past.at_ms >= self.resumed_ms + CATCH_UP_MS
+            )
         )
         # A speed is weighed against the durations before this run.
         typical_ms = self.durations.typical_ms(past.job.spec.queue, past.step)
--- a/packages/engine/swifthoist_engine/fleet.py
+++ b/packages/engine/swifthoist_engine/fleet.py
@@ -63,6 +63,7 @@
         self.names = [view.runner for view in views]
         self._views = views
         self._shape = shape
+        self._faster: dict[int, Candidates] = {}
 
     @cached_property
     def racks(self) -> Mapping[RackId, list[RunnerId]]:
@@ -109,6 +110,21 @@
         views = [view for view in self._views if view.runner in names]
         return Candidates(self._shape, views)
 
+    def at_least(self, speed: int | None) -> 'Candidates':
+        """Leave out the runners that are too slow.
+
+        :param speed: slowest class that stays; none for all of them.
+        :returns: the rest.
+        """
+        if speed is None:
+            return self
+        found = self._faster.get(speed)
+        if found is None:
+            views = [view for view in self._views if view.speed >= speed]
+            found = Candidates(self._shape, views)
+            self._faster[speed] = found
+        return found
+
     def less_doubted(self, suspicion: int) -> 'Candidates':
         """Leave out the runners against which too much speaks.
 
@@ -134,6 +150,8 @@
 
     :ivar views: the runners by id.
     :ivar listed: the same as they were told of.
+    :ivar most_doubted: highest suspicion of any.
+    :ivar speeds: classes of speed of those that may get tasks, slowest first.
     """
 
     def __init__(self, views: tuple[RunnerView, ...]) -> None:
@@ -144,6 +162,7 @@
         self.listed = views
         self.views = {view.runner: view for view in views}
         self.most_doubted = max((it.suspicion for it in views), default=0)
+        self.speeds = tuple(sorted({it.speed for it in views if it.open}))
         self._kinds = [_kind_of(view) for view in self.views.values()]
         self._samples = dict(zip(self._kinds, self.views.values(), strict=True))
         self._able: dict[Shape, Candidates] = {}
--- a/packages/engine/swifthoist_engine/mechanisms.py
+++ b/packages/engine/swifthoist_engine/mechanisms.py
@@ -16,6 +16,7 @@
     :ivar evidence: runners with failures or hangs come last.
     :ivar sound_attempts: scarce attempts are spent on sound runners only.
     :ivar retry_pause: a unit pauses before it starts again.
+    :ivar speeds: gangs get runners of like speed, urgent units the fast ones.
     """
 
     in_time_first: bool = True
@@ -28,6 +29,7 @@
     evidence: bool = True
     sound_attempts: bool = True
     retry_pause: bool = True
+    speeds: bool = True
 
 
 ALL = Mechanisms()
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -5,7 +5,7 @@
 one rack as long as some rack could hold it.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from itertools import starmap
 from typing import NamedTuple
 
@@ -17,6 +17,7 @@
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.records import Placement
 from swifthoist_engine.runners import RunnerView
+from swifthoist_engine.speed_match import ANY, SpeedMatch
 
 PROMISED_RACK_SHARE = 2 / 3
 """Share of the time within which a guarantee is to be met that a unit covered by
@@ -46,6 +47,7 @@
     doubts: int
     far: bool
     crowd: int
+    speed: int
     rack_free: int
     accelerators: int
     memory: int
@@ -86,6 +88,9 @@
         self._mechanisms = mechanisms
         self._now_ms = now_ms
         self._allowed = allowed
+        self._match = SpeedMatch(
+            board.fleet, board.cell.state, now_ms, mechanisms
+        )
 
     def place(self, waiting: Waiting) -> tuple[Placement, ...] | None:
         """Choose a runner for each task of a unit, and take the room.
@@ -93,7 +98,8 @@
         :param waiting: the unit.
         :returns: the choice; none when it has to wait.
         """
-        for names in self._choices(waiting, roomy=True):
+        floors = self._match.floors(waiting)
+        for names in self._choices(waiting, floors, roomy=True):
             placed = self._fill(waiting, names)
             if placed is not None:
                 return placed
@@ -105,7 +111,7 @@
         :param waiting: the unit.
         :returns: groups of runners that may run its tasks.
         """
-        return self._choices(waiting, roomy=False)
+        return list(self._choices(waiting, (ANY,), roomy=False))
 
     def eligible(self, waiting: Waiting) -> Candidates:
         """List the runners that may run a task of a unit now.
@@ -128,25 +134,41 @@
         return sound if enough else self._able(waiting, shape)
 
     def _choices(
-        self, waiting: Waiting, *, roomy: bool
-    ) -> list[Sequence[RunnerId]]:
+        self,
+        waiting: Waiting,
+        floors: Sequence[int | None],
+        *,
+        roomy: bool,
+    ) -> Iterator[Sequence[RunnerId]]:
         """List groups of runners; only those that may have room, if asked."""
         found = self.eligible(waiting)
-        step = waiting.step
-        if step.gang and step.same_rack and waiting.members > 1:
-            racks = self._rank_racks(waiting, found, roomy=roomy)
-            groups: list[Sequence[RunnerId]] = [
-                found.racks[rack] for rack in racks
-            ]
-            if self._patience_over(waiting) or not self._has_rack(waiting):
-                groups.append(found.names)
-            return groups
-        if not step.data_rack:
-            return [found.names]
-        near = found.racks.get(step.data_rack, [])
-        if near and not self._patience_over(waiting):
-            return [near]
-        return [near, found.names]
+        levels = [found.at_least(floor) for floor in floors]
+        yield from self._near(waiting, levels, roomy=roomy)
+        if self._may_be_far(waiting, found):
+            yield from (level.names for level in levels)
+
+    def _near(
+        self, waiting: Waiting, levels: Sequence[Candidates], *, roomy: bool
+    ) -> Iterator[Sequence[RunnerId]]:
+        """List the groups on one rack, for units that are slower elsewhere."""
+        data_rack = waiting.step.data_rack
+        for level in levels:
+            if _tied(waiting):
+                racks = self._rank_racks(waiting, level, roomy=roomy)
+                yield from (level.racks[rack] for rack in racks)
+            elif data_rack:
+                yield level.racks.get(data_rack, [])
+
+    def _may_be_far(self, waiting: Waiting, found: Candidates) -> bool:
+        """Tell whether a unit may be where it takes longer, if it can."""
+        if _tied(waiting):
+            return self._patience_over(waiting) or not self._has_rack(waiting)
+        data_rack = waiting.step.data_rack
+        return (
+            not data_rack
+            or data_rack not in found.racks
+            or self._patience_over(waiting)
+        )
 
     def _able(self, waiting: Waiting, shape: Shape) -> Candidates:
         """List the runners that could run a task of a unit at all."""
@@ -255,6 +277,7 @@
             self._doubts(view) + failed,
             far,
             self.board.crowd(waiting, name),
+            self._match.rank(waiting, view),
             self.board.room.rack_free[view.rack]
             if self._mechanisms.packing
             else 0,
@@ -264,6 +287,12 @@
         )
 
 
+def _tied(waiting: Waiting) -> bool:
+    """Tell whether a unit is a gang that is slow across racks."""
+    step = waiting.step
+    return step.gang and step.same_rack and waiting.members > 1
+
+
 def attempts_left(waiting: Waiting) -> int:
     """Tell how many runs of a unit may still fail, its next one among them.
 
--- a/packages/engine/swifthoist_engine/speeds.py
+++ b/packages/engine/swifthoist_engine/speeds.py
@@ -367,7 +367,7 @@
     racks, whose time is not theirs to say, and ends that were noted late.
     """
     step = past.step
-    if past.ending is not Ending.DONE or past.late or past.run.checkpoint:
+    if not past.timely or past.ending is not Ending.DONE or past.run.checkpoint:
         return False
     if step.lasting or step.filling:
         return False
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -18,6 +18,7 @@
 )
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView, Standing
+from swifthoist_engine.speeds import USUAL
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.leases import Lease, choose_lease_ms, lease_over_ms
 from swifthoist_instance.outcomes import record_all, vanished
@@ -59,6 +60,7 @@
         renewed_ms = max(shared.hold.others_ms, shared.clock.boot_ms())
         self._unknown_ms = lease_over_ms(renewed_ms)
         self._sessions: dict[RunnerId, Session] = {}
+        self._speeds: dict[RunnerId, int] = {}
 
     async def run(self, tasks: TaskGroup) -> None:
         """Open and close sessions, until canceled.
@@ -92,6 +94,7 @@
                 standing = Standing(
                     self._usable(session) and runner not in cordoned,
                     self._shared.evidence.suspicion(runner, now_ms),
+                    speed=self._speed(runner),
                 )
                 views.append(session.describe(standing))
         return tuple(views)
@@ -184,6 +187,7 @@
             return
         session.close()
         self._sessions.pop(runner)
+        self._speeds.pop(runner, None)
         self._registry.forget(runner)
         _log.info('runner gone', extra={'runner': runner})
         gone = RunnerGone(self._shared.epoch, runner)
@@ -202,6 +206,27 @@
             records.append(RunnerGone(self._shared.epoch, runner))
         await record_all(self._shared, records)
 
+    def _speed(self, runner: RunnerId) -> int:
+        """Tell the class of a runner's speed, and log a change of it."""
+        state = self._shared.cell.state
+        facts = state.facts.get(runner)
+        if facts is None:
+            return USUAL
+        speeds = state.experience.speeds
+        speed = speeds.speed(facts)
+        before = self._speeds.get(runner, USUAL)
+        if speed != before:
+            self._speeds[runner] = speed
+            about = {
+                'runner': runner,
+                'machine': facts.machine,
+                'before': before,
+                'speed': speed,
+                'factor': round(speeds.factor(facts), 2),
+            }
+            _log.info('runner speed', extra=about)
+        return speed
+
     def _usable(self, session: Session) -> bool:
         listed = self._registry.present(session.contact.runner) is not None
         return listed and session.open
