Fast runners stay free only where packing allows it

Cause: with speed before the rack's room, tasks by themselves spread over the slower runners of all racks, and urgent gangs found no rack. Change: a runner's speed ranks behind the room of its rack.

--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -47,8 +47,8 @@
     doubts: int
     far: bool
     crowd: int
-    speed: int
     rack_free: int
+    speed: int
     accelerators: int
     memory: int
     runner: RunnerId
@@ -277,10 +277,10 @@
             self._doubts(view) + failed,
             far,
             self.board.crowd(waiting, name),
-            self._match.rank(waiting, view),
             self.board.room.rack_free[view.rack]
             if self._mechanisms.packing
             else 0,
+            self._match.rank(waiting, view),
             free.accelerators if self._mechanisms.packing else 0,
             free.memory,
             name,
