--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -17,7 +17,7 @@
 import fire
 
 from bench.drawn import CONCLUDING, LOOKING_AT, draw_site
-from bench.load import DHUAN, PILHA, SALTAMONTES, SiteLoad
+from bench.load import DHUAN, LYING, PILHA, SALTAMONTES, SiteLoad
 from bench.site_play import Play, Played
 from swifthoist_engine.mechanisms import ALL, Mechanisms
 from swifthoist_engine.planner import decide
@@ -57,7 +57,7 @@
             for seed in range(seeds)
             for intensity in INTENSITIES
         ]
-        for site in (DHUAN, PILHA, SALTAMONTES)
+        for site in (DHUAN, LYING, PILHA, SALTAMONTES)
     }
     found['drawn'] = _drawn(LOOKING_AT[: 2 * seeds])
     return found
--- a/bench/load.py
+++ b/bench/load.py
@@ -7,6 +7,9 @@
 
 from swifthoist_engine.model import JobSpec, QueueTerms, Resources, StepSpec
 
+DRAWN_OUT = 7
+"""How many times as much work some jobs have as others of their kind."""
+
 
 class Kind(NamedTuple):
     """A kind of job.
@@ -30,6 +33,8 @@
     :ivar misjudged: standard deviation of the logarithm of a declared
         duration's error.
     :ivar hopeless: share of its jobs of which every run fails.
+    :ivar understated: its work, as a multiple of the middle of what is declared.
+    :ivar drawn_out: share of its jobs whose work is :data:`DRAWN_OUT` as much.
     """
 
     queue: str
@@ -50,6 +55,8 @@
     fails: float
     misjudged: float = 0.7
     hopeless: float = 0
+    understated: float = 1
+    drawn_out: float = 0
 
 
 class Spell(NamedTuple):
@@ -176,6 +183,18 @@
 )  # fmt: skip
 
 
+LYING = SiteLoad(
+    'lying',
+    DHUAN.room,
+    tuple(
+        kind._replace(misjudged=1, understated=1.5, drawn_out=0.03)
+        for kind in DHUAN.kinds
+    ),
+    DHUAN.ground,
+)
+"""The same, and declared durations tell little of what a job takes."""
+
+
 class Arrival(NamedTuple):
     """A job and what only the runners know of it.
 
@@ -232,6 +251,9 @@
     accelerators = rng.choice(kind.accelerators)
     gang = width > 1 and rng.random() < kind.gang
     estimate_ms = work_ms * math.exp(rng.gauss(0, kind.misjudged))
+    estimate_ms /= kind.understated
+    if kind.drawn_out and rng.random() < kind.drawn_out:
+        work_ms *= DRAWN_OUT
     step = StepSpec(
         width,
         Resources(kind.cpu, kind.memory, accelerators),
--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -16,7 +16,14 @@
 from swifthoist_engine.model import SiteTerms, StepSpec
 from swifthoist_engine.occupancy import Occupancy
 from swifthoist_engine.planner import Decision, World
-from swifthoist_engine.records import Claimed, Ended, Ending, Started, Submitted
+from swifthoist_engine.records import (
+    Claimed,
+    Ended,
+    Ending,
+    RunnerDescribed,
+    Started,
+    Submitted,
+)
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView
 from swifthoist_engine.standstill import HUNG_AFTER_MS
@@ -116,6 +123,9 @@
             self._rng.choice(ground.speeds) for _ in range(ground.runners)
         ]
         span = self.seconds * 1_000
+        for number in range(ground.runners):
+            name, rack = _name(number), f'rack-{self._rack(number)}'
+            self._cell.fold(RunnerDescribed(1, name, name, rack, 'z', '', 0))
         self._grey = self._spells(ground.failing, span)
         self._hangs = self._spells(ground.hanging, span)
         self._slow = self._spells(ground.slow, span)
--- a/packages/engine/swifthoist_engine/board.py
+++ b/packages/engine/swifthoist_engine/board.py
@@ -6,14 +6,11 @@
 
 from swifthoist_core.types import JobId, Millis, RunnerId
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.expectations import Expectations
 from swifthoist_engine.model import Resources
 from swifthoist_engine.occupancy import Occupancy, RunShare
 from swifthoist_engine.queueing import Waiting
 
-OVERDUE_SHARE = 0.3
-"""A run that is over its declared duration is expected to go on for this
-share of the time that it has run."""
-
 StepKey = tuple[str, int, int]
 """Job, occurrence and number of a step."""
 
@@ -49,6 +46,7 @@
     :ivar views: the same by id.
     :ivar room: their free room.
     :ivar free: the same by runner.
+    :ivar expected: how long tasks are expected to take.
     """
 
     def __init__(
@@ -57,6 +55,7 @@
         occupancy: Occupancy,
         now_ms: Millis,
         aside: frozenset[JobId],
+        expected: Expectations | None = None,
     ) -> None:
         """Begin a decision.
 
@@ -64,11 +63,14 @@
         :param occupancy: what runs on the runners.
         :param now_ms: time of the cell.
         :param aside: jobs whose runs take room, and are not looked at.
+        :param expected: how long tasks are expected to take; by what the
+            cell has learned without.
         """
         self.fleet = occupancy.fleet
         self.views = occupancy.fleet.views
         self.room = occupancy.room()
         self.free = self.room.free
+        self.expected = expected or Expectations(cell.state)
         self._on_runner: dict[StepKey, Counter[RunnerId]] = {}
         self._cell = cell
         self._occupancy = occupancy
@@ -118,7 +120,7 @@
 
         :param runner: the runner.
         :param at_ms: the time.
-        :returns: free room, by the declared durations of what runs.
+        :returns: free room, by the expected ends of what runs.
         """
         room = self.free[runner]
         for end in self.expected_ends(runner):
@@ -130,12 +132,10 @@
         """Tell when a run is expected to end.
 
         :param share: the run.
-        :returns: its declared end, or later the longer it is overdue.
+        :returns: its expected end, later the longer it is overdue.
         """
-        estimate_ms = share.step.estimate_ms
-        ran_ms = self._now_ms - share.run.started_ms
-        left_ms = max(estimate_ms - ran_ms, int(ran_ms * OVERDUE_SHARE))
-        return self._now_ms + left_ms
+        now_ms = self._now_ms
+        return now_ms + self.expected.left_ms(share.run, now_ms)
 
     def expected_ends(self, runner: RunnerId) -> list[ExpectedEnd]:
         """List when the runs of a runner are expected to end.
@@ -163,7 +163,7 @@
         hold = self._holds.get(runner)
         if hold is None or waiting.urgent:
             return True
-        if self._now_ms + waiting.step.estimate_ms <= hold.until_ms:
+        if self._now_ms + waiting.lasts_ms <= hold.until_ms:
             return True
         return waiting.step.counted.fits(hold.spare)
 
@@ -232,7 +232,7 @@
         if waiting.unit[:3] in self._on_runner:
             self._spread(waiting)[runner] += tasks
         hold = self._holds.get(runner)
-        if hold and self._now_ms + waiting.step.estimate_ms > hold.until_ms:
+        if hold and self._now_ms + waiting.lasts_ms > hold.until_ms:
             self._holds[runner] = hold._replace(spare=hold.spare.minus(taken))
 
     def take_back(self, waiting: Waiting, runners: Sequence[RunnerId]) -> None:
--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -15,11 +15,12 @@
 from swifthoist_engine.account import Account
 from swifthoist_engine.endings import conclude, note_end
 from swifthoist_engine.experience import Experience
-from swifthoist_engine.jobs import Job, JobState, OpenRun
+from swifthoist_engine.jobs import Job, JobState, OpenRun, runs_of
 from swifthoist_engine.model import TaskId
 from swifthoist_engine.past_runs import PastRun, RunnerFacts
 from swifthoist_engine.records import (
     Beat,
+    Belated,
     Canceled,
     Claimed,
     Ended,
@@ -238,6 +239,8 @@
                 self._start(record)
             case Ended():
                 self._end(record)
+            case Belated():
+                self.state.experience.belated[record.runner] = record.number
             case Vanished():
                 self._vanish(record)
             case RunnerMet():
@@ -248,6 +251,7 @@
                 self.state.seen.pop(record.runner, None)
                 self.state.addresses.pop(record.runner, None)
                 self.state.facts.pop(record.runner, None)
+                self.state.experience.belated.pop(record.runner, None)
             case UpkeepBegun(_, wave, machine, runner):
                 begun = self.state.upkeeps.setdefault(wave, {})
                 begun.setdefault(machine, runner)
@@ -292,7 +296,7 @@
         first = not job.started
         job.started = True
         unit.last_run = record.run
-        unit.open = _open_runs(record)
+        unit.open = runs_of(record)
         for run in unit.open.values():
             self.runs.add(run, need)
             self.runs.note_fresh(run)
@@ -349,20 +353,6 @@
         return run
 
 
-def _open_runs(record: Started) -> dict[int, OpenRun]:
-    return {
-        placed.ordinal: OpenRun(
-            TaskId(*record.unit[:3], placed.ordinal),
-            record.run,
-            placed.runner,
-            record.epoch,
-            record.at_ms,
-            record.checkpoint,
-        )
-        for placed in record.placements
-    }
-
-
 def _past_run(
     state: CellState,
     job: Job,
@@ -373,6 +363,7 @@
     """Describe a run that is over to whatever is learned from it."""
     facts = state.facts
     unknown = RunnerFacts()
+    belated = state.experience.belated.get(run.runner, 0)
     return PastRun(
         job,
         job.step(run.task),
@@ -382,6 +373,7 @@
         facts.get(run.runner, unknown),
         gang,
         tuple(facts.get(member.runner, unknown) for member in gang),
+        record.number > belated,
     )
 
 
--- a/packages/engine/swifthoist_engine/durations.py
+++ b/packages/engine/swifthoist_engine/durations.py
@@ -1,23 +1,314 @@
-"""How long tasks take, from the runs that are over."""
+"""How long tasks take, from the runs that are over.
 
-from dataclasses import dataclass
+For each queue a line is fitted through declared and actual durations, on a scale
+of equal ratios. Its prior is that declared durations hold: a queue of which
+nothing is known is taken at its word. Where they tell nothing the line becomes
+level, at what the queue's tasks usually take. Steps of one shape may differ from
+their queue's line by a constant. What the line leaves unexplained is counted, so
+that the rest of a run can be told from its age.
+
+All sums are whole numbers, and what is computed from them is the same on every
+machine, since all instances have to learn the same.
+"""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from swifthoist_engine.model import StepSpec
+from swifthoist_engine.octaves import OCTAVE, length_of, octaves_of
 from swifthoist_engine.past_runs import PastRun
+from swifthoist_engine.records import Ending
+from swifthoist_engine.speeds import Speeds
+from swifthoist_engine.spreads import Spread
 
 LEAST_MS = 1
 """Least duration that is told, in ms, so that others can divide by it."""
 
+PRIOR_RUNS = 5
+"""How many runs the belief that declared durations hold counts for."""
+
+PRIOR_SPREAD = 24
+"""Spread of declared durations by which those runs differ, in steps of the scale:
+as many differ by 1.7 times or more as by less."""
+
+MOST_OFF = 2 * OCTAVE
+"""What a declared duration may be off its queue's usual ratio; beyond, it counts
+as if it were off by so much: one caller's figure is not to bend the line."""
+
+FARTHEST = 8 * OCTAVE
+"""How far from the middle of a queue's declared durations its line reaches."""
+
+TASKS_OF_STEP = 8
+"""About so many tasks of a step count, whatever its width."""
+
+WEIGHT = 16
+"""What a run counts, so that little is lost when sums are halved."""
+
+MOST_RUNS = 256
+"""Sums are halved at this number of runs, so that changes are learned."""
+
+AGE_MS = 600_000
+"""Span of the cell's time in which a sixteenth of what is known is forgotten."""
+
+AGED_OUT = 256
+"""Spans after which nothing is left of what was known."""
+
+MOST_QUEUES = 256
+"""Most queues that something is known of."""
+
+MOST_SHAPES = 512
+"""Most shapes that something is known of."""
+
+
+class QueueKey(NamedTuple):
+    """What has a line of its own.
+
+    :ivar queue: name of the queue.
+    :ivar declared: its steps tell a duration.
+    """
+
+    queue: str
+    declared: bool
+
+
+class ShapeKey(NamedTuple):
+    """What steps of a queue have in common that differ from its line alike.
+
+    :ivar queue: name of the queue.
+    :ivar gang: the tasks run together.
+    :ivar breadth: number of binary digits of the width.
+    :ivar accelerators: accelerators of a task.
+    """
+
+    queue: str
+    gang: bool
+    breadth: int
+    accelerators: int
+
+
+class Line(NamedTuple):
+    """What a queue's tasks take, by what is declared.
+
+    :ivar middle: middle of the declared durations, on the scale.
+    :ivar off: by how much actual ones are above it there.
+    :ivar slope: how far declared durations are followed: 1 if they hold, 0 if
+        they tell nothing.
+    :ivar seen: by how much actual ones were above it there, without the prior.
+    """
+
+    middle: float = 0
+    off: float = 0
+    slope: float = 1
+    seen: float = 0
+
+    def place(self, declared: float) -> float:
+        """Tell what a task takes.
+
+        :param declared: what is declared, on the scale.
+        :returns: the duration, on the scale.
+        """
+        aside = min(max(declared - self.middle, -FARTHEST), FARTHEST)
+        return declared + self.off - (1 - self.slope) * aside
+
+
+@dataclass(slots=True)
+class Learned:
+    """What is known of a queue; each sum counts a run by its weight.
+
+    :ivar weight: weight of the runs.
+    :ivar actual: sum of actual durations, on the scale.
+    :ivar declared: sum of declared durations.
+    :ivar squares: sum of squares of declared durations.
+    :ivar products: sum of products of the two.
+    :ivar spread: what the line leaves unexplained.
+    :ivar span: span of time up to which it was aged.
+    """
+
+    weight: int = 0
+    actual: int = 0
+    declared: int = 0
+    squares: int = 0
+    products: int = 0
+    spread: Spread = field(default_factory=Spread)
+    span: int = 0
+
+    def line(self, prior_runs: int) -> Line:
+        """Fit the line.
+
+        :param prior_runs: what the prior counts for.
+        :returns: the line; some run has to have been counted.
+        """
+        runs = self.weight / WEIGHT
+        middle = self.declared / self.weight
+        actual = self.actual / self.weight
+        squares = self.squares / self.weight - middle * middle
+        products = self.products / self.weight - middle * actual
+        prior = PRIOR_RUNS * PRIOR_SPREAD * PRIOR_SPREAD / runs
+        slope = (max(products, 0) + prior) / (max(squares, 0) + prior)
+        seen = actual - middle
+        off = seen * runs / (runs + prior_runs)
+        return Line(middle, off, min(slope, 1), seen)
+
+    def add(self, declared: int, actual: int) -> None:
+        """Count a run.
+
+        :param declared: its declared duration, on the scale.
+        :param actual: what it took.
+        """
+        self.weight += WEIGHT
+        self.actual += WEIGHT * actual
+        self.declared += WEIGHT * declared
+        self.squares += WEIGHT * declared * declared
+        self.products += WEIGHT * declared * actual
+        if self.weight > WEIGHT * MOST_RUNS:
+            self.shrink(1, 2)
+
+    def age(self, span: int) -> None:
+        """Forget with time.
+
+        :param span: number of the span of time that it is.
+        """
+        passed = min(max(span - self.span, 0), AGED_OUT)
+        self.span = max(span, self.span)
+        for _ in range(passed):
+            self.shrink(15, 16)
+
+    def shrink(self, share: int, of_all: int) -> None:
+        """Keep a share of what is known.
+
+        :param share: the share, in parts.
+        :param of_all: the parts of the whole.
+        """
+        self.weight = self.weight * share // of_all
+        self.actual = self.actual * share // of_all
+        self.declared = self.declared * share // of_all
+        self.squares = self.squares * share // of_all
+        self.products = self.products * share // of_all
+        self.spread.shrink(share, of_all)
+
+
+@dataclass(slots=True)
+class Shift:
+    """By how much steps of a shape are off their queue's line.
+
+    :ivar weight: weight of the runs.
+    :ivar actual: sum of actual durations, on the scale.
+    :ivar declared: sum of declared durations.
+    :ivar span: span of time in which the newest was.
+    """
+
+    weight: int = 0
+    actual: int = 0
+    declared: int = 0
+    span: int = 0
+
+    def off(self, line: Line) -> float:
+        """Tell by how much the next one is expected to be off.
+
+        :param line: line of the queue.
+        :returns: the difference, on the scale.
+        """
+        runs = self.weight / WEIGHT
+        if not runs:
+            return 0
+        usual = line._replace(off=line.seen).place(self.declared / self.weight)
+        off = self.actual / self.weight - usual
+        return off * runs / (runs + PRIOR_RUNS)
+
+    def add(self, declared: int, actual: int, span: int) -> None:
+        """Count a run.
+
+        :param declared: its declared duration, on the scale.
+        :param actual: what it took.
+        :param span: span of time that it is.
+        """
+        for _ in range(min(max(span - self.span, 0), AGED_OUT)):
+            self.shrink(15, 16)
+        self.span = max(span, self.span)
+        self.weight += WEIGHT
+        self.actual += WEIGHT * actual
+        self.declared += WEIGHT * declared
+        if self.weight > WEIGHT * MOST_RUNS:
+            self.shrink(1, 2)
+
+    def shrink(self, share: int, of_all: int) -> None:
+        """Keep a share of what is known.
+
+        :param share: the share, in parts.
+        :param of_all: the parts of the whole.
+        """
+        self.weight = self.weight * share // of_all
+        self.actual = self.actual * share // of_all
+        self.declared = self.declared * share // of_all
+
 
 @dataclass(slots=True)
 class Durations:
-    """How long the tasks of each queue took."""
+    """How long the tasks of each queue took.
+
+    :ivar queues: what is known of each queue.
+    :ivar shapes: what is known of each shape.
+    """
+
+    queues: dict[QueueKey, Learned] = field(default_factory=dict)
+    shapes: dict[ShapeKey, Shift] = field(default_factory=dict)
 
-    def note(self, past: PastRun) -> None:
+    def note(self, past: PastRun, speeds: Speeds) -> None:
         """Learn from a run that is over.
 
         :param past: the run.
+        :param speeds: how fast runners are.
+        """
+        if not _tells(past):
+            return
+        queue = past.job.spec.queue
+        slowest = max(map(speeds.factor, past.gang_facts), default=1)
+        actual = octaves_of(past.ran_ms / max(slowest, 0.01))
+        span = past.at_ms // AGE_MS
+        learned = self._take(queue_key(queue, past.step), span)
+        expected = self.place(queue, past.step)
+        if past.ending is not Ending.DONE:
+            learned.spread.add(actual - expected, WEIGHT, ended=False)
+            return
+        learned.spread.add(actual - expected, WEIGHT, ended=True)
+        line = self.line(queue_key(queue, past.step)) or Line()
+        declared = round(_bounded(line, past.step, actual))
+        shift = self._take_shape(shape_key(queue, past.step), span)
+        shift.add(declared, round(actual), span)
+        learned.add(declared, round(actual))
+
+    def line(self, key: QueueKey) -> Line | None:
+        """Fit the line of a queue.
+
+        :param key: names it.
+        :returns: the line; none if no run was done so far.
         """
+        learned = self.queues.get(key)
+        if learned is None or not learned.weight:
+            return None
+        return learned.line(PRIOR_RUNS if key.declared else 0)
+
+    def place(self, queue: str, step: StepSpec) -> float:
+        """Tell what a task takes on a runner of usual speed.
+
+        :param queue: queue of its job.
+        :param step: its step.
+        :returns: the duration, on the scale.
+        """
+        line = self.line(queue_key(queue, step)) or Line()
+        return self.place_by(line, queue, step)
+
+    def place_by(self, line: Line, queue: str, step: StepSpec) -> float:
+        """Tell the same by a line that is known already.
+
+        :param line: line of the queue.
+        :param queue: queue of its job.
+        :param step: its step.
+        :returns: the duration, on the scale.
+        """
+        shift = self.shapes.get(shape_key(queue, step))
+        off = 0 if shift is None else shift.off(line)
+        return line.place(octaves_of(step.estimate_ms)) + off
 
     def typical_ms(self, queue: str, step: StepSpec) -> float:
         """Tell what a task takes on a runner of usual speed.
@@ -26,4 +317,86 @@
         :param step: its step.
         :returns: time in ms, never 0; the declared one where nothing is known.
         """
-        return max(step.estimate_ms, LEAST_MS)
+        if self.line(queue_key(queue, step)) is None:
+            return max(step.estimate_ms, LEAST_MS)
+        return length_of(self.place(queue, step))
+
+    def _take(self, key: QueueKey, span: int) -> Learned:
+        learned = self.queues.get(key)
+        if learned is None:
+            if len(self.queues) >= MOST_QUEUES:
+                self.queues.pop(min(self.queues, key=self._use_of_queue))
+            learned = Learned(span=span)
+            self.queues[key] = learned
+        learned.age(span)
+        return learned
+
+    def _take_shape(self, key: ShapeKey, span: int) -> Shift:
+        shift = self.shapes.get(key)
+        if shift is None:
+            if len(self.shapes) >= MOST_SHAPES:
+                self.shapes.pop(min(self.shapes, key=self._use_of_shape))
+            shift = Shift(span=span)
+            self.shapes[key] = shift
+        return shift
+
+    def _use_of_queue(self, key: QueueKey) -> tuple[int, int, QueueKey]:
+        learned = self.queues[key]
+        return (learned.weight, learned.span, key)
+
+    def _use_of_shape(self, key: ShapeKey) -> tuple[int, int, ShapeKey]:
+        shift = self.shapes[key]
+        return (shift.weight, shift.span, key)
+
+
+def queue_key(queue: str, step: StepSpec) -> QueueKey:
+    """Find what names the line of a step.
+
+    :param queue: name of the queue.
+    :param step: the step.
+    :returns: the key.
+    """
+    return QueueKey(queue, step.estimate_ms > 0)
+
+
+def shape_key(queue: str, step: StepSpec) -> ShapeKey:
+    """Find what names the shape of a step.
+
+    :param queue: name of the queue.
+    :param step: the step.
+    :returns: the key.
+    """
+    return ShapeKey(
+        queue, step.gang, step.width.bit_length(), step.need.accelerators
+    )
+
+
+def _bounded(line: Line, step: StepSpec, actual: float) -> float:
+    """Bring a declared duration near to what is usual for an actual one."""
+    if not step.estimate_ms:
+        return 0
+    off = actual - octaves_of(step.estimate_ms)
+    off = min(max(off, line.off - MOST_OFF), line.off + MOST_OFF)
+    return max(actual - off, 0)
+
+
+def _tells(past: PastRun) -> bool:
+    """Tell whether a run says how long tasks like it take."""
+    step = past.step
+    if past.ending is Ending.FAILED or not past.timely or past.run.checkpoint:
+        return False
+    if step.lasting or step.filling or _is_far(past):
+        return False
+    if step.gang:
+        # The first end of a gang tells of all its members.
+        return len(past.gang) == step.width
+    return past.run.task.ordinal % -(-step.width // TASKS_OF_STEP) == 0
+
+
+def _is_far(past: PastRun) -> bool:
+    """Tell whether a run takes longer for where it was, or may do so."""
+    racks = {facts.rack for facts in past.gang_facts}
+    step = past.step
+    if step.data_rack and racks != {step.data_rack}:
+        return True
+    return step.gang and step.same_rack and len(racks) > 1
--- a/packages/engine/swifthoist_engine/experience.py
+++ b/packages/engine/swifthoist_engine/experience.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from swifthoist_core.types import RunnerId
 from swifthoist_engine.breakers import Breakers
 from swifthoist_engine.durations import Durations
 from swifthoist_engine.past_runs import PastRun
@@ -19,11 +20,13 @@
     :ivar durations: how long tasks take.
     :ivar speeds: how fast runners are.
     :ivar breakers: which runners fail what they start.
+    :ivar belated: number of the newest end of each runner that was read late.
     """
 
     durations: Durations = field(default_factory=Durations)
     speeds: Speeds = field(default_factory=Speeds)
     breakers: Breakers = field(default_factory=Breakers)
+    belated: dict[RunnerId, int] = field(default_factory=dict)
 
     def note(self, past: PastRun) -> None:
         """Learn from a run that is over.
@@ -32,5 +35,5 @@
         """
         # A speed is weighed against the durations before this run.
         self.speeds.note(past)
-        self.durations.note(past)
+        self.durations.note(past, self.speeds)
         self.breakers.note(past)
--- a/packages/engine/swifthoist_engine/jobs.py
+++ b/packages/engine/swifthoist_engine/jobs.py
@@ -12,6 +12,7 @@
     TaskId,
     UnitId,
 )
+from swifthoist_engine.records import Started
 
 
 class JobState(StrEnum):
@@ -229,3 +230,22 @@
         """List the runs that may be on their runners."""
         for unit in self.units.values():
             yield from unit.open.values()
+
+
+def runs_of(record: Started) -> dict[int, OpenRun]:
+    """Make the runs of a unit that is started.
+
+    :param record: its start.
+    :returns: the runs by the index of their task.
+    """
+    return {
+        placed.ordinal: OpenRun(
+            TaskId(*record.unit[:3], placed.ordinal),
+            record.run,
+            placed.runner,
+            record.epoch,
+            record.at_ms,
+            record.checkpoint,
+        )
+        for placed in record.placements
+    }
--- a/packages/engine/swifthoist_engine/mechanisms.py
+++ b/packages/engine/swifthoist_engine/mechanisms.py
@@ -16,6 +16,7 @@
     :ivar evidence: runners with failures or hangs come last.
     :ivar sound_attempts: scarce attempts are spent on sound runners only.
     :ivar retry_pause: a unit pauses before it starts again.
+    :ivar observed_durations: durations are expected as they were observed.
     """
 
     in_time_first: bool = True
@@ -28,6 +29,7 @@
     evidence: bool = True
     sound_attempts: bool = True
     retry_pause: bool = True
+    observed_durations: bool = True
 
 
 ALL = Mechanisms()
--- a/packages/engine/swifthoist_engine/model.py
+++ b/packages/engine/swifthoist_engine/model.py
@@ -1,5 +1,6 @@
 """What teams ask for: queues, jobs, steps and the resources of a task."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from swifthoist_core.types import JobId, Millis, OwnerId
@@ -214,14 +215,19 @@
 """Ordinal of a unit that is a whole gang."""
 
 
-def chain_ms(steps: tuple[StepSpec, ...]) -> Millis:
+def chain_ms(
+    steps: tuple[StepSpec, ...], lengths: Sequence[Millis] | None = None
+) -> Millis:
     """Estimate the longest chain of work of a job.
 
     :param steps: the steps.
-    :returns: time of the chain by the declared durations, in ms.
+    :param lengths: duration of each step, in ms; the declared ones without.
+    :returns: time of the chain, in ms.
     """
+    if lengths is None:
+        lengths = [step.estimate_ms for step in steps]
     ends: list[Millis] = []
-    for step in steps:
+    for step, length in zip(steps, lengths, strict=True):
         begin = max((ends[before] for before in step.depends_on), default=0)
-        ends.append(begin + step.estimate_ms)
+        ends.append(begin + length)
     return max(ends, default=0)
--- a/packages/engine/swifthoist_engine/past_runs.py
+++ b/packages/engine/swifthoist_engine/past_runs.py
@@ -37,6 +37,8 @@
     :ivar gang: runs of its gang, this one among them; as they were when it
         ended, and only the run itself where there is no gang.
     :ivar gang_facts: what is known of their runners, in the same order.
+    :ivar timely: the holder read of the end when it was listed, not behind an
+        outage, a runner's silence or a takeover; so it tells a duration.
     """
 
     job: Job
@@ -47,6 +49,7 @@
     facts: RunnerFacts
     gang: tuple[OpenRun, ...]
     gang_facts: tuple[RunnerFacts, ...]
+    timely: bool = True
 
     @property
     def ran_ms(self) -> Millis:
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -24,7 +24,7 @@
 
 URGENT_RACK_PATIENCE = 3.5
 """How long another urgent unit waits for one rack, as a multiple of its
-declared duration: started later, it would be worth nothing on one rack, and
+expected duration: started later, it would be worth nothing on one rack, and
 on several it is late in any case."""
 
 NOTICE_FACTOR = 1.2
@@ -169,11 +169,11 @@
         if not self._mechanisms.rack_patience:
             return True
         # Far away it takes so much longer; then it would have been worth it.
-        patience = (self._terms.far_factor - 1) * waiting.step.estimate_ms
+        patience = (self._terms.far_factor - 1) * waiting.lasts_ms
         if waiting.promised:
             patience = PROMISED_RACK_SHARE * self._terms.reclaim_ms
         elif waiting.urgent:
-            patience = URGENT_RACK_PATIENCE * waiting.step.estimate_ms
+            patience = URGENT_RACK_PATIENCE * waiting.lasts_ms
         return self._waited_ms(waiting) > patience
 
     def _has_rack(self, waiting: Waiting) -> bool:
--- a/packages/engine/swifthoist_engine/planner.py
+++ b/packages/engine/swifthoist_engine/planner.py
@@ -14,6 +14,7 @@
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.demand import urgent_accelerators
+from swifthoist_engine.expectations import Expectations
 from swifthoist_engine.faults import Fault, Guard, Kind
 from swifthoist_engine.jobs import Job, OpenRun, Unit
 from swifthoist_engine.mechanisms import ALL, Mechanisms
@@ -131,9 +132,10 @@
     :returns: the decision.
     """
     guard = Guard()
+    expected = expectations(world)
     stops = (
         *unwanted_runs(world.cell, world.now_ms, guard),
-        *evacuated_runs(world, guard),
+        *evacuated_runs(world, guard, expected),
     )
     units = waiting_units(
         world.cell,
@@ -143,6 +145,7 @@
         world.aside,
         world.ahead_ms,
         world.mechanisms,
+        expected,
     )
     world = world.without(guard.faults)
     for _ in range(MAX_ATTEMPTS):
@@ -157,6 +160,17 @@
     return Decision((), stops, (), guard.faults)
 
 
+def expectations(world: World) -> Expectations:
+    """Tell how long tasks are expected to take.
+
+    :param world: what is known.
+    :returns: what a decision on it expects.
+    """
+    return Expectations(
+        world.cell.state, observed=world.mechanisms.observed_durations
+    )
+
+
 def _attempt(world: World, epoch: Epoch, units: Iterable[Waiting]) -> Decision:
     """Serve the waiting units, unless looking at some job fails."""
     try:
@@ -184,7 +198,13 @@
     def __init__(self, world: World, epoch: Epoch) -> None:
         occupancy = world.occupancy or Occupancy()
         occupancy.look(world.cell, world.runners)
-        board = Board(world.cell, occupancy, world.now_ms, world.aside)
+        board = Board(
+            world.cell,
+            occupancy,
+            world.now_ms,
+            world.aside,
+            expectations(world),
+        )
         self.starts: list[Started] = []
         self.stops: list[Stop] = []
         self.unadvised: list[Waiting] = []
@@ -318,13 +338,16 @@
                     yield from (Stop(run, reason) for run in unit.open.values())
 
 
-def evacuated_runs(world: World, guard: Guard) -> Iterator[Stop]:
+def evacuated_runs(
+    world: World, guard: Guard, expected: Expectations
+) -> Iterator[Stop]:
     """List the runs that leave a draining runner with their progress.
 
     A checkpoint is listed with the end of a stop, but goes with the runner.
 
     :param world: what is known.
     :param guard: keeps faults to the job that brings them out.
+    :param expected: how long tasks are expected to take.
     :returns: runs of checkpointing tasks on runners that leave before the
         task is expected to be done.
     """
@@ -333,15 +356,16 @@
             continue
         for run in world.cell.runs_on(view.runner):
             with guard.looking_at(Kind.JOB, run.task.job):
-                if _leaves_early(world, run, view.leaving_ms):
+                if _leaves_early(world, run, view.leaving_ms, expected):
                     yield Stop(run, 'its runner leaves')
 
 
-def _leaves_early(world: World, run: OpenRun, leaving_ms: Millis) -> bool:
+def _leaves_early(
+    world: World, run: OpenRun, leaving_ms: Millis, expected: Expectations
+) -> bool:
     job = world.cell.state.jobs[run.task.job]
-    step = job.step(run.task)
-    left_ms = step.estimate_ms - (world.now_ms - run.started_ms)
-    return step.checkpointing and left_ms > leaving_ms
+    left_ms = expected.usual_ms(run) - (world.now_ms - run.started_ms)
+    return job.step(run.task).checkpointing and left_ms > leaving_ms
 
 
 def _why_unwanted(job: Job, unit: Unit, now_ms: Millis) -> str:
--- a/packages/engine/swifthoist_engine/preemption.py
+++ b/packages/engine/swifthoist_engine/preemption.py
@@ -29,7 +29,7 @@
 """What a stop costs beside the work, in ms: the time until another start."""
 
 REPEAT_SHARE = 0.3
-"""What each earlier run adds to the loss, as a share of the declared
+"""What each earlier run adds to the loss, as a share of the expected
 duration, so that it is not always the same job that is stopped."""
 
 _CPU_PER_CORE = 1_000
@@ -191,9 +191,12 @@
             # A stop saves a checkpoint.
             worked = min(worked, self._terms.restore_ms)
         repeated = REPEAT_SHARE if self._mechanisms.repeat_loss else 0
-        again = repeated * step.estimate_ms * (share.run.run - 1)
+        again = repeated * self._usual_ms(share) * (share.run.run - 1)
         return cores * tasks * (worked + again + START_LOSS_MS)
 
+    def _usual_ms(self, share: RunShare) -> Millis:
+        return self._board.expected.usual_ms(share.run)
+
     def _with_gangs(self, attempt: '_Attempt') -> Plan:
         """Stop whole gangs; each member of one loses as much as the others."""
         whole: dict[RunKey, OpenRun] = {}
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -3,7 +3,7 @@
 Urgent queues come first. Within a priority, units that can still meet their
 objective go before those that can't, and among them the one whose objective
 ends first; a job that can no longer be worth anything goes last. Deadlines
-grow with the declared chain of work, so small jobs pass large ones, and every
+grow with the expected chain of work, so small jobs pass large ones, and every
 job gets ahead of what comes later as it ages.
 """
 
@@ -14,6 +14,7 @@
 from swifthoist_core.types import JobId, Millis, OwnerId
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.expectations import Expectations
 from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.jobs import Job, Unit
 from swifthoist_engine.mechanisms import ALL, Mechanisms
@@ -21,7 +22,6 @@
     QueueTerms,
     StepSpec,
     UnitId,
-    chain_ms,
 )
 
 LATE_FACTOR = 3
@@ -60,6 +60,8 @@
         worth something, 2 if it can't.
     :ivar promised: it is urgent, and its team's guarantee covers it.
     :ivar advised: its queue's policy names its runners.
+    :ivar expected_ms: how long its tasks are expected to take; none if it is
+        as declared.
     """
 
     unit: UnitId
@@ -72,6 +74,7 @@
     tier: int
     promised: bool
     advised: bool
+    expected_ms: Millis | None = None
 
     @property
     def urgent(self) -> bool:
@@ -83,6 +86,13 @@
         """Number of its tasks."""
         return self.step.width if self.step.gang else 1
 
+    @property
+    def lasts_ms(self) -> Millis:
+        """How long its tasks are expected to take."""
+        if self.expected_ms is None:
+            return self.step.estimate_ms
+        return self.expected_ms
+
     @property
     def run(self) -> int:
         """Number of its next run."""
@@ -95,11 +105,13 @@
     :ivar cell_ms: time of the cell.
     :ivar ahead_ms: how far the time of day is ahead of that.
     :ivar mechanisms: parts of the decision that take part.
+    :ivar expected: how long tasks are expected to take.
     """
 
     cell_ms: Millis
     ahead_ms: Millis
     mechanisms: Mechanisms
+    expected: Expectations
 
 
 def waiting_units(
@@ -110,6 +122,7 @@
     aside: frozenset[JobId],
     ahead_ms: Millis = 0,
     mechanisms: Mechanisms = ALL,
+    expected: Expectations | None = None,
 ) -> list[Waiting]:
     """List the units that could start now, first things first.
 
@@ -120,9 +133,12 @@
     :param aside: jobs that are left out; they stay to be decided on.
     :param ahead_ms: how far the time of day is ahead of that.
     :param mechanisms: parts of the decision that take part.
+    :param expected: how long tasks are expected to take; by what the cell has
+        learned without.
     :returns: the units in the order in which they are served.
     """
-    now = _Now(now_ms, ahead_ms, mechanisms)
+    expected = expected or Expectations(cell.state)
+    now = _Now(now_ms, ahead_ms, mechanisms, expected)
     promised = promised_teams(cell, catalogue, guard)
     found: list[Waiting] = []
     for job in cell.dirty_jobs():
@@ -205,13 +221,14 @@
 ) -> Iterator[Waiting]:
     terms = terms_now(job, catalogue)
     queue = catalogue.queue_named(job.spec.queue)
-    chain = max(chain_ms(job.spec.steps), MIN_CHAIN_MS)
+    chain = max(now.expected.chain_ms(job.spec), MIN_CHAIN_MS)
     objective = terms.slack * chain + terms.objective_ms
     for number in job.ready_steps(occurrence):
         step = job.spec.steps[number]
+        lasts_ms = now.expected.step_ms(job.spec, number)
         tier = IN_TIME
-        if now.mechanisms.in_time_first:
-            tier = _tier(step, now.cell_ms, due, objective)
+        if now.mechanisms.in_time_first and not step.lasting:
+            tier = _tier(now.cell_ms + lasts_ms - due, objective)
         for unit_id in _startable_units(job, occurrence, number, now):
             yield Waiting(
                 unit_id,
@@ -224,18 +241,14 @@
                 tier,
                 terms.priority == 0 and job.spec.team in promised,
                 queue is not None and queue.advice is not None,
+                lasts_ms,
             )
 
 
-def _tier(
-    step: StepSpec, now_ms: Millis, due_ms: Millis, objective_ms: float
-) -> int:
-    if step.lasting:
-        return IN_TIME
-    ends_ms = now_ms + step.estimate_ms - due_ms
-    if ends_ms <= objective_ms:
+def _tier(takes_ms: Millis, objective_ms: float) -> int:
+    if takes_ms <= objective_ms:
         return IN_TIME
-    return LATE if ends_ms <= LATE_FACTOR * objective_ms else LOST
+    return LATE if takes_ms <= LATE_FACTOR * objective_ms else LOST
 
 
 def promised_teams(
--- a/packages/engine/swifthoist_engine/records.py
+++ b/packages/engine/swifthoist_engine/records.py
@@ -139,6 +139,22 @@
     at_ms: Millis
 
 
+class Belated(NamedTuple):
+    """Ends of a runner that follow may have been listed long before.
+
+    The holder was not looking meanwhile, be it for an outage, the runner's
+    silence or a takeover; so they tell no durations.
+
+    :ivar epoch: epoch of the holder.
+    :ivar runner: the runner.
+    :ivar number: number of the newest of them at that runner.
+    """
+
+    epoch: Epoch
+    runner: RunnerId
+    number: int
+
+
 class Vanished(NamedTuple):
     """A run is certainly not on its runner, and will not be.
 
@@ -240,6 +256,7 @@
     | Beat
     | Started
     | Ended
+    | Belated
     | Vanished
     | RunnerMet
     | RunnerDescribed
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -11,7 +11,7 @@
 
 from swifthoist_core.types import Millis
 from swifthoist_engine.jobs import OpenRun
-from swifthoist_engine.records import Ending, Record, Vanished
+from swifthoist_engine.records import Belated, Ending, Record, Vanished
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView, Standing
 from swifthoist_instance.anomalies import Anomalies
@@ -40,6 +40,10 @@
 """The same while filling tasks run, whose pace follows figures of the last
 half second."""
 
+UNWATCHED_MS = 400
+"""An end that comes while no look waits for it for longer than this, in ms, may
+have been listed for so long."""
+
 UNRECORDED_S = 0.25
 """Pause between looks while the store takes no records, in seconds."""
 
@@ -65,6 +69,7 @@
         self._running: dict[RunKey, RunningTask] = {}
         self._saved: dict[RunKey, str] = {}
         self._view: RunnerView | None = None
+        self._watched_ms: Millis | None = None
         self._anomalies = Anomalies(self._shared, contact.runner)
 
     @property
@@ -226,6 +231,7 @@
     async def _take_in(
         self, look: Look, orders: Orders, sent_ms: Millis
     ) -> None:
+        answered_ms = self._shared.clock.boot_ms()
         self._running = {(row.task, row.run): row for row in look.running}
         self._note_saved()
         seen = self._shared.cell.seen_of(self.contact.runner)
@@ -234,11 +240,17 @@
         records: list[Record] = [
             ended(self._shared, self.contact.runner, end) for end in ends
         ]
+        if ends and _looked_away(self._watched_ms, sent_ms):
+            number = max(end.number for end in ends)
+            about = (self._shared.epoch, self.contact.runner, number)
+            records.insert(0, Belated(*about))
+        self._watched_ms = None
         if look.whole:
             records.extend(self._missing(look, orders, sent_ms))
         if not await record_all(self._shared, records):
             await anyio.sleep(UNRECORDED_S)
             return
+        self._watched_ms = answered_ms
         for end, began_ms in zip(ends, began, strict=True):
             self._note_end(end, began_ms, orders)
         if look.whole:
@@ -291,6 +303,11 @@
     return 0 if run is None else run.started_ms
 
 
+def _looked_away(watched_ms: Millis | None, sent_ms: Millis) -> bool:
+    """Tell whether ends may have been listed long before a look."""
+    return watched_ms is None or sent_ms - watched_ms > UNWATCHED_MS
+
+
 def _there(look: Look) -> set[RunKey]:
     """List the runs that a look shows, running or ended."""
     running = {(row.task, row.run) for row in look.running}
--- /dev/null
+++ b/tests/engine/test_durations.py
@@ -0,0 +1,404 @@
+"""What is learned of how long tasks take, and what decisions make of it."""
+
+import random
+import unittest
+from itertools import repeat
+from unittest.mock import patch
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bench.load import DHUAN
+from bench.site_play import Play
+from swifthoist_engine.cell import Cell, CellState
+from swifthoist_engine.durations import (
+    AGE_MS,
+    MOST_QUEUES,
+    MOST_SHAPES,
+    TASKS_OF_STEP,
+    WEIGHT,
+    Durations,
+    QueueKey,
+)
+from swifthoist_engine.expectations import KNOWN_RUNS, Expectations
+from swifthoist_engine.jobs import Job, OpenRun
+from swifthoist_engine.mechanisms import ALL
+from swifthoist_engine.model import JobSpec, StepSpec, TaskId, UnitId
+from swifthoist_engine.past_runs import PastRun, RunnerFacts
+from swifthoist_engine.planner import Decision, World, decide
+from swifthoist_engine.records import (
+    Belated,
+    Ended,
+    Ending,
+    RunnerDescribed,
+    Submitted,
+)
+from swifthoist_engine.snapshots import (
+    HEAD_KEY,
+    encode_head,
+    restore,
+    take_snapshot,
+)
+from swifthoist_engine.speeds import Speeds
+from tests.engine.scenes import (
+    BATCH,
+    BULK,
+    KEEP_MS,
+    NOW_MS,
+    Scene,
+    gang,
+    job_spec,
+    places,
+    task,
+    view,
+)
+
+SPEEDS = Speeds()
+NEAR = RunnerFacts(rack='rack-0')
+FAR = RunnerFacts(rack='rack-1')
+
+
+def spec_of(step: StepSpec, name: str = 'j', queue: str = 'bulk') -> JobSpec:
+    """Make a job of one step."""
+    return job_spec(name, BULK, step)._replace(queue=queue)
+
+
+def past(
+    took_ms: int,
+    step: StepSpec,
+    ending: Ending = Ending.DONE,
+    queue: str = 'bulk',
+    **changes: object,
+) -> PastRun:
+    """Make a run that is over."""
+    run = OpenRun(TaskId('j', 0, 0, 0), 1, 'r', 1, NOW_MS)
+    members = step.width if step.gang else 1
+    found = PastRun(
+        Job(spec_of(step, queue=queue)),
+        step,
+        run,
+        ending,
+        NOW_MS + took_ms,
+        NEAR,
+        (run,) * members,
+        (NEAR,) * members,
+    )
+    return found._replace(**changes)
+
+
+def learned(*runs: PastRun) -> Durations:
+    """Learn from some runs."""
+    durations = Durations()
+    for run in runs:
+        durations.note(run, SPEEDS)
+    return durations
+
+
+def expecting(durations: Durations) -> Expectations:
+    """Expect by what was learned, with one run in the cell."""
+    state = CellState()
+    state.experience.durations = durations
+    state.jobs['j'] = Job(spec_of(task()))
+    return Expectations(state)
+
+
+def run_since(began_ms: int) -> OpenRun:
+    """Make a run of that job."""
+    return OpenRun(TaskId('j', 0, 0, 0), 1, 'r', 1, began_ms)
+
+
+class LineTest(unittest.TestCase):
+    """Declared against observed durations."""
+
+    def test_the_declared_one_is_told_where_nothing_is_known(self) -> None:
+        """Exactly, and never 0."""
+        durations = learned(past(500, task(), Ending.STOPPED))
+        self.assertEqual(durations.typical_ms('bulk', task()), 1_000)
+        undeclared = task(estimate_ms=0)
+        self.assertGreater(durations.typical_ms('bulk', undeclared), 0)
+
+    def test_declared_durations_that_hold_go_on_counting(self) -> None:
+        """Over two orders of magnitude."""
+        rng = random.Random(1)
+        lengths = [rng.randrange(500, 50_000) for _ in range(100)]
+        durations = learned(
+            *(
+                past(int(it * rng.uniform(0.8, 1.25)), task(estimate_ms=it))
+                for it in lengths
+            )
+        )
+        for declared in (700, 5_000, 40_000):
+            step = task(estimate_ms=declared)
+            share = durations.typical_ms('bulk', step) / declared
+            self.assertAlmostEqual(share, 1, delta=0.15)
+
+    def test_what_is_always_off_by_the_same_is_set_right(self) -> None:
+        """Ten times too little is declared, whatever the duration."""
+        rng = random.Random(1)
+        lengths = [rng.randrange(500, 50_000) for _ in range(100)]
+        durations = learned(
+            *(past(10 * it, task(estimate_ms=it)) for it in lengths)
+        )
+        for declared in (1_000, 20_000):
+            step = task(estimate_ms=declared)
+            share = durations.typical_ms('bulk', step) / declared
+            self.assertAlmostEqual(share, 10, delta=2)
+
+    def test_declared_durations_that_tell_nothing_stop_counting(self) -> None:
+        """Tasks of 2 to 3 s, declared as 0.4 to 15 s."""
+        rng = random.Random(1)
+        durations = learned(
+            *(
+                past(
+                    rng.randrange(2_000, 3_000),
+                    task(estimate_ms=int(2_500 * 6 ** rng.uniform(-1, 1))),
+                )
+                for _ in range(100)
+            )
+        )
+        for declared in (500, 2_000, 12_000):
+            typical_ms = durations.typical_ms(
+                'bulk', task(estimate_ms=declared)
+            )
+            self.assertGreater(typical_ms, 1_800)
+            self.assertLess(typical_ms, 3_400)
+
+    def test_a_few_runs_outweigh_little_of_what_is_declared(self) -> None:
+        """The prior counts as five runs."""
+        durations = learned(past(4_000, task()))
+        self.assertLess(durations.typical_ms('bulk', task()), 1_400)
+
+    def test_shapes_of_a_queue_may_differ(self) -> None:
+        """Wide gangs take three times what is declared, tasks what is."""
+        wide = gang(16)
+        runs = [past(1_000, task()), past(3_000, wide)]
+        durations = learned(*(40 * runs))
+        self.assertLess(durations.typical_ms('bulk', task()), 1_500)
+        self.assertGreater(durations.typical_ms('bulk', wide), 2_100)
+
+    def test_a_change_is_learned(self) -> None:
+        """Within some hundred runs, and with time alone if nothing comes."""
+        durations = learned(*(1_000 * [past(4_000, task())]))
+        for _ in range(400):
+            durations.note(past(1_000, task()), SPEEDS)
+        self.assertLess(durations.typical_ms('bulk', task()), 1_600)
+        later = past(4_000, task(), at_ms=NOW_MS + 200 * AGE_MS)
+        durations.note(later._replace(ending=Ending.STOPPED), SPEEDS)
+        self.assertEqual(durations.typical_ms('bulk', task()), 1_000)
+
+    def test_a_run_counts_as_on_a_usual_runner(self) -> None:
+        """A gang by its slowest one."""
+        with patch.object(Speeds, 'factor', lambda _, it: 1 + 2 * (it == FAR)):
+            durations = Durations()
+            step = gang(2, same_rack=False)
+            run = past(3_000, step, gang_facts=(NEAR, FAR))
+            for _ in range(50):
+                durations.note(run, Speeds())
+        self.assertAlmostEqual(
+            durations.typical_ms('bulk', step), 1_000, delta=30
+        )
+
+
+class TellingTest(unittest.TestCase):
+    """Which ends count as durations."""
+
+    def test_only_runs_that_were_done_from_the_beginning_count(self) -> None:
+        """In time, near their data, on one rack."""
+        near = task(data_rack='rack-0')
+        resumed = run_since(NOW_MS)
+        resumed.checkpoint = 'saved'
+        cases = (
+            past(9_000, task(), run=resumed),
+            past(9_000, task(), Ending.FAILED),
+            past(9_000, task(), timely=False),
+            past(9_000, task(lasting=True)),
+            past(9_000, task(filling=True)),
+            past(9_000, near, gang_facts=(FAR,)),
+            past(9_000, gang(2), gang_facts=(NEAR, FAR)),
+            past(9_000, gang(3), gang=(run_since(0),)),
+        )
+        for run in cases:
+            with self.subTest(run=run):
+                self.assertEqual(learned(run).queues, {})
+
+    def test_stops_count_as_at_least_so_long(self) -> None:
+        """Not as durations, also where most runs are stopped early."""
+        stopped = past(300, task(), Ending.STOPPED)
+        runs = [*repeat(stopped, 9), past(3_000, task())]
+        durations = learned(*(40 * runs))
+        self.assertGreater(durations.typical_ms('bulk', task()), 2_500)
+
+    def test_a_wide_job_counts_as_some_runs(self) -> None:
+        """A thousand tasks of one caller."""
+        step = task(count=1_000)
+        durations = learned(
+            *(past(9_000, step, run=_member(it)) for it in range(1_000))
+        )
+        weight = durations.queues[QueueKey('bulk', declared=True)].weight
+        self.assertEqual(weight, TASKS_OF_STEP * WEIGHT)
+
+    def test_ends_that_were_read_late_tell_no_duration(self) -> None:
+        """The ones after them do again."""
+        scene = Scene(spec_of(task(count=3)))
+        for ordinal in range(3):
+            scene.start(UnitId('j', 0, 0, ordinal), 'r')
+        scene.fold(Belated(1, 'r', 2))
+        for ordinal in range(3):
+            scene.end(TaskId('j', 0, 0, ordinal), 'r', Ending.DONE)
+        experience = scene.cell.state.experience
+        weights = [it.weight for it in experience.durations.queues.values()]
+        self.assertEqual(weights, [WEIGHT])
+
+
+def _member(ordinal: int) -> OpenRun:
+    return OpenRun(TaskId('j', 0, 0, ordinal), 1, 'r', 1, NOW_MS)
+
+
+class PoisonTest(unittest.TestCase):
+    """What callers can do to others."""
+
+    @settings(max_examples=100, deadline=None)
+    @given(st.lists(st.integers(0, 10**12), min_size=1, max_size=5))
+    def test_absurd_declarations_hardly_move_those_of_others(
+        self, absurd: list[int]
+    ) -> None:
+        """Five of them among a hundred that hold."""
+        rng = random.Random(2)
+        runs = [
+            past(it, task(estimate_ms=it))
+            for it in (rng.randrange(500, 8_000) for _ in range(100))
+        ]
+        for number, declared in enumerate(absurd):
+            runs.insert(20 * number, past(2_000, task(estimate_ms=declared)))
+        durations = learned(*runs)
+        for declared in (700, 2_000, 6_000):
+            step = task(estimate_ms=declared)
+            share = durations.typical_ms('bulk', step) / declared
+            self.assertLess(max(share, 1 / share), 1.6)
+
+    def test_ten_thousand_queues_and_shapes_take_bounded_room(self) -> None:
+        """What is much used stays known."""
+        used = past(3_000, task(), queue='used')
+        durations = learned(*(30 * [used]))
+        before = durations.typical_ms('used', task())
+        for number in range(10_000):
+            step = task(count=2 ** (number % 20))
+            name = f'queue-{number}'
+            durations.note(past(1_000, step, queue=name), SPEEDS)
+        self.assertLessEqual(len(durations.queues), MOST_QUEUES)
+        self.assertLessEqual(len(durations.shapes), MOST_SHAPES)
+        self.assertEqual(durations.typical_ms('used', task()), before)
+
+    @settings(max_examples=50, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 10**15),
+                st.integers(0, 10**15),
+                st.sampled_from(tuple(Ending)),
+                st.integers(0, 10**6),
+            ),
+            max_size=40,
+        )
+    )
+    def test_whatever_ran_the_figures_stay_sane(
+        self, runs: list[tuple[int, int, Ending, int]]
+    ) -> None:
+        """Above 0, and a rest for every age."""
+        durations = Durations()
+        for took_ms, declared, ending, wait in runs:
+            run = past(took_ms, task(estimate_ms=declared), ending)
+            durations.note(run._replace(at_ms=run.at_ms + wait), SPEEDS)
+        expected = expecting(durations)
+        self.assertGreater(expected.step_ms(spec_of(task()), 0), 0)
+        for ran_ms in (0, 900, 7_000, 10**9):
+            left_ms = expected.left_ms(run_since(NOW_MS - ran_ms), NOW_MS)
+            self.assertGreaterEqual(left_ms, 0)
+
+
+class RestTest(unittest.TestCase):
+    """How long runs go on."""
+
+    def test_without_knowledge_it_is_the_declared_rest(self) -> None:
+        """And a share of the age for those that are overdue."""
+        expected = expecting(Durations())
+        for ran_ms, left_ms in ((0, 1_000), (400, 600), (7_000, 2_100)):
+            run = run_since(NOW_MS - ran_ms)
+            self.assertEqual(expected.left_ms(run, NOW_MS), left_ms)
+
+    def test_a_run_at_seven_times_the_usual_goes_on_for_long(self) -> None:
+        """Three in a hundred take ten times as long; at first it is near."""
+        runs = [*repeat(past(1_000, task()), 29), past(10_000, task())]
+        expected = expecting(learned(*(10 * runs)))
+        young = expected.left_ms(run_since(NOW_MS - 100), NOW_MS)
+        self.assertLess(young, 1_200)
+        old = expected.left_ms(run_since(NOW_MS - 4_000), NOW_MS)
+        self.assertGreater(old, 4_000)
+
+    def test_little_is_not_taken_for_knowledge(self) -> None:
+        """Some runs have to have gone on beyond the age."""
+        late = past(9_000, task())
+        runs = [*(20 * [past(1_000, task())]), *((KNOWN_RUNS - 1) * [late])]
+        expected = expecting(learned(*runs))
+        left_ms = expected.left_ms(run_since(NOW_MS - 4_000), NOW_MS)
+        self.assertEqual(left_ms, 1_200)
+
+
+class DecisionTest(unittest.TestCase):
+    """What decisions make of it."""
+
+    def test_one_that_takes_over_decides_the_same(self) -> None:
+        """From a snapshot, and from the log."""
+        scene = Scene(*(spec_of(task(count=8), f'j{it}') for it in range(6)))
+        scene.fold(RunnerDescribed(1, 'runner-0', 'm', 'rack-0', 'z', '', 0))
+        for number in range(4):
+            for ordinal in range(8):
+                unit = UnitId(f'j{number}', 0, 0, ordinal)
+                scene.start(unit, 'runner-0')
+                numbers = (len(scene.cell.state.account.spans) + 1,)
+                scene.fold(
+                    Ended(
+                        1, 'runner-0', *numbers, TaskId(*unit), 1,
+                        Ending.DONE, '', NOW_MS + 700 * (number + 1),
+                    )
+                )  # fmt: skip
+        scene.fold(Submitted(job_spec('b', BATCH, task(count=3))))
+        state = scene.cell.state
+        snapshot = take_snapshot(state, 1, 0, 1_000_000)
+        restored = restore(
+            {**snapshot.chunks, HEAD_KEY: encode_head(snapshot.head)}
+        )
+        assert restored is not None
+        self.assertTrue(state.experience.durations.queues)
+        self.assertEqual(restored.state.experience, state.experience)
+        views = [view(0), view(1)]
+        before = scene.decide(views, now_ms=NOW_MS + 4_000)
+        scene.cell = Cell(KEEP_MS, restored.state)
+        self.assertEqual(scene.decide(views, now_ms=NOW_MS + 4_000), before)
+        self.assertTrue(places(before))
+
+    def test_decisions_are_the_same_where_nothing_was_learned(self) -> None:
+        """All starts and stops of a play, with the part and without it."""
+        with patch.object(Durations, 'note'):
+            told = _starts_and_stops(observed=True)
+        self.assertEqual(told, _starts_and_stops(observed=False))
+        self.assertGreater(len(told), 100)
+
+
+def _starts_and_stops(*, observed: bool) -> list[tuple[object, ...]]:
+    """Play a load, and note each decision."""
+    found: list[tuple[object, ...]] = []
+
+    def noting(world: World, epoch: int) -> Decision:
+        decision = decide(world, epoch)
+        stops = [(it.run.task, it.run.run) for it in decision.stops]
+        found.append((world.now_ms, decision.starts, stops))
+        return decision
+
+    mechanisms = ALL._replace(observed_durations=observed)
+    Play(DHUAN, noting, 3, 8, mechanisms=mechanisms).run()
+    return found
+
+
+if __name__ == '__main__':
+    unittest.main()
