--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -17,7 +17,6 @@
 from swifthoist_engine.occupancy import Occupancy
 from swifthoist_engine.planner import Decision, World
 from swifthoist_engine.records import (
-    Beat,
     Claimed,
     Ended,
     Ending,
@@ -193,7 +192,6 @@
             )  # fmt: skip
 
     def _decide(self) -> None:
-        self._cell.fold(Beat(1, int(self._now)))
         world = World(
             self._cell,
             self._catalogue,
--- a/packages/engine/swifthoist_engine/mechanisms.py
+++ b/packages/engine/swifthoist_engine/mechanisms.py
@@ -17,6 +17,7 @@
     :ivar sound_attempts: scarce attempts are spent on sound runners only.
     :ivar retry_pause: a unit pauses before it starts again.
     :ivar speeds: gangs get runners of like speed, urgent units the fast ones.
+    :ivar observed_durations: durations are expected as they were observed.
     """
 
     in_time_first: bool = True
@@ -30,6 +31,7 @@
     sound_attempts: bool = True
     retry_pause: bool = True
     speeds: bool = True
+    observed_durations: bool = True
 
 
 ALL = Mechanisms()
--- a/packages/engine/swifthoist_engine/speed_match.py
+++ b/packages/engine/swifthoist_engine/speed_match.py
@@ -8,12 +8,11 @@
 """
 
 from swifthoist_core.types import Millis
-from swifthoist_engine.cell import CellState
 from swifthoist_engine.fleet import Fleet
 from swifthoist_engine.mechanisms import Mechanisms
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.runners import RunnerView
-from swifthoist_engine.speeds import USUAL
+from swifthoist_engine.speeds import USUAL, Speeds
 
 ANY = None
 """No class is too slow."""
@@ -25,19 +24,19 @@
     def __init__(
         self,
         fleet: Fleet,
-        state: CellState,
+        speeds: Speeds,
         now_ms: Millis,
         mechanisms: Mechanisms,
     ) -> None:
         """Look at the classes that there are.
 
         :param fleet: the runners.
-        :param state: state of the cell, with what runs have told.
+        :param speeds: what runs have told.
         :param now_ms: time of the cell.
         :param mechanisms: parts of the decision that take part.
         """
         self._classes = fleet.speeds if mechanisms.speeds else ()
-        self._state = state
+        self._factors = speeds.factors
         self._now_ms = now_ms
 
     @property
@@ -73,16 +72,8 @@
     def _slowest_in_time(self, waiting: Waiting) -> int | None:
         """Find the slowest class on which a unit meets its objective."""
         left_ms = waiting.deadline_ms - self._now_ms
-        job = self._state.jobs.get(waiting.unit.job)
-        if job is None:
-            return ANY
-        experience = self._state.experience
-        typical_ms = experience.durations.typical_ms(
-            job.spec.queue, waiting.step
-        )
-        factors = experience.speeds.factors
         for speed in self._classes:
-            if typical_ms * factors.get(speed, 1) <= left_ms:
+            if waiting.lasts_ms * self._factors.get(speed, 1) <= left_ms:
                 return speed
         return ANY
 
--- a/tests/engine/test_speeds.py
+++ b/tests/engine/test_speeds.py
@@ -11,6 +11,7 @@
 from swifthoist_engine.past_runs import PastRun, RunnerFacts
 from swifthoist_engine.records import (
     Beat,
+    Belated,
     Claimed,
     Ended,
     Ending,
@@ -323,13 +324,14 @@
         self.assertEqual(learned.speed(facts(0)), FASTER)
         self.assertEqual(learned.speed(facts(1)), USUAL)
 
-    def test_an_end_noted_after_a_pause_is_no_slow_run(self) -> None:
+    def test_a_belated_end_is_no_slow_run(self) -> None:
         cell = self.begin()
         unit = TaskId('j', 0, 0, 0)
         cell.fold(Submitted(job_spec('j', BULK, task())))
         placed = (Placement(0, 'runner-0'),)
         cell.fold(Started(1, unit, 1, '', placed, NOW_MS))
         cell.fold(Claimed(2, 'other', NOW_MS + 9_000))
+        cell.fold(Belated(2, 'runner-0', 1))
         done = Ending.DONE
         cell.fold(Ended(2, 'runner-0', 1, unit, 1, done, '', NOW_MS + 9_500))
         self.assertEqual(cell.state.experience.speeds, Speeds())
