--- a/bench/load.py
+++ b/bench/load.py
@@ -7,6 +7,9 @@
 
 from swifthoist_engine.model import JobSpec, QueueTerms, Resources, StepSpec
 
+DRAWN_OUT = 7
+"""How many times as much work some jobs have as others of their kind."""
+
 
 class Kind(NamedTuple):
     """A kind of job.
@@ -30,6 +33,8 @@
     :ivar misjudged: standard deviation of the logarithm of a declared
         duration's error.
     :ivar hopeless: share of its jobs of which every run fails.
+    :ivar understated: its work, as a multiple of the middle of what is declared.
+    :ivar drawn_out: share of its jobs whose work is :data:`DRAWN_OUT` as much.
     """
 
     queue: str
@@ -50,6 +55,8 @@
     fails: float
     misjudged: float = 0.7
     hopeless: float = 0
+    understated: float = 1
+    drawn_out: float = 0
 
 
 class Spell(NamedTuple):
@@ -176,6 +183,36 @@
 )  # fmt: skip
 
 
+UNEVEN = SiteLoad(
+    'uneven',
+    Resources(64_000, 131_072, 8),
+    (
+        Kind('batch', 0.725, 3, 0.9, 9_400, 0.3, 13, 78, 26_000, 38_000,
+             _LARGE, 1, 0.6, 0.45, QueueTerms(1, 2, 3, 1_000, 'pool'), 0.005,
+             0.2, 0.03),
+        Kind('urgent', 3.87, 4, 0.8, 2_100, 0.5, 5, 32, 7_500, 11_000,
+             _LARGE, 1, 0.8, 0, QueueTerms(0, 3, 1.5, 250, 'pool'), 0.02, 0.5),
+        Kind('bulk', 0.897, 1, 0.3, 6_500, 0.3, 39, 230, 5_600, 15_000,
+             (1,), 0, 0, 0.45, QueueTerms(2, 4, 3, 3_000, 'pool'), 0.02, 0.2,
+             0.03),
+    ),
+    Ground(22, 8, (1.8, 0.83, 0.83, 0.83), 1_000, 100, 900, Spell(0.085, 6_500),
+           Spell(0, 0), Spell(0, 0), teams=10),
+)  # fmt: skip
+"""A quarter of the runners is over twice as fast as the others."""
+
+LYING = SiteLoad(
+    'lying',
+    DHUAN.room,
+    tuple(
+        kind._replace(misjudged=1, understated=1.5, drawn_out=0.03)
+        for kind in DHUAN.kinds
+    ),
+    DHUAN.ground,
+)
+"""The same, and declared durations tell little of what a job takes."""
+
+
 class Arrival(NamedTuple):
     """A job and what only the runners know of it.
 
@@ -232,6 +269,9 @@
     accelerators = rng.choice(kind.accelerators)
     gang = width > 1 and rng.random() < kind.gang
     estimate_ms = work_ms * math.exp(rng.gauss(0, kind.misjudged))
+    estimate_ms /= kind.understated
+    if kind.drawn_out and rng.random() < kind.drawn_out:
+        work_ms *= DRAWN_OUT
     step = StepSpec(
         width,
         Resources(kind.cpu, kind.memory, accelerators),
