--- a/tests/engine/test_durations.py
+++ b/tests/engine/test_durations.py
@@ -379,7 +379,7 @@
 
     def test_decisions_are_the_same_where_nothing_was_learned(self) -> None:
         """All starts and stops of a play, with the part and without it."""
-        with patch.object(Durations, 'note'):
+        with patch.object(Durations, 'note'), patch.object(Speeds, 'note'):
             told = _starts_and_stops(observed=True)
             self.assertEqual(told, _starts_and_stops(observed=False))
         self.assertGreater(len(told), 100)
