--- a/soak/play.py
+++ b/soak/play.py
@@ -9,14 +9,14 @@
 from anyio.abc import TaskGroup
 
 from soak.proxy import Proxy
-from soak.strikes import STRIKES, Strikes, revive
+from soak.strikes import LONGEST_S, STRIKES, Strikes, revive
 from soak.weather import Weather
 from swifthoist_core.clock import SystemClock
 from swifthoist_emulator.callers import Order
 from swifthoist_emulator.faults import NO_FAULT
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.serving import ServedWorld
-from swifthoist_emulator.site import STANDARD
+from swifthoist_emulator.site import EVACUATE_MS, STANDARD
 from swifthoist_emulator.stage import Stage, open_stage
 from swifthoist_instance.application import agent_of
 
@@ -29,6 +29,9 @@
 
 CANCEL_SHARE = 0.15
 
+EVACUATE_S = EVACUATE_MS / 1_000
+"""Time within which an evacuated zone gets no more work, in seconds."""
+
 NARROW_BYTES_S = 50_000.0
 """Width of the link of the last instance, in bytes a second: the log of a soak
 takes it seconds."""
@@ -62,6 +65,8 @@
         :param instances: number of instances.
         """
         self._rng = random.Random(seed)
+        # What it draws leaves the draws of known seeds as they are.
+        self._operator = random.Random(seed)
         self._seconds = seconds
         self._instances = instances
         self._weather = Weather(seed)
@@ -101,6 +106,7 @@
         with anyio.move_on_after(self._seconds):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._keep_calling, stage, tasks)
+                tasks.start_soon(self._keep_evacuating)
                 while True:
                     await anyio.sleep(self._rng.uniform(0, FAULT_S))
                     strike = self._rng.choice(STRIKES)
@@ -112,6 +118,16 @@
             tasks.start_soon(self._order, stage)
             await anyio.sleep(self._rng.uniform(0, 2 * ORDER_S))
 
+    async def _keep_evacuating(self) -> None:
+        """Evacuate one zone after the other; they come back cold."""
+        rng = self._operator
+        while True:
+            await anyio.sleep(rng.uniform(0, EVACUATE_S))
+            zone = rng.choice(STANDARD.zones)
+            self._world.evacuate(zone)
+            await anyio.sleep(rng.uniform(EVACUATE_S, 2 * EVACUATE_S))
+            self._world.take_back(zone, rng.uniform(0, LONGEST_S))
+
     async def _order(self, stage: Stage) -> None:
         prefix, steps, width = self._rng.choice(
             (
@@ -138,6 +154,8 @@
             setattr(self._world.faults, fault, NO_FAULT)
         for host in self._world.fleet.hosts.values():
             host.draining = False
+        for zone in STANDARD.zones:
+            self._world.take_back(zone)
         for instance in stage.instances:
             revive(instance)
         kept = [it for it in self._accepted if it.job not in self._touched]
