Ends that explain a failure are dropped last, and a lost run names why it was stopped

Now ends by stop and of other members go first, the first word on a job nearly last, and the reason of a stop stands beside whatever the run came to. The lines of gangs say how long ago their first member told it, and make losses goes by that.

--- a/experiments/lines.py
+++ b/experiments/lines.py
@@ -7,6 +7,8 @@
 
 JSON_MARK = '{"time"'
 
+MS_PER_S = 1_000
+
 Line: TypeAlias = dict[str, Any]
 
 
@@ -49,7 +51,8 @@
     step = moment.line['task'].removesuffix('*')
     for ordinal, runner in runners.items():
         own = {'task': f'{step}{ordinal}', 'runner': runner}
-        yield Moment(moment.at_s, {**moment.line, **own})
+        at_s = moment.at_s - moment.line.get('ago_ms', 0) / MS_PER_S
+        yield Moment(at_s, {**moment.line, **own})
 
 
 def _seconds(line: Line) -> float:
--- a/packages/instance/swifthoist_instance/job_lines.py
+++ b/packages/instance/swifthoist_instance/job_lines.py
@@ -121,10 +121,11 @@
     }
     if attempt.members > 1:
         about['members'] = attempt.members
-    reason = attempt.reason
-    if attempt.ending == Ending.STOPPED:
-        unit = job.unit_of(attempt.task_of(job.job))
-        reason = reasons.get((unit, attempt.run), UNKNOWN_REASON)
-    if reason:
-        about['reason'] = reason
+    if attempt.reason:
+        about['reason'] = attempt.reason
+    unit = job.unit_of(attempt.task_of(job.job))
+    stopped = UNKNOWN_REASON if attempt.ending == Ending.STOPPED else ''
+    stopped = reasons.get((unit, attempt.run), stopped)
+    if stopped:
+        about['stopped_for'] = stopped
     return about
--- a/packages/instance/swifthoist_instance/jsonlogs.py
+++ b/packages/instance/swifthoist_instance/jsonlogs.py
@@ -28,21 +28,22 @@
 
 DROPPED = 'lines dropped'
 ENDED = 'ended'
-ENDED_DONE = 'ended done'
-"""Kind of the ends that explain no failure."""
+_ROUTINE_ENDS = frozenset(('done', 'stopped', 'broken'))
+"""Ends that explain no failure: lines of their own say what stopped or broke
+those runs."""
 
 _SHARES = {
     'pace': 0.25,
-    'recorded': 0.5,
     'start': 0.5,
-    ENDED_DONE: 0.5,
+    'ended done': 0.5,
+    'ended stopped': 0.6,
+    'ended broken': 0.6,
     'start unanswered': 0.6,
     'stop unanswered': 0.6,
     'pace unanswered': 0.6,
     'stop': 0.75,
-    'refused': 0.75,
-    ENDED: 0.9,
-    'vanished': 0.9,
+    'recorded': 0.9,
+    'refused': 0.9,
 }
 """Which share of a second's lines must be left for one of a kind; kinds that
 are not listed take all. What explains failures is dropped last."""
@@ -145,11 +146,12 @@
     """Tell the kind of a line, by which lines are dropped and counted.
 
     :param record: what to log.
-    :returns: its message; ends of runs that were done have a kind of their own.
+    :returns: its message; of ends that explain no failure also how they ended.
     """
     message = record.getMessage()
-    done = getattr(record, 'ending', '') == 'done'
-    return ENDED_DONE if message == ENDED and done else message
+    ending = getattr(record, 'ending', '')
+    routine = message == ENDED and ending in _ROUTINE_ENDS
+    return f'{message} {ending}' if routine else message
 
 
 def set_up_logs(instance: InstanceId, zone: ZoneId) -> BoundedHandler:
--- a/packages/instance/swifthoist_instance/run_lines.py
+++ b/packages/instance/swifthoist_instance/run_lines.py
@@ -128,7 +128,11 @@
     def _write(self, key: _Key) -> None:
         gathered = self._gathered.pop(key)
         # The first part of the key is the message.
-        about = {**gathered.about, 'runners': gathered.runners}
+        about = {
+            **gathered.about,
+            'runners': gathered.runners,
+            'ago_ms': self._clock.boot_ms() - gathered.since_ms,
+        }
         _log.info(str(key[0]), extra=about)
 
 
--- a/tests/simulation/test_job_lines.py
+++ b/tests/simulation/test_job_lines.py
@@ -62,7 +62,7 @@
             line = told[0]
             self.assertEqual(line['outcome'], 'canceled')
             self.assertEqual(line['ends'], {'stopped': 3})
-            reasons = {it['reason'] for it in line['lost']}
+            reasons = {it['stopped_for'] for it in line['lost']}
             self.assertEqual(reasons, {'job is canceled'})
 
         with patch.object(job_lines, '_log') as log:
