--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -14,7 +14,8 @@
 
 from swifthoist_core.types import Epoch, InstanceId, JobId, Millis, RunnerId
 from swifthoist_engine.account import Account
-from swifthoist_engine.endings import conclude, note_end
+from swifthoist_engine.breakers import Breakers
+from swifthoist_engine.endings import conclude, late_run, note_end
 from swifthoist_engine.experience import Experience
 from swifthoist_engine.histories import VANISHED
 from swifthoist_engine.jobs import Job, JobState, OpenRun, runs_of
@@ -22,7 +23,6 @@
 from swifthoist_engine.past_runs import RunnerFacts, past_run
 from swifthoist_engine.records import (
     Beat,
-    Belated,
     Canceled,
     Claimed,
     Ended,
@@ -81,11 +81,17 @@
     facts: dict[RunnerId, RunnerFacts] = field(default_factory=dict)
     experience: Experience = field(default_factory=Experience)
 
+    @property
+    def breakers(self) -> Breakers:
+        """What speaks against each runner."""
+        return self.experience.breakers
+
     def pass_time(self, at_ms: Millis) -> None:
         """Note a time that a holder noted.
 
         :param at_ms: the time.
         """
+        self.breakers.note_pause(self.time_ms, at_ms)
         self.time_ms = max(self.time_ms, at_ms)
 
     def change_holder(
@@ -244,8 +250,6 @@
                 self._start(record)
             case Ended():
                 self._end(record)
-            case Belated():
-                self.state.experience.belated[record.runner] = record.number
             case Vanished():
                 self._vanish(record)
             case RunnerMet():
@@ -253,16 +257,18 @@
             case RunnerDescribed():
                 self.state.facts[record.runner] = RunnerFacts(*record[2:])
             case RunnerGone():
+                self.state.experience.forget(record.runner)
                 self.state.seen.pop(record.runner, None)
                 self.state.addresses.pop(record.runner, None)
                 self.state.facts.pop(record.runner, None)
-                self.state.experience.belated.pop(record.runner, None)
             case UpkeepBegun(_, wave, machine, runner):
                 begun = self.state.upkeeps.setdefault(wave, {})
                 begun.setdefault(machine, runner)
             case WaveDone():
                 self.state.upkeeps.pop(record.wave, None)
                 self.state.waves_done.add(record.wave)
+            case _:
+                self.state.experience.take_in(record)
 
     def _forget_finished(self) -> None:
         limit = self.state.time_ms - self._keep_ms
@@ -296,8 +302,7 @@
             # An earlier run that was given up had ended as done.
             return
         if unit.open or record.run <= unit.last_run:
-            # A decision that was made again, since it was not known whether
-            # the first one is on the log: that one holds.
+            # Decided again, unsure of the first one's record: that one holds.
             return
         first = not job.started
         job.started = True
@@ -331,7 +336,7 @@
         at_ms = self.state.time_ms
         if job.final and not was_final:
             self.finished.append(job.job)
-        over = run or _late_run(record, at_ms)
+        over = run or late_run(record, at_ms)
         job.note_over(over, record.ending.value, at_ms)
         account = self.state.account
         if run is not None:
@@ -379,11 +384,6 @@
     learned.note(past)
 
 
-def _late_run(record: Ended, at_ms: Millis) -> OpenRun:
-    """Stand for a run that was given up before its end was read."""
-    return OpenRun(record.task, record.run, record.runner, record.epoch, at_ms)
-
-
 def count_waiting(state: CellState, queue: str) -> int:
     """Count the accepted jobs of a queue of which no task has started.
 
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 
 from swifthoist_core.clock import Clock
-from swifthoist_core.types import InstanceId, Millis
+from swifthoist_core.types import InstanceId, Millis, RunnerId
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.evacuation import ZoneLine, zone_lines
 from swifthoist_engine.model import SiteTerms
@@ -170,6 +170,7 @@
         metrics.watch('epoch', lambda: self._follower.cell.state.epoch)
         metrics.watch('faults', lambda: self.faults.count)
         metrics.watch('set_aside', lambda: len(self._aside))
+        metrics.watch('runners_doubted', self._count_doubted)
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
         metrics.watch('decision_ms', lambda: turns.decision_ms)
@@ -270,9 +271,17 @@
             'evacuated': [line._asdict() for line in self._zone_lines()],
             'cold': dict(self._cold_zones.runners),
             'set_aside': len(self._aside),
+            'runners_doubted': self._doubted(),
             'faults': self.faults.describe(),
         }
 
+    def _doubted(self) -> list[RunnerId]:
+        cell = self._follower.cell
+        return cell.state.breakers.doubted(cell.state.time_ms)
+
+    def _count_doubted(self) -> int:
+        return len(self._doubted())
+
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
