--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -3,7 +3,7 @@
 import logging
 import os
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, NamedTuple
 
 import anyio
@@ -12,6 +12,7 @@
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import InstanceId, Millis
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.duration_lines import DurationLine, duration_lines
 from swifthoist_engine.model import SiteTerms
 from swifthoist_instance.api import Api
 from swifthoist_instance.configuration import Configuration
@@ -161,6 +162,7 @@
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
         metrics.watch('decision_ms', lambda: turns.decision_ms)
+        metrics.watch_durations(self._duration_lines)
         self._phase = Phase()
         api = Api(
             self._configuration,
@@ -249,8 +251,13 @@
             'leaving': self._phase.leaving,
             'set_aside': len(self._aside),
             'faults': self.faults.describe(),
+            'durations': [it._asdict() for it in self._duration_lines()],
         }
 
+    def _duration_lines(self) -> Iterator[DurationLine]:
+        experience = self._follower.cell.state.experience
+        return duration_lines(experience.durations)
+
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
--- a/packages/instance/swifthoist_instance/metrics.py
+++ b/packages/instance/swifthoist_instance/metrics.py
@@ -1,10 +1,12 @@
 """Metrics: counts for Prometheus, latencies in HDR histograms."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
+from swifthoist_engine.duration_lines import DurationLine
+
 MAX_MS = 60_000
 _DIGITS = 2
 _QUANTILES = (50.0, 90.0, 99.0, 99.9)
@@ -34,6 +36,13 @@
             ('figure',),
             registry=self._registry,
         )
+        self._durations = Gauge(
+            'swifthoist_durations',
+            'What was learned of durations, by queue and figure',
+            ('queue', 'declared', 'figure'),
+            registry=self._registry,
+        )
+        self._read_durations: Callable[[], Iterable[DurationLine]] = tuple
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count_call(self, method: str, status: int, took_ms: float) -> None:
@@ -58,6 +67,15 @@
         """
         self._state.labels(figure).set_function(read)
 
+    def watch_durations(
+        self, read: Callable[[], Iterable[DurationLine]]
+    ) -> None:
+        """Expose what was learned of durations.
+
+        :param read: reads it.
+        """
+        self._read_durations = read
+
     def expose(self) -> bytes:
         """Write all metrics.
 
@@ -68,5 +86,11 @@
                 latency = histogram.get_value_at_percentile(quantile)
                 share = f'{quantile / 100:g}'
                 self._latency.labels(method, share).set(latency)
+        self._durations.clear()
+        for line in self._read_durations():
+            declared = 'yes' if line.declared else 'no'
+            for figure in ('runs', 'usual_ms', 'ratio', 'followed'):
+                gauge = self._durations.labels(line.queue, declared, figure)
+                gauge.set(getattr(line, figure))
         exposed: bytes = generate_latest(self._registry)
         return exposed
