--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -21,6 +21,7 @@
     Doubt,
     Ended,
     Ending,
+    RunnerDescribed,
     RunnerDoubted,
     Started,
     Submitted,
@@ -134,6 +135,9 @@
             self._rng.choice(ground.speeds) for _ in range(ground.runners)
         ]
         span = self.seconds * 1_000
+        for number in range(ground.runners):
+            name, rack = _name(number), f'rack-{self._rack(number)}'
+            self._cell.fold(RunnerDescribed(1, name, name, rack, 'z', '', 0))
         self._grey = self._spells(ground.failing, span)
         self._hangs = self._spells(ground.hanging, span)
         self._slow = self._spells(ground.slow, span)
@@ -193,9 +197,11 @@
                 continue
             rack = f'rack-{self._rack(number)}'
             name = _name(number)
+            state = self._cell.state
+            speed = state.experience.speeds.speed(state.facts[name])
             yield RunnerView(
                 name, 'pool', self.site.room, frozenset((rack,)), rack, 'z',
-                suspicion=breakers.suspicion(name, now),
+                suspicion=breakers.suspicion(name, now), speed=speed,
                 trials=breakers.trials(name, now, self._cell.runs_on(name)),
             )  # fmt: skip
 
--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -18,7 +18,7 @@
 from swifthoist_engine.endings import conclude, late_run, note_end
 from swifthoist_engine.experience import Experience
 from swifthoist_engine.histories import VANISHED
-from swifthoist_engine.jobs import Job, JobState, OpenRun
+from swifthoist_engine.jobs import Job, JobState, OpenRun, runs_of
 from swifthoist_engine.model import TaskId
 from swifthoist_engine.past_runs import RunnerFacts, past_run
 from swifthoist_engine.records import (
@@ -30,7 +30,6 @@
     Record,
     Released,
     RunnerDescribed,
-    RunnerDoubted,
     RunnerGone,
     RunnerMet,
     Started,
@@ -92,7 +91,6 @@
 
         :param at_ms: the time.
         """
-        self.breakers.note_pause(self.time_ms, at_ms)
         self.time_ms = max(self.time_ms, at_ms)
 
     def change_holder(
@@ -257,19 +255,19 @@
                 self.state.addresses[record.runner] = record.address
             case RunnerDescribed():
                 self.state.facts[record.runner] = RunnerFacts(*record[2:])
-            case RunnerDoubted():
-                self.state.breakers.note_doubt(record)
             case RunnerGone():
-                self.state.breakers.forget(record.runner)
                 self.state.seen.pop(record.runner, None)
                 self.state.addresses.pop(record.runner, None)
                 self.state.facts.pop(record.runner, None)
+                self.state.experience.forget(record.runner)
             case UpkeepBegun(_, wave, machine, runner):
                 begun = self.state.upkeeps.setdefault(wave, {})
                 begun.setdefault(machine, runner)
             case WaveDone():
                 self.state.upkeeps.pop(record.wave, None)
                 self.state.waves_done.add(record.wave)
+            case _:
+                self.state.experience.note_said(record)
 
     def _forget_finished(self) -> None:
         limit = self.state.time_ms - self._keep_ms
@@ -308,7 +306,7 @@
         first = not job.started
         job.started = True
         unit.last_run = record.run
-        unit.open = _open_runs(record)
+        unit.open = runs_of(record)
         for run in unit.open.values():
             self.runs.add(run, need)
             self.runs.note_fresh(run)
@@ -345,8 +343,7 @@
         if job.final and not was_final:
             account.add_finish(job, job.state)
         if run is not None:
-            past = past_run(self.state.facts, job, run, record, gang, at_ms)
-            self.state.experience.note(past)
+            _learn(self.state, job, run, record, gang)
 
     def _vanish(self, record: Vanished) -> None:
         run = self._close(record.task, record.run)
@@ -372,18 +369,18 @@
         return run
 
 
-def _open_runs(record: Started) -> dict[int, OpenRun]:
-    return {
-        placed.ordinal: OpenRun(
-            TaskId(*record.unit[:3], placed.ordinal),
-            record.run,
-            placed.runner,
-            record.epoch,
-            record.at_ms,
-            record.checkpoint,
-        )
-        for placed in record.placements
-    }
+def _learn(
+    state: CellState,
+    job: Job,
+    run: OpenRun,
+    record: Ended,
+    gang: tuple[OpenRun, ...],
+) -> None:
+    """Learn from a run that is over."""
+    learned = state.experience
+    belated = learned.belated.get(record.runner, 0)
+    past = past_run(state.facts, job, run, record, gang, state.time_ms, belated)
+    learned.note(past)
 
 
 def count_waiting(state: CellState, queue: str) -> int:
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -5,19 +5,21 @@
 one rack as long as some rack could hold it.
 """
 
-from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from itertools import starmap
 from typing import NamedTuple
 
 from swifthoist_core.types import Millis, RackId, RunnerId
 from swifthoist_engine.board import Board, StepKey
+from swifthoist_engine.coldness import Coldness
 from swifthoist_engine.fleet import Candidates, Shape, shape_of
 from swifthoist_engine.mechanisms import ALL, Mechanisms
 from swifthoist_engine.model import USUAL_TERMS, SiteTerms
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.records import Placement
 from swifthoist_engine.runners import RunnerView
+from swifthoist_engine.speed_match import ANY, SpeedMatch
+from swifthoist_engine.trials import NO_LIMIT, Trials, attempts_left
 
 PROMISED_RACK_SHARE = 2 / 3
 """Share of the time within which a guarantee is to be met that a unit covered by
@@ -25,7 +27,7 @@
 
 URGENT_RACK_PATIENCE = 3.5
 """How long another urgent unit waits for one rack, as a multiple of its
-declared duration: started later, it would be worth nothing on one rack, and
+expected duration: started later, it would be worth nothing on one rack, and
 on several it is late in any case."""
 
 NOTICE_FACTOR = 1.2
@@ -37,21 +39,16 @@
 """How long a unit waits for sound runners where there are too few of them, in ms:
 less than the 3 s after which a job counts as standing still."""
 
-FEW_ATTEMPTS = 2
-"""A task with so many attempts left is not spent on a trial: if it fails there,
-one more fault of its own would fail its job."""
-
-NO_LIMIT = 1_000_000
-"""Attempts of a unit that may fail as often as it likes."""
-
 
 class _Rank(NamedTuple):
     """What speaks against a runner, the weightiest first."""
 
     doubts: int
+    cold: bool
     far: bool
     crowd: int
     rack_free: int
+    speed: int
     accelerators: int
     memory: int
     runner: RunnerId
@@ -91,8 +88,11 @@
         self._mechanisms = mechanisms
         self._now_ms = now_ms
         self._allowed = allowed
-        self._tries = mechanisms.breaker and board.fleet.tries_some
-        self._tried: Counter[RunnerId] = Counter()
+        self._trials = Trials(board.fleet, minded=mechanisms.breaker)
+        self._coldness = Coldness(board, now_ms, minded=mechanisms.warm_first)
+        self._match = SpeedMatch(
+            board.fleet, board.cell.state.experience.speeds, now_ms, mechanisms
+        )
 
     def place(self, waiting: Waiting) -> tuple[Placement, ...] | None:
         """Choose a runner for each task of a unit, and take the room.
@@ -100,7 +100,8 @@
         :param waiting: the unit.
         :returns: the choice; none when it has to wait.
         """
-        for names in self._choices(waiting, roomy=True):
+        floors = self._match.floors(waiting)
+        for names in self._choices(waiting, floors, roomy=True):
             placed = self._fill(waiting, names)
             if placed is not None:
                 return placed
@@ -112,51 +113,74 @@
         :param waiting: the unit.
         :returns: groups of runners that may run its tasks.
         """
-        return self._choices(waiting, roomy=False)
+        return list(self._choices(waiting, (ANY,), roomy=False))
 
     def eligible(self, waiting: Waiting) -> Candidates:
         """List the runners that may run a task of a unit now.
 
-        Those against which too much speaks are left out, unless the others
-        could not hold the unit even if they were empty, for a while.
+        Those against which too much speaks are left out, and cold ones where
+        it can't bear a slow start, unless the others could not hold the unit
+        even if they were empty, for a while.
 
         :param waiting: the unit.
         :returns: the runners, whatever room they have.
         """
+        found = self._sound(waiting)
+        waited_ms = waiting.waited_ms(self._now_ms)
+        return self._coldness.choose(waiting, found, waited_ms)
+
+    def _sound(self, waiting: Waiting) -> Candidates:
+        """List the runners against which not too much speaks."""
         shape = shape_of(waiting)
         left = NO_LIMIT
         if self._mechanisms.sound_attempts:
             left = attempts_left(waiting)
-        wary = self._tries and not can_afford_trial(waiting)
+        wary = self._trials.barred(waiting)
         if self._fleet.most_doubted < left and not wary:
             return self._able(waiting, shape)
         sound = self._fleet.sound(shape, left, untried=wary)
         sound = self._allow(waiting, sound)
-        if self._waited_ms(waiting) <= DOUBT_PATIENCE_MS:
+        if waiting.waited_ms(self._now_ms) <= DOUBT_PATIENCE_MS:
             return sound
         enough = sound.could_hold(waiting.members)
         return sound if enough else self._able(waiting, shape)
 
     def _choices(
-        self, waiting: Waiting, *, roomy: bool
-    ) -> list[Sequence[RunnerId]]:
+        self,
+        waiting: Waiting,
+        floors: Sequence[int | None],
+        *,
+        roomy: bool,
+    ) -> Iterator[Sequence[RunnerId]]:
         """List groups of runners; only those that may have room, if asked."""
         found = self.eligible(waiting)
-        step = waiting.step
-        if step.gang and step.same_rack and waiting.members > 1:
-            racks = self._rank_racks(waiting, found, roomy=roomy)
-            groups: list[Sequence[RunnerId]] = [
-                found.racks[rack] for rack in racks
-            ]
-            if self._patience_over(waiting) or not self._has_rack(waiting):
-                groups.append(found.names)
-            return groups
-        if not step.data_rack:
-            return [found.names]
-        near = found.racks.get(step.data_rack, [])
-        if near and not self._patience_over(waiting):
-            return [near]
-        return [near, found.names]
+        levels = [found.at_least(floor) for floor in floors]
+        yield from self._near(waiting, levels, roomy=roomy)
+        if self._may_be_far(waiting, found):
+            yield from (level.names for level in levels)
+
+    def _near(
+        self, waiting: Waiting, levels: Sequence[Candidates], *, roomy: bool
+    ) -> Iterator[Sequence[RunnerId]]:
+        """List the groups on one rack, for units that are slower elsewhere."""
+        data_rack = waiting.step.data_rack
+        for level in levels:
+            if _tied(waiting):
+                racks = self._rank_racks(waiting, level, roomy=roomy)
+                yield from (level.racks[rack] for rack in racks)
+            elif data_rack:
+                yield level.racks.get(data_rack, [])
+
+    def _may_be_far(self, waiting: Waiting, found: Candidates) -> bool:
+        """Tell whether a unit may be where it takes longer, if it can."""
+        if _tied(waiting):
+            return self._patience_over(waiting) or not self._has_rack(waiting)
+        data_rack = waiting.step.data_rack
+        return (
+            not data_rack
+            or data_rack not in found.racks
+            or self._patience_over(waiting)
+        )
 
     def _able(self, waiting: Waiting, shape: Shape) -> Candidates:
         """List the runners that could run a task of a unit at all."""
@@ -169,22 +193,16 @@
         step = waiting.unit[:3]
         return found.only(self._allowed.get(step, frozenset()))
 
-    def _waited_ms(self, waiting: Waiting) -> Millis:
-        since = waiting.due_ms
-        if waiting.state is not None:
-            since = max(since, waiting.state.idle_since_ms)
-        return self._now_ms - since
-
     def _patience_over(self, waiting: Waiting) -> bool:
         if not self._mechanisms.rack_patience:
             return True
         # Far away it takes so much longer; then it would have been worth it.
-        patience = (self._terms.far_factor - 1) * waiting.step.estimate_ms
+        patience = (self._terms.far_factor - 1) * waiting.lasts_ms
         if waiting.promised:
             patience = PROMISED_RACK_SHARE * self._terms.reclaim_ms
         elif waiting.urgent:
-            patience = URGENT_RACK_PATIENCE * waiting.step.estimate_ms
-        return self._waited_ms(waiting) > patience
+            patience = URGENT_RACK_PATIENCE * waiting.lasts_ms
+        return waiting.waited_ms(self._now_ms) > patience
 
     def _has_rack(self, waiting: Waiting) -> bool:
         """Tell whether some rack could hold a unit, if all of it were sound."""
@@ -228,7 +246,7 @@
             ):
                 self.board.put(waiting, name)
                 taken.append(name)
-                self._tried[name] += 1
+                self._trials.note(name)
         if len(taken) < waiting.members:
             self.board.take_back(waiting, taken)
             return None
@@ -248,22 +266,15 @@
             held = sum(free[name].accelerators // least for name in roomy)
             if held < waiting.members:
                 return []
+        may_add = self._coldness.may_add
         return [
             name
             for name in roomy
             if board.fits(waiting, name)
-            and (not self._tries or self._may_try(waiting, name))
+            and may_add(waiting, name)
+            and self._trials.may_add(waiting, name)
         ]
 
-    def _may_try(self, waiting: Waiting, name: RunnerId) -> bool:
-        """Tell whether one more task may go to a runner that is on trial."""
-        trials = self.board.views[name].trials
-        if trials is None or not can_afford_trial(waiting):
-            # Units that can't afford it come here where the others can't hold
-            # them.
-            return True
-        return self._tried[name] < trials
-
     def _doubts(self, view: RunnerView) -> int:
         return view.suspicion if self._mechanisms.evidence else 0
 
@@ -278,35 +289,20 @@
         )
         return _Rank(
             self._doubts(view) + failed,
+            self._coldness.minds(name),
             far,
             self.board.crowd(waiting, name),
             self.board.room.rack_free[view.rack]
             if self._mechanisms.packing
             else 0,
+            self._match.rank(waiting, view),
             free.accelerators if self._mechanisms.packing else 0,
             free.memory,
             name,
         )
 
 
-def can_afford_trial(waiting: Waiting) -> bool:
-    """Tell whether a task may find out whether a runner works.
-
-    :param waiting: the unit.
-    :returns: whether it is a task by itself, not urgent, with attempts left.
-    """
-    if waiting.urgent or waiting.step.gang:
-        return False
-    return attempts_left(waiting) > FEW_ATTEMPTS
-
-
-def attempts_left(waiting: Waiting) -> int:
-    """Tell how many runs of a unit may still fail, its next one among them.
-
-    :param waiting: the unit.
-    :returns: the number; a unit that lasts has no end of them.
-    """
-    failures = 0 if waiting.state is None else waiting.state.failures
-    if waiting.step.lasting:
-        return NO_LIMIT
-    return waiting.terms.max_attempts - failures
+def _tied(waiting: Waiting) -> bool:
+    """Tell whether a unit is a gang that is slow across racks."""
+    step = waiting.step
+    return step.gang and step.same_rack and waiting.members > 1
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -12,9 +12,12 @@
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import InstanceId, Millis, RunnerId
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.evacuation import ZoneLine, zone_lines
 from swifthoist_engine.model import SiteTerms
 from swifthoist_instance.api import Api
+from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Aside, Faults
 from swifthoist_instance.follower import GATHER_S, Follower
 from swifthoist_instance.holding import Holding
@@ -117,7 +120,13 @@
             self._open_store(), self._life, clock, boot.link_bytes_s
         )
         self._configuration = Configuration(
-            self._open_store(), clock, self._revocation_ms
+            self._open_store(), clock, self._change_ms
+        )
+        self._cold_zones = ColdZones()
+        zones = ZoneGate(
+            self._configuration.requests,
+            lambda: self._configuration.age_ms,
+            lambda: settings.boot.bounds.evacuation_ms,
         )
         self.tenure = Tenure(
             self._life, self._follower, self._journal, clock, boot.cores
@@ -140,6 +149,8 @@
                 self._aside,
                 self._site_terms,
                 turns,
+                zones,
+                self._cold_zones,
             )
         )
         intake = Intake(
@@ -163,6 +174,14 @@
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
         metrics.watch('decision_ms', lambda: turns.decision_ms)
+        metrics.watch(
+            'zones_evacuated', lambda: len(self._configuration.requests.since)
+        )
+        metrics.watch(
+            'runs_in_evacuated_zones',
+            lambda: sum(line.runs for line in self._zone_lines()),
+        )
+        metrics.watch('cold_runners', lambda: self._cold_zones.runners.total())
         self._phase = Phase()
         api = Api(
             self._configuration,
@@ -249,6 +268,8 @@
             'jobs': len(state.jobs),
             'runs': len(self._follower.cell.runs.all()),
             'leaving': self._phase.leaving,
+            'evacuated': [line._asdict() for line in self._zone_lines()],
+            'cold': dict(self._cold_zones.runners),
             'set_aside': len(self._aside),
             'runners_doubted': self._doubted(),
             'faults': self.faults.describe(),
@@ -264,6 +285,15 @@
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
+    def _change_ms(self) -> Millis:
+        bounds = self._settings.boot.bounds
+        evacuation_ms = bounds.evacuation_ms or bounds.revocation_ms
+        return min(bounds.revocation_ms, evacuation_ms)
+
+    def _zone_lines(self) -> tuple[ZoneLine, ...]:
+        since = self._configuration.requests.since
+        return zone_lines(self._follower.cell, since)
+
     def _site_terms(self) -> SiteTerms:
         bounds = self._settings.boot.bounds
         return SiteTerms(
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -86,6 +86,7 @@
             Standstill(),
             parts.clock,
             wake,
+            parts.zones,
             RunLines(parts.follower.cell, parts.clock),
             anyio.Event(),
         )
@@ -109,6 +110,7 @@
             self._policies,
             parts.aside,
             parts.terms,
+            parts.cold_zones,
         )
 
     async def run(self) -> None:
--- a/packages/instance/swifthoist_instance/shared.py
+++ b/packages/instance/swifthoist_instance/shared.py
@@ -10,6 +10,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.records import Record
 from swifthoist_engine.standstill import Standstill
+from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.run_lines import RunLines
@@ -28,6 +29,7 @@
     :ivar standstill: since when runs use no processor.
     :ivar clock: tells the time.
     :ivar wake: wakes the planner.
+    :ivar zones: tells in which zones work may be started.
     :ivar lines: writes what happens to runs.
     :ivar over: set for good once the tenure was not in force at any time.
     """
@@ -40,6 +42,7 @@
     standstill: Standstill
     clock: Clock
     wake: Signal
+    zones: ZoneGate
     lines: RunLines
     over: anyio.Event
 
