--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -201,8 +201,7 @@
             speed = state.experience.speeds.speed(state.facts[name])
             yield RunnerView(
                 name, 'pool', self.site.room, frozenset((rack,)), rack, 'z',
-                suspicion=breakers.suspicion(name, now),
-                speed=speed,
+                suspicion=breakers.suspicion(name, now), speed=speed,
                 trials=breakers.trials(name, now, self._cell.runs_on(name)),
             )  # fmt: skip
 
--- a/packages/engine/swifthoist_engine/breakers.py
+++ b/packages/engine/swifthoist_engine/breakers.py
@@ -41,13 +41,9 @@
 """A job that failed on so many runners, and of which nothing was done, is held to
 be at fault itself: fewer could be runners of one bad spell."""
 
-LATE_GAP_MS = 3_000
-"""A pause of the log from which on ends behind it count as of its beginning, in
-ms: longer than a takeover, so the store was away."""
-
-LATE_ENDS_MS = 1_500
-"""How long ends behind such a pause may be old ones, in ms: all runners are
-looked at within that."""
+RECENT_MS = 3_000
+"""Where an end was read late, it counts only if its run began within this time
+before, in ms: less than a quarter of the time for which it speaks."""
 
 MOST_JOBS = 1_000
 """Most jobs whose failures are remembered; the oldest are forgotten."""
@@ -86,15 +82,11 @@
     :ivar strikes: what spoke against each runner since its last success.
     :ivar struck: runners on which each job failed; no more than matter.
     :ivar sound: jobs that failed, and of which some task was done.
-    :ivar gap_from_ms: when the newest long pause of the log began.
-    :ivar gap_to_ms: when it ended.
     """
 
     strikes: dict[RunnerId, list[Strike]] = field(default_factory=dict)
     struck: dict[JobId, list[RunnerId]] = field(default_factory=dict)
     sound: dict[JobId, bool] = field(default_factory=dict)
-    gap_from_ms: Millis = 0
-    gap_to_ms: Millis = 0
 
     def note(self, past: PastRun) -> None:
         """Learn from a run that is over.
@@ -104,7 +96,7 @@
         match past.ending:
             case Ending.DONE:
                 self._note_done(past)
-            case Ending.FAILED:
+            case Ending.FAILED if past.timely or past.ran_ms < RECENT_MS:
                 self._note(past.run.runner, Strike(past.job.job, past.at_ms, 1))
             case _:
                 return
@@ -117,18 +109,6 @@
         weight = WEIGHTS[record.doubt]
         self._note(record.runner, Strike(record.job, record.at_ms, weight))
 
-    def note_pause(self, from_ms: Millis, to_ms: Millis) -> None:
-        """Note a time in which nothing was recorded.
-
-        Ends that are read behind an outage may be as old as its beginning.
-
-        :param from_ms: its beginning.
-        :param to_ms: its end.
-        """
-        if from_ms and to_ms - from_ms > LATE_GAP_MS:
-            self.gap_from_ms = from_ms
-            self.gap_to_ms = to_ms
-
     def forget(self, runner: RunnerId) -> None:
         """Forget a runner that is gone.
 
@@ -209,8 +189,6 @@
                 self.strikes[run.runner] = left
 
     def _note(self, runner: RunnerId, strike: Strike) -> None:
-        if self.gap_to_ms and strike.at_ms - self.gap_to_ms < LATE_ENDS_MS:
-            strike = strike._replace(at_ms=self.gap_from_ms)
         strikes = self.strikes.setdefault(runner, [])
         strikes.append(strike)
         del strikes[:-MOST_STRIKES]
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -5,7 +5,6 @@
 one rack as long as some rack could hold it.
 """
 
-from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from itertools import starmap
 from typing import NamedTuple
@@ -18,7 +17,9 @@
 from swifthoist_engine.model import USUAL_TERMS, SiteTerms
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.records import Placement
+from swifthoist_engine.runners import RunnerView
 from swifthoist_engine.speed_match import ANY, SpeedMatch
+from swifthoist_engine.trials import NO_LIMIT, Trials, attempts_left
 
 PROMISED_RACK_SHARE = 2 / 3
 """Share of the time within which a guarantee is to be met that a unit covered by
@@ -38,13 +39,6 @@
 """How long a unit waits for sound runners where there are too few of them, in ms:
 less than the 3 s after which a job counts as standing still."""
 
-FEW_ATTEMPTS = 2
-"""A task with so many attempts left is not spent on a trial: if it fails there,
-one more fault of its own would fail its job."""
-
-NO_LIMIT = 1_000_000
-"""Attempts of a unit that may fail as often as it likes."""
-
 
 class _Rank(NamedTuple):
     """What speaks against a runner, the weightiest first."""
@@ -94,12 +88,11 @@
         self._mechanisms = mechanisms
         self._now_ms = now_ms
         self._allowed = allowed
+        self._trials = Trials(board.fleet, minded=mechanisms.breaker)
         self._coldness = Coldness(board, now_ms, minded=mechanisms.warm_first)
         self._match = SpeedMatch(
             board.fleet, board.cell.state.experience.speeds, now_ms, mechanisms
         )
-        self._tries = mechanisms.breaker and board.fleet.tries_some
-        self._tried: Counter[RunnerId] = Counter()
 
     def place(self, waiting: Waiting) -> tuple[Placement, ...] | None:
         """Choose a runner for each task of a unit, and take the room.
@@ -142,7 +135,7 @@
         left = NO_LIMIT
         if self._mechanisms.sound_attempts:
             left = attempts_left(waiting)
-        wary = self._tries and not can_afford_trial(waiting)
+        wary = self._trials.barred(waiting)
         if self._fleet.most_doubted < left and not wary:
             return self._able(waiting, shape)
         sound = self._fleet.sound(shape, left, untried=wary)
@@ -253,7 +246,7 @@
             ):
                 self.board.put(waiting, name)
                 taken.append(name)
-                self._tried[name] += 1
+                self._trials.note(name)
         if len(taken) < waiting.members:
             self.board.take_back(waiting, taken)
             return None
@@ -279,21 +272,14 @@
             for name in roomy
             if board.fits(waiting, name)
             and may_add(waiting, name)
-            and (not self._tries or self._may_try(waiting, name))
+            and self._trials.may_add(waiting, name)
         ]
 
-    def _may_try(self, waiting: Waiting, name: RunnerId) -> bool:
-        """Tell whether one more task may go to a runner that is on trial."""
-        trials = self.board.views[name].trials
-        if trials is None or not can_afford_trial(waiting):
-            # Units that can't afford it come here where the others can't hold
-            # them.
-            return True
-        return self._tried[name] < trials
+    def _doubts(self, view: RunnerView) -> int:
+        return view.suspicion if self._mechanisms.evidence else 0
 
     def _rank(self, waiting: Waiting, name: RunnerId) -> '_Rank':
         view = self.board.views[name]
-        doubts = view.suspicion if self._mechanisms.evidence else 0
         failed = 0
         if waiting.state is not None:
             failed = waiting.state.failed_on.count(name)
@@ -302,7 +288,7 @@
             view.rack != waiting.step.data_rack
         )
         return _Rank(
-            doubts + failed,
+            self._doubts(view) + failed,
             self._coldness.minds(name),
             far,
             self.board.crowd(waiting, name),
@@ -320,26 +306,3 @@
     """Tell whether a unit is a gang that is slow across racks."""
     step = waiting.step
     return step.gang and step.same_rack and waiting.members > 1
-
-
-def can_afford_trial(waiting: Waiting) -> bool:
-    """Tell whether a task may find out whether a runner works.
-
-    :param waiting: the unit.
-    :returns: whether it is a task by itself, not urgent, with attempts left.
-    """
-    if waiting.urgent or waiting.step.gang:
-        return False
-    return attempts_left(waiting) > FEW_ATTEMPTS
-
-
-def attempts_left(waiting: Waiting) -> int:
-    """Tell how many runs of a unit may still fail, its next one among them.
-
-    :param waiting: the unit.
-    :returns: the number; a unit that lasts has no end of them.
-    """
-    failures = 0 if waiting.state is None else waiting.state.failures
-    if waiting.step.lasting:
-        return NO_LIMIT
-    return waiting.terms.max_attempts - failures
--- a/packages/instance/swifthoist_instance/job_lines.py
+++ b/packages/instance/swifthoist_instance/job_lines.py
@@ -126,6 +126,6 @@
     unit = job.unit_of(attempt.task_of(job.job))
     stopped = UNKNOWN_REASON if attempt.ending == Ending.STOPPED else ''
     stopped = reasons.get((unit, attempt.run), stopped)
-    if stopped:
+    if stopped and attempt.ending != Ending.FAILED:
         about['stopped_for'] = stopped
     return about
