Free room of runners that get no work is no room for urgent jobs

Cause: the room that tasks by themselves leave to urgent gangs was compared with what is free on all runners, also those of an evacuated zone and those that drain. With a zone evacuated the room left was none where it counts, and urgent jobs had to stop what had just begun. The test fails without the change (seen).

leaving_runs, which lists runs on draining runners, no longer has a name that now stands for something else.

--- a/packages/engine/swifthoist_engine/occupancy.py
+++ b/packages/engine/swifthoist_engine/occupancy.py
@@ -52,8 +52,8 @@
 
     :ivar free: free room by runner; negative where it was taken ahead of a
         stop.
-    :ivar rack_free: free accelerators by rack.
-    :ivar accelerators: free accelerators on all runners.
+    :ivar rack_free: free accelerators by rack, on runners that take work.
+    :ivar accelerators: free accelerators on all runners that take work.
     """
 
     def __init__(self) -> None:
@@ -178,9 +178,13 @@
     def _count(self, runs: RunIndex, runners: Iterable[RunnerId]) -> None:
         for runner in runners:
             view = self.fleet.views.get(runner)
-            if view is not None:
-                free = view.room.minus(runs.used_on(runner))
+            if view is None:
+                continue
+            free = view.room.minus(runs.used_on(runner))
+            if view.takes_work:
                 self._room.put(runner, view.rack, free)
+            else:
+                self._room.free[runner] = free
 
 
 def occupancy_of(cell: Cell, views: tuple[RunnerView, ...]) -> Occupancy:
--- a/packages/engine/swifthoist_engine/planner.py
+++ b/packages/engine/swifthoist_engine/planner.py
@@ -133,7 +133,7 @@
     guard = Guard()
     stops = (
         *unwanted_runs(world.cell, world.now_ms, guard),
-        *evacuated_runs(world, guard),
+        *leaving_runs(world, guard),
     )
     units = waiting_units(
         world.cell,
@@ -318,7 +318,7 @@
                     yield from (Stop(run, reason) for run in unit.open.values())
 
 
-def evacuated_runs(world: World, guard: Guard) -> Iterator[Stop]:
+def leaving_runs(world: World, guard: Guard) -> Iterator[Stop]:
     """List the runs that leave a draining runner with their progress.
 
     A checkpoint is listed with the end of a stop, but goes with the runner.
--- a/packages/engine/swifthoist_engine/runners.py
+++ b/packages/engine/swifthoist_engine/runners.py
@@ -36,6 +36,11 @@
     cold: bool = False
     speed: int = 0
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether more may be started on it."""
+        return self.open and self.leaving_ms is None
+
 
 class Standing(NamedTuple):
     """What the holder thinks of a runner beside what it tells of itself.
--- a/tests/engine/test_evacuation.py
+++ b/tests/engine/test_evacuation.py
@@ -10,7 +10,7 @@
 )
 from swifthoist_engine.model import UnitId
 from swifthoist_engine.past_runs import RunnerFacts
-from swifthoist_engine.records import RunnerDescribed
+from swifthoist_engine.records import Canceled, RunnerDescribed
 from tests.engine.scenes import (
     BULK,
     NOW_MS,
@@ -86,6 +86,22 @@
         decision = scene.decide([view(0, 0, open=False), view(1, 1)])
         self.assertEqual(list(places(decision).values()), [['runner-1']])
 
+    def test_free_room_of_an_evacuated_zone_is_no_room_for_urgent_jobs(
+        self,
+    ) -> None:
+        """It was counted, so tasks took what urgent jobs would ask for."""
+        urgent = gang(10, task().need._replace(accelerators=8))
+        need = task().need._replace(accelerators=4)
+        scene = Scene(
+            job_spec('asked', URGENT, urgent), job_spec('j', BULK, task(need))
+        )
+        scene.fold(Canceled('asked', NOW_MS))
+        for closed in ({'open': False}, {'leaving_ms': 3_000}):
+            with self.subTest(closed=closed):
+                runners = [view(0), view(1, 1)._replace(**closed)]
+                self.assertEqual(scene.decide(runners).starts, ())
+        self.assertEqual(len(scene.decide([view(0), view(1, 1)]).starts), 1)
+
 
 class ReportTest(unittest.TestCase):
     """What operators see."""
