--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -17,11 +17,12 @@
 from swifthoist_engine.endings import conclude, note_end
 from swifthoist_engine.experience import Experience
 from swifthoist_engine.histories import VANISHED
-from swifthoist_engine.jobs import Job, JobState, OpenRun
+from swifthoist_engine.jobs import Job, JobState, OpenRun, runs_of
 from swifthoist_engine.model import TaskId
 from swifthoist_engine.past_runs import RunnerFacts, past_run
 from swifthoist_engine.records import (
     Beat,
+    Belated,
     Canceled,
     Claimed,
     Ended,
@@ -86,7 +87,6 @@
         :param at_ms: the time.
         """
         self.time_ms = max(self.time_ms, at_ms)
-        self.experience.hear(at_ms)
 
     def change_holder(
         self, epoch: Epoch, instance: InstanceId, at_ms: Millis
@@ -244,6 +244,8 @@
                 self._start(record)
             case Ended():
                 self._end(record)
+            case Belated():
+                self.state.experience.belated[record.runner] = record.number
             case Vanished():
                 self._vanish(record)
             case RunnerMet():
@@ -254,6 +256,7 @@
                 self.state.seen.pop(record.runner, None)
                 self.state.addresses.pop(record.runner, None)
                 self.state.facts.pop(record.runner, None)
+                self.state.experience.belated.pop(record.runner, None)
             case UpkeepBegun(_, wave, machine, runner):
                 begun = self.state.upkeeps.setdefault(wave, {})
                 begun.setdefault(machine, runner)
@@ -299,7 +302,7 @@
         first = not job.started
         job.started = True
         unit.last_run = record.run
-        unit.open = _open_runs(record)
+        unit.open = runs_of(record)
         for run in unit.open.values():
             self.runs.add(run, need)
             self.runs.note_fresh(run)
@@ -336,8 +339,7 @@
         if job.final and not was_final:
             account.add_finish(job, job.state)
         if run is not None:
-            past = past_run(self.state.facts, job, run, record, gang, at_ms)
-            self.state.experience.note(past)
+            _learn(self.state, job, run, record, gang)
 
     def _vanish(self, record: Vanished) -> None:
         run = self._close(record.task, record.run)
@@ -363,18 +365,18 @@
         return run
 
 
-def _open_runs(record: Started) -> dict[int, OpenRun]:
-    return {
-        placed.ordinal: OpenRun(
-            TaskId(*record.unit[:3], placed.ordinal),
-            record.run,
-            placed.runner,
-            record.epoch,
-            record.at_ms,
-            record.checkpoint,
-        )
-        for placed in record.placements
-    }
+def _learn(
+    state: CellState,
+    job: Job,
+    run: OpenRun,
+    record: Ended,
+    gang: tuple[OpenRun, ...],
+) -> None:
+    """Learn from a run that is over."""
+    learned = state.experience
+    belated = learned.belated.get(record.runner, 0)
+    past = past_run(state.facts, job, run, record, gang, state.time_ms, belated)
+    learned.note(past)
 
 
 def _late_run(record: Ended, at_ms: Millis) -> OpenRun:
