--- a/packages/engine/swifthoist_engine/experience.py
+++ b/packages/engine/swifthoist_engine/experience.py
@@ -10,6 +10,7 @@
 from swifthoist_engine.breakers import Breakers
 from swifthoist_engine.durations import Durations
 from swifthoist_engine.past_runs import PastRun
+from swifthoist_engine.records import Belated, HeldRecord, RunnerDoubted
 from swifthoist_engine.speeds import Speeds
 
 
@@ -38,3 +39,24 @@
         self.speeds.note(past, typical_ms)
         self.durations.note(past, self.speeds)
         self.breakers.note(past)
+
+    def take_in(self, record: HeldRecord) -> None:
+        """Learn from a record that is no end of a run.
+
+        :param record: the record; those that teach nothing are passed over.
+        """
+        match record:
+            case Belated():
+                self.belated[record.runner] = record.number
+            case RunnerDoubted():
+                self.breakers.note_doubt(record)
+            case _:
+                return
+
+    def forget(self, runner: RunnerId) -> None:
+        """Forget what concerns one life of a runner, since it is gone.
+
+        :param runner: the runner.
+        """
+        self.belated.pop(runner, None)
+        self.breakers.forget(runner)
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -3,15 +3,16 @@
 import logging
 import os
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
 
 from swifthoist_core.clock import Clock
-from swifthoist_core.types import InstanceId, Millis
+from swifthoist_core.types import InstanceId, Millis, RunnerId
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.duration_lines import DurationLine, duration_lines
 from swifthoist_engine.evacuation import ZoneLine, zone_lines
 from swifthoist_engine.model import SiteTerms
 from swifthoist_instance.api import Api
@@ -170,6 +171,7 @@
         metrics.watch('epoch', lambda: self._follower.cell.state.epoch)
         metrics.watch('faults', lambda: self.faults.count)
         metrics.watch('set_aside', lambda: len(self._aside))
+        metrics.watch('runners_doubted', lambda: len(self._doubted()))
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
         metrics.watch('decision_ms', lambda: turns.decision_ms)
@@ -181,6 +183,7 @@
             lambda: sum(line.runs for line in self._zone_lines()),
         )
         metrics.watch('cold_runners', lambda: self._cold_zones.runners.total())
+        metrics.watch_durations(self._duration_lines)
         self._phase = Phase()
         api = Api(
             self._configuration,
@@ -270,9 +273,19 @@
             'evacuated': [line._asdict() for line in self._zone_lines()],
             'cold': dict(self._cold_zones.runners),
             'set_aside': len(self._aside),
+            'runners_doubted': self._doubted(),
             'faults': self.faults.describe(),
+            'durations': [it._asdict() for it in self._duration_lines()],
         }
 
+    def _doubted(self) -> list[RunnerId]:
+        cell = self._follower.cell
+        return cell.state.breakers.doubted(cell.state.time_ms)
+
+    def _duration_lines(self) -> Iterator[DurationLine]:
+        experience = self._follower.cell.state.experience
+        return duration_lines(experience.durations)
+
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -91,17 +91,20 @@
         views: list[RunnerView] = []
         evacuations = self._shared.zones.look()
         now_ms = self._shared.follower.time.now_ms()
+        breakers = self._shared.cell.state.breakers
         for runner, session in self._sessions.items():
             with guard.looking_at(Kind.RUNNER, runner):
                 zone = session.contact.registration.zone
                 allowed = evacuations.gate(zone) is Gate.OPEN
+                runs = self._shared.cell.runs_on(runner)
                 standing = Standing(
                     allowed
                     and self._usable(session)
                     and runner not in cordoned,
-                    self._shared.evidence.suspicion(runner, now_ms),
+                    breakers.suspicion(runner, now_ms),
                     cold=session.contact.cold,
                     speed=self._speed(runner),
+                    trials=breakers.trials(runner, now_ms, runs),
                 )
                 views.append(session.describe(standing))
         return tuple(views)
