--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -14,10 +14,11 @@
 
 from swifthoist_core.types import Epoch, InstanceId, JobId, Millis, RunnerId
 from swifthoist_engine.account import Account
-from swifthoist_engine.endings import conclude, note_end
+from swifthoist_engine.breakers import Breakers
+from swifthoist_engine.endings import conclude, late_run, note_end
 from swifthoist_engine.experience import Experience
 from swifthoist_engine.histories import VANISHED
-from swifthoist_engine.jobs import Job, JobState, OpenRun
+from swifthoist_engine.jobs import Job, JobState, OpenRun, runs_of
 from swifthoist_engine.model import TaskId
 from swifthoist_engine.past_runs import RunnerFacts, past_run
 from swifthoist_engine.records import (
@@ -80,13 +81,18 @@
     facts: dict[RunnerId, RunnerFacts] = field(default_factory=dict)
     experience: Experience = field(default_factory=Experience)
 
+    @property
+    def breakers(self) -> Breakers:
+        """What speaks against each runner."""
+        return self.experience.breakers
+
     def pass_time(self, at_ms: Millis) -> None:
         """Note a time that a holder noted.
 
         :param at_ms: the time.
         """
+        self.breakers.note_pause(self.time_ms, at_ms)
         self.time_ms = max(self.time_ms, at_ms)
-        self.experience.hear(at_ms)
 
     def change_holder(
         self, epoch: Epoch, instance: InstanceId, at_ms: Millis
@@ -251,6 +257,7 @@
             case RunnerDescribed():
                 self.state.facts[record.runner] = RunnerFacts(*record[2:])
             case RunnerGone():
+                self.state.experience.forget(record.runner)
                 self.state.seen.pop(record.runner, None)
                 self.state.addresses.pop(record.runner, None)
                 self.state.facts.pop(record.runner, None)
@@ -260,6 +267,8 @@
             case WaveDone():
                 self.state.upkeeps.pop(record.wave, None)
                 self.state.waves_done.add(record.wave)
+            case _:
+                self.state.experience.take_in(record)
 
     def _forget_finished(self) -> None:
         limit = self.state.time_ms - self._keep_ms
@@ -293,13 +302,12 @@
             # An earlier run that was given up had ended as done.
             return
         if unit.open or record.run <= unit.last_run:
-            # A decision that was made again, since it was not known whether
-            # the first one is on the log: that one holds.
+            # Decided again, unsure of the first one's record: that one holds.
             return
         first = not job.started
         job.started = True
         unit.last_run = record.run
-        unit.open = _open_runs(record)
+        unit.open = runs_of(record)
         for run in unit.open.values():
             self.runs.add(run, need)
             self.runs.note_fresh(run)
@@ -328,7 +336,7 @@
         at_ms = self.state.time_ms
         if job.final and not was_final:
             self.finished.append(job.job)
-        over = run or _late_run(record, at_ms)
+        over = run or late_run(record, at_ms)
         job.note_over(over, record.ending.value, at_ms)
         account = self.state.account
         if run is not None:
@@ -336,8 +344,7 @@
         if job.final and not was_final:
             account.add_finish(job, job.state)
         if run is not None:
-            past = past_run(self.state.facts, job, run, record, gang, at_ms)
-            self.state.experience.note(past)
+            _learn(self.state, job, run, record, gang)
 
     def _vanish(self, record: Vanished) -> None:
         run = self._close(record.task, record.run)
@@ -363,23 +370,18 @@
         return run
 
 
-def _open_runs(record: Started) -> dict[int, OpenRun]:
-    return {
-        placed.ordinal: OpenRun(
-            TaskId(*record.unit[:3], placed.ordinal),
-            record.run,
-            placed.runner,
-            record.epoch,
-            record.at_ms,
-            record.checkpoint,
-        )
-        for placed in record.placements
-    }
-
-
-def _late_run(record: Ended, at_ms: Millis) -> OpenRun:
-    """Stand for a run that was given up before its end was read."""
-    return OpenRun(record.task, record.run, record.runner, record.epoch, at_ms)
+def _learn(
+    state: CellState,
+    job: Job,
+    run: OpenRun,
+    record: Ended,
+    gang: tuple[OpenRun, ...],
+) -> None:
+    """Learn from a run that is over."""
+    learned = state.experience
+    belated = learned.belated.get(record.runner, 0)
+    past = past_run(state.facts, job, run, record, gang, state.time_ms, belated)
+    learned.note(past)
 
 
 def count_waiting(state: CellState, queue: str) -> int:
--- a/packages/engine/swifthoist_engine/jobs.py
+++ b/packages/engine/swifthoist_engine/jobs.py
@@ -13,6 +13,7 @@
     TaskId,
     UnitId,
 )
+from swifthoist_engine.records import Started
 
 REASON_CHARS = 80
 """Longest reason that is kept of a run that vanished, in characters."""
@@ -260,3 +261,22 @@
             gang=self.step(run.task).gang,
             needed=unit is None or not unit.done,
         )
+
+
+def runs_of(record: Started) -> dict[int, OpenRun]:
+    """Make the runs of a unit that is started.
+
+    :param record: its start.
+    :returns: the runs by the index of their task.
+    """
+    return {
+        placed.ordinal: OpenRun(
+            TaskId(*record.unit[:3], placed.ordinal),
+            record.run,
+            placed.runner,
+            record.epoch,
+            record.at_ms,
+            record.checkpoint,
+        )
+        for placed in record.placements
+    }
--- a/packages/engine/swifthoist_engine/mechanisms.py
+++ b/packages/engine/swifthoist_engine/mechanisms.py
@@ -15,9 +15,12 @@
     :ivar headroom: tasks by themselves leave room to gangs.
     :ivar evidence: runners with failures or hangs come last.
     :ivar sound_attempts: scarce attempts are spent on sound runners only.
+    :ivar breaker: runners that fail what they start pause, and are tried first.
     :ivar retry_pause: a unit pauses before it starts again.
     :ivar warm_first: what can't bear a slow start goes to warm runners, and
         cold ones get work in steps.
+    :ivar speeds: gangs get runners of like speed, urgent units the fast ones.
+    :ivar observed_durations: durations are expected as they were observed.
     """
 
     in_time_first: bool = True
@@ -29,8 +32,11 @@
     headroom: bool = True
     evidence: bool = True
     sound_attempts: bool = True
+    breaker: bool = True
     retry_pause: bool = True
     warm_first: bool = True
+    speeds: bool = True
+    observed_durations: bool = True
 
 
 ALL = Mechanisms()
--- a/packages/engine/swifthoist_engine/past_runs.py
+++ b/packages/engine/swifthoist_engine/past_runs.py
@@ -38,7 +38,8 @@
     :ivar gang: runs of its gang, this one among them; as they were when it
         ended, and only the run itself where there is no gang.
     :ivar gang_facts: what is known of their runners, in the same order.
-    :ivar late: the holder may have read of it long after it had ended.
+    :ivar timely: the holder read of the end when it was listed, not behind an
+        outage, a runner's silence or a takeover; so it tells a duration.
     """
 
     job: Job
@@ -49,7 +50,7 @@
     facts: RunnerFacts
     gang: tuple[OpenRun, ...]
     gang_facts: tuple[RunnerFacts, ...]
-    late: bool = False
+    timely: bool = True
 
     @property
     def ran_ms(self) -> Millis:
@@ -64,6 +65,7 @@
     record: Ended,
     gang: tuple[OpenRun, ...],
     at_ms: Millis,
+    belated: int,
 ) -> PastRun:
     """Describe a run that is over to whatever is learned from it.
 
@@ -73,6 +75,7 @@
     :param record: its end.
     :param gang: the open runs of its unit before that end.
     :param at_ms: time of the cell.
+    :param belated: number of its runner's newest end that was read late.
     :returns: the run.
     """
     unknown = RunnerFacts()
@@ -85,4 +88,5 @@
         facts.get(run.runner, unknown),
         gang,
         tuple(facts.get(member.runner, unknown) for member in gang),
+        record.number > belated,
     )
--- a/packages/engine/swifthoist_engine/records.py
+++ b/packages/engine/swifthoist_engine/records.py
@@ -33,6 +33,14 @@
     ALONE = 'alone'
 
 
+class Doubt(StrEnum):
+    """What speaks against a runner without a failed end."""
+
+    HANG = 'hang'
+    REJECTED = 'rejected'
+    FLAPPING = 'flapping'
+
+
 class Submitted(NamedTuple):
     """A job was accepted.
 
@@ -139,6 +147,22 @@
     at_ms: Millis
 
 
+class Belated(NamedTuple):
+    """Ends of a runner that follow may have been listed long before.
+
+    The holder was not looking meanwhile, be it for an outage, the runner's
+    silence or a takeover; so they tell no durations.
+
+    :ivar epoch: epoch of the holder.
+    :ivar runner: the runner.
+    :ivar number: number of the newest of them at that runner.
+    """
+
+    epoch: Epoch
+    runner: RunnerId
+    number: int
+
+
 class Vanished(NamedTuple):
     """A run is certainly not on its runner, and will not be.
 
@@ -198,6 +222,23 @@
     born_ms: Millis
 
 
+class RunnerDoubted(NamedTuple):
+    """The holder saw something that speaks against a runner.
+
+    :ivar epoch: epoch of the holder.
+    :ivar runner: the runner.
+    :ivar job: the job that it happened to; empty for none.
+    :ivar doubt: what it was.
+    :ivar at_ms: time when the holder saw it.
+    """
+
+    epoch: Epoch
+    runner: RunnerId
+    job: JobId
+    doubt: Doubt
+    at_ms: Millis
+
+
 class RunnerGone(NamedTuple):
     """A runner has left for good; nothing of it is needed any longer.
 
@@ -240,9 +281,11 @@
     | Beat
     | Started
     | Ended
+    | Belated
     | Vanished
     | RunnerMet
     | RunnerDescribed
+    | RunnerDoubted
     | RunnerGone
     | UpkeepBegun
     | WaveDone
