--- a/packages/engine/swifthoist_engine/coldness.py
+++ b/packages/engine/swifthoist_engine/coldness.py
@@ -96,9 +96,9 @@
     if waiting.tier != IN_TIME:
         return True
     left_ms = waiting.deadline_ms - now_ms
-    estimate_ms = waiting.step.estimate_ms
+    lasts_ms = waiting.lasts_ms
     # What is late in any case need not look for a warm runner.
-    return not estimate_ms <= left_ms < SLOW_FACTOR * estimate_ms
+    return not lasts_ms <= left_ms < SLOW_FACTOR * lasts_ms
 
 
 def _could_hold(found: Candidates, waiting: Waiting) -> bool:
--- a/packages/engine/swifthoist_engine/runners.py
+++ b/packages/engine/swifthoist_engine/runners.py
@@ -39,6 +39,11 @@
     speed: int = 0
     trials: int | None = None
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether more may be started on it."""
+        return self.open and self.leaving_ms is None
+
 
 class Standing(NamedTuple):
     """What the holder thinks of a runner beside what it tells of itself.
