A runner that starts again under its id is known as another life

Cause: a runner may start again under the id that it had, and its birth, the only thing that tells the lives apart there, was not decoded. Ends of the new life were passed over by the numbers of the old one, a look had the runner forget them, the lease was counted by the old clock, work on a runner that had crashed behind a cut waited for its lease, and a start that was held up was carried out by the new life beside another run or after the end of the task. Ruled out: a higher fence for each life (the next holder, or one of an older version, would be refused by the runner for good); a field in a record (older versions can't read it). Change: births are decoded from entries and all answers; an entry or answer of a later life ends the session, what was surely with it is given up at once, what an order that got no answer may still start is barred by a stop at the new life first; nothing starts there before the fence is seen, the bars are taken and what nobody wants is gone. The stand-ins learn it where a site asks for it (Site.lasting_ids); a late order outlives its caller's patience there.

--- a/packages/emulator/swifthoist_emulator/fleet.py
+++ b/packages/emulator/swifthoist_emulator/fleet.py
@@ -37,6 +37,8 @@
     :ivar lives: number of lives that it had.
     :ivar draining: it is about to leave.
     :ivar drift: pace of its clock, as a share of true time.
+    :ivar lasting_id: its lives share an id.
+    :ivar since_ms: true time at which the clock of its life began.
     """
 
     name: str
@@ -46,10 +48,14 @@
     lives: int = 0
     draining: bool = False
     drift: float = 1.0
+    lasting_id: bool = False
+    since_ms: Millis = 0
 
     @property
     def runner(self) -> RunnerId:
         """Id of the life that it has, or had last."""
+        if self.lasting_id:
+            return self.name
         return f'{self.name}-{self.lives}'
 
 
@@ -59,10 +65,14 @@
 
     :ivar witness: keeps what they do.
     :ivar hosts: the hosts by address.
+    :ivar began_ms: time of day at which true time began.
+    :ivar now_ms: true time since the start.
     """
 
     witness: Witness
     hosts: dict[str, Host] = field(default_factory=dict)
+    began_ms: Millis = 0
+    now_ms: Millis = 0
 
     def add(self, host: Host) -> None:
         """Add a host and let it live.
@@ -80,6 +90,10 @@
         host.lives += 1
         host.draining = False
         host.life = Life(host.runner, host.room, self.witness)
+        if host.lasting_id:
+            host.since_ms = self.now_ms
+            # Births differ, also of lives that began at the same moment.
+            host.life.born_ms = self.began_ms + self.now_ms + host.lives
 
     def kill(self, host: Host) -> None:
         """End a life; whatever ran there is gone, and gangs of it break.
@@ -101,11 +115,13 @@
 
         :param now_ms: true time since the start.
         """
+        self.now_ms = now_ms
         lives = [host for host in self.hosts.values() if host.life]
         gangs = self._gangs(lives)
         for host in lives:
             if host.life is not None:
-                host.life.advance(int(now_ms * host.drift))
+                passed_ms = now_ms - host.since_ms
+                host.life.advance(int(passed_ms * host.drift))
         self._break_gangs(gangs, lives)
         self._join_gangs(lives)
 
--- a/packages/emulator/swifthoist_emulator/lives.py
+++ b/packages/emulator/swifthoist_emulator/lives.py
@@ -145,6 +145,7 @@
     :ivar behavior: how it behaves.
     :ivar now_ms: time on its clock.
     :ivar over: it has lost power.
+    :ivar born_ms: when it began, since the Unix epoch; 0 if it does not tell.
     """
 
     runner: RunnerId
@@ -157,6 +158,7 @@
     runs: dict[TaskId, TaskRun] = field(default_factory=dict)
     ends: list[EndRow] = field(default_factory=list)
     over: bool = False
+    born_ms: Millis = 0
     _barred: dict[TaskId, int] = field(default_factory=dict)
     _ended: int = 0
     _void: int = 0
@@ -275,6 +277,7 @@
         self.over = True
         for run in tuple(self.runs.values()):
             self.witness.note_end(self.runner, run.task, run.run, 'lost')
+        self.witness.note_life_over(self.runner)
         self.runs.clear()
 
     def _note_tail(self, run: TaskRun, passed_ms: Millis) -> None:
--- a/packages/emulator/swifthoist_emulator/runner_calls.py
+++ b/packages/emulator/swifthoist_emulator/runner_calls.py
@@ -3,10 +3,11 @@
 from typing import Any
 
 import anyio
+from anyio.abc import TaskGroup
 
 from swifthoist_emulator.duties import ticket_for
 from swifthoist_emulator.faults import Faults, Harm
-from swifthoist_emulator.fleet import Fleet
+from swifthoist_emulator.fleet import Fleet, Host
 from swifthoist_emulator.http import Request, Response, answer_json
 from swifthoist_emulator.lives import Life, TaskRun, read_payload
 from swifthoist_engine.model import TaskId
@@ -20,7 +21,10 @@
 
 
 class RunnerCalls:
-    """Answers calls to all runners of a fleet."""
+    """Answers calls to all runners of a fleet.
+
+    :ivar tasks: runs what outlasts its call; none before the world lives.
+    """
 
     def __init__(self, fleet: Fleet, faults: Faults) -> None:
         """Answer for a fleet.
@@ -28,6 +32,7 @@
         :param fleet: the runners.
         :param faults: what goes wrong.
         """
+        self.tasks: TaskGroup | None = None
         self._fleet = fleet
         self._faults = faults
 
@@ -48,10 +53,13 @@
         call = request.path.removeprefix(names.ROOT)
         if call == names.HOLD:
             return await self._look(request, life)
-        return await self._order(call, request, life)
+        return await self._order(call, request, host)
 
-    async def _order(self, call: str, request: Request, life: Life) -> Response:
+    async def _order(self, call: str, request: Request, host: Host) -> Response:
         fault = self._faults.orders
+        life = host.life
+        if life is None:
+            return Response(421)
         match self._faults.draw(fault):
             case Harm.BUSY:
                 return Response(503)
@@ -61,6 +69,12 @@
                 _carry_out(call, request.document(), life)
                 await self._faults.stay_silent()
             case Harm.LATE:
+                if host.lasting_id and self.tasks is not None:
+                    # It outlasts its caller's patience, and maybe the life.
+                    self.tasks.start_soon(
+                        _carry_late, call, request, host, fault.delay_s
+                    )
+                    await self._faults.stay_silent()
                 with anyio.CancelScope(shield=True):
                     await anyio.sleep(fault.delay_s)
                     _carry_out(call, request.document(), life)
@@ -93,7 +107,7 @@
         return answer_json(
             200,
             {
-                names.CLOCK_MS: life.now_ms,
+                **_own_words(life),
                 names.RUNNING: running,
                 names.ENDED_RUNS: ends,
             },
@@ -105,6 +119,15 @@
     return [task_name(run.task), run.run, run.saved, run.pace, gauge]
 
 
+async def _carry_late(
+    call: str, request: Request, host: Host, delay_s: float
+) -> None:
+    """Carry an order out late, by whichever life has the id by then."""
+    await anyio.sleep(delay_s)
+    if host.life is not None:
+        _carry_out(call, request.document(), host.life)
+
+
 def _carry_out(call: str, body: dict[str, Any], life: Life) -> Response:
     if life.over:
         # The order was held up until after the runner had crashed.
@@ -126,7 +149,7 @@
                 there.pace = int(body[names.PERCENT])
         case _:
             return Response(404)
-    return answer_json(200, {names.CLOCK_MS: life.now_ms})
+    return answer_json(200, _own_words(life))
 
 
 def _start(
@@ -143,7 +166,7 @@
     )
     if reason:
         return _refuse(life, reason)
-    return answer_json(200, {names.CLOCK_MS: life.now_ms})
+    return answer_json(200, _own_words(life))
 
 
 def _is_permitted(body: dict[str, Any], life: Life, task: TaskId) -> bool:
@@ -155,5 +178,10 @@
 
 
 def _refuse(life: Life, reason: str) -> Response:
-    document = {names.CLOCK_MS: life.now_ms, names.REASON: reason}
-    return answer_json(409, document)
+    return answer_json(409, {**_own_words(life), names.REASON: reason})
+
+
+def _own_words(life: Life) -> dict[str, Any]:
+    """What a life says of itself in each answer."""
+    born = {names.BORN: life.born_ms} if life.born_ms else {}
+    return {names.CLOCK_MS: life.now_ms, **born}
--- a/packages/emulator/swifthoist_emulator/site.py
+++ b/packages/emulator/swifthoist_emulator/site.py
@@ -56,12 +56,15 @@
     :ivar accounts: its teams.
     :ivar runners: number of its runners.
     :ivar zones: its zones.
+    :ivar lasting_ids: runners start again under the id that they had, and tell
+        when they were born.
     """
 
     lines: tuple[Line, ...]
     accounts: tuple[Account, ...]
     runners: int = 12
     zones: tuple[str, ...] = ('north', 'south')
+    lasting_ids: bool = False
 
 
 STANDARD = Site(
--- a/packages/emulator/swifthoist_emulator/witness.py
+++ b/packages/emulator/swifthoist_emulator/witness.py
@@ -102,6 +102,17 @@
             self.done[task.job].add(task)
             self._unseen_done[task].add(Place(runner, run))
 
+    def note_life_over(self, runner: RunnerId) -> None:
+        """Note that nobody can take note of a runner's ends any more.
+
+        :param runner: the runner; another life may have its id.
+        """
+        for places in self._unseen_done.values():
+            places -= {place for place in places if place.runner == runner}
+        self._overtaken = {
+            item for item in self._overtaken if item[1].runner != runner
+        }
+
     def note_time(self, accelerators: int, passed_ms: int) -> None:
         """Note that a run holds accelerators.
 
--- a/packages/emulator/swifthoist_emulator/world.py
+++ b/packages/emulator/swifthoist_emulator/world.py
@@ -60,7 +60,7 @@
         """
         self.faults = Faults(seed)
         self.witness = Witness()
-        self.fleet = Fleet(self.witness)
+        self.fleet = Fleet(self.witness, began_ms=clock.wall_ms())
         self.store = Store(self.faults, clock.boot_ms)
         self._site = site
         self._clock = clock
@@ -88,6 +88,7 @@
 
         :param tasks: runs what goes on.
         """
+        self._runner_calls.tasks = tasks
         self.configure(self._site)
         tasks.start_soon(self._pass_time)
         tasks.start_soon(self._register)
@@ -130,7 +131,9 @@
         zones = self._site.zones
         rack = f'rack-{number // RUNNERS_PER_RACK}'
         place = Place(address, rack, zones[number % len(zones)])
-        self.fleet.add(Host(f'runner-{number}', place, ROOM))
+        host = Host(f'runner-{number}', place, ROOM)
+        host.lasting_id = self._site.lasting_ids
+        self.fleet.add(host)
 
     async def _pass_time(self) -> None:
         while True:
@@ -171,4 +174,6 @@
         names.LABELS: ['standard', host.place.rack],
         names.MACHINE: host.name,
     }
+    if host.life is not None and host.life.born_ms:
+        document[names.BORN] = host.life.born_ms
     return msgspec.json.encode(document)
--- a/packages/instance/swifthoist_instance/contacts.py
+++ b/packages/instance/swifthoist_instance/contacts.py
@@ -4,10 +4,12 @@
 
 from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
 from swifthoist_core.types import Millis, RunnerId
+from swifthoist_engine.past_runs import RunnerFacts
 from swifthoist_instance.leases import Lease
+from swifthoist_instance.lives import HeldUp, Life
 from swifthoist_instance.shared import Shared
 from swifthoist_platform.documents import Registration
-from swifthoist_platform.runner_calls import RunnerClient, Verdict
+from swifthoist_platform.runner_calls import Answer, RunnerClient, Verdict
 
 CALL_S = 0.6
 """Time for a call to a runner beyond its wait, in seconds."""
@@ -36,6 +38,9 @@
     :ivar unanswered: the newest look got no answer.
     :ivar replaced: another life answers at its address.
     :ivar closed: the runner is gone for good, and its runs are given up.
+    :ivar life: which life of the runner this is.
+    :ivar held_up: starts that may still be carried out.
+    :ivar reborn: it had a life before that was known.
     """
 
     def __init__(
@@ -60,6 +65,25 @@
         self.unanswered = False
         self.replaced = False
         self.closed = False
+        clock = shared.clock
+        self.life = Life(registration.runner, clock, registration.born_ms)
+        self.held_up = HeldUp(clock)
+        self.reborn = False
+
+    def follow(self, former: 'Contact') -> None:
+        """Go on where the contact with the life before it ended.
+
+        :param former: that contact.
+        """
+        self.reborn = True
+        self.held_up = former.held_up
+        self.life = Life(
+            self.runner,
+            self.shared.clock,
+            former.life.next_ms,
+            former.life.refuted_ms,
+        )
+        self.life.read(self.registration.born_ms)
 
     @property
     def runner(self) -> RunnerId:
@@ -89,7 +113,36 @@
     @property
     def gone(self) -> bool:
         """Whether the runner is gone, be it that its runs are still open."""
-        return self.closed or self.replaced
+        return self.closed or self.replaced or self.life.over
+
+    @property
+    def facts(self) -> RunnerFacts:
+        """What is kept of this life beside its runs."""
+        return self.registration.facts._replace(born_ms=self.life.born_ms)
+
+    @property
+    def folded(self) -> bool:
+        """Whether the fold knows this life, and not one before it."""
+        state = self.shared.cell.state
+        found = state.facts.get(self.runner)
+        born_ms = 0 if found is None else found.born_ms
+        return self.life.born_ms in {0, born_ms}
+
+    @property
+    def seen(self) -> int:
+        """Number of the newest end of this life that is folded."""
+        return self.shared.cell.seen_of(self.runner) if self.folded else 0
+
+    def next_seen(self) -> int:
+        """Tell which ends the next look may let the runner forget.
+
+        A life that began unnoticed must not forget ends that have the numbers
+        of its predecessor's, so that takes a fresh answer of this one.
+        """
+        if not self.life.born_ms:
+            return self.seen
+        unsure = self.unanswered or self.silent or not self.lease.known
+        return 0 if unsure else self.seen
 
     def active(self) -> bool:
         """Tell whether calls to the runner still make sense."""
@@ -105,6 +158,18 @@
             self.heard_ms = self.shared.clock.boot_ms()
             self.lease.note_clock(clock_ms, self.heard_ms)
 
+    def note_answer(self, answer: Answer) -> bool:
+        """Take in what an answer says of the runner.
+
+        :param answer: the answer to an order.
+        :returns: whether this life gave it.
+        """
+        self.note_verdict(answer.verdict)
+        if not self.life.hear(answer.born_ms):
+            return False
+        self.note_clock(answer.clock_ms)
+        return True
+
     def note_verdict(self, verdict: Verdict) -> None:
         """Note an answer that says more than what became of one call.
 
--- a/packages/instance/swifthoist_instance/leases.py
+++ b/packages/instance/swifthoist_instance/leases.py
@@ -44,13 +44,18 @@
 class Lease:
     """The lease of one runner."""
 
-    def __init__(self, lease_ms: Millis, unknown_ms: Millis) -> None:
+    def __init__(
+        self, lease_ms: Millis, unknown_ms: Millis, held_up_ms: Millis = 0
+    ) -> None:
         """Start without knowledge of the runner.
 
         :param lease_ms: length of a lease.
         :param unknown_ms: time on the clock that counts suspension by which
             leases that earlier terms renewed have surely ended.
+        :param held_up_ms: for how long calls that were meant for a former life
+            of the runner may still renew its lease.
         """
+        self._held_up_ms = held_up_ms
         self._lease_ms = lease_ms
         self._unknown_ms = unknown_ms
         self._clock_ms: Millis = 0
@@ -72,7 +77,7 @@
         if self._read_ms is None:
             # Earlier holders may have renewed until now, with longer leases
             # where the settings have changed.
-            self._until_ms = clock_ms + LEASE_MS + MARGIN_MS
+            self._until_ms = clock_ms + LEASE_MS + MARGIN_MS + self._held_up_ms
         if clock_ms > self._clock_ms:
             self._clock_ms = clock_ms
             self._read_ms = now_ms
--- /dev/null
+++ b/packages/instance/swifthoist_instance/lives.py
@@ -0,0 +1,186 @@
+"""Which life of a runner answers, where lives share an id.
+
+A runner that starts again under its id holds and knows nothing of before. Its
+birth tells the lives apart: in its entry, and in whatever it answers.
+"""
+
+import logging
+from collections.abc import KeysView
+
+from swifthoist_core.clock import Clock
+from swifthoist_core.types import Millis, RunnerId
+from swifthoist_engine.run_index import RunKey
+
+AHEAD_MS = 60_000
+"""How far a birth may lie ahead of the own time of day, in ms: as much as clocks
+of machines may be wrong. What lies further ahead is no birth."""
+
+HELD_UP_MS = 15_000
+"""How long an order without an answer may still be carried out, in ms: the wire
+says seconds; this is more than any lease."""
+
+BACK_MS = 3_000
+"""A life that answers for this long with an earlier birth is taken for the newest,
+in ms: answers that were overtaken have all come by then."""
+
+_log = logging.getLogger(__name__)
+
+
+def plausible(born_ms: Millis, clock: Clock) -> bool:
+    """Tell whether a birth may be one, by the own time of day.
+
+    :param born_ms: the birth, since the Unix epoch.
+    :param clock: tells the time.
+    :returns: whether it does not lie in the future.
+    """
+    return born_ms <= clock.wall_ms() + AHEAD_MS
+
+
+class Life:
+    """The life that a session speaks with.
+
+    :ivar born_ms: its birth, since the Unix epoch; 0 if it never told.
+    :ivar next_ms: birth of the life that ended it; 0 while it lasts.
+    :ivar refuted_ms: a birth that an entry told and no life has; 0 for none.
+    """
+
+    def __init__(
+        self,
+        runner: RunnerId,
+        clock: Clock,
+        born_ms: Millis = 0,
+        refuted_ms: Millis = 0,
+    ) -> None:
+        """Begin with what an entry or an answer told.
+
+        :param runner: the runner.
+        :param clock: tells the time.
+        :param born_ms: its birth; 0 if unsaid.
+        :param refuted_ms: a birth that is no life's; 0 for none.
+        """
+        self.born_ms = born_ms
+        self.next_ms: Millis = 0
+        self.refuted_ms = refuted_ms
+        self._runner = runner
+        self._clock = clock
+        self._confirmed = False
+        self._back_ms: Millis | None = None
+        self._complained = False
+
+    @property
+    def over(self) -> bool:
+        """Whether a later life was seen."""
+        return self.next_ms > 0
+
+    def read(self, born_ms: Millis) -> None:
+        """Take in what an entry says.
+
+        :param born_ms: the birth in it; 0 if unsaid.
+        """
+        if self.over or born_ms == self.refuted_ms:
+            return
+        if not self.born_ms:
+            self.born_ms = born_ms
+        elif born_ms > self.born_ms:
+            self._end(born_ms, 'entry')
+
+    def hear(self, born_ms: Millis) -> bool:
+        """Take in what an answer says.
+
+        :param born_ms: the birth in it; 0 if unsaid.
+        :returns: whether it is an answer of this life; others are put aside.
+        """
+        if self.over:
+            return False
+        if not born_ms or not plausible(born_ms, self._clock):
+            self._complain(born_ms)
+            return True
+        if not self.born_ms:
+            self.born_ms = born_ms
+        if born_ms > self.born_ms:
+            self._end(born_ms, 'answer')
+        elif born_ms < self.born_ms:
+            return self._hear_earlier(born_ms)
+        self._confirmed = True
+        self._back_ms = None
+        return not self.over
+
+    def _hear_earlier(self, born_ms: Millis) -> bool:
+        """Take in an earlier birth, in an answer to a call to this life."""
+        about = {
+            'runner': self._runner,
+            'born_ms': self.born_ms,
+            'answered_ms': born_ms,
+        }
+        if not self._confirmed:
+            _log.warning('birth refuted', extra=about)
+            self.refuted_ms = self.born_ms
+            self.born_ms = born_ms
+            self._confirmed = True
+            return True
+        now_ms = self._clock.boot_ms()
+        if self._back_ms is None:
+            _log.warning('birth goes back', extra=about)
+            self._back_ms = now_ms
+        elif now_ms - self._back_ms > BACK_MS:
+            self.refuted_ms = self.born_ms
+            self._end(born_ms, 'answers with an earlier birth')
+        return False
+
+    def _end(self, born_ms: Millis, source: str) -> None:
+        self.next_ms = born_ms
+        _log.info(
+            'runner reborn',
+            extra={
+                'runner': self._runner,
+                'born_ms': born_ms,
+                'before_ms': self.born_ms,
+                'source': source,
+            },
+        )
+
+    def _complain(self, born_ms: Millis) -> None:
+        if self.born_ms and not self._complained:
+            self._complained = True
+            problem = 'lies in the future' if born_ms else 'is missing'
+            about = {'runner': self._runner, 'problem': problem}
+            _log.warning('birth unread', extra=about)
+
+
+class HeldUp:
+    """Starts that may still be carried out, be it by a later life."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without any.
+
+        :param clock: tells the time.
+        """
+        self._clock = clock
+        self._sent: dict[RunKey, Millis] = {}
+
+    def note_sent(self, key: RunKey) -> bool:
+        """Note that a start is being sent.
+
+        :param key: the run.
+        :returns: whether an earlier one of it may be on its way.
+        """
+        known = key in self._sent
+        self._sent[key] = self._clock.boot_ms()
+        return known
+
+    def note_answered(self, key: RunKey) -> None:
+        """Note that no start of a run is on its way any more.
+
+        :param key: the run.
+        """
+        self._sent.pop(key, None)
+
+    def keys(self) -> KeysView[RunKey]:
+        """List the runs of which a start may be on its way."""
+        limit = self._clock.boot_ms() - HELD_UP_MS
+        self._sent = {
+            key: sent_ms
+            for key, sent_ms in self._sent.items()
+            if sent_ms > limit
+        }
+        return self._sent.keys()
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -38,6 +38,7 @@
         self.settled: dict[RunKey, Millis] = {}
         self.stops: dict[RunKey, str] = {}
         self._given: set[RunKey] = set()
+        self._barred: set[RunKey] = set()
         self._contact = contact
         self._shared = contact.shared
         self._tasks = tasks
@@ -79,6 +80,27 @@
             self.stops[key] = reason
             self._tasks.start_soon(self._carry_stop, run, reason)
 
+    def is_certain(self, run: OpenRun) -> bool:
+        """Tell whether no order to start a run is on its way any more.
+
+        :param run: an open run of this runner.
+        :returns: false also for what earlier terms may have ordered.
+        """
+        key = (run.task, run.run)
+        if run.epoch != self._shared.epoch:
+            return False
+        known = key in self._given or self._shared.cell.runs.is_fresh(key)
+        return known and key not in self._contact.held_up.keys()
+
+    def bar_held_up(self) -> None:
+        """Stop what a former life was to start, and is over by now."""
+        for task, number in self._contact.held_up.keys() - self._barred:
+            if self._shared.cell.find_run(task, number) is None:
+                runner = self._contact.runner
+                run = OpenRun(task, number, runner, self._shared.epoch, 0)
+                self._barred.add((task, number))
+                self.stop(run, 'sent to a former life')
+
     def note_ended(self, key: RunKey) -> None:
         """Note that a run has ended.
 
@@ -138,6 +160,7 @@
         until_ms = contact.lease.next_until(self._shared.clock.boot_ms())
         if until_ms is None:
             return None
+        key = (run.task, run.run)
         order = StartOrder(
             run.task,
             run.run,
@@ -147,16 +170,19 @@
             run.checkpoint,
             ticket,
         )
+        unsure = contact.held_up.note_sent(key)
         try:
             answer = await contact.client.start(order, CALL_S)
         except LOST as exc:
             about = {**_about(run), 'why': str(exc)}
             _log.warning('start unanswered', extra=about)
             return None
-        contact.note_clock(answer.clock_ms)
-        contact.note_verdict(answer.verdict)
         about = {**_about(run), 'outcome': answer.verdict.value}
         _log.info('start', extra=about)
+        if not contact.note_answer(answer):
+            return None
+        if not unsure:
+            contact.held_up.note_answered(key)
         return answer.verdict
 
     async def _note_rejected(
@@ -195,9 +221,8 @@
             about = {**_about(run), 'why': str(exc)}
             _log.warning('stop unanswered', extra=about)
             return False
-        contact.note_clock(answer.clock_ms)
-        contact.note_verdict(answer.verdict)
-        return answer.verdict in {Verdict.TAKEN, Verdict.OLD}
+        ours = contact.note_answer(answer)
+        return ours and answer.verdict in {Verdict.TAKEN, Verdict.OLD}
 
 
 def _about(run: OpenRun) -> dict[str, object]:
--- a/packages/instance/swifthoist_instance/paces.py
+++ b/packages/instance/swifthoist_instance/paces.py
@@ -81,8 +81,10 @@
         'new': pace,
     }
     try:
-        await contact.client.pace(row, pace, contact.shared.epoch, CALL_S)
+        epoch = contact.shared.epoch
+        answer = await contact.client.pace(row, pace, epoch, CALL_S)
     except LOST as exc:
         _log.warning('pace unanswered', extra={**about, 'why': str(exc)})
     else:
+        contact.life.hear(answer.born_ms)
         _log.info('pace', extra=about)
--- a/packages/instance/swifthoist_instance/registry.py
+++ b/packages/instance/swifthoist_instance/registry.py
@@ -9,6 +9,7 @@
 from swifthoist_core.errors import LogExpiredError, LogUnavailableError
 from swifthoist_core.types import Millis, Offset, RunnerId
 from swifthoist_instance.configuration import KeyedTopics
+from swifthoist_instance.lives import plausible
 from swifthoist_platform.documents import Registration, decode_registration
 from swifthoist_platform.store import RUNNER_TOPIC, Keyed, split_keyed
 
@@ -143,8 +144,13 @@
         if decoded.registration is None:
             self._complain(item.key, '; '.join(map(str, decoded.findings)))
             return
+        for finding in decoded.findings:
+            self._complain(item.key, str(finding))
         old = self.listed.get(item.key)
-        new = decoded.registration
+        new = self._with_birth(decoded.registration, old)
+        if new is None:
+            self._complain(item.key, 'is of an earlier life')
+            return
         if old is None or old.registration.draining != new.draining:
             _log.info(
                 'runner listed',
@@ -152,6 +158,20 @@
             )
         self.listed[item.key] = Listed(new)
 
+    def _with_birth(
+        self, entry: Registration, old: Listed | None
+    ) -> Registration | None:
+        """Settle which life an entry is of.
+
+        :returns: the entry; none if it is of a life before the one listed.
+        """
+        known_ms = old.registration.born_ms if old else 0
+        if not entry.born_ms or not plausible(entry.born_ms, self._clock):
+            if entry.born_ms or known_ms:
+                self._complain(entry.runner, f'its birth is {entry.born_ms}')
+            return entry._replace(born_ms=known_ms)
+        return None if entry.born_ms < known_ms else entry
+
     def _note_absent(self, runner: RunnerId) -> None:
         found = self.listed.get(runner)
         if found is None or found.absent_ms is not None:
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -20,6 +20,7 @@
 from swifthoist_engine.runners import RunnerView, Standing
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.leases import Lease, choose_lease_ms, lease_over_ms
+from swifthoist_instance.lives import HELD_UP_MS
 from swifthoist_instance.outcomes import record_all, vanished
 from swifthoist_instance.registry import Registry
 from swifthoist_instance.sessions import Session
@@ -71,6 +72,7 @@
                 self._keep(listed.registration, tasks)
             for entry in self._unlisted():
                 self._keep(entry, tasks)
+            self._renew(tasks)
             await self._note_addresses()
             await self._close_gone()
             await self._close_unlisted()
@@ -127,18 +129,45 @@
     def _keep(self, entry: Registration, tasks: TaskGroup) -> None:
         session = self._sessions.get(entry.runner)
         if session is None:
-            contact = Contact(
-                entry,
-                self._open_runner(entry),
-                Lease(self._lease_ms, self._unknown_ms),
-                self._shared,
-            )
-            session = Session(contact)
-            self._sessions[entry.runner] = session
-            tasks.start_soon(session.run)
+            state = self._shared.cell.state
+            facts = state.facts.get(entry.runner)
+            born_ms = 0 if facts is None else facts.born_ms
+            reborn = 0 < born_ms < entry.born_ms
+            known = entry._replace(born_ms=max(born_ms, entry.born_ms))
+            self._serve(Session(self._contact(known, reborn=reborn)), tasks)
         elif session.note_entry(entry):
             self._shared.wake.give()
 
+    def _renew(self, tasks: TaskGroup) -> None:
+        """Open sessions with lives that have followed others."""
+        for session in list(self._sessions.values()):
+            if session.contact.closed and session.contact.life.over:
+                entry = session.contact.registration
+                contact = self._contact(entry, reborn=True)
+                contact.follow(session.contact)
+                self._serve(Session(contact, session.saved), tasks)
+
+    def _contact(self, entry: Registration, *, reborn: bool) -> Contact:
+        unknown_ms, held_up_ms = self._unknown_ms, 0
+        if reborn:
+            # Orders to the life before may reach this one, and by its clock,
+            # which began anew, their leases end late.
+            held_up_ms = HELD_UP_MS
+            now_ms = self._shared.clock.boot_ms()
+            unknown_ms = lease_over_ms(now_ms + held_up_ms)
+        contact = Contact(
+            entry,
+            self._open_runner(entry),
+            Lease(self._lease_ms, unknown_ms, held_up_ms),
+            self._shared,
+        )
+        contact.reborn = reborn
+        return contact
+
+    def _serve(self, session: Session, tasks: TaskGroup) -> None:
+        self._sessions[session.contact.runner] = session
+        tasks.start_soon(session.run)
+
     def _unlisted(self) -> list[Registration]:
         """Find where runners answered that have runs and are not listed."""
         cell = self._shared.cell
@@ -153,22 +182,22 @@
         """Record where runners answer and what they are, until it is folded."""
         shared = self._shared
         known = shared.cell.state.addresses
-        entries = [
-            session.contact.registration
+        contacts = [
+            session.contact
             for session in self._sessions.values()
-            if session.synced
+            if session.synced and not session.contact.gone
         ]
         met: list[Record] = [
-            RunnerMet(shared.epoch, entry.runner, entry.address)
-            for entry in entries
-            if known.get(entry.runner) != entry.address
+            RunnerMet(shared.epoch, it.runner, it.registration.address)
+            for it in contacts
+            if known.get(it.runner) != it.registration.address
         ]
         facts = shared.cell.state.facts
         met.extend(
-            RunnerDescribed(shared.epoch, entry.runner, *entry.facts)
-            for entry in entries
+            RunnerDescribed(shared.epoch, it.runner, *it.facts)
+            for it in contacts
             # Of a runner that is not listed nothing is known but its address.
-            if entry.service and facts.get(entry.runner) != entry.facts
+            if it.registration.service and facts.get(it.runner) != it.facts
         )
         if met and shared.journal.available:
             await record_all(shared, met)
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 from collections.abc import Iterable, Iterator
 
 import anyio
@@ -18,12 +19,14 @@
 from swifthoist_instance.contacts import CALL_S, LOST, RETRY_S, Contact
 from swifthoist_instance.orders import Orders
 from swifthoist_instance.outcomes import (
+    Checkpoints,
     ended,
     record_all,
     record_vanished,
     vanished,
 )
 from swifthoist_instance.paces import filling, keep_pace
+from swifthoist_instance.rebirths import end_life, fold_life, is_clear
 from swifthoist_instance.shared import Shared
 from swifthoist_platform.documents import Registration
 from swifthoist_platform.runner_calls import (
@@ -51,19 +54,25 @@
 
     :ivar contact: the runner.
     :ivar synced: the runner has seen the epoch, and what it runs is known.
+    :ivar synced_ms: time of the cell when that was so first; infinite before.
+    :ivar saved: newest checkpoints that its runs were seen with.
     """
 
-    def __init__(self, contact: Contact) -> None:
+    def __init__(
+        self, contact: Contact, saved: Checkpoints | None = None
+    ) -> None:
         """Serve a runner.
 
         :param contact: the runner.
+        :param saved: newest checkpoints that its runs were seen with.
         """
         self.synced = False
+        self.synced_ms = math.inf
         self.contact = contact
         self._shared = contact.shared
         self._orders: Orders | None = None
         self._running: dict[RunKey, RunningTask] = {}
-        self._saved: dict[RunKey, str] = {}
+        self.saved: dict[RunKey, str] = dict(saved or {})
         self._view: RunnerView | None = None
         self._anomalies = Anomalies(self._shared, contact.runner)
 
@@ -111,6 +120,7 @@
         """
         changed = self.contact.registration != registration
         self.contact.registration = registration
+        self.contact.life.read(registration.born_ms)
         return changed
 
     def close(self) -> None:
@@ -142,6 +152,9 @@
         """
         if self._orders is None or not self.contact.active():
             return False
+        if self.contact.reborn and run.started_ms <= self.synced_ms:
+            # It was placed on the room of a former life.
+            return False
         self._orders.start(run, ticket)
         return True
 
@@ -155,12 +168,15 @@
             self._orders.stop(run, reason)
 
     async def _look_or_close(self, orders: Orders) -> None:
+        if self.contact.life.over:
+            await end_life(self.contact, orders, self.saved)
+            return
         if not self.contact.replaced:
             await self._look(orders)
             return
         runs = self._shared.cell.runs_on(self.contact.runner)
         reason = 'another life of the runner answers'
-        if not await record_vanished(self._shared, runs, reason, self._saved):
+        if not await record_vanished(self._shared, runs, reason, self.saved):
             return
         if self._shared.cell.runs_on(self.contact.runner):
             # A start that was decided before is folded only now.
@@ -173,11 +189,10 @@
         sent_ms = self._shared.clock.boot_ms()
         until_ms = contact.next_until(sent_ms)
         wait_ms = self._wait_ms()
-        seen = self._shared.cell.seen_of(self.contact.runner)
         try:
             look = await contact.client.look(
                 self._shared.epoch,
-                seen,
+                contact.next_seen(),
                 until_ms,
                 wait_ms,
                 wait_ms / 1_000 + CALL_S,
@@ -190,11 +205,21 @@
             contact.note_verdict(look.verdict)
             await anyio.sleep(RETRY_S)
             return
+        if not contact.life.hear(look.born_ms):
+            await anyio.sleep(RETRY_S)
+            return
         contact.note_clock(look.clock_ms)
         contact.lease.note_granted(until_ms)
+        if not await fold_life(contact):
+            await anyio.sleep(UNRECORDED_S)
+            return
         await self._take_in(look, orders, sent_ms)
-        if until_ms is not None:
-            self._note_synced()
+        if self.synced or until_ms is None:
+            return
+        if contact.reborn and not is_clear(contact, orders, self._running):
+            await anyio.sleep(RETRY_S)
+            return
+        self._note_synced()
 
     def _wait_ms(self) -> int:
         if not self.synced:
@@ -206,6 +231,8 @@
         if self.synced:
             return
         self.synced = True
+        if self.synced_ms == math.inf:
+            self.synced_ms = self._shared.follower.time.now_ms()
         _log.info('runner synced', extra={'runner': self.contact.runner})
         self._shared.wake.give()
 
@@ -216,7 +243,7 @@
             runs = self._shared.cell.runs_on(self.contact.runner)
             unheard_s = (now_ms - contact.heard_ms) / 1_000
             cause = f'lease ended, no answer for {unheard_s:.1f} s'
-            await record_vanished(self._shared, runs, cause, self._saved)
+            await record_vanished(self._shared, runs, cause, self.saved)
         if contact.silent and self.synced:
             self.synced = False
             about = {'runner': self.contact.runner, 'why': reason}
@@ -228,7 +255,7 @@
     ) -> None:
         self._running = {(row.task, row.run): row for row in look.running}
         self._note_saved()
-        seen = self._shared.cell.seen_of(self.contact.runner)
+        seen = self.contact.seen
         ends = [end for end in look.ends if end.number > seen]
         began = [_began_ms(self._shared, end) for end in ends]
         records: list[Record] = [
@@ -250,10 +277,10 @@
         """Keep the newest checkpoints of runs that are open."""
         for key, row in self._running.items():
             if row.checkpoint:
-                self._saved[key] = row.checkpoint
-        for key in list(self._saved):
+                self.saved[key] = row.checkpoint
+        for key in list(self.saved):
             if self._shared.cell.find_run(*key) is None:
-                self._saved.pop(key)
+                self.saved.pop(key)
 
     def _missing(
         self, look: Look, orders: Orders, sent_ms: Millis
@@ -266,7 +293,7 @@
             settled_ms = orders.settled.get(key, sent_ms)
             if run.epoch < self._shared.epoch or settled_ms < sent_ms:
                 yield vanished(
-                    self._shared, run, 'not on its runner', self._saved
+                    self._shared, run, 'not on its runner', self.saved
                 )
 
     def _note_end(
--- a/packages/platform/swifthoist_platform/documents.py
+++ b/packages/platform/swifthoist_platform/documents.py
@@ -33,6 +33,7 @@
     :ivar machine: the machine that it is a life of.
     :ivar leaving_ms: least time that is left while it drains.
     :ivar kind: its kind; empty if unknown.
+    :ivar born_ms: when this life began, since the Unix epoch; 0 if unsaid.
     """
 
     runner: RunnerId
@@ -46,18 +47,22 @@
     machine: str
     leaving_ms: Millis | None
     kind: str = ''
+    born_ms: Millis = 0
 
     @property
     def facts(self) -> RunnerFacts:
         """What is kept of it beside its runs."""
-        return RunnerFacts(self.machine, self.rack, self.zone, self.kind)
+        return RunnerFacts(
+            self.machine, self.rack, self.zone, self.kind, self.born_ms
+        )
 
 
 class Registered(NamedTuple):
     """What came of a registration's bytes.
 
     :ivar registration: the runner; none if its entry names none to use.
-    :ivar findings: what is wrong with the entry.
+    :ivar findings: what is wrong with the entry; a birth that can't be read
+        leaves the runner in use.
     """
 
     registration: Registration | None
@@ -118,8 +123,10 @@
     host, _, port = entry.address.rpartition(':')
     if not host or not port.isdecimal():
         reader.findings.append(Finding(names.ADDRESS, 'is no address'))
-    findings = tuple(reader.findings)
-    return Registered(None if findings else entry, findings)
+    if reader.findings:
+        return Registered(None, tuple(reader.findings))
+    born_ms = reader.instant(names.BORN)
+    return Registered(entry._replace(born_ms=born_ms), tuple(reader.findings))
 
 
 class Configured(NamedTuple):
--- a/packages/platform/swifthoist_platform/runner_calls.py
+++ b/packages/platform/swifthoist_platform/runner_calls.py
@@ -46,10 +46,13 @@
 
     :ivar verdict: what the runner said.
     :ivar clock_ms: time on the runner's clock; 0 if it did not tell.
+    :ivar born_ms: when the life that answered began, since the Unix epoch; 0
+        if it did not tell.
     """
 
     verdict: Verdict
     clock_ms: Millis
+    born_ms: Millis = 0
 
 
 class StartOrder(NamedTuple):
@@ -117,6 +120,8 @@
     :ivar running: the runs that it has.
     :ivar ends: the ends after the one that was named.
     :ivar whole: every row could be read, and no end was left for later.
+    :ivar born_ms: when the life that answered began, since the Unix epoch; 0
+        if it did not tell.
     """
 
     verdict: Verdict
@@ -124,6 +129,7 @@
     running: tuple[RunningTask, ...] = ()
     ends: tuple[ListedEnd, ...] = ()
     whole: bool = False
+    born_ms: Millis = 0
 
 
 class RunnerClient:
@@ -228,7 +234,7 @@
         reply = await self._post(names.HOLD, body, timeout_s)
         answer = _answer(reply)
         if answer.verdict is not Verdict.TAKEN:
-            return Look(*answer)
+            return Look(*answer[:2], born_ms=answer.born_ms)
         reader = read_json(reply.content)
         return _read_look(answer, reader)
 
@@ -284,22 +290,27 @@
         tuple(row for row in running if row is not None),
         tuple(row for row in ends if row is not None),
         whole and not reader.findings and len(ends) < MAX_ENDS,
+        answer.born_ms,
     )
 
 
 def _answer(reply: Reply) -> Answer:
     reader = read_json(reply.content) if reply.content else Reader({})
     clock_ms = reader.whole(names.CLOCK_MS)
+    return Answer(_verdict(reply, reader), clock_ms, reader.instant(names.BORN))
+
+
+def _verdict(reply: Reply, reader: Reader) -> Verdict:
     if reply.status == _OK:
-        return Answer(Verdict.TAKEN, clock_ms)
+        return Verdict.TAKEN
     if reply.status == _OTHER_LIFE:
-        return Answer(Verdict.OTHER_LIFE, clock_ms)
+        return Verdict.OTHER_LIFE
     if reply.status in _NOTHING_DONE:
-        return Answer(Verdict.UNHEALTHY, clock_ms)
+        return Verdict.UNHEALTHY
     if reply.status == _CONFLICT:
-        return Answer(_reason(reader.text(names.REASON)), clock_ms)
+        return _reason(reader.text(names.REASON))
     if reply.status == _BAD:
-        return Answer(Verdict.INVALID, clock_ms)
+        return Verdict.INVALID
     raise OutcomeUnknownError(f'the runner answered {reply.status}')
 
 
--- a/packages/platform/swifthoist_platform/values.py
+++ b/packages/platform/swifthoist_platform/values.py
@@ -95,6 +95,18 @@
         """
         return int(self.number(name, default))
 
+    def instant(self, name: str) -> int:
+        """Read a time in whole milliseconds; 0 if it is absent or none.
+
+        :param name: name of the field.
+        :returns: the time since the Unix epoch.
+        """
+        found = self.number(name)
+        if found == int(found):
+            return int(found)
+        self._note(name, 'is no whole number')
+        return 0
+
     def flag(self, name: str) -> bool:
         """Read a truth value; false if it is absent.
 
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -17,6 +17,7 @@
 from swifthoist_platform.job_calls import decode_job, is_job_id, key_of
 from swifthoist_platform.names import (
     ADDRESS,
+    BORN,
     CAPACITY,
     DEPENDS_ON,
     GPU,
@@ -70,6 +71,16 @@
                 places = ' '.join(item.place for item in decoded.findings)
                 self.assertIn(name, places)
 
+    def test_a_birth_that_can_not_be_read_loses_no_runner(self) -> None:
+        """It is a finding, and the runner is used without it."""
+        for value in ('1780000000000', 1.5, -3, True, [7]):
+            with self.subTest(value=value):
+                changed = msgspec.json.encode({**ENTRY, BORN: value})
+                decoded = decode_registration('r', changed)
+                assert decoded.registration is not None
+                self.assertEqual(decoded.registration.born_ms, 0)
+                self.assertEqual([it.place for it in decoded.findings], [BORN])
+
     def test_bytes_that_can_not_be_read_name_no_runner(self) -> None:
         """They are a finding, not an error."""
         for content in (b'', b'\xff\xfe', b'{', b'[]', b'7', b'null'):
--- a/tests/instance/test_leases.py
+++ b/tests/instance/test_leases.py
@@ -9,6 +9,7 @@
     Lease,
     lease_over_ms,
 )
+from swifthoist_instance.lives import HELD_UP_MS
 
 UNKNOWN_MS = 50_000
 
@@ -52,3 +53,12 @@
         self.lease.note_clock(100_500, 500)
         self.lease.note_clock(100_000, 600)
         self.assertEqual(self.lease.next_until(600), 100_600 + LEASE_MS)
+
+    def test_calls_to_a_former_life_may_renew_the_lease_of_the_next(
+        self,
+    ) -> None:
+        """Their times are of its predecessor's clock, which was ahead."""
+        lease = Lease(LEASE_MS, UNKNOWN_MS, HELD_UP_MS)
+        lease.note_clock(100, 0)
+        self.assertFalse(lease.lapsed(LEASE_MS + HELD_UP_MS))
+        self.assertTrue(lease.lapsed(2 * (LEASE_MS + HELD_UP_MS)))
--- /dev/null
+++ b/tests/instance/test_lives.py
@@ -0,0 +1,132 @@
+"""Tests of what tells the lives of a runner apart."""
+
+import logging
+import unittest
+
+import anyio
+import msgspec
+
+from swifthoist_engine.model import TaskId
+from swifthoist_instance.lives import (
+    AHEAD_MS,
+    BACK_MS,
+    HELD_UP_MS,
+    HeldUp,
+    Life,
+)
+from swifthoist_instance.registry import Registry
+from swifthoist_platform import names
+from swifthoist_platform.store import RUNNER_TOPIC
+from tests.instance.fakes import FakeStore, run
+
+BORN = 1_780_000_000_000
+
+
+class _Clock:
+    """A clock that a test moves."""
+
+    now_ms = 0
+
+    def boot_ms(self) -> int:
+        """Time since the start."""
+        return self.now_ms
+
+    def wall_ms(self) -> int:
+        """Time of day."""
+        return BORN + self.now_ms
+
+
+class LifeTest(unittest.TestCase):
+    """A life ends with the first sign of a later one."""
+
+    def setUp(self) -> None:
+        """Know a life by its entry."""
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.clock = _Clock()
+        self.life = Life('r', self.clock, BORN)
+
+    def test_an_entry_or_an_answer_ends_the_life_before(self) -> None:
+        """Whichever comes first; answers that come later are put aside."""
+        self.assertTrue(self.life.hear(BORN))
+        self.life.read(BORN + 1)
+        self.assertTrue(self.life.over)
+        self.assertFalse(self.life.hear(BORN))
+        other = Life('r', self.clock, BORN)
+        self.assertFalse(other.hear(BORN + 1))
+        self.assertEqual(other.next_ms, BORN + 1)
+        self.assertFalse(other.hear(0))
+
+    def test_bad_births_end_no_life(self) -> None:
+        """One that is unsaid, in the future or of an old entry."""
+        self.assertTrue(self.life.hear(BORN))
+        for born_ms in (0, BORN + 2 * AHEAD_MS):
+            self.assertTrue(self.life.hear(born_ms))
+        self.life.read(BORN - 1)
+        self.life.read(0)
+        self.assertFalse(self.life.over)
+
+    def test_an_entry_that_no_life_answers_to_is_refuted(self) -> None:
+        """The runner is used by what it answers."""
+        life = Life('r', self.clock, BORN + 5)
+        self.assertTrue(life.hear(BORN))
+        life.read(BORN + 5)
+        self.assertFalse(life.over)
+        self.assertEqual(life.born_ms, BORN)
+
+    def test_a_runner_whose_time_of_day_went_back_is_not_lost(self) -> None:
+        """Answers that were overtaken have come by then."""
+        self.assertTrue(self.life.hear(BORN))
+        self.assertFalse(self.life.hear(BORN - 7))
+        self.assertFalse(self.life.over)
+        self.clock.now_ms += BACK_MS + 1
+        self.assertFalse(self.life.hear(BORN - 7))
+        self.assertEqual(self.life.next_ms, BORN - 7)
+        self.assertEqual(self.life.refuted_ms, BORN)
+
+    def test_an_order_without_an_answer_is_kept_for_a_while(self) -> None:
+        """Also where a later one was answered; that is up to its sender."""
+        held_up = HeldUp(self.clock)
+        key = (TaskId('j', 0, 0, 0), 1)
+        self.assertFalse(held_up.note_sent(key))
+        self.assertTrue(held_up.note_sent(key))
+        self.assertIn(key, held_up.keys())
+        self.clock.now_ms += HELD_UP_MS
+        self.assertNotIn(key, held_up.keys())
+
+
+class EntryTest(unittest.TestCase):
+    """Entries are of lives, and may have other writers."""
+
+    def test_the_newer_life_holds_and_no_runner_is_lost(self) -> None:
+        """Whatever an entry says of its birth."""
+        births = (BORN, BORN - 1, 'then', None, 2.5, BORN + 10 * AHEAD_MS)
+        found: list[int] = []
+
+        async def play() -> None:
+            store = FakeStore()
+            clock = _Clock()
+            registry = Registry(store, clock)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(registry.run)
+                await registry.loaded.wait()
+                for born in (*births, BORN + 3):
+                    store.publish(RUNNER_TOPIC, 'r', _entry(born))
+                    await anyio.sleep(1)
+                    entry = registry.present('r')
+                    found.append(entry.born_ms if entry else -1)
+                tasks.cancel_scope.cancel()
+
+        run(play)
+        self.assertEqual(found, [*(BORN for _ in births), BORN + 3])
+
+
+def _entry(born: object) -> bytes:
+    document = {
+        names.SERVICE: 'pool',
+        names.ADDRESS: 'runner:1',
+        names.STATE: 'ready',
+        names.CAPACITY: {names.GPU: 8},
+        names.BORN: born,
+    }
+    return msgspec.json.encode(document)
--- a/tests/simulation/test_faults.py
+++ b/tests/simulation/test_faults.py
@@ -10,6 +10,7 @@
 
 from swifthoist_emulator.faults import NO_FAULT, Fault, Faults, Harm
 from swifthoist_emulator.lives import StepWork
+from swifthoist_emulator.site import STANDARD, Site
 from tests.simulation.cluster import STORE, Cluster, Node, play
 from tests.simulation.events import Event, What
 
@@ -189,22 +190,21 @@
             await anyio.sleep(1)
 
 
+CHOSEN = settings(
+    max_examples=EXAMPLES,
+    derandomize=not FRESH,
+    deadline=None,
+    phases=PHASES,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
 class FaultsTest(unittest.TestCase):
     """Every promise is kept under any series of faults."""
 
-    @settings(
-        max_examples=EXAMPLES,
-        derandomize=not FRESH,
-        deadline=None,
-        phases=PHASES,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
-    @given(EVENTS)
-    def test_promises_hold_under_any_series_of_faults(
-        self, events: list[Event]
-    ) -> None:
-        """What was accepted is done once; what was canceled stops."""
+    def expect_kept(self, events: list[Event], site: Site = STANDARD) -> None:
+        """Expect that every promise holds in a series."""
         missing: list[str] = []
 
         async def scene(cluster: Cluster) -> None:
@@ -216,10 +216,26 @@
             await _settle(cluster)
             missing.extend(_missing(cluster))
 
-        world = play(scene, NODES)
+        world = play(scene, NODES, site)
         self.assertEqual(world.witness.broken, [])
         self.assertEqual(missing, [])
 
+    @CHOSEN
+    @given(EVENTS)
+    def test_promises_hold_under_any_series_of_faults(
+        self, events: list[Event]
+    ) -> None:
+        """What was accepted is done once; what was canceled stops."""
+        self.expect_kept(events)
+
+    @CHOSEN
+    @given(EVENTS)
+    def test_promises_hold_where_lives_share_an_id(
+        self, events: list[Event]
+    ) -> None:
+        """Runners that crash start again under the id that they had."""
+        self.expect_kept(events, STANDARD._replace(lasting_ids=True))
+
 
 def _missing(cluster: Cluster) -> list[str]:
     """List what was promised and not done."""
