A start counts as taken by a life only once a look of that life says so

A start that a new life had taken before it was known counted as surely with the old one, and its task would have started elsewhere beside it; its clock would have been read as the old one's. Change: answers that don't tell their life count for no clock; a start is certain once a look shows its run, or was sent behind the answer and is answered by the life. The stand-ins tell the birth where the platform does.

--- a/packages/emulator/swifthoist_emulator/runner_calls.py
+++ b/packages/emulator/swifthoist_emulator/runner_calls.py
@@ -104,14 +104,15 @@
             [end.number, task_name(end.task), end.run, end.ending, end.saved]
             for end in life.ends[:MAX_ENDS]
         ]
-        return answer_json(
-            200,
-            {
-                **_own_words(life),
-                names.RUNNING: running,
-                names.ENDED_RUNS: ends,
-            },
-        )
+        document = {
+            names.CLOCK_MS: life.now_ms,
+            names.RUNNING: running,
+            names.ENDED_RUNS: ends,
+        }
+        if life.born_ms:
+            # Answers to orders do not tell which life gave them.
+            document[names.BORN] = life.born_ms
+        return answer_json(200, document)
 
 
 def _row(run: TaskRun, life: Life) -> list[object]:
@@ -149,7 +150,7 @@
                 there.pace = int(body[names.PERCENT])
         case _:
             return Response(404)
-    return answer_json(200, _own_words(life))
+    return answer_json(200, {names.CLOCK_MS: life.now_ms})
 
 
 def _start(
@@ -166,7 +167,7 @@
     )
     if reason:
         return _refuse(life, reason)
-    return answer_json(200, _own_words(life))
+    return answer_json(200, {names.CLOCK_MS: life.now_ms})
 
 
 def _is_permitted(body: dict[str, Any], life: Life, task: TaskId) -> bool:
@@ -178,10 +179,5 @@
 
 
 def _refuse(life: Life, reason: str) -> Response:
-    return answer_json(409, {**_own_words(life), names.REASON: reason})
-
-
-def _own_words(life: Life) -> dict[str, Any]:
-    """What a life says of itself in each answer."""
-    born = {names.BORN: life.born_ms} if life.born_ms else {}
-    return {names.CLOCK_MS: life.now_ms, **born}
+    document = {names.CLOCK_MS: life.now_ms, names.REASON: reason}
+    return answer_json(409, document)
--- a/packages/instance/swifthoist_instance/contacts.py
+++ b/packages/instance/swifthoist_instance/contacts.py
@@ -162,9 +162,12 @@
         """Take in what an answer says of the runner.
 
         :param answer: the answer to an order.
-        :returns: whether this life gave it.
+        :returns: false if this life did not give it.
         """
         self.note_verdict(answer.verdict)
+        if self.life.born_ms and not answer.born_ms:
+            # It does not say which life gave it; the next look will.
+            return not self.life.over
         if not self.life.hear(answer.born_ms):
             return False
         self.note_clock(answer.clock_ms)
--- a/packages/instance/swifthoist_instance/lives.py
+++ b/packages/instance/swifthoist_instance/lives.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import KeysView
+from collections.abc import KeysView, Set
 
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import Millis, RunnerId
@@ -148,7 +148,12 @@
 
 
 class HeldUp:
-    """Starts that may still be carried out, be it by a later life."""
+    """Starts of which it is not known that they reached the life meant.
+
+    One without an answer may be carried out later, be it by a later life. One
+    that was answered may have been so by a later life, until a look shows the run,
+    or was sent behind the answer and shows that the life goes on.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Start without any.
@@ -157,6 +162,7 @@
         """
         self._clock = clock
         self._sent: dict[RunKey, Millis] = {}
+        self._answered: dict[RunKey, Millis] = {}
 
     def note_sent(self, key: RunKey) -> bool:
         """Note that a start is being sent.
@@ -169,11 +175,22 @@
         return known
 
     def note_answered(self, key: RunKey) -> None:
-        """Note that no start of a run is on its way any more.
+        """Note that every start of a run that was sent got its answer.
 
         :param key: the run.
         """
-        self._sent.pop(key, None)
+        self._answered[key] = self._clock.boot_ms()
+
+    def note_look(self, sent_ms: Millis, there: Set[RunKey]) -> None:
+        """Note a look that the life meant has answered.
+
+        :param sent_ms: when it was sent.
+        :param there: runs that it shows, running or ended.
+        """
+        for key, answered_ms in tuple(self._answered.items()):
+            if answered_ms <= sent_ms or key in there:
+                self._answered.pop(key)
+                self._sent.pop(key, None)
 
     def keys(self) -> KeysView[RunKey]:
         """List the runs of which a start may be on its way."""
--- a/packages/instance/swifthoist_instance/paces.py
+++ b/packages/instance/swifthoist_instance/paces.py
@@ -86,5 +86,6 @@
     except LOST as exc:
         _log.warning('pace unanswered', extra={**about, 'why': str(exc)})
     else:
-        contact.life.hear(answer.born_ms)
+        if answer.born_ms:
+            contact.life.hear(answer.born_ms)
         _log.info('pace', extra=about)
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -208,6 +208,7 @@
         if not contact.life.hear(look.born_ms):
             await anyio.sleep(RETRY_S)
             return
+        contact.held_up.note_look(sent_ms, _there(look))
         contact.note_clock(look.clock_ms)
         contact.lease.note_granted(until_ms)
         if not await fold_life(contact):
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -124,7 +124,7 @@
         faults.orders = NO_FAULT
 
     async def crash_runner(self, _: Stage) -> None:
-        """Crash a runner; it comes back as another life."""
+        """Crash a runner; it comes back as another life, maybe by its id."""
         fleet = self._world.fleet
         host = self._rng.choice(list(fleet.hosts.values()))
         if host.life is None:
--- a/tests/instance/test_lives.py
+++ b/tests/instance/test_lives.py
@@ -94,6 +94,30 @@
         self.clock.now_ms += HELD_UP_MS
         self.assertNotIn(key, held_up.keys())
 
+    def test_a_start_is_certain_once_a_later_look_is_answered(self) -> None:
+        """Its own answer may be of the next life, and does not say so."""
+        held_up = HeldUp(self.clock)
+        key = (TaskId('j', 0, 0, 0), 1)
+        held_up.note_sent(key)
+        self.clock.now_ms += 5
+        held_up.note_answered(key)
+        held_up.note_look(self.clock.now_ms - 1, set())
+        self.assertIn(key, held_up.keys())
+        held_up.note_look(self.clock.now_ms, set())
+        self.assertNotIn(key, held_up.keys())
+
+    def test_a_start_is_certain_once_a_look_shows_its_run(self) -> None:
+        """That look may have been sent before; one start must not be open."""
+        for open_starts in (0, 1):
+            held_up = HeldUp(self.clock)
+            key = (TaskId('j', 0, 0, open_starts), 1)
+            for _ in range(open_starts):
+                held_up.note_sent(key)
+            if not held_up.note_sent(key):
+                held_up.note_answered(key)
+            held_up.note_look(-1, {key})
+            self.assertEqual(key in held_up.keys(), open_starts > 0)
+
 
 class EntryTest(unittest.TestCase):
     """Entries are of lives, and may have other writers."""
--- a/tests/simulation/test_rebirths.py
+++ b/tests/simulation/test_rebirths.py
@@ -177,3 +177,18 @@
             self.assertEqual(running(order.job), [])
 
         self.expect_kept(play(scene, site=ALONE))
+
+    def test_starts_that_reach_a_life_not_yet_known_run_once(self) -> None:
+        """Their answers do not tell that another life gave them."""
+
+        async def scene(cluster: Cluster) -> None:
+            await _serve(cluster)
+            for _ in range(12):
+                order = cluster.order('/batch/', TINY, width=4)
+                await cluster.submit(order)
+                _rebear(cluster, _hosts(cluster))
+                await anyio.sleep(0.4)
+            for order in cluster.accepted:
+                await cluster.wait_state(order, 'complete', 20)
+
+        self.expect_kept(play(scene, site=SITE._replace(runners=3)))
