Lives that ended are counted, and what is known of starts to a life is bounded

Cause: no figure told an operator how often runners start again under their ids and what that cost; starts without an answer were kept for a runner for as long as it lived. Change: runner_lives_ended, runs_lost_with_lives, runs_unsure_with_lives in the metrics; entries older than an order can be held up are dropped with each start. tests.instance.test_shared fills the fields of Shared by name, as strict as before.

--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -21,6 +21,7 @@
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.jsonlogs import BoundedHandler
+from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.parts import Parts
 from swifthoist_instance.registry import Registry
@@ -123,6 +124,7 @@
             self._life, self._follower, self._journal, clock, boot.cores
         )
         turns = Turns(clock)
+        lives = LifeCounts()
         self._holding = Holding(
             Parts(
                 self.tenure,
@@ -140,6 +142,7 @@
                 self._aside,
                 self._site_terms,
                 turns,
+                lives,
             )
         )
         intake = Intake(
@@ -161,6 +164,9 @@
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
         metrics.watch('decision_ms', lambda: turns.decision_ms)
+        metrics.watch('runner_lives_ended', lambda: lives.ended)
+        metrics.watch('runs_lost_with_lives', lambda: lives.lost)
+        metrics.watch('runs_unsure_with_lives', lambda: lives.unsure)
         self._phase = Phase()
         api = Api(
             self._configuration,
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -78,6 +78,7 @@
             parts.clock,
             wake,
             anyio.Event(),
+            parts.lives,
         )
         self._roster = Roster(
             self._registry,
--- a/packages/instance/swifthoist_instance/lives.py
+++ b/packages/instance/swifthoist_instance/lives.py
@@ -36,6 +36,21 @@
     return born_ms <= clock.wall_ms() + AHEAD_MS
 
 
+class LifeCounts:
+    """What this instance saw of runners that started again under their ids.
+
+    :ivar ended: lives that ended by a later one with the same id.
+    :ivar lost: runs that were given up with them at once.
+    :ivar unsure: runs that had to be barred at the next life first.
+    """
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.ended = 0
+        self.lost = 0
+        self.unsure = 0
+
+
 class Life:
     """The life that a session speaks with.
 
@@ -170,7 +185,7 @@
         :param key: the run.
         :returns: whether an earlier one of it may be on its way.
         """
-        known = key in self._sent
+        known = key in self.keys()
         self._sent[key] = self._clock.boot_ms()
         return known
 
@@ -200,4 +215,6 @@
             for key, sent_ms in self._sent.items()
             if sent_ms > limit
         }
+        for key in self._answered.keys() - self._sent.keys():
+            self._answered.pop(key)
         return self._sent.keys()
--- a/packages/instance/swifthoist_instance/parts.py
+++ b/packages/instance/swifthoist_instance/parts.py
@@ -10,6 +10,7 @@
 from swifthoist_instance.faults import Aside
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
+from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.registry import Registry
 from swifthoist_instance.snapshotting import Snapshots
 from swifthoist_instance.tenure import Tenure
@@ -39,6 +40,7 @@
     :ivar aside: what decisions leave out, since they failed on it.
     :ivar terms: tells the terms of the site.
     :ivar turns: watches the event loop.
+    :ivar lives: counts the lives of runners that ended under their ids.
     """
 
     tenure: Tenure
@@ -56,3 +58,4 @@
     aside: Aside
     terms: Callable[[], SiteTerms]
     turns: Turns
+    lives: LifeCounts
--- a/packages/instance/swifthoist_instance/rebirths.py
+++ b/packages/instance/swifthoist_instance/rebirths.py
@@ -37,6 +37,9 @@
         await anyio.sleep(RETRY_S)
         return
     about = {'lost': len(lost), 'unsure': len(runs) - len(lost)}
+    shared.lives.ended += 1
+    shared.lives.lost += about['lost']
+    shared.lives.unsure += about['unsure']
     _log.info('life over', extra={'runner': contact.runner, **about})
     contact.closed = True
     shared.wake.give()
--- a/packages/instance/swifthoist_instance/shared.py
+++ b/packages/instance/swifthoist_instance/shared.py
@@ -11,6 +11,7 @@
 from swifthoist_engine.standstill import Standstill
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
+from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.signals import Signal
 from swifthoist_instance.tenure import Hold, Tenure
 
@@ -27,6 +28,7 @@
     :ivar clock: tells the time.
     :ivar wake: wakes the planner.
     :ivar over: set for good once the tenure was not in force at any time.
+    :ivar lives: counts the lives of runners that ended under their ids.
     """
 
     tenure: Tenure
@@ -38,6 +40,7 @@
     clock: Clock
     wake: Signal
     over: anyio.Event
+    lives: LifeCounts
 
     @property
     def epoch(self) -> Epoch:
--- a/tests/instance/test_shared.py
+++ b/tests/instance/test_shared.py
@@ -18,8 +18,9 @@
         async def main() -> None:
             hold = Hold(3, 0, 0)
             tenure = SimpleNamespace(hold=hold)
-            rest = (None for _ in Shared._fields[3:])
-            shared = Shared(tenure, hold, *rest, anyio.Event())
+            shared = Shared(*(None for _ in Shared._fields))._replace(
+                tenure=tenure, hold=hold, over=anyio.Event()
+            )
             self.assertTrue(shared.may_act())
             tenure.hold = None
             self.assertFalse(shared.may_act())
