Merge lives of a runner under one id

An answer is put aside where it is of a life that is over; whatever else the parts do with answers stands behind that.

--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -89,6 +89,7 @@
             parts.zones,
             RunLines(parts.follower.cell, parts.clock),
             anyio.Event(),
+            parts.lives,
         )
         self._roster = Roster(
             self._registry,
--- a/packages/instance/swifthoist_instance/parts.py
+++ b/packages/instance/swifthoist_instance/parts.py
@@ -12,6 +12,7 @@
 from swifthoist_instance.faults import Aside
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
+from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.registry import Registry
 from swifthoist_instance.snapshotting import Snapshots
 from swifthoist_instance.tenure import Tenure
@@ -43,6 +44,7 @@
     :ivar turns: watches the event loop.
     :ivar zones: tells in which zones work may be started.
     :ivar cold_zones: tells which zones have cold runners.
+    :ivar lives: counts the lives of runners that ended under their ids.
     """
 
     tenure: Tenure
@@ -62,3 +64,4 @@
     turns: Turns
     zones: ZoneGate
     cold_zones: ColdZones
+    lives: LifeCounts
--- a/packages/instance/swifthoist_instance/shared.py
+++ b/packages/instance/swifthoist_instance/shared.py
@@ -13,6 +13,7 @@
 from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
+from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.run_lines import RunLines
 from swifthoist_instance.signals import Signal
 from swifthoist_instance.tenure import Hold, Tenure
@@ -32,6 +33,7 @@
     :ivar zones: tells in which zones work may be started.
     :ivar lines: writes what happens to runs.
     :ivar over: set for good once the tenure was not in force at any time.
+    :ivar lives: counts the lives of runners that ended under their ids.
     """
 
     tenure: Tenure
@@ -45,6 +47,7 @@
     zones: ZoneGate
     lines: RunLines
     over: anyio.Event
+    lives: LifeCounts
 
     @property
     def epoch(self) -> Epoch:
--- a/packages/platform/swifthoist_platform/documents.py
+++ b/packages/platform/swifthoist_platform/documents.py
@@ -34,6 +34,7 @@
     :ivar leaving_ms: least time that is left while it drains.
     :ivar kind: its kind; empty if unknown.
     :ivar cold_ms: how much longer it is slow after its start, as of its entry.
+    :ivar born_ms: when this life began, since the Unix epoch; 0 if unsaid.
     """
 
     runner: RunnerId
@@ -48,18 +49,22 @@
     leaving_ms: Millis | None
     kind: str = ''
     cold_ms: Millis = 0
+    born_ms: Millis = 0
 
     @property
     def facts(self) -> RunnerFacts:
         """What is kept of it beside its runs."""
-        return RunnerFacts(self.machine, self.rack, self.zone, self.kind)
+        return RunnerFacts(
+            self.machine, self.rack, self.zone, self.kind, self.born_ms
+        )
 
 
 class Registered(NamedTuple):
     """What came of a registration's bytes.
 
     :ivar registration: the runner; none if its entry names none to use.
-    :ivar findings: what is wrong with the entry.
+    :ivar findings: what is wrong with the entry; a birth that can't be read
+        leaves the runner in use.
     """
 
     registration: Registration | None
@@ -121,8 +126,10 @@
     host, _, port = entry.address.rpartition(':')
     if not host or not port.isdecimal():
         reader.findings.append(Finding(names.ADDRESS, 'is no address'))
-    findings = tuple(reader.findings)
-    return Registered(None if findings else entry, findings)
+    if reader.findings:
+        return Registered(None, tuple(reader.findings))
+    born_ms = reader.instant(names.BORN)
+    return Registered(entry._replace(born_ms=born_ms), tuple(reader.findings))
 
 
 class Configured(NamedTuple):
