--- a/packages/cli/swifthoist_cli/commands.py
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -40,6 +40,15 @@
     'ended_ms',
     'ending',
 )
+_SPEED_COLUMNS = (
+    'runner',
+    'machine',
+    'kind',
+    'rack',
+    'speed',
+    'factor',
+    'runs',
+)
 _BURN_COLUMNS = ('queue', 'long_ms', 'long_rate', 'short_rate', 'severity')
 
 
@@ -115,6 +124,11 @@
         rows = self._api().call('GET', '/v1/spans', params={'team': team})
         self._print_rows(rows, _SPAN_COLUMNS)
 
+    @verb
+    def speeds(self) -> None:
+        """List how fast each runner is, the fastest first."""
+        self._print_rows(self._api().call('GET', '/v1/speeds'), _SPEED_COLUMNS)
+
     @verb
     def burn(self) -> int:
         """Report how fast error budgets are spent.
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -88,7 +88,7 @@
         self._mechanisms = mechanisms
         self._now_ms = now_ms
         self._allowed = allowed
-        self._match = SpeedMatch(
+        self.match = SpeedMatch(
             board.fleet, board.cell.state.experience.speeds, now_ms, mechanisms
         )
 
@@ -98,20 +98,24 @@
         :param waiting: the unit.
         :returns: the choice; none when it has to wait.
         """
-        floors = self._match.floors(waiting)
+        floors = self.match.floors(waiting)
         for names in self._choices(waiting, floors, roomy=True):
             placed = self._fill(waiting, names)
             if placed is not None:
                 return placed
         return None
 
-    def choices(self, waiting: Waiting) -> list[Sequence[RunnerId]]:
+    def choices(
+        self, waiting: Waiting, *, by_speed: bool = False
+    ) -> list[Sequence[RunnerId]]:
         """List the groups of runners that a unit may take, best first.
 
         :param waiting: the unit.
+        :param by_speed: list groups of the faster runners, too.
         :returns: groups of runners that may run its tasks.
         """
-        return list(self._choices(waiting, (ANY,), roomy=False))
+        floors = self.match.floors(waiting) if by_speed else (ANY,)
+        return list(self._choices(waiting, floors, roomy=False))
 
     def eligible(self, waiting: Waiting) -> Candidates:
         """List the runners that may run a task of a unit now.
@@ -280,7 +284,7 @@
             self.board.room.rack_free[view.rack]
             if self._mechanisms.packing
             else 0,
-            self._match.rank(waiting, view),
+            self.match.rank(waiting, view),
             free.accelerators if self._mechanisms.packing else 0,
             free.memory,
             name,
--- a/packages/engine/swifthoist_engine/preemption.py
+++ b/packages/engine/swifthoist_engine/preemption.py
@@ -16,7 +16,12 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.mechanisms import ALL, Mechanisms
-from swifthoist_engine.model import USUAL_TERMS, Resources, SiteTerms
+from swifthoist_engine.model import (
+    USUAL_TERMS,
+    Resources,
+    SiteTerms,
+    StepSpec,
+)
 from swifthoist_engine.occupancy import RunShare
 from swifthoist_engine.placing import Placer
 from swifthoist_engine.queueing import Waiting
@@ -69,7 +74,8 @@
 
     :ivar runners: where its tasks will go.
     :ivar victims: runs to stop.
-    :ivar loss: core-milliseconds that are lost with them.
+    :ivar loss: core-milliseconds that are lost with them, and by runners
+        that are slower than others.
     """
 
     runners: tuple[RunnerId, ...]
@@ -114,7 +120,8 @@
         :param waiting: the unit.
         :returns: what to stop; none if no stop would make room.
         """
-        best = self._cheapest(waiting, self._placer.choices(waiting))
+        choices = self._placer.choices(waiting, by_speed=True)
+        best = self._cheapest(waiting, choices)
         if best is None:
             names = self._placer.eligible(waiting).names
             best = self._cheapest(waiting, [names])
@@ -157,7 +164,7 @@
         for _ in range(waiting.members):
             if not attempt.add_member() or attempt.loss > most:
                 return None
-        return self._with_gangs(attempt)
+        return self._with_gangs(waiting, attempt)
 
     def _outlook(self, name: RunnerId) -> '_Outlook':
         """Tell what will be free on a runner, and what could be."""
@@ -181,10 +188,7 @@
 
     def _loss(self, share: RunShare) -> float:
         step = share.step
-        cores = (
-            step.need.cpu / _CPU_PER_CORE
-            + ACCELERATOR_CORES * step.need.accelerators
-        )
+        cores = _cores(step)
         tasks = step.width if step.gang else 1
         worked = max(self._now_ms - share.run.started_ms, 0)
         if step.checkpointing:
@@ -197,10 +201,12 @@
     def _usual_ms(self, share: RunShare) -> Millis:
         return self._board.expected.usual_ms(share.run)
 
-    def _with_gangs(self, attempt: '_Attempt') -> Plan:
+    def _with_gangs(self, waiting: Waiting, attempt: '_Attempt') -> Plan:
         """Stop whole gangs; each member of one loses as much as the others."""
         whole: dict[RunKey, OpenRun] = {}
-        loss = float(0)
+        # Slow runners hold the room of the unit for longer.
+        loss = waiting.members * _cores(waiting.step)
+        loss *= self._placer.match.delay_ms(waiting, attempt.runners)
         for victim in attempt.victims:
             task = victim.run.task
             if (task, victim.run.run) in whole:
@@ -213,6 +219,12 @@
         return Plan(tuple(attempt.runners), tuple(whole.values()), loss)
 
 
+def _cores(step: StepSpec) -> float:
+    """Tell how many cores a task holds, its accelerators among them."""
+    cpu = step.need.cpu / _CPU_PER_CORE
+    return cpu + ACCELERATOR_CORES * step.need.accelerators
+
+
 class _Option(NamedTuple):
     """The cheapest way to put one task on a runner, the cheapest first.
 
--- /dev/null
+++ b/packages/engine/swifthoist_engine/speed_figures.py
@@ -0,0 +1,229 @@
+"""What runs tell of a machine, a kind, a queue and a step, as plain figures.
+
+Times are logarithms of multiples of what is typical.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from swifthoist_core.types import Millis
+from swifthoist_engine.past_runs import RunnerFacts
+
+FASTER = 1
+USUAL = 0
+SLOWER = -1
+"""Classes of speed."""
+
+CLASS_NAMES = {FASTER: 'faster', USUAL: 'usual', SLOWER: 'slower'}
+
+FAST_FACTOR = 0.75
+SLOW_FACTOR = 1.33
+"""A runner is faster or slower when it takes this share of the usual time: a
+third more uses up most of the slack of the tightest objectives, half more."""
+
+BACK_SHARE = 0.6
+"""It is so until it is nearer to the usual than this share of that, in
+logarithms."""
+
+MOST_RUNS = 12.0
+"""Most runs that a figure is worth, so that it follows a runner that changes. A run
+of a queue counts by how little its runs differ by themselves, 1 at
+:data:`PRIOR_NOISE`."""
+
+MOST_WEIGHT = 3.0
+"""Most that one run counts."""
+
+HALF_LIFE_MS = 60_000
+"""Time after which what was seen counts half, in ms: some ten tasks of the
+usual length."""
+
+OTHER_LIFE_SHARE = 0.5
+"""What runs of a former life of the same machine count."""
+
+
+PRIOR_NOISE = 0.25
+"""Variance of the logarithm of a run's time before any was seen: half of the
+runs within 0.7 to 1.4 times what is typical."""
+
+PRIOR_RUNS = 10
+MOST_NOISE_RUNS = 500
+"""Runs that this variance counts for, and the most that are remembered of those
+that were seen."""
+
+
+STEP_MACHINES = 4
+"""Machines on which a step ran at which half of what it is off is taken to be the
+step's own: a job's tasks are alike, and many of them run on one machine."""
+
+SAME_STEP_SHARE = 0.5
+"""What another run of the same step counts on a machine."""
+
+
+@dataclass(slots=True)
+class Figure:
+    """What the runs on a machine tell.
+
+    :ivar kind: kind of the machine.
+    :ivar born_ms: begin of the life that ran there last.
+    :ivar mean: mean logarithm of what runs took, in what is typical.
+    :ivar runs: how many runs that is worth.
+    :ivar at_ms: time of the newest.
+    :ivar speed: its class.
+    :ivar step: step of the newest task by itself.
+    """
+
+    kind: str = ''
+    born_ms: Millis = 0
+    mean: float = 0
+    runs: float = 0
+    at_ms: Millis = 0
+    speed: int = USUAL
+    step: str = ''
+
+    def renew(self, facts: RunnerFacts, at_ms: Millis) -> None:
+        """Let what was seen fade.
+
+        :param facts: what is known of the life that runs there now.
+        :param at_ms: time of the cell.
+        """
+        self.runs = self.worth(at_ms)
+        if facts.kind != self.kind:
+            self.runs = 0
+        elif facts.born_ms != self.born_ms:
+            self.runs *= OTHER_LIFE_SHARE
+        self.kind = facts.kind
+        self.born_ms = facts.born_ms
+        self.at_ms = max(self.at_ms, at_ms)
+
+    def worth(self, at_ms: Millis) -> float:
+        """Tell how many runs it is worth by now.
+
+        :param at_ms: time of the cell.
+        :returns: number of runs.
+        """
+        idle_ms = max(at_ms - self.at_ms, 0)
+        return self.runs * math.pow(2, -idle_ms / HALF_LIFE_MS)
+
+    def add(self, taken: float, weight: float) -> None:
+        """Take in a run.
+
+        :param taken: logarithm of its time, in what is typical.
+        :param weight: how many runs it counts as.
+        """
+        self.mean += (taken - self.mean) * weight / (self.runs + weight)
+        self.runs = min(self.runs + weight, MOST_RUNS)
+
+
+class KindFigure(NamedTuple):
+    """What the machines of a kind have in common.
+
+    :ivar mean: logarithm of their usual factor.
+    :ivar speed: its class.
+    """
+
+    mean: float = 0
+    speed: int = USUAL
+
+
+class Noise(NamedTuple):
+    """How much the runs of a queue differ on one machine.
+
+    :ivar variance: variance of the logarithm of their time.
+    :ivar runs: how many runs that goes by.
+    """
+
+    variance: float = PRIOR_NOISE
+    runs: int = 0
+
+    @property
+    def deviation(self) -> float:
+        """Standard deviation of the same."""
+        return math.sqrt(self.variance)
+
+    @property
+    def weight(self) -> float:
+        """How much a run tells of its machine."""
+        return min(PRIOR_NOISE / self.variance, MOST_WEIGHT)
+
+    def add(self, square: float) -> 'Noise':
+        """Take in a run.
+
+        :param square: square of how far it was off.
+        :returns: the figure with it.
+        """
+        runs = min(self.runs + 1, MOST_NOISE_RUNS)
+        share = 1 / (PRIOR_RUNS + runs)
+        return Noise(self.variance + share * (square - self.variance), runs)
+
+
+class StepFigure(NamedTuple):
+    """How far the tasks of a step are off what is typical of its queue.
+
+    :ivar off: mean logarithm, beyond what their runners were expected to take.
+    :ivar runs: number of runs.
+    :ivar machine: where the newest was.
+    :ivar machines: how often that was another one than before.
+    """
+
+    off: float = 0
+    runs: int = 0
+    machine: str = ''
+    machines: int = 0
+
+    def share(self) -> float:
+        """Tell how far off its next task is expected to be."""
+        return self.off * self.machines / (self.machines + STEP_MACHINES)
+
+    def add(self, off: float, machine: str) -> 'StepFigure':
+        """Take in a run.
+
+        :param off: logarithm of how far it was off.
+        :param machine: where it was.
+        :returns: the figure with it.
+        """
+        runs = self.runs + 1
+        mean = self.off + (off - self.off) / runs
+        machines = self.machines + int(machine != self.machine)
+        return StepFigure(mean, runs, machine, machines)
+
+
+class Member(NamedTuple):
+    """A member of a gang before its time is taken in.
+
+    :ivar figure: what is known of its machine.
+    :ivar expected: logarithm of the time that it was expected to take.
+    :ivar variance: variance of that.
+    """
+
+    figure: Figure
+    expected: float
+    variance: float
+
+    def chance(self, taken: float, noise: float) -> float:
+        """Tell how likely it would have taken some time.
+
+        :param taken: logarithm of the time.
+        :param noise: variance of runs on one machine.
+        :returns: its likelihood, up to a constant.
+        """
+        off = taken - self.expected
+        return math.exp(-off * off / (2 * (self.variance + noise)))
+
+
+def class_of(before: int, off: float) -> int:
+    """Tell the class of a factor; it holds until the factor is well back.
+
+    :param before: the class until now.
+    :param off: logarithm of the factor.
+    :returns: the class.
+    """
+    fast = math.log(FAST_FACTOR)
+    slow = math.log(SLOW_FACTOR)
+    if before == FASTER:
+        fast *= BACK_SHARE
+    elif before == SLOWER:
+        slow *= BACK_SHARE
+    if off <= fast:
+        return FASTER
+    return SLOWER if off >= slow else USUAL
--- a/packages/engine/swifthoist_engine/speed_match.py
+++ b/packages/engine/swifthoist_engine/speed_match.py
@@ -7,12 +7,15 @@
 ones free. Where runners are alike, nothing changes.
 """
 
-from swifthoist_core.types import Millis
+from collections.abc import Sequence
+
+from swifthoist_core.types import Millis, RunnerId
 from swifthoist_engine.fleet import Fleet
 from swifthoist_engine.mechanisms import Mechanisms
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.runners import RunnerView
-from swifthoist_engine.speeds import USUAL, Speeds
+from swifthoist_engine.speed_figures import USUAL
+from swifthoist_engine.speeds import Speeds
 
 ANY = None
 """No class is too slow."""
@@ -37,6 +40,7 @@
         """
         self._classes = fleet.speeds if mechanisms.speeds else ()
         self._factors = speeds.factors
+        self._views = fleet.views
         self._now_ms = now_ms
 
     @property
@@ -69,6 +73,20 @@
             return USUAL
         return view.speed
 
+    def delay_ms(self, waiting: Waiting, runners: Sequence[RunnerId]) -> float:
+        """Tell how much longer a unit takes than on the fastest class.
+
+        :param waiting: the unit.
+        :param runners: where its tasks would go.
+        :returns: the difference, in ms.
+        """
+        if not self.uneven or _is_unhurried(waiting):
+            return 0
+        slowest = min(self._views[name].speed for name in runners)
+        most = self._factors.get(slowest, 1)
+        least = self._factors.get(self._classes[-1], 1)
+        return max(most - least, 0) * waiting.lasts_ms
+
     def _slowest_in_time(self, waiting: Waiting) -> int | None:
         """Find the slowest class on which a unit meets its objective."""
         left_ms = waiting.deadline_ms - self._now_ms
--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -27,6 +27,7 @@
     StepSpec,
 )
 from swifthoist_engine.records import Canceled, Record, Submitted
+from swifthoist_engine.speed_lines import speed_lines
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
@@ -156,6 +157,8 @@
                     if question.team in {'', span.team}
                 )
                 return Answer(200, _plain(spans))
+            case '/v1/speeds':
+                return Answer(200, _plain(speed_lines(state)))
             case '/v1/burn':
                 return Answer(200, _plain(burn_lines(state)))
             case _:
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -4,6 +4,7 @@
 import os
 import signal
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, NamedTuple
 
 import anyio
@@ -13,6 +14,7 @@
 from swifthoist_core.types import InstanceId, Millis
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.model import SiteTerms
+from swifthoist_engine.speeds import Speeds
 from swifthoist_instance.api import Api
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.faults import Aside, Faults
@@ -161,6 +163,8 @@
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
         metrics.watch('decision_ms', lambda: turns.decision_ms)
+        for figure in Speeds().describe():
+            metrics.watch(figure, partial(self._speed_figure, figure))
         self._phase = Phase()
         api = Api(
             self._configuration,
@@ -246,11 +250,16 @@
             'holds': self.tenure.hold is not None,
             'jobs': len(state.jobs),
             'runs': len(self._follower.cell.runs.all()),
+            'speeds': state.experience.speeds.describe(),
             'leaving': self._phase.leaving,
             'set_aside': len(self._aside),
             'faults': self.faults.describe(),
         }
 
+    def _speed_figure(self, figure: str) -> float:
+        state = self._follower.cell.state
+        return state.experience.speeds.describe()[figure]
+
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
--- a/tests/engine/test_speeds.py
+++ b/tests/engine/test_speeds.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from swifthoist_engine import speeds
+from swifthoist_engine import speed_figures, speeds
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.jobs import Job, OpenRun
 from swifthoist_engine.model import StepSpec, TaskId
@@ -26,7 +26,8 @@
     restore,
     take_snapshot,
 )
-from swifthoist_engine.speeds import FASTER, SLOWER, USUAL, Speeds
+from swifthoist_engine.speed_figures import FASTER, SLOWER, USUAL
+from swifthoist_engine.speeds import Speeds
 from tests.engine.scenes import BULK, KEEP_MS, NOW_MS, gang, job_spec, task
 
 TYPICAL_MS = 5_000
@@ -46,10 +47,11 @@
     **changes: object,
 ) -> PastRun:
     """Make a run that is over."""
-    job = Job(job_spec('j', BULK, step))
+    name = f'{at_ms}-{members[0].machine}'
+    job = Job(job_spec(name, BULK, step))
     begun = at_ms - int(took_ms)
     runs = tuple(
-        OpenRun(TaskId('j', 0, 0, index), 1, 'runner', 1, begun)
+        OpenRun(TaskId(name, 0, 0, index), 1, 'runner', 1, begun)
         for index in range(len(members))
     )
     done = Ending.DONE
@@ -220,7 +222,7 @@
     def test_what_was_not_seen_for_long_fades(self) -> None:
         played = Played(TRUE * 10)
         played.singles(8)
-        played.at_ms += 20 * speeds.HALF_LIFE_MS
+        played.at_ms += 20 * speed_figures.HALF_LIFE_MS
         played.singles(3, tuple(range(1, 40)))
         self.assertGreater(played.found.factor(facts(0)), 0.9)
 
