--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -3,16 +3,15 @@
 import logging
 import os
 import signal
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
 
 from swifthoist_core.clock import Clock
-from swifthoist_core.types import InstanceId, Millis, RunnerId
+from swifthoist_core.types import InstanceId, Millis
 from swifthoist_engine.cell import Cell
-from swifthoist_engine.duration_lines import DurationLine, duration_lines
 from swifthoist_engine.evacuation import ZoneLine, zone_lines
 from swifthoist_engine.model import SiteTerms
 from swifthoist_instance.api import Api
@@ -25,6 +24,7 @@
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.jsonlogs import BoundedHandler
+from swifthoist_instance.learned import LearnedView
 from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.parts import Parts
@@ -118,6 +118,7 @@
             # Who lets others claim first need not see a loss before they do.
             GATHER_S + claim_delay_ms(boot.cores) / 1_000,
         )
+        self._learned = LearnedView(self._follower)
         self._journal = Journal(
             self._open_store(), self._life, clock, boot.link_bytes_s
         )
@@ -174,7 +175,6 @@
         metrics.watch('epoch', lambda: self._follower.cell.state.epoch)
         metrics.watch('faults', lambda: self.faults.count)
         metrics.watch('set_aside', lambda: len(self._aside))
-        metrics.watch('runners_doubted', lambda: len(self._doubted()))
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
         metrics.watch('decision_ms', lambda: turns.decision_ms)
@@ -186,7 +186,7 @@
             lambda: sum(line.runs for line in self._zone_lines()),
         )
         metrics.watch('cold_runners', lambda: self._cold_zones.runners.total())
-        metrics.watch_durations(self._duration_lines)
+        self._learned.watch(metrics)
         metrics.watch('runner_lives_ended', lambda: self._lives.ended)
         metrics.watch('runs_lost_with_lives', lambda: self._lives.lost)
         metrics.watch('runs_unsure_with_lives', lambda: self._lives.unsure)
@@ -197,8 +197,9 @@
             self._journal,
             self._describe,
         )
-        internal_port = boot.internal_ports[0]
-        self.web = Web(intake, api, metrics, self._phase, internal_port)
+        self.web = Web(
+            intake, api, metrics, self._phase, boot.internal_ports[0]
+        )
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then leave gracefully."""
@@ -279,19 +280,10 @@
             'evacuated': [line._asdict() for line in self._zone_lines()],
             'cold': dict(self._cold_zones.runners),
             'set_aside': len(self._aside),
-            'runners_doubted': self._doubted(),
             'faults': self.faults.describe(),
-            'durations': [it._asdict() for it in self._duration_lines()],
+            **self._learned.describe(),
         }
 
-    def _doubted(self) -> list[RunnerId]:
-        cell = self._follower.cell
-        return cell.state.breakers.doubted(cell.state.time_ms)
-
-    def _duration_lines(self) -> Iterator[DurationLine]:
-        experience = self._follower.cell.state.experience
-        return duration_lines(experience.durations)
-
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
