Speeds: the floor of noise is taken back

The test passed without it: the variance never reaches 0, as floats stop shrinking before that, and a run's weight is bounded.

--- a/packages/engine/swifthoist_engine/speed_figures.py
+++ b/packages/engine/swifthoist_engine/speed_figures.py
@@ -46,10 +46,6 @@
 """Variance of the logarithm of a run's time before any was seen: half of the
 runs within 0.7 to 1.4 times what is typical."""
 
-LEAST_NOISE = 0.0025
-"""Least variance that runs are taken to have: a twentieth of their time, which the
-moment of the decision and that of the look already make."""
-
 PRIOR_RUNS = 10
 MOST_NOISE_RUNS = 500
 """Runs that this variance counts for, and the most that are remembered of those
@@ -158,8 +154,7 @@
         """
         runs = min(self.runs + 1, MOST_NOISE_RUNS)
         share = 1 / (PRIOR_RUNS + runs)
-        variance = self.variance + share * (square - self.variance)
-        return Noise(max(variance, LEAST_NOISE), runs)
+        return Noise(self.variance + share * (square - self.variance), runs)
 
 
 class StepFigure(NamedTuple):
