--- a/packages/emulator/swifthoist_emulator/fleet.py
+++ b/packages/emulator/swifthoist_emulator/fleet.py
@@ -37,6 +37,7 @@
     :ivar lives: number of lives that it had.
     :ivar draining: it is about to leave.
     :ivar drift: pace of its clock, as a share of true time.
+    :ivar cold_until_ms: true time since the start until which it is slow.
     :ivar lasting_id: its lives share an id.
     :ivar since_ms: true time at which the clock of its life began.
     """
@@ -48,6 +49,7 @@
     lives: int = 0
     draining: bool = False
     drift: float = 1.0
+    cold_until_ms: Millis = 0
     lasting_id: bool = False
     since_ms: Millis = 0
 
@@ -120,6 +122,7 @@
         gangs = self._gangs(lives)
         for host in lives:
             if host.life is not None:
+                host.life.cold = now_ms < host.cold_until_ms
                 passed_ms = now_ms - host.since_ms
                 host.life.advance(int(passed_ms * host.drift))
         self._break_gangs(gangs, lives)
--- a/packages/emulator/swifthoist_emulator/runner_calls.py
+++ b/packages/emulator/swifthoist_emulator/runner_calls.py
@@ -77,7 +77,9 @@
                     await self._faults.stay_silent()
                 with anyio.CancelScope(shield=True):
                     await anyio.sleep(fault.delay_s)
+                    self._fleet.witness.late = True
                     _carry_out(call, request.document(), life)
+                    self._fleet.witness.late = False
                 await self._faults.stay_silent()
             case _:
                 pass
--- a/packages/engine/swifthoist_engine/speeds.py
+++ b/packages/engine/swifthoist_engine/speeds.py
@@ -1,16 +1,305 @@
-"""How fast runners are, from the runs that are over."""
+"""How fast runners are, from the runs that are over.
 
-from dataclasses import dataclass
+A run is held against what its task takes elsewhere. What is known of a machine
+lies between its own runs and what is usual for its kind, the nearer to its runs
+the more of them there are and the less runs differ by themselves. Decisions go
+by three classes, which change with hysteresis.
+"""
 
-from swifthoist_engine.past_runs import PastRun
+import math
+import statistics
+from collections import Counter, defaultdict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from swifthoist_core.types import Millis
+from swifthoist_engine.past_runs import PastRun, RunnerFacts
+from swifthoist_engine.records import Ending
+from swifthoist_engine.speed_figures import (
+    CLASS_NAMES,
+    PRIOR_NOISE,
+    SAME_STEP_SHARE,
+    USUAL,
+    Figure,
+    KindFigure,
+    Member,
+    Noise,
+    StepFigure,
+    class_of,
+)
+
+SURPRISE = 2.5
+"""A run that is off by more than this multiple of the usual deviation may be the
+first one after a change: what was seen before counts half from then on."""
+
+FARTHEST = 1.0
+"""Most that one run is taken to be off, as a logarithm: a factor of nearly three."""
+
+PRIOR_SPREAD = 0.1
+PRIOR_MACHINES = 5
+LEAST_SPREAD = 0.005
+"""Variance of the logarithm of the machines' speeds before any was seen, the
+machines that it counts for, and the least that it is taken to be."""
+
+KIND_MACHINES = 2
+"""A kind of so many machines counts half in what its other machines are taken
+for."""
+
+MOST_MACHINES = 4_096
+"""Most machines that are kept; the ones that were not seen for longest go."""
+
+MOST_QUEUES = 512
+"""Most queues of which it is kept how much runs differ."""
+
+MOST_STEPS = 512
+"""Most steps of which it is kept how far all their tasks are off; the oldest go."""
+
+KNOWN_RUNS = 2
+"""Runs that a figure is worth before the class of its machine changes: the first
+ends are those of short tasks."""
+
+COUNT_MS = 1_000
+"""Pause between two counts of the classes, in ms: whatever a decision has kept is
+counted again when a class changes."""
+
+_MOSTLY = 0.5
 
 
 @dataclass(slots=True)
 class Speeds:
-    """How fast each runner was."""
+    """How fast each machine was.
+
+    :ivar machines: what is known of machines.
+    :ivar kinds: what is known of kinds.
+    :ivar steps: how far the tasks of newly seen steps are off together.
+    :ivar centre: median logarithm of the machines, as runs tell it.
+    :ivar noises: how much the runs of each queue differ on one machine.
+    :ivar spread: variance of the machines' logarithms.
+    :ivar factors: mean factor of the machines of each class.
+    :ivar counted_ms: time of the newest count.
+    """
+
+    machines: dict[str, Figure] = field(default_factory=dict)
+    kinds: dict[str, KindFigure] = field(default_factory=dict)
+    steps: dict[str, StepFigure] = field(default_factory=dict)
+    centre: float = 0
+    noises: dict[str, Noise] = field(default_factory=dict)
+    spread: float = PRIOR_SPREAD
+    factors: dict[int, float] = field(default_factory=dict)
+    counted_ms: Millis = 0
 
-    def note(self, past: PastRun) -> None:
+    def note(self, past: PastRun, typical_ms: float) -> None:
         """Learn from a run that is over.
 
         :param past: the run.
+        :param typical_ms: what its task takes on a runner of usual speed.
+        """
+        if not _tells(past):
+            return
+        taken = math.log(max(past.ran_ms, 1) / typical_ms)
+        members = {facts.machine: facts for facts in past.gang_facts}
+        if len(members) == 1:
+            self._learn(past, taken)
+        else:
+            self._learn_gang(past, members, taken)
+        if past.at_ms - self.counted_ms >= COUNT_MS:
+            self._count(past.at_ms)
+
+    def factor(self, facts: RunnerFacts) -> float:
+        """Tell how long a run takes there.
+
+        :param facts: what is known of the runner.
+        :returns: multiple of what it takes on a runner of usual speed; 1
+            where nothing is known.
+        """
+        return math.exp(self._off(facts))
+
+    def speed(self, facts: RunnerFacts) -> int:
+        """Tell the class of a runner.
+
+        :param facts: what is known of the runner.
+        :returns: its class; that of its kind where no run of it was seen.
+        """
+        figure = self.machines.get(facts.machine)
+        if figure is None or figure.kind != facts.kind:
+            return self.kinds.get(facts.kind, KindFigure()).speed
+        return figure.speed
+
+    def counts(self) -> Counter[int]:
+        """Count the machines of each class."""
+        return Counter(it.speed for it in self.machines.values())
+
+    def describe(self) -> dict[str, float]:
+        """Describe it for operators: machines and factor of each class."""
+        counts = self.counts()
+        found: dict[str, float] = {}
+        for speed, name in CLASS_NAMES.items():
+            found[f'machines_{name}'] = counts[speed]
+            found[f'factor_{name}'] = self.factors.get(speed, 0)
+        return found
+
+    def _off(self, facts: RunnerFacts) -> float:
+        """Tell the logarithm of a runner's factor."""
+        usual = self.kinds.get(facts.kind, KindFigure()).mean
+        figure = self.machines.get(facts.machine)
+        if figure is None or figure.kind != facts.kind:
+            return usual
+        runs = figure.worth(self.counted_ms)
+        own = runs / (runs + PRIOR_NOISE / self.spread)
+        return usual + own * (figure.mean - self.centre - usual)
+
+    def _learn(self, past: PastRun, taken: float) -> None:
+        """Take in what a run on one machine took."""
+        figure = self._figure(past.facts, past.at_ms)
+        expected = self.centre + self._off(past.facts)
+        off = _within(taken - expected, FARTHEST)
+        task = past.run.task
+        step = f'{task.job}.{task.occurrence}.{task.step}'
+        off -= self._of_step(step, past.facts.machine, off)
+        noise = self._noise(past)
+        weight = noise.weight
+        if step == figure.step:
+            weight *= SAME_STEP_SHARE
+        else:
+            self._learn_noise(past, figure, expected + off)
+            if abs(off) > SURPRISE * noise.deviation:
+                figure.runs /= 2
+        figure.step = step
+        figure.add(expected + off, weight)
+
+    def _of_step(self, step: str, machine: str, off: float) -> float:
+        """Tell what of a run's time is its step's, and take the run in."""
+        known = self.steps.get(step, StepFigure())
+        self.steps[step] = known.add(off, machine)
+        if len(self.steps) > MOST_STEPS:
+            self.steps.pop(next(iter(self.steps)))
+        return known.share()
+
+    def _noise(self, past: PastRun) -> Noise:
+        return self.noises.get(past.job.spec.queue, Noise())
+
+    def _learn_noise(self, past: PastRun, figure: Figure, taken: float) -> None:
+        """Take in how far a run is from those before it on its machine."""
+        if figure.runs < 1:
+            return
+        off = _within(taken - figure.mean, FARTHEST)
+        own = figure.runs / (figure.runs + 1)
+        noise = self._noise(past).add(off * off * own)
+        self.noises[past.job.spec.queue] = noise
+        if len(self.noises) > MOST_QUEUES:
+            self.noises.pop(next(iter(self.noises)))
+
+    def _learn_gang(
+        self, past: PastRun, members: Mapping[str, RunnerFacts], taken: float
+    ) -> None:
+        """Take in what a gang took, which is what its slowest member did.
+
+        It says something of a member by as much as that may be the slowest
+        one; of the others, that they were not slower.
         """
+        noise = self._noise(past)
+        found = [self._member(facts, past.at_ms) for facts in members.values()]
+        lowest = min(member.expected for member in found) - FARTHEST
+        highest = max(member.expected for member in found) + FARTHEST
+        taken = min(max(taken, lowest), highest)
+        chances = [member.chance(taken, noise.variance) for member in found]
+        most = taken + noise.deviation
+        for member, chance in zip(found, chances, strict=True):
+            share = chance / sum(chances)
+            if share > _MOSTLY:
+                self._learn_noise(past, member.figure, taken)
+            member.figure.add(taken, share * noise.weight)
+            if member.expected > most:
+                member.figure.add(most, (1 - share) * noise.weight)
+
+    def _member(self, facts: RunnerFacts, at_ms: Millis) -> Member:
+        figure = self._figure(facts, at_ms)
+        expected = self.centre + self._off(facts)
+        sure = 1 / self.spread + figure.runs / PRIOR_NOISE
+        return Member(figure, expected, 1 / sure)
+
+    def _figure(self, facts: RunnerFacts, at_ms: Millis) -> Figure:
+        figure = self.machines.get(facts.machine)
+        if figure is None:
+            figure = Figure(facts.kind, facts.born_ms, self.centre, 0, at_ms)
+            self.machines[facts.machine] = figure
+            self._forget_oldest()
+        figure.renew(facts, at_ms)
+        return figure
+
+    def _forget_oldest(self) -> None:
+        if len(self.machines) <= MOST_MACHINES:
+            return
+        ages = {name: it.at_ms for name, it in self.machines.items()}
+        oldest = min(ages, key=lambda name: (ages[name], name))
+        self.machines.pop(oldest)
+
+    def _count(self, at_ms: Millis) -> None:
+        """Find what is usual, how much machines differ, and the classes."""
+        self.counted_ms = at_ms
+        known = [it for it in self.machines.values() if it.worth(at_ms) >= 1]
+        if known:
+            self.centre = statistics.median(it.mean for it in known)
+            self.spread = max(self._spread_of(known), LEAST_SPREAD)
+            self.kinds = dict(self._count_kinds(known))
+        of_class: dict[int, list[float]] = defaultdict(list)
+        for name, figure in self.machines.items():
+            off = self._off(RunnerFacts(name, kind=figure.kind))
+            if figure.worth(at_ms) >= KNOWN_RUNS:
+                figure.speed = class_of(figure.speed, off)
+            elif figure.worth(at_ms) < 1:
+                figure.speed = USUAL
+            of_class[figure.speed].append(off)
+        self.factors = {
+            speed: math.exp(statistics.fmean(offs))
+            for speed, offs in of_class.items()
+        }
+
+    def _spread_of(self, known: list[Figure]) -> float:
+        """Tell how much machines differ beyond what runs do by chance."""
+        among = sum(
+            (it.mean - self.centre) ** 2
+            - PRIOR_NOISE / it.worth(self.counted_ms)
+            for it in known
+        )
+        prior = PRIOR_SPREAD * PRIOR_MACHINES
+        return (prior + among) / (PRIOR_MACHINES + len(known))
+
+    def _count_kinds(
+        self, known: list[Figure]
+    ) -> Iterator[tuple[str, KindFigure]]:
+        offs: dict[str, list[float]] = defaultdict(list)
+        for figure in known:
+            offs[figure.kind].append(figure.mean - self.centre)
+        for kind, found in offs.items():
+            trust = len(found) / (len(found) + KIND_MACHINES)
+            mean = trust * statistics.median(found)
+            before = self.kinds.get(kind, KindFigure()).speed
+            yield kind, KindFigure(mean, class_of(before, mean))
+
+
+def _within(off: float, most: float) -> float:
+    """Bound how far something is off, either way."""
+    return min(max(off, -most), most)
+
+
+def _tells(past: PastRun) -> bool:
+    """Tell whether a run's time says anything of its runners' speed.
+
+    Left out are runs that did part of the work, that waited for data or other
+    racks, whose time is not theirs to say, and ends that were noted late.
+    """
+    step = past.step
+    if not past.timely or past.ending is not Ending.DONE or past.run.checkpoint:
+        return False
+    if step.lasting or step.filling:
+        return False
+    if step.gang and len(past.gang) < step.width:
+        # The first end of a gang has told of all of it.
+        return False
+    racks = {facts.rack for facts in past.gang_facts}
+    if step.data_rack and racks != {step.data_rack}:
+        return False
+    if step.gang and step.same_rack and len(racks) > 1:
+        return False
+    return all(facts.machine for facts in past.gang_facts)
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -12,15 +12,19 @@
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import InstanceId, Millis
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.evacuation import ZoneLine, zone_lines
 from swifthoist_engine.model import SiteTerms
 from swifthoist_instance.api import Api
+from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Aside, Faults
 from swifthoist_instance.follower import GATHER_S, Follower
 from swifthoist_instance.holding import Holding
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.jsonlogs import BoundedHandler
+from swifthoist_instance.learned import LearnedView
 from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.parts import Parts
@@ -114,17 +118,24 @@
             # Who lets others claim first need not see a loss before they do.
             GATHER_S + claim_delay_ms(boot.cores) / 1_000,
         )
+        self._learned = LearnedView(self._follower)
         self._journal = Journal(
             self._open_store(), self._life, clock, boot.link_bytes_s
         )
         self._configuration = Configuration(
-            self._open_store(), clock, self._revocation_ms
+            self._open_store(), clock, self._change_ms
+        )
+        self._cold_zones = ColdZones()
+        zones = ZoneGate(
+            self._configuration.requests,
+            lambda: self._configuration.age_ms,
+            lambda: settings.boot.bounds.evacuation_ms,
         )
         self.tenure = Tenure(
             self._life, self._follower, self._journal, clock, boot.cores
         )
         turns = Turns(clock)
-        lives = LifeCounts()
+        self._lives = LifeCounts()
         self._holding = Holding(
             Parts(
                 self.tenure,
@@ -142,7 +153,9 @@
                 self._aside,
                 self._site_terms,
                 turns,
-                lives,
+                zones,
+                self._cold_zones,
+                self._lives,
             )
         )
         intake = Intake(
@@ -152,7 +165,8 @@
             self._revocation_ms,
         )
         metrics = Metrics()
-        metrics.watch('log_lines_dropped', lambda: logs.dropped)
+        metrics.watch('log_lines_dropped', logs.dropped.total)
+        metrics.watch_dropped(logs.dropped)
         metrics.watch('records_folded', lambda: self._follower.position)
         metrics.watch('records_not_folded', lambda: self._follower.unfolded)
         metrics.watch('log_reads', lambda: self._follower.reads)
@@ -164,9 +178,18 @@
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
         metrics.watch('decision_ms', lambda: turns.decision_ms)
-        metrics.watch('runner_lives_ended', lambda: lives.ended)
-        metrics.watch('runs_lost_with_lives', lambda: lives.lost)
-        metrics.watch('runs_unsure_with_lives', lambda: lives.unsure)
+        metrics.watch(
+            'zones_evacuated', lambda: len(self._configuration.requests.since)
+        )
+        metrics.watch(
+            'runs_in_evacuated_zones',
+            lambda: sum(line.runs for line in self._zone_lines()),
+        )
+        metrics.watch('cold_runners', lambda: self._cold_zones.runners.total())
+        self._learned.watch(metrics)
+        metrics.watch('runner_lives_ended', lambda: self._lives.ended)
+        metrics.watch('runs_lost_with_lives', lambda: self._lives.lost)
+        metrics.watch('runs_unsure_with_lives', lambda: self._lives.unsure)
         self._phase = Phase()
         api = Api(
             self._configuration,
@@ -174,8 +197,9 @@
             self._journal,
             self._describe,
         )
-        internal_port = boot.internal_ports[0]
-        self.web = Web(intake, api, metrics, self._phase, internal_port)
+        self.web = Web(
+            intake, api, metrics, self._phase, boot.internal_ports[0]
+        )
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then leave gracefully."""
@@ -253,13 +277,25 @@
             'jobs': len(state.jobs),
             'runs': len(self._follower.cell.runs.all()),
             'leaving': self._phase.leaving,
+            'evacuated': [line._asdict() for line in self._zone_lines()],
+            'cold': dict(self._cold_zones.runners),
             'set_aside': len(self._aside),
             'faults': self.faults.describe(),
+            **self._learned.describe(),
         }
 
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
+    def _change_ms(self) -> Millis:
+        bounds = self._settings.boot.bounds
+        evacuation_ms = bounds.evacuation_ms or bounds.revocation_ms
+        return min(bounds.revocation_ms, evacuation_ms)
+
+    def _zone_lines(self) -> tuple[ZoneLine, ...]:
+        since = self._configuration.requests.since
+        return zone_lines(self._follower.cell, since)
+
     def _site_terms(self) -> SiteTerms:
         bounds = self._settings.boot.bounds
         return SiteTerms(
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 
 from swifthoist_core.types import Millis, RunnerId
+from swifthoist_engine.evacuation import Gate
 from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.planner import Stop
@@ -18,6 +19,7 @@
 )
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView, Standing
+from swifthoist_engine.speed_figures import USUAL
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.leases import Lease, choose_lease_ms, lease_over_ms
 from swifthoist_instance.lives import HELD_UP_MS
@@ -60,6 +62,7 @@
         renewed_ms = max(shared.hold.others_ms, shared.clock.boot_ms())
         self._unknown_ms = lease_over_ms(renewed_ms)
         self._sessions: dict[RunnerId, Session] = {}
+        self._speeds: dict[RunnerId, int] = {}
 
     async def run(self, tasks: TaskGroup) -> None:
         """Open and close sessions, until canceled.
@@ -88,12 +91,22 @@
         :returns: the runners.
         """
         views: list[RunnerView] = []
+        evacuations = self._shared.zones.look()
         now_ms = self._shared.follower.time.now_ms()
+        breakers = self._shared.cell.state.breakers
         for runner, session in self._sessions.items():
             with guard.looking_at(Kind.RUNNER, runner):
+                zone = session.contact.registration.zone
+                allowed = evacuations.gate(zone) is Gate.OPEN
+                runs = self._shared.cell.runs_on(runner)
                 standing = Standing(
-                    self._usable(session) and runner not in cordoned,
-                    self._shared.evidence.suspicion(runner, now_ms),
+                    allowed
+                    and self._usable(session)
+                    and runner not in cordoned,
+                    breakers.suspicion(runner, now_ms),
+                    cold=session.contact.cold,
+                    speed=self._speed(runner),
+                    trials=breakers.trials(runner, now_ms, runs),
                 )
                 views.append(session.describe(standing))
         return tuple(views)
@@ -213,6 +226,7 @@
             return
         session.close()
         self._sessions.pop(runner)
+        self._speeds.pop(runner, None)
         self._registry.forget(runner)
         _log.info('runner gone', extra={'runner': runner})
         gone = RunnerGone(self._shared.epoch, runner)
@@ -231,6 +245,27 @@
             records.append(RunnerGone(self._shared.epoch, runner))
         await record_all(self._shared, records)
 
+    def _speed(self, runner: RunnerId) -> int:
+        """Tell the class of a runner's speed, and log a change of it."""
+        state = self._shared.cell.state
+        facts = state.facts.get(runner)
+        if facts is None:
+            return USUAL
+        speeds = state.experience.speeds
+        speed = speeds.speed(facts)
+        before = self._speeds.get(runner, USUAL)
+        if speed != before:
+            self._speeds[runner] = speed
+            about = {
+                'runner': runner,
+                'machine': facts.machine,
+                'before': before,
+                'speed': speed,
+                'factor': round(speeds.factor(facts), 2),
+            }
+            _log.info('runner speed', extra=about)
+        return speed
+
     def _usable(self, session: Session) -> bool:
         listed = self._registry.present(session.contact.runner) is not None
         return listed and session.open
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -11,8 +11,9 @@
 import anyio
 
 from swifthoist_core.types import Millis
+from swifthoist_engine.breakers import FORGET_MS
 from swifthoist_engine.jobs import OpenRun
-from swifthoist_engine.records import Ending, Record, Vanished
+from swifthoist_engine.records import Belated, Doubt, Record, Vanished
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView, Standing
 from swifthoist_instance.anomalies import Anomalies
@@ -21,16 +22,15 @@
 from swifthoist_instance.outcomes import (
     Checkpoints,
     ended,
+    note_doubt,
     record_all,
     record_vanished,
     vanished,
 )
 from swifthoist_instance.paces import filling, keep_pace
 from swifthoist_instance.rebirths import end_life, fold_life, is_clear
-from swifthoist_instance.shared import Shared
 from swifthoist_platform.documents import Registration
 from swifthoist_platform.runner_calls import (
-    ListedEnd,
     Look,
     RunningTask,
     Verdict,
@@ -43,6 +43,10 @@
 """The same while filling tasks run, whose pace follows figures of the last
 half second."""
 
+UNWATCHED_MS = 400
+"""An end that comes while no look waits for it for longer than this, in ms, may
+have been listed for so long."""
+
 UNRECORDED_S = 0.25
 """Pause between looks while the store takes no records, in seconds."""
 
@@ -73,7 +77,9 @@
         self._orders: Orders | None = None
         self._running: dict[RunKey, RunningTask] = {}
         self.saved: dict[RunKey, str] = dict(saved or {})
+        self._silent_ms: Millis | None = None
         self._view: RunnerView | None = None
+        self._watched_ms: Millis | None = None
         self._anomalies = Anomalies(self._shared, contact.runner)
 
     @property
@@ -107,6 +113,7 @@
             leaving_ms if entry.draining else None,
             standing.cold,
             standing.speed,
+            standing.trials,
         )
         if view != self._view:
             self._view = view
@@ -118,10 +125,8 @@
         :param registration: the entry.
         :returns: whether it changed.
         """
-        changed = self.contact.registration != registration
-        self.contact.registration = registration
         self.contact.life.read(registration.born_ms)
-        return changed
+        return self.contact.note_entry(registration)
 
     def close(self) -> None:
         """End the session, since the runner is gone."""
@@ -249,29 +254,44 @@
             self.synced = False
             about = {'runner': self.contact.runner, 'why': reason}
             _log.warning('runner silent', extra=about)
+            self._note_flapping(now_ms)
         await anyio.sleep(RETRY_S)
 
+    def _note_flapping(self, now_ms: Millis) -> None:
+        """Note that the runner fell silent, and doubt it if it did before."""
+        before_ms = self._silent_ms
+        self._silent_ms = now_ms
+        if before_ms is not None and now_ms - before_ms < FORGET_MS:
+            note_doubt(self._shared, self.contact.runner, Doubt.FLAPPING)
+
     async def _take_in(
         self, look: Look, orders: Orders, sent_ms: Millis
     ) -> None:
+        answered_ms = self._shared.clock.boot_ms()
         self._running = {(row.task, row.run): row for row in look.running}
         self._note_saved()
         seen = self.contact.seen
         ends = [end for end in look.ends if end.number > seen]
-        began = [_began_ms(self._shared, end) for end in ends]
         records: list[Record] = [
             ended(self._shared, self.contact.runner, end) for end in ends
         ]
+        if ends and _looked_away(self._watched_ms, sent_ms):
+            number = max(end.number for end in ends)
+            about = (self._shared.epoch, self.contact.runner, number)
+            records.insert(0, Belated(*about))
+        self._watched_ms = None
         if look.whole:
             records.extend(self._missing(look, orders, sent_ms))
         if not await record_all(self._shared, records):
             await anyio.sleep(UNRECORDED_S)
             return
-        for end, began_ms in zip(ends, began, strict=True):
-            self._note_end(end, began_ms, orders)
+        self._watched_ms = answered_ms
+        for end in ends:
+            orders.note_ended((end.task, end.run))
         if look.whole:
             orders.bar_orphans(_there(look))
-        self._anomalies.stop_all(self._running, orders)
+        cold = self.contact.cold
+        self._anomalies.stop_all(self._running, orders, cold=cold)
         await keep_pace(self.contact, self._running.values())
 
     def _note_saved(self) -> None:
@@ -297,26 +317,10 @@
                     self._shared, run, 'not on its runner', self.saved
                 )
 
-    def _note_end(
-        self, end: ListedEnd, began_ms: Millis, orders: Orders
-    ) -> None:
-        orders.note_ended((end.task, end.run))
-        evidence = self._shared.evidence
-        match end.ending:
-            case Ending.DONE:
-                runner = self.contact.runner
-                evidence.note_done(runner, end.task.job, began_ms)
-            case Ending.FAILED:
-                now_ms = self._shared.follower.time.now_ms()
-                evidence.note_failed(self.contact.runner, end.task.job, now_ms)
-            case _:
-                return
-
-
-def _began_ms(shared: Shared, end: ListedEnd) -> Millis:
-    """Tell when a run that ended had begun; 0 if it is not open."""
-    run = shared.cell.find_run(end.task, end.run)
-    return 0 if run is None else run.started_ms
+
+def _looked_away(watched_ms: Millis | None, sent_ms: Millis) -> bool:
+    """Tell whether ends may have been listed long before a look."""
+    return watched_ms is None or sent_ms - watched_ms > UNWATCHED_MS
 
 
 def _there(look: Look) -> set[RunKey]:
--- a/packages/instance/swifthoist_instance/shared.py
+++ b/packages/instance/swifthoist_instance/shared.py
@@ -1,5 +1,6 @@
 """What the sessions of one tenure share."""
 
+from collections import deque
 from typing import NamedTuple
 
 import anyio
@@ -7,11 +8,13 @@
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import Epoch
 from swifthoist_engine.cell import Cell
-from swifthoist_engine.evidence import Evidence
+from swifthoist_engine.records import Record
 from swifthoist_engine.standstill import Standstill
+from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.lives import LifeCounts
+from swifthoist_instance.run_lines import RunLines
 from swifthoist_instance.signals import Signal
 from swifthoist_instance.tenure import Hold, Tenure
 
@@ -23,10 +26,12 @@
     :ivar hold: the tenure that the sessions belong to.
     :ivar follower: folds the log.
     :ivar journal: appends to it.
-    :ivar evidence: what speaks against runners.
+    :ivar doubts: records of what speaks against runners, to be appended.
     :ivar standstill: since when runs use no processor.
     :ivar clock: tells the time.
     :ivar wake: wakes the planner.
+    :ivar zones: tells in which zones work may be started.
+    :ivar lines: writes what happens to runs.
     :ivar over: set for good once the tenure was not in force at any time.
     :ivar lives: counts the lives of runners that ended under their ids.
     """
@@ -35,10 +40,12 @@
     hold: Hold
     follower: Follower
     journal: Journal
-    evidence: Evidence
+    doubts: deque[Record]
     standstill: Standstill
     clock: Clock
     wake: Signal
+    zones: ZoneGate
+    lines: RunLines
     over: anyio.Event
     lives: LifeCounts
 
--- a/packages/platform/swifthoist_platform/documents.py
+++ b/packages/platform/swifthoist_platform/documents.py
@@ -33,6 +33,7 @@
     :ivar machine: the machine that it is a life of.
     :ivar leaving_ms: least time that is left while it drains.
     :ivar kind: its kind; empty if unknown.
+    :ivar cold_ms: how much longer it is slow after its start, as of its entry.
     :ivar born_ms: when this life began, since the Unix epoch; 0 if unsaid.
     """
 
@@ -47,6 +48,7 @@
     machine: str
     leaving_ms: Millis | None
     kind: str = ''
+    cold_ms: Millis = 0
     born_ms: Millis = 0
 
     @property
@@ -116,6 +118,7 @@
         machine=reader.text(names.MACHINE),
         leaving_ms=_optional(reader, names.REMAINING_MS),
         kind=labels[0] if labels else '',
+        cold_ms=reader.whole(names.COLD_LEFT_MS),
     )
     for name in (names.SERVICE, names.ADDRESS, names.CAPACITY):
         if not reader.has(name):
@@ -160,6 +163,15 @@
     return Configured(catalogue, tuple(reader.findings))
 
 
+def find_problems(content: bytes) -> tuple[Finding, ...]:
+    """Tell what is wrong with a document of which nothing is needed.
+
+    :param content: its bytes.
+    :returns: the findings.
+    """
+    return tuple(read_json(content).findings)
+
+
 class Wave(NamedTuple):
     """Machines that are to have their upkeep.
 
