--- a/packages/engine/swifthoist_engine/fleet.py
+++ b/packages/engine/swifthoist_engine/fleet.py
@@ -178,8 +178,8 @@
         self.views = {view.runner: view for view in views}
         self.any_cold = any(it.cold for it in views)
         self.most_doubted = max((it.suspicion for it in views), default=0)
-        self.tries_some = any(it.trials is not None for it in views)
         self.speeds = tuple(sorted({it.speed for it in views if it.open}))
+        self.tries_some = any(it.trials is not None for it in views)
         self._kinds = [_kind_of(view) for view in self.views.values()]
         self._samples = dict(zip(self._kinds, self.views.values(), strict=True))
         self._able: dict[Shape, Candidates] = {}
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -17,7 +17,6 @@
 from swifthoist_engine.model import USUAL_TERMS, SiteTerms
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.records import Placement
-from swifthoist_engine.runners import RunnerView
 from swifthoist_engine.speed_match import ANY, SpeedMatch
 from swifthoist_engine.trials import NO_LIMIT, Trials, attempts_left
 
@@ -275,11 +274,9 @@
             and self._trials.may_add(waiting, name)
         ]
 
-    def _doubts(self, view: RunnerView) -> int:
-        return view.suspicion if self._mechanisms.evidence else 0
-
     def _rank(self, waiting: Waiting, name: RunnerId) -> '_Rank':
         view = self.board.views[name]
+        doubts = view.suspicion if self._mechanisms.evidence else 0
         failed = 0
         if waiting.state is not None:
             failed = waiting.state.failed_on.count(name)
@@ -288,7 +285,7 @@
             view.rack != waiting.step.data_rack
         )
         return _Rank(
-            self._doubts(view) + failed,
+            doubts + failed,
             self._coldness.minds(name),
             far,
             self.board.crowd(waiting, name),
--- a/packages/instance/swifthoist_instance/metrics.py
+++ b/packages/instance/swifthoist_instance/metrics.py
@@ -1,10 +1,12 @@
 """Metrics: counts for Prometheus, latencies in HDR histograms."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
+from swifthoist_engine.duration_lines import DurationLine
+
 MAX_MS = 60_000
 _DIGITS = 2
 _QUANTILES = (50.0, 90.0, 99.0, 99.9)
@@ -41,6 +43,13 @@
             registry=self._registry,
         )
         self._dropped: Mapping[str, int] = {}
+        self._durations = Gauge(
+            'swifthoist_durations',
+            'What was learned of durations, by queue and figure',
+            ('queue', 'declared', 'figure'),
+            registry=self._registry,
+        )
+        self._read_durations: Callable[[], Iterable[DurationLine]] = tuple
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count_call(self, method: str, status: int, took_ms: float) -> None:
@@ -72,6 +81,15 @@
         """
         self._dropped = dropped
 
+    def watch_durations(
+        self, read: Callable[[], Iterable[DurationLine]]
+    ) -> None:
+        """Expose what was learned of durations.
+
+        :param read: reads it.
+        """
+        self._read_durations = read
+
     def expose(self) -> bytes:
         """Write all metrics.
 
@@ -84,5 +102,14 @@
                 self._latency.labels(method, share).set(latency)
         for kind, count in self._dropped.items():
             self._lines.labels(kind).set(count)
+        self._set_durations()
         exposed: bytes = generate_latest(self._registry)
         return exposed
+
+    def _set_durations(self) -> None:
+        self._durations.clear()
+        for line in self._read_durations():
+            declared = 'yes' if line.declared else 'no'
+            for figure in ('runs', 'usual_ms', 'ratio', 'followed'):
+                gauge = self._durations.labels(line.queue, declared, figure)
+                gauge.set(getattr(line, figure))
