--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -256,10 +256,10 @@
             case RunnerDescribed():
                 self.state.facts[record.runner] = RunnerFacts(*record[2:])
             case RunnerGone():
-                self.state.experience.forget(record.runner)
                 self.state.seen.pop(record.runner, None)
                 self.state.addresses.pop(record.runner, None)
                 self.state.facts.pop(record.runner, None)
+                self.state.experience.forget(record.runner)
             case UpkeepBegun(_, wave, machine, runner):
                 begun = self.state.upkeeps.setdefault(wave, {})
                 begun.setdefault(machine, runner)
@@ -267,7 +267,7 @@
                 self.state.upkeeps.pop(record.wave, None)
                 self.state.waves_done.add(record.wave)
             case _:
-                self.state.experience.take_in(record)
+                self.state.experience.note_said(record)
 
     def _forget_finished(self) -> None:
         limit = self.state.time_ms - self._keep_ms
--- a/packages/engine/swifthoist_engine/experience.py
+++ b/packages/engine/swifthoist_engine/experience.py
@@ -10,7 +10,7 @@
 from swifthoist_engine.breakers import Breakers
 from swifthoist_engine.durations import Durations
 from swifthoist_engine.past_runs import PastRun
-from swifthoist_engine.records import Belated, HeldRecord, RunnerDoubted
+from swifthoist_engine.records import Belated, Record, RunnerDoubted
 from swifthoist_engine.speeds import Speeds
 
 
@@ -29,34 +29,32 @@
     breakers: Breakers = field(default_factory=Breakers)
     belated: dict[RunnerId, int] = field(default_factory=dict)
 
-    def note(self, past: PastRun) -> None:
-        """Learn from a run that is over.
-
-        :param past: the run.
-        """
-        # A speed is weighed against the durations before this run.
-        typical_ms = self.durations.typical_ms(past.job.spec.queue, past.step)
-        self.speeds.note(past, typical_ms)
-        self.durations.note(past, self.speeds)
-        self.breakers.note(past)
-
-    def take_in(self, record: HeldRecord) -> None:
-        """Learn from a record that is no end of a run.
+    def note_said(self, record: Record) -> None:
+        """Note what the holder said of runners for whoever learns.
 
-        :param record: the record; those that teach nothing are passed over.
+        :param record: a record; others than such are passed over.
         """
         match record:
             case Belated():
                 self.belated[record.runner] = record.number
             case RunnerDoubted():
                 self.breakers.note_doubt(record)
-            case _:
-                return
 
     def forget(self, runner: RunnerId) -> None:
-        """Forget what concerns one life of a runner, since it is gone.
+        """Forget what ends with a runner.
 
-        :param runner: the runner.
+        :param runner: the runner; it is gone.
         """
         self.belated.pop(runner, None)
         self.breakers.forget(runner)
+
+    def note(self, past: PastRun) -> None:
+        """Learn from a run that is over.
+
+        :param past: the run.
+        """
+        # A speed is weighed against the durations before this run.
+        typical_ms = self.durations.typical_ms(past.job.spec.queue, past.step)
+        self.speeds.note(past, typical_ms)
+        self.durations.note(past, self.speeds)
+        self.breakers.note(past)
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -25,6 +25,7 @@
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.jsonlogs import BoundedHandler
+from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.parts import Parts
 from swifthoist_instance.registry import Registry
@@ -133,6 +134,7 @@
             self._life, self._follower, self._journal, clock, boot.cores
         )
         turns = Turns(clock)
+        self._lives = LifeCounts()
         self._holding = Holding(
             Parts(
                 self.tenure,
@@ -152,6 +154,7 @@
                 turns,
                 zones,
                 self._cold_zones,
+                self._lives,
             )
         )
         intake = Intake(
@@ -184,6 +187,9 @@
         )
         metrics.watch('cold_runners', lambda: self._cold_zones.runners.total())
         metrics.watch_durations(self._duration_lines)
+        metrics.watch('runner_lives_ended', lambda: self._lives.ended)
+        metrics.watch('runs_lost_with_lives', lambda: self._lives.lost)
+        metrics.watch('runs_unsure_with_lives', lambda: self._lives.unsure)
         self._phase = Phase()
         api = Api(
             self._configuration,
--- a/tests/instance/test_evacuations.py
+++ b/tests/instance/test_evacuations.py
@@ -14,6 +14,7 @@
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.evacuations import Requests, ZoneGate
+from swifthoist_instance.lives import HeldUp
 from swifthoist_instance.run_lines import RunLines
 from swifthoist_platform.runner_calls import Answer, StartOrder, Verdict
 from swifthoist_platform.store import EVACUATION_PREFIX, OPERATOR_TOPIC
@@ -123,8 +124,8 @@
             silent=False,
             lease=SimpleNamespace(next_until=lambda now_ms: now_ms + 1),
             active=lambda: True,
-            note_clock=mock.Mock(),
-            note_verdict=mock.Mock(),
+            held_up=HeldUp(LoopClock()),
+            note_answer=mock.Mock(return_value=True),
         )
 
     def test_a_start_without_an_answer_is_not_sent_again(self) -> None:
