--- a/packages/cli/swifthoist_cli/commands.py
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -49,6 +49,7 @@
     'factor',
     'runs',
 )
+_ZONE_COLUMNS = ('zone', 'since_ms', 'runners', 'runs')
 _BURN_COLUMNS = ('queue', 'long_ms', 'long_rate', 'short_rate', 'severity')
 
 
@@ -114,6 +115,7 @@
             _print_csv(rows, _USAGE_COLUMNS)
         else:
             self._print_rows(rows, _USAGE_COLUMNS)
+            self._note_evacuated()
 
     @verb
     def spans(self, team: str = '') -> None:
@@ -129,6 +131,11 @@
         """List how fast each runner is, the fastest first."""
         self._print_rows(self._api().call('GET', '/v1/speeds'), _SPEED_COLUMNS)
 
+    @verb
+    def zones(self) -> None:
+        """List the evacuated zones: since when, and what still runs there."""
+        self._print_rows(self._api().call('GET', '/v1/zones'), _ZONE_COLUMNS)
+
     @verb
     def burn(self) -> int:
         """Report how fast error budgets are spent.
@@ -163,6 +170,13 @@
         """
         anyio.run(emulate_platform, Path(folder), int(instances), print_text)
 
+    def _note_evacuated(self) -> None:
+        """Tell beside the report that some room is out of use."""
+        rows = [] if self._json else self._api().call('GET', '/v1/zones')
+        if rows:
+            print_text('evacuated zones')
+            print_table(rows, _ZONE_COLUMNS)
+
     def _print_rows(
         self, rows: list[dict[str, object]], columns: tuple[str, ...]
     ) -> None:
--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -9,18 +9,20 @@
 account last.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from swifthoist_core.types import Epoch, InstanceId, JobId, Millis, RunnerId
 from swifthoist_engine.account import Account
-from swifthoist_engine.endings import conclude, note_end
+from swifthoist_engine.breakers import Breakers
+from swifthoist_engine.endings import conclude, late_run, note_end
 from swifthoist_engine.experience import Experience
+from swifthoist_engine.histories import VANISHED
 from swifthoist_engine.jobs import Job, JobState, OpenRun, runs_of
 from swifthoist_engine.model import TaskId
-from swifthoist_engine.past_runs import PastRun, RunnerFacts
+from swifthoist_engine.past_runs import RunnerFacts, past_run
 from swifthoist_engine.records import (
     Beat,
-    Belated,
     Canceled,
     Claimed,
     Ended,
@@ -38,8 +40,9 @@
 )
 from swifthoist_engine.run_index import RunIndex
 
-VANISHED = 'vanished'
-"""How a run ended of which no runner told."""
+MAX_FINISHED = 20_000
+"""Most jobs that are listed as finished; the holder takes them out four times
+a second, and others have no use for them."""
 
 
 @dataclass(slots=True)
@@ -78,6 +81,11 @@
     facts: dict[RunnerId, RunnerFacts] = field(default_factory=dict)
     experience: Experience = field(default_factory=Experience)
 
+    @property
+    def breakers(self) -> Breakers:
+        """What speaks against each runner."""
+        return self.experience.breakers
+
     def pass_time(self, at_ms: Millis) -> None:
         """Note a time that a holder noted.
 
@@ -110,6 +118,7 @@
     :ivar dirty: jobs of which a unit may start or a run may have to end;
         a decision takes out those that it finds settled.
     :ivar urgent: jobs of urgent queues, those that are finished among them.
+    :ivar finished: jobs that became final, the newest last.
     """
 
     def __init__(self, keep_ms: Millis, state: CellState | None = None) -> None:
@@ -122,6 +131,7 @@
         self.runs = RunIndex()
         self.dirty: set[JobId] = set()
         self.urgent: dict[JobId, Job] = {}
+        self.finished: deque[JobId] = deque(maxlen=MAX_FINISHED)
         self._keep_ms = keep_ms
         if state is not None:
             self.replace_state(state)
@@ -239,8 +249,6 @@
                 self._start(record)
             case Ended():
                 self._end(record)
-            case Belated():
-                self.state.experience.belated[record.runner] = record.number
             case Vanished():
                 self._vanish(record)
             case RunnerMet():
@@ -251,13 +259,15 @@
                 self.state.seen.pop(record.runner, None)
                 self.state.addresses.pop(record.runner, None)
                 self.state.facts.pop(record.runner, None)
-                self.state.experience.belated.pop(record.runner, None)
+                self.state.experience.forget(record.runner)
             case UpkeepBegun(_, wave, machine, runner):
                 begun = self.state.upkeeps.setdefault(wave, {})
                 begun.setdefault(machine, runner)
             case WaveDone():
                 self.state.upkeeps.pop(record.wave, None)
                 self.state.waves_done.add(record.wave)
+            case _:
+                self.state.experience.note_said(record)
 
     def _forget_finished(self) -> None:
         limit = self.state.time_ms - self._keep_ms
@@ -278,6 +288,7 @@
         self.dirty.add(job.job)
         job.canceled = True
         job.finished_ms = max(record.at_ms, self.state.time_ms)
+        self.finished.append(job.job)
         self.state.account.add_finish(job, job.state)
 
     def _start(self, record: Started) -> None:
@@ -290,8 +301,7 @@
             # An earlier run that was given up had ended as done.
             return
         if unit.open or record.run <= unit.last_run:
-            # A decision that was made again, since it was not known whether
-            # the first one is on the log: that one holds.
+            # Decided again, unsure of the first one's record: that one holds.
             return
         first = not job.started
         job.started = True
@@ -301,6 +311,7 @@
             self.runs.add(run, need)
             self.runs.note_fresh(run)
         if first:
+            job.history.began_ms = record.at_ms
             self.state.account.add_wait(job, record.at_ms)
 
     def _end(self, record: Ended) -> None:
@@ -321,14 +332,18 @@
         run = self._close(record.task, record.run)
         self.dirty.add(job.job)
         conclude(job, unit, record)
+        at_ms = self.state.time_ms
+        if job.final and not was_final:
+            self.finished.append(job.job)
+        over = run or late_run(record, at_ms)
+        job.note_over(over, record.ending.value, at_ms)
         account = self.state.account
         if run is not None:
-            account.add_run(job, run, self.state.time_ms, record.ending.value)
+            account.add_run(job, run, at_ms, record.ending.value)
         if job.final and not was_final:
             account.add_finish(job, job.state)
         if run is not None:
-            past = _past_run(self.state, job, run, record, gang)
-            self.state.experience.note(past)
+            _learn(self.state, job, run, record, gang)
 
     def _vanish(self, record: Vanished) -> None:
         run = self._close(record.task, record.run)
@@ -339,6 +354,7 @@
         unit.idle_since_ms = self.state.time_ms
         if record.checkpoint and record.run == unit.last_run:
             unit.checkpoint = record.checkpoint
+        job.note_over(run, VANISHED, self.state.time_ms, record.reason)
         self.state.account.add_run(job, run, self.state.time_ms, VANISHED)
 
     def _close(self, task: TaskId, number: int) -> OpenRun | None:
@@ -353,28 +369,18 @@
         return run
 
 
-def _past_run(
+def _learn(
     state: CellState,
     job: Job,
     run: OpenRun,
     record: Ended,
     gang: tuple[OpenRun, ...],
-) -> PastRun:
-    """Describe a run that is over to whatever is learned from it."""
-    facts = state.facts
-    unknown = RunnerFacts()
-    belated = state.experience.belated.get(run.runner, 0)
-    return PastRun(
-        job,
-        job.step(run.task),
-        run,
-        record.ending,
-        state.time_ms,
-        facts.get(run.runner, unknown),
-        gang,
-        tuple(facts.get(member.runner, unknown) for member in gang),
-        record.number > belated,
-    )
+) -> None:
+    """Learn from a run that is over."""
+    learned = state.experience
+    belated = learned.belated.get(record.runner, 0)
+    past = past_run(state.facts, job, run, record, gang, state.time_ms, belated)
+    learned.note(past)
 
 
 def count_waiting(state: CellState, queue: str) -> int:
--- a/packages/engine/swifthoist_engine/experience.py
+++ b/packages/engine/swifthoist_engine/experience.py
@@ -10,6 +10,7 @@
 from swifthoist_engine.breakers import Breakers
 from swifthoist_engine.durations import Durations
 from swifthoist_engine.past_runs import PastRun
+from swifthoist_engine.records import Belated, Record, RunnerDoubted
 from swifthoist_engine.speeds import Speeds
 
 
@@ -28,6 +29,25 @@
     breakers: Breakers = field(default_factory=Breakers)
     belated: dict[RunnerId, int] = field(default_factory=dict)
 
+    def note_said(self, record: Record) -> None:
+        """Note what the holder said of runners for whoever learns.
+
+        :param record: a record; others than such are passed over.
+        """
+        match record:
+            case Belated():
+                self.belated[record.runner] = record.number
+            case RunnerDoubted():
+                self.breakers.note_doubt(record)
+
+    def forget(self, runner: RunnerId) -> None:
+        """Forget what ends with a runner.
+
+        :param runner: the runner; it is gone.
+        """
+        self.belated.pop(runner, None)
+        self.breakers.forget(runner)
+
     def note(self, past: PastRun) -> None:
         """Learn from a run that is over.
 
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -11,6 +11,7 @@
 
 from swifthoist_core.types import Millis, RackId, RunnerId
 from swifthoist_engine.board import Board, StepKey
+from swifthoist_engine.coldness import Coldness
 from swifthoist_engine.fleet import Candidates, Shape, shape_of
 from swifthoist_engine.mechanisms import ALL, Mechanisms
 from swifthoist_engine.model import USUAL_TERMS, SiteTerms
@@ -18,6 +19,7 @@
 from swifthoist_engine.records import Placement
 from swifthoist_engine.runners import RunnerView
 from swifthoist_engine.speed_match import ANY, SpeedMatch
+from swifthoist_engine.trials import NO_LIMIT, Trials, attempts_left
 
 PROMISED_RACK_SHARE = 2 / 3
 """Share of the time within which a guarantee is to be met that a unit covered by
@@ -37,14 +39,12 @@
 """How long a unit waits for sound runners where there are too few of them, in ms:
 less than the 3 s after which a job counts as standing still."""
 
-NO_LIMIT = 1_000_000
-"""Attempts of a unit that may fail as often as it likes."""
-
 
 class _Rank(NamedTuple):
     """What speaks against a runner, the weightiest first."""
 
     doubts: int
+    cold: bool
     far: bool
     crowd: int
     rack_free: int
@@ -88,6 +88,8 @@
         self._mechanisms = mechanisms
         self._now_ms = now_ms
         self._allowed = allowed
+        self._trials = Trials(board.fleet, minded=mechanisms.breaker)
+        self._coldness = Coldness(board, now_ms, minded=mechanisms.warm_first)
         self.match = SpeedMatch(
             board.fleet, board.cell.state.experience.speeds, now_ms, mechanisms
         )
@@ -120,19 +122,29 @@
     def eligible(self, waiting: Waiting) -> Candidates:
         """List the runners that may run a task of a unit now.
 
-        Those against which too much speaks are left out, unless the others
-        could not hold the unit even if they were empty, for a while.
+        Those against which too much speaks are left out, and cold ones where
+        it can't bear a slow start, unless the others could not hold the unit
+        even if they were empty, for a while.
 
         :param waiting: the unit.
         :returns: the runners, whatever room they have.
         """
+        found = self._sound(waiting)
+        waited_ms = waiting.waited_ms(self._now_ms)
+        return self._coldness.choose(waiting, found, waited_ms)
+
+    def _sound(self, waiting: Waiting) -> Candidates:
+        """List the runners against which not too much speaks."""
         shape = shape_of(waiting)
-        left = attempts_left(waiting)
-        doubted = self._fleet.most_doubted >= left
-        if not doubted or not self._mechanisms.sound_attempts:
+        left = NO_LIMIT
+        if self._mechanisms.sound_attempts:
+            left = attempts_left(waiting)
+        wary = self._trials.barred(waiting)
+        if self._fleet.most_doubted < left and not wary:
             return self._able(waiting, shape)
-        sound = self._allow(waiting, self._fleet.sound(shape, left))
-        if self._waited_ms(waiting) <= DOUBT_PATIENCE_MS:
+        sound = self._fleet.sound(shape, left, untried=wary)
+        sound = self._allow(waiting, sound)
+        if waiting.waited_ms(self._now_ms) <= DOUBT_PATIENCE_MS:
             return sound
         enough = sound.could_hold(waiting.members)
         return sound if enough else self._able(waiting, shape)
@@ -185,12 +197,6 @@
         step = waiting.unit[:3]
         return found.only(self._allowed.get(step, frozenset()))
 
-    def _waited_ms(self, waiting: Waiting) -> Millis:
-        since = waiting.due_ms
-        if waiting.state is not None:
-            since = max(since, waiting.state.idle_since_ms)
-        return self._now_ms - since
-
     def _patience_over(self, waiting: Waiting) -> bool:
         if not self._mechanisms.rack_patience:
             return True
@@ -200,7 +206,7 @@
             patience = PROMISED_RACK_SHARE * self._terms.reclaim_ms
         elif waiting.urgent:
             patience = URGENT_RACK_PATIENCE * waiting.lasts_ms
-        return self._waited_ms(waiting) > patience
+        return waiting.waited_ms(self._now_ms) > patience
 
     def _has_rack(self, waiting: Waiting) -> bool:
         """Tell whether some rack could hold a unit, if all of it were sound."""
@@ -244,6 +250,7 @@
             ):
                 self.board.put(waiting, name)
                 taken.append(name)
+                self._trials.note(name)
         if len(taken) < waiting.members:
             self.board.take_back(waiting, taken)
             return None
@@ -263,7 +270,14 @@
             held = sum(free[name].accelerators // least for name in roomy)
             if held < waiting.members:
                 return []
-        return [name for name in roomy if board.fits(waiting, name)]
+        may_add = self._coldness.may_add
+        return [
+            name
+            for name in roomy
+            if board.fits(waiting, name)
+            and may_add(waiting, name)
+            and self._trials.may_add(waiting, name)
+        ]
 
     def _doubts(self, view: RunnerView) -> int:
         return view.suspicion if self._mechanisms.evidence else 0
@@ -279,6 +293,7 @@
         )
         return _Rank(
             self._doubts(view) + failed,
+            self._coldness.minds(name),
             far,
             self.board.crowd(waiting, name),
             self.board.room.rack_free[view.rack]
@@ -295,15 +310,3 @@
     """Tell whether a unit is a gang that is slow across racks."""
     step = waiting.step
     return step.gang and step.same_rack and waiting.members > 1
-
-
-def attempts_left(waiting: Waiting) -> int:
-    """Tell how many runs of a unit may still fail, its next one among them.
-
-    :param waiting: the unit.
-    :returns: the number; a unit that lasts has no end of them.
-    """
-    failures = 0 if waiting.state is None else waiting.state.failures
-    if waiting.step.lasting:
-        return NO_LIMIT
-    return waiting.terms.max_attempts - failures
--- a/packages/engine/swifthoist_engine/planner.py
+++ b/packages/engine/swifthoist_engine/planner.py
@@ -135,7 +135,7 @@
     expected = expectations(world)
     stops = (
         *unwanted_runs(world.cell, world.now_ms, guard),
-        *evacuated_runs(world, guard, expected),
+        *leaving_runs(world, guard, expected),
     )
     units = waiting_units(
         world.cell,
@@ -338,7 +338,7 @@
                     yield from (Stop(run, reason) for run in unit.open.values())
 
 
-def evacuated_runs(
+def leaving_runs(
     world: World, guard: Guard, expected: Expectations
 ) -> Iterator[Stop]:
     """List the runs that leave a draining runner with their progress.
--- a/packages/instance/swifthoist_instance/anomalies.py
+++ b/packages/instance/swifthoist_instance/anomalies.py
@@ -4,8 +4,10 @@
 
 from swifthoist_core.types import RunnerId
 from swifthoist_engine.jobs import OpenRun
+from swifthoist_engine.records import Doubt
 from swifthoist_engine.run_index import RunKey
 from swifthoist_instance.orders import Orders
+from swifthoist_instance.outcomes import note_doubt
 from swifthoist_instance.paces import works_always
 from swifthoist_instance.shared import Shared
 from swifthoist_platform.runner_calls import RunningTask
@@ -25,15 +27,22 @@
         self._orphans: set[RunKey] = set()
 
     def stop_all(
-        self, running: Mapping[RunKey, RunningTask], orders: Orders
+        self,
+        running: Mapping[RunKey, RunningTask],
+        orders: Orders,
+        *,
+        cold: bool,
     ) -> None:
         """Stop what should not go on.
 
         :param running: rows of the newest look.
         :param orders: stops them.
+        :param cold: the runner is slow after its start, so that a task which
+            uses no processor yet says nothing.
         """
         self._stop_orphans(running, orders)
-        self._stop_hung(running, orders)
+        if not cold:
+            self._stop_hung(running, orders)
         orders.forget_closed()
 
     def _stop_orphans(
@@ -59,8 +68,6 @@
         self._shared.standstill.note(still, now_ms)
         for run in self._shared.standstill.hung(cell, running, now_ms):
             if (run.task, run.run) not in orders.stops:
-                evidence = self._shared.evidence
-                at_ms = self._shared.follower.time.now_ms()
-                evidence.note_hang(self._runner, run.task.job, at_ms)
+                note_doubt(self._shared, self._runner, Doubt.HANG, run.task.job)
                 orders.stop(run, 'stands still')
         self._shared.standstill.forget_closed(cell)
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -3,20 +3,23 @@
 import logging
 import os
 import signal
-from collections.abc import Awaitable, Callable
-from functools import partial
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
 
 from swifthoist_core.clock import Clock
-from swifthoist_core.types import InstanceId, Millis
+from swifthoist_core.types import InstanceId, Millis, RunnerId
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.duration_lines import DurationLine, duration_lines
+from swifthoist_engine.evacuation import ZoneLine, zone_lines
 from swifthoist_engine.model import SiteTerms
-from swifthoist_engine.speeds import Speeds
+from swifthoist_engine.speed_lines import speed_counts
 from swifthoist_instance.api import Api
+from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Aside, Faults
 from swifthoist_instance.follower import GATHER_S, Follower
 from swifthoist_instance.holding import Holding
@@ -119,7 +122,13 @@
             self._open_store(), self._life, clock, boot.link_bytes_s
         )
         self._configuration = Configuration(
-            self._open_store(), clock, self._revocation_ms
+            self._open_store(), clock, self._change_ms
+        )
+        self._cold_zones = ColdZones()
+        zones = ZoneGate(
+            self._configuration.requests,
+            lambda: self._configuration.age_ms,
+            lambda: settings.boot.bounds.evacuation_ms,
         )
         self.tenure = Tenure(
             self._life, self._follower, self._journal, clock, boot.cores
@@ -142,6 +151,8 @@
                 self._aside,
                 self._site_terms,
                 turns,
+                zones,
+                self._cold_zones,
             )
         )
         intake = Intake(
@@ -151,7 +162,8 @@
             self._revocation_ms,
         )
         metrics = Metrics()
-        metrics.watch('log_lines_dropped', lambda: logs.dropped)
+        metrics.watch('log_lines_dropped', logs.dropped.total)
+        metrics.watch_dropped(logs.dropped)
         metrics.watch('records_folded', lambda: self._follower.position)
         metrics.watch('records_not_folded', lambda: self._follower.unfolded)
         metrics.watch('log_reads', lambda: self._follower.reads)
@@ -160,11 +172,20 @@
         metrics.watch('epoch', lambda: self._follower.cell.state.epoch)
         metrics.watch('faults', lambda: self.faults.count)
         metrics.watch('set_aside', lambda: len(self._aside))
+        metrics.watch('runners_doubted', lambda: len(self._doubted()))
         metrics.watch('holds', lambda: int(self.tenure.hold is not None))
         metrics.watch('loop_longest_turn_ms', lambda: turns.longest_ms)
         metrics.watch('decision_ms', lambda: turns.decision_ms)
-        for figure in Speeds().describe():
-            metrics.watch(figure, partial(self._speed_figure, figure))
+        metrics.watch_all(lambda: speed_counts(self._follower.cell.state))
+        metrics.watch(
+            'zones_evacuated', lambda: len(self._configuration.requests.since)
+        )
+        metrics.watch(
+            'runs_in_evacuated_zones',
+            lambda: sum(line.runs for line in self._zone_lines()),
+        )
+        metrics.watch('cold_runners', lambda: self._cold_zones.runners.total())
+        metrics.watch_durations(self._duration_lines)
         self._phase = Phase()
         api = Api(
             self._configuration,
@@ -250,19 +271,36 @@
             'holds': self.tenure.hold is not None,
             'jobs': len(state.jobs),
             'runs': len(self._follower.cell.runs.all()),
-            'speeds': state.experience.speeds.describe(),
+            'speeds': speed_counts(state),
             'leaving': self._phase.leaving,
+            'evacuated': [line._asdict() for line in self._zone_lines()],
+            'cold': dict(self._cold_zones.runners),
             'set_aside': len(self._aside),
+            'runners_doubted': self._doubted(),
             'faults': self.faults.describe(),
+            'durations': [it._asdict() for it in self._duration_lines()],
         }
 
-    def _speed_figure(self, figure: str) -> float:
-        state = self._follower.cell.state
-        return state.experience.speeds.describe()[figure]
+    def _doubted(self) -> list[RunnerId]:
+        cell = self._follower.cell
+        return cell.state.breakers.doubted(cell.state.time_ms)
+
+    def _duration_lines(self) -> Iterator[DurationLine]:
+        experience = self._follower.cell.state.experience
+        return duration_lines(experience.durations)
 
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
+    def _change_ms(self) -> Millis:
+        bounds = self._settings.boot.bounds
+        evacuation_ms = bounds.evacuation_ms or bounds.revocation_ms
+        return min(bounds.revocation_ms, evacuation_ms)
+
+    def _zone_lines(self) -> tuple[ZoneLine, ...]:
+        since = self._configuration.requests.since
+        return zone_lines(self._follower.cell, since)
+
     def _site_terms(self) -> SiteTerms:
         bounds = self._settings.boot.bounds
         return SiteTerms(
--- a/packages/instance/swifthoist_instance/deciding.py
+++ b/packages/instance/swifthoist_instance/deciding.py
@@ -6,6 +6,7 @@
 from anyio.abc import TaskGroup
 
 from swifthoist_core.types import RunnerId
+from swifthoist_engine.breakers import spare_some
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.faults import Guard, Kind
 from swifthoist_engine.model import SiteTerms
@@ -13,6 +14,8 @@
 from swifthoist_engine.planner import Decision, World, decide
 from swifthoist_engine.queueing import Waiting
 from swifthoist_engine.runners import RunnerView
+from swifthoist_instance.breaker_lines import BreakerLines
+from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.faults import Aside
 from swifthoist_instance.policies import Policies
 from swifthoist_instance.roster import Roster
@@ -34,6 +37,7 @@
         policies: Policies,
         aside: Aside,
         terms: Callable[[], SiteTerms],
+        cold_zones: ColdZones,
     ) -> None:
         """Decide for a tenure.
 
@@ -43,6 +47,7 @@
         :param policies: permissions by step.
         :param aside: what decisions leave out, since they failed on it.
         :param terms: tells the terms of the site.
+        :param cold_zones: tells which zones have cold runners.
         """
         self._shared = shared
         self._roster = roster
@@ -50,7 +55,9 @@
         self._policies = policies
         self._aside = aside
         self._terms = terms
+        self._cold_zones = cold_zones
         self._occupancy = Occupancy()
+        self._lines = BreakerLines(shared.cell)
         self._random = random.Random(shared.epoch)
 
     def decide(self, catalogue: Catalogue, tasks: TaskGroup) -> Decision:
@@ -62,7 +69,12 @@
         """
         guard = Guard()
         self._aside.renew(catalogue)
-        views = self._roster.views(self._waves.cordoned, guard)
+        listed = self._roster.views(self._waves.cordoned, guard)
+        promised = sum(team.accelerators for team in catalogue.teams)
+        views = spare_some(listed, promised)
+        self._lines.note(views)
+        self._shared.zones.report(self._shared.cell)
+        self._cold_zones.note(views)
         now_ms = self._shared.follower.time.now_ms()
         world = World(
             self._shared.cell,
--- a/packages/instance/swifthoist_instance/metrics.py
+++ b/packages/instance/swifthoist_instance/metrics.py
@@ -1,10 +1,13 @@
 """Metrics: counts for Prometheus, latencies in HDR histograms."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
+from swifthoist_engine.duration_lines import DurationLine
+
 MAX_MS = 60_000
 _DIGITS = 2
 _QUANTILES = (50.0, 90.0, 99.0, 99.9)
@@ -34,6 +37,20 @@
             ('figure',),
             registry=self._registry,
         )
+        self._lines = Gauge(
+            'swifthoist_log_lines_dropped',
+            'Log lines that were not written, by their kind',
+            ('kind',),
+            registry=self._registry,
+        )
+        self._dropped: Mapping[str, int] = {}
+        self._durations = Gauge(
+            'swifthoist_durations',
+            'What was learned of durations, by queue and figure',
+            ('queue', 'declared', 'figure'),
+            registry=self._registry,
+        )
+        self._read_durations: Callable[[], Iterable[DurationLine]] = tuple
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count_call(self, method: str, status: int, took_ms: float) -> None:
@@ -58,6 +75,30 @@
         """
         self._state.labels(figure).set_function(read)
 
+    def watch_dropped(self, dropped: Mapping[str, int]) -> None:
+        """Expose how many log lines were dropped.
+
+        :param dropped: number of lines by kind; it may grow.
+        """
+        self._dropped = dropped
+
+    def watch_durations(
+        self, read: Callable[[], Iterable[DurationLine]]
+    ) -> None:
+        """Expose what was learned of durations.
+
+        :param read: reads it.
+        """
+        self._read_durations = read
+
+    def watch_all(self, read: Callable[[], Mapping[str, float]]) -> None:
+        """Expose several figures that are always read together.
+
+        :param read: reads their values; it always tells the same names.
+        """
+        for figure in read():
+            self.watch(figure, partial(_read_one, read, figure))
+
     def expose(self) -> bytes:
         """Write all metrics.
 
@@ -68,5 +109,20 @@
                 latency = histogram.get_value_at_percentile(quantile)
                 share = f'{quantile / 100:g}'
                 self._latency.labels(method, share).set(latency)
+        for kind, count in self._dropped.items():
+            self._lines.labels(kind).set(count)
+        self._set_durations()
         exposed: bytes = generate_latest(self._registry)
         return exposed
+
+    def _set_durations(self) -> None:
+        self._durations.clear()
+        for line in self._read_durations():
+            declared = 'yes' if line.declared else 'no'
+            for figure in ('runs', 'usual_ms', 'ratio', 'followed'):
+                gauge = self._durations.labels(line.queue, declared, figure)
+                gauge.set(getattr(line, figure))
+
+
+def _read_one(read: Callable[[], Mapping[str, float]], figure: str) -> float:
+    return read()[figure]
