Speeds: the decisions are off until a play shows that callers gain

Cause: no gain is shown. Change: Mechanisms.speeds is off; learning, classes, log, metrics and swifthoist speeds stay.

--- a/packages/engine/swifthoist_engine/mechanisms.py
+++ b/packages/engine/swifthoist_engine/mechanisms.py
@@ -4,7 +4,7 @@
 
 
 class Mechanisms(NamedTuple):
-    """Which parts take part; all of them do in the product.
+    """Which parts take part; all of them do in the product, but for ``speeds``.
 
     :ivar in_time_first: units that can be in time go before those that can't.
     :ivar packing: tasks go to the fullest rack, and there the fullest runner.
@@ -19,7 +19,8 @@
     :ivar retry_pause: a unit pauses before it starts again.
     :ivar warm_first: what can't bear a slow start goes to warm runners, and
         cold ones get work in steps.
-    :ivar speeds: gangs get runners of like speed, urgent units the fast ones.
+    :ivar speeds: gangs get runners of like speed, urgent units the fast ones;
+        off until a play shows that callers gain by it.
     :ivar observed_durations: durations are expected as they were observed.
     """
 
@@ -35,7 +36,7 @@
     breaker: bool = True
     retry_pause: bool = True
     warm_first: bool = True
-    speeds: bool = True
+    speeds: bool = False
     observed_durations: bool = True
 
 
