--- a/packages/engine/swifthoist_engine/speed_lines.py
+++ b/packages/engine/swifthoist_engine/speed_lines.py
@@ -29,6 +29,15 @@
     runs: float
 
 
+def speed_counts(state: CellState) -> dict[str, float]:
+    """Tell how many machines each class has, and its factor.
+
+    :param state: state of the cell.
+    :returns: figures by name; a factor is 0 where nobody is of its class.
+    """
+    return state.experience.speeds.describe()
+
+
 def speed_lines(state: CellState) -> Iterator[SpeedLine]:
     """List the runners that told what they are.
 
--- a/packages/instance/swifthoist_instance/learned.py
+++ b/packages/instance/swifthoist_instance/learned.py
@@ -1,13 +1,12 @@
 """What the fold has learned from runs, as operators see it."""
 
 from collections.abc import Iterator
-from functools import partial
 from typing import Any
 
 from swifthoist_core.types import RunnerId
 from swifthoist_engine.duration_lines import DurationLine, duration_lines
 from swifthoist_engine.experience import Experience
-from swifthoist_engine.speeds import Speeds
+from swifthoist_engine.speed_lines import speed_counts
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.metrics import Metrics
 
@@ -29,13 +28,12 @@
         """
         metrics.watch('runners_doubted', lambda: len(self._doubted()))
         metrics.watch_durations(self._durations)
-        for figure in Speeds().describe():
-            metrics.watch(figure, partial(self._speed_figure, figure))
+        metrics.watch_all(self._speeds)
 
     def describe(self) -> dict[str, Any]:
         """Describe it, for bug reports."""
         return {
-            'speeds': self._learned.speeds.describe(),
+            'speeds': self._speeds(),
             'runners_doubted': self._doubted(),
             'durations': [line._asdict() for line in self._durations()],
         }
@@ -51,5 +49,5 @@
     def _durations(self) -> Iterator[DurationLine]:
         return duration_lines(self._learned.durations)
 
-    def _speed_figure(self, figure: str) -> float:
-        return self._learned.speeds.describe()[figure]
+    def _speeds(self) -> dict[str, float]:
+        return speed_counts(self._follower.cell.state)
--- a/packages/instance/swifthoist_instance/metrics.py
+++ b/packages/instance/swifthoist_instance/metrics.py
@@ -1,6 +1,7 @@
 """Metrics: counts for Prometheus, latencies in HDR histograms."""
 
 from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
@@ -90,6 +91,14 @@
         """
         self._read_durations = read
 
+    def watch_all(self, read: Callable[[], Mapping[str, float]]) -> None:
+        """Expose several figures that are always read together.
+
+        :param read: reads their values; it always tells the same names.
+        """
+        for figure in read():
+            self.watch(figure, partial(_read_one, read, figure))
+
     def expose(self) -> bytes:
         """Write all metrics.
 
@@ -113,3 +122,7 @@
             for figure in ('runs', 'usual_ms', 'ratio', 'followed'):
                 gauge = self._durations.labels(line.queue, declared, figure)
                 gauge.set(getattr(line, figure))
+
+
+def _read_one(read: Callable[[], Mapping[str, float]], figure: str) -> float:
+    return read()[figure]
