--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -184,9 +184,11 @@
             rack = f'rack-{self._rack(number)}'
             name = _name(number)
             suspicion = self._evidence.suspicion(name, int(self._now))
+            state = self._cell.state
+            speed = state.experience.speeds.speed(state.facts[name])
             yield RunnerView(
                 name, 'pool', self.site.room, frozenset((rack,)), rack, 'z',
-                suspicion=suspicion,
+                suspicion=suspicion, speed=speed,
             )  # fmt: skip
 
     def _decide(self) -> None:
--- a/packages/engine/swifthoist_engine/board.py
+++ b/packages/engine/swifthoist_engine/board.py
@@ -46,6 +46,7 @@
     :ivar views: the same by id.
     :ivar room: their free room.
     :ivar free: the same by runner.
+    :ivar cell: the cell with its open runs.
     :ivar expected: how long tasks are expected to take.
     """
 
@@ -72,7 +73,7 @@
         self.free = self.room.free
         self.expected = expected or Expectations(cell.state)
         self._on_runner: dict[StepKey, Counter[RunnerId]] = {}
-        self._cell = cell
+        self.cell = cell
         self._occupancy = occupancy
         self._aside = aside
         self._now_ms = now_ms
@@ -128,6 +129,19 @@
                 room = room.plus(end.need)
         return room
 
+    def begun_since(self, runner: RunnerId, since_ms: Millis) -> Resources:
+        """Tell what tasks take that began lately on a runner.
+
+        :param runner: the runner.
+        :param since_ms: time of the cell.
+        :returns: what began then or later takes, or was put there since.
+        """
+        taken = self.views[runner].room.minus(self.free[runner])
+        for share in self.runs(runner):
+            if share.run.started_ms < since_ms:
+                taken = taken.minus(share.need)
+        return taken
+
     def expected_end(self, share: RunShare) -> Millis:
         """Tell when a run is expected to end.
 
@@ -208,7 +222,7 @@
         key = waiting.unit[:3]
         found = self._on_runner.get(key)
         if found is None:
-            job = self._cell.state.jobs[key[0]]
+            job = self.cell.state.jobs[key[0]]
             found = Counter(
                 run.runner for run in job.open_runs() if run.task[:3] == key
             )
--- a/packages/engine/swifthoist_engine/experience.py
+++ b/packages/engine/swifthoist_engine/experience.py
@@ -34,6 +34,7 @@
         :param past: the run.
         """
         # A speed is weighed against the durations before this run.
-        self.speeds.note(past)
+        typical_ms = self.durations.typical_ms(past.job.spec.queue, past.step)
+        self.speeds.note(past, typical_ms)
         self.durations.note(past, self.speeds)
         self.breakers.note(past)
--- a/packages/engine/swifthoist_engine/jobs.py
+++ b/packages/engine/swifthoist_engine/jobs.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from swifthoist_core.types import Epoch, JobId, Millis, RunnerId
+from swifthoist_engine.histories import Attempt, History
 from swifthoist_engine.model import (
     GANG_ORDINAL,
     JobSpec,
@@ -14,6 +15,9 @@
 )
 from swifthoist_engine.records import Started
 
+REASON_CHARS = 80
+"""Longest reason that is kept of a run that vanished, in characters."""
+
 
 class JobState(StrEnum):
     """States that callers can read."""
@@ -87,6 +91,7 @@
     :ivar failed: a unit ran out of attempts.
     :ivar complete: every unit is done.
     :ivar finished_ms: time of its final state; 0 before.
+    :ivar history: what became of its runs.
     """
 
     spec: JobSpec
@@ -96,6 +101,7 @@
     failed: bool = False
     complete: bool = False
     finished_ms: Millis = 0
+    history: History = field(default_factory=History)
 
     @property
     def job(self) -> JobId:
@@ -231,6 +237,31 @@
         for unit in self.units.values():
             yield from unit.open.values()
 
+    def note_over(
+        self, run: OpenRun, ending: str, at_ms: Millis, reason: str = ''
+    ) -> None:
+        """Note in its history that a run is over.
+
+        :param run: the run.
+        :param ending: how it ended.
+        :param at_ms: time when that was folded.
+        :param reason: what made it certain that it vanished; else empty.
+        """
+        unit = self.find(self.unit_of(run.task))
+        self.history.note(
+            Attempt(
+                *run.task[1:],
+                run.run,
+                run.runner,
+                ending,
+                reason[:REASON_CHARS],
+                run.started_ms,
+                at_ms,
+            ),
+            gang=self.step(run.task).gang,
+            needed=unit is None or not unit.done,
+        )
+
 
 def runs_of(record: Started) -> dict[int, OpenRun]:
     """Make the runs of a unit that is started.
--- a/packages/engine/swifthoist_engine/mechanisms.py
+++ b/packages/engine/swifthoist_engine/mechanisms.py
@@ -16,6 +16,9 @@
     :ivar evidence: runners with failures or hangs come last.
     :ivar sound_attempts: scarce attempts are spent on sound runners only.
     :ivar retry_pause: a unit pauses before it starts again.
+    :ivar warm_first: what can't bear a slow start goes to warm runners, and
+        cold ones get work in steps.
+    :ivar speeds: gangs get runners of like speed, urgent units the fast ones.
     :ivar observed_durations: durations are expected as they were observed.
     """
 
@@ -29,6 +32,8 @@
     evidence: bool = True
     sound_attempts: bool = True
     retry_pause: bool = True
+    warm_first: bool = True
+    speeds: bool = True
     observed_durations: bool = True
 
 
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -93,6 +93,17 @@
             return self.step.estimate_ms
         return self.expected_ms
 
+    def waited_ms(self, now_ms: Millis) -> Millis:
+        """Tell how long it has waited.
+
+        :param now_ms: time of the cell.
+        :returns: time since it was due, or since its newest run ended.
+        """
+        since = self.due_ms
+        if self.state is not None:
+            since = max(since, self.state.idle_since_ms)
+        return now_ms - since
+
     @property
     def run(self) -> int:
         """Number of its next run."""
--- a/packages/instance/swifthoist_instance/metrics.py
+++ b/packages/instance/swifthoist_instance/metrics.py
@@ -1,6 +1,6 @@
 """Metrics: counts for Prometheus, latencies in HDR histograms."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
@@ -43,6 +43,13 @@
             registry=self._registry,
         )
         self._read_durations: Callable[[], Iterable[DurationLine]] = tuple
+        self._lines = Gauge(
+            'swifthoist_log_lines_dropped',
+            'Log lines that were not written, by their kind',
+            ('kind',),
+            registry=self._registry,
+        )
+        self._dropped: Mapping[str, int] = {}
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count_call(self, method: str, status: int, took_ms: float) -> None:
@@ -76,6 +83,13 @@
         """
         self._read_durations = read
 
+    def watch_dropped(self, dropped: Mapping[str, int]) -> None:
+        """Expose how many log lines were dropped.
+
+        :param dropped: number of lines by kind; it may grow.
+        """
+        self._dropped = dropped
+
     def expose(self) -> bytes:
         """Write all metrics.
 
@@ -86,11 +100,16 @@
                 latency = histogram.get_value_at_percentile(quantile)
                 share = f'{quantile / 100:g}'
                 self._latency.labels(method, share).set(latency)
+        self._set_durations()
+        for kind, count in self._dropped.items():
+            self._lines.labels(kind).set(count)
+        exposed: bytes = generate_latest(self._registry)
+        return exposed
+
+    def _set_durations(self) -> None:
         self._durations.clear()
         for line in self._read_durations():
             declared = 'yes' if line.declared else 'no'
             for figure in ('runs', 'usual_ms', 'ratio', 'followed'):
                 gauge = self._durations.labels(line.queue, declared, figure)
                 gauge.set(getattr(line, figure))
-        exposed: bytes = generate_latest(self._registry)
-        return exposed
