--- a/packages/cli/swifthoist_cli/commands.py
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -27,6 +27,7 @@
     'accelerator_s',
     'wasted_s',
     'core_s',
+    'vain',
     'prompt',
     'tardy',
     'jobs',
--- a/packages/engine/swifthoist_engine/account.py
+++ b/packages/engine/swifthoist_engine/account.py
@@ -29,6 +29,11 @@
 """Time within which an urgent job is to have begun, in ms."""
 
 
+VAIN_MS = 700
+"""A task that saves its progress gains nothing by a run that is stopped sooner, in
+ms: until a stop is over, and the task goes on elsewhere."""
+
+
 class LineKey(NamedTuple):
     """What names a line of the account.
 
@@ -54,6 +59,7 @@
     :ivar waits: times from acceptance to the first start.
     :ivar prompt: urgent jobs that began in time.
     :ivar tardy: urgent jobs that began later.
+    :ivar vain: runs that were stopped for others before they gained anything.
     """
 
     used_ms: Millis = 0
@@ -64,6 +70,7 @@
     waits: Counts = field(default_factory=dict)
     prompt: int = 0
     tardy: int = 0
+    vain: int = 0
 
 
 class Span(NamedTuple):
@@ -125,8 +132,11 @@
             line.used_ms += used
             line.wasted_ms += 0 if kept else used
             line.cpu_ms += step.need.cpu * piece.length_ms // 1_000
-        runs = self._line(month_of(last_ms), job).runs
-        runs[ending] = runs.get(ending, 0) + 1
+        line = self._line(month_of(last_ms), job)
+        line.runs[ending] = line.runs.get(ending, 0) + 1
+        if ending == Ending.STOPPED and not job.final:
+            saved = kept and last_ms - run.started_ms >= VAIN_MS
+            line.vain += int(not saved)
         self._add_span(
             Span(
                 job.spec.team,
@@ -214,6 +224,7 @@
     :ivar prompt: urgent jobs that began in time.
     :ivar tardy: urgent jobs that began later.
     :ivar waiting: percentiles of the waiting times.
+    :ivar vain: runs that were stopped for others before they gained anything.
     """
 
     month: str
@@ -227,6 +238,7 @@
     prompt: int
     tardy: int
     waiting: Percentiles
+    vain: int = 0
 
 
 class Question(NamedTuple):
@@ -271,4 +283,5 @@
         line.prompt,
         line.tardy,
         percentiles(line.waits),
+        line.vain,
     )
--- a/tests/engine/test_account.py
+++ b/tests/engine/test_account.py
@@ -50,6 +50,26 @@
         )
         self.assertEqual(_lines(scene)[0].wasted_s, 2)
 
+    def test_stops_in_vain_are_told_apart(self) -> None:
+        """By what the tasks save, and not those of jobs that are over."""
+        saving = task(count=2, checkpointing=True)
+        scene = Scene(
+            job_spec('j', BATCH, task()),
+            job_spec('k', BATCH, saving),
+            job_spec('over', BATCH, task()),
+        )
+        for number, (name, ordinal, ran_ms) in enumerate(
+            (('j', 0, 9_000), ('k', 0, 300), ('k', 1, 2_000), ('over', 0, 1))
+        ):
+            unit = UnitId(name, 0, 0, ordinal)
+            scene.start(unit, 'r', at_ms=NOW_MS - ran_ms)
+            scene.job('over').canceled = True
+            end = (TaskId(*unit), 1, Ending.STOPPED, '', NOW_MS)
+            scene.fold(Ended(1, 'r', number + 1, *end))
+        line = _lines(scene)[0]
+        self.assertEqual(line.vain, 2)
+        self.assertEqual(line.runs, {'stopped': 4})
+
     def test_urgent_jobs_count_by_whether_they_began_in_time(self) -> None:
         """That is the promise of a guarantee."""
         scene = Scene(
