--- a/packages/engine/swifthoist_engine/mechanisms.py
+++ b/packages/engine/swifthoist_engine/mechanisms.py
@@ -19,7 +19,8 @@
     :ivar warm_first: what can't bear a slow start goes to warm runners, and
         cold ones get work in steps.
     :ivar speeds: gangs get runners of like speed, urgent units the fast ones.
-    :ivar observed_durations: durations are expected as they were observed.
+    :ivar observed_durations: durations are expected as they were observed; off
+        until it is known what it does on even loads.
     """
 
     in_time_first: bool = True
@@ -34,7 +35,7 @@
     retry_pause: bool = True
     warm_first: bool = True
     speeds: bool = True
-    observed_durations: bool = True
+    observed_durations: bool = False
 
 
 ALL = Mechanisms()
