--- a/packages/engine/swifthoist_engine/mechanisms.py
+++ b/packages/engine/swifthoist_engine/mechanisms.py
@@ -4,7 +4,7 @@
 
 
 class Mechanisms(NamedTuple):
-    """Which parts take part; all of them do in the product.
+    """Which parts take part; all that are on here do in the product.
 
     :ivar in_time_first: units that can be in time go before those that can't.
     :ivar packing: tasks go to the fullest rack, and there the fullest runner.
