--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -57,7 +57,7 @@
     :ivar addresses: where each runner answered.
     :ivar account: who got what.
     :ivar upkeeps: the runner that each machine of a wave was before its
-        upkeep, for waves that are under way.
+        upkeep, for waves that are under way; empty once that is gone.
     :ivar waves_done: waves that are complete.
     :ivar claimed_ms: time at which the newest epoch was claimed.
     :ivar former: who held the cell before that; empty when it was released.
@@ -260,6 +260,7 @@
                 self.state.addresses.pop(record.runner, None)
                 self.state.facts.pop(record.runner, None)
                 self.state.experience.forget(record.runner)
+                note_gone(self.state.upkeeps, record.runner)
             case UpkeepBegun(_, wave, machine, runner):
                 begun = self.state.upkeeps.setdefault(wave, {})
                 begun.setdefault(machine, runner)
--- a/packages/engine/swifthoist_engine/endings.py
+++ b/packages/engine/swifthoist_engine/endings.py
@@ -1,6 +1,6 @@
-"""What the end of a run means for its unit and its job."""
+"""What the end of a run means for its unit and job, and that of a runner for waves."""
 
-from swifthoist_core.types import Millis
+from swifthoist_core.types import Millis, RunnerId
 from swifthoist_engine.jobs import Job, OpenRun, Unit
 from swifthoist_engine.records import Ended, Ending
 
@@ -56,3 +56,18 @@
     :returns: a run of no known length.
     """
     return OpenRun(record.task, record.run, record.runner, record.epoch, at_ms)
+
+
+def note_gone(
+    upkeeps: dict[int, dict[str, RunnerId]], runner: RunnerId
+) -> None:
+    """Note that a runner is gone: its machine may return under the same id.
+
+    :param upkeeps: the runner that each machine of a wave was before; those
+        that were this one are told as gone.
+    :param runner: the runner.
+    """
+    for begun in upkeeps.values():
+        for machine, before in begun.items():
+            if before == runner:
+                begun[machine] = ''
--- a/packages/engine/swifthoist_engine/mechanisms.py
+++ b/packages/engine/swifthoist_engine/mechanisms.py
@@ -4,7 +4,7 @@
 
 
 class Mechanisms(NamedTuple):
-    """Which parts take part; all of them do in the product, but for ``speeds``.
+    """Which parts take part; all that are on here do in the product.
 
     :ivar in_time_first: units that can be in time go before those that can't.
     :ivar packing: tasks go to the fullest rack, and there the fullest runner.
@@ -21,7 +21,8 @@
         cold ones get work in steps.
     :ivar speeds: gangs get runners of like speed, urgent units the fast ones;
         off until a play shows that callers gain by it.
-    :ivar observed_durations: durations are expected as they were observed.
+    :ivar observed_durations: durations are expected as they were observed; off
+        until it is known what it does on even loads.
     """
 
     in_time_first: bool = True
@@ -37,7 +38,7 @@
     retry_pause: bool = True
     warm_first: bool = True
     speeds: bool = False
-    observed_durations: bool = True
+    observed_durations: bool = False
 
 
 ALL = Mechanisms()
--- a/tests/engine/test_upkeep.py
+++ b/tests/engine/test_upkeep.py
@@ -3,7 +3,7 @@
 import unittest
 
 from swifthoist_engine.model import UnitId
-from swifthoist_engine.records import Beat, UpkeepBegun, WaveDone
+from swifthoist_engine.records import Beat, RunnerGone, UpkeepBegun, WaveDone
 from swifthoist_engine.upkeep import (
     SETTLED_MS,
     MachineState,
@@ -134,6 +134,15 @@
         back = MachineState('m0', up=True, runner='new', cordoned_ms=None)
         self.assertTrue(self.step(back, begun=begun)[2])
 
+    def test_a_machine_that_returns_under_its_id_is_back(self) -> None:
+        """It counted as down for good, and its wave never ended."""
+        cell = self.scene.cell
+        self.scene.fold(UpkeepBegun(1, 3, 'm0', 'runner-0'))
+        begun = cell.state.upkeeps[3]
+        self.assertFalse(self.step(_machine(0), begun=begun)[2])
+        self.scene.fold(RunnerGone(1, 'runner-0'))
+        self.assertTrue(self.step(_machine(0), begun=begun)[2])
+
     def test_a_takeover_knows_what_was_begun(self) -> None:
         """It stands on the log."""
         self.scene.fold(UpkeepBegun(1, 7, 'm0', 'runner-0'))
