--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -15,7 +15,12 @@
 from swifthoist_core.types import Epoch, InstanceId, JobId, Millis, RunnerId
 from swifthoist_engine.account import Account
 from swifthoist_engine.breakers import Breakers
-from swifthoist_engine.endings import conclude, late_run, note_end
+from swifthoist_engine.endings import (
+    conclude,
+    late_run,
+    note_end,
+    note_gone,
+)
 from swifthoist_engine.experience import Experience
 from swifthoist_engine.histories import VANISHED
 from swifthoist_engine.jobs import Job, JobState, OpenRun, runs_of
