--- a/bench/site_play.py
+++ b/bench/site_play.py
@@ -190,7 +190,7 @@
             self._push(self._now + SETTLE_MS, DECIDE)
 
     def _views(self) -> Iterator[RunnerView]:
-        breakers = self._cell.state.breakers
+        breakers = self._cell.state.experience.breakers
         now = int(self._now)
         for number in range(self._ground.runners):
             if self._within(self._gone, number):
--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -14,7 +14,6 @@
 
 from swifthoist_core.types import Epoch, InstanceId, JobId, Millis, RunnerId
 from swifthoist_engine.account import Account
-from swifthoist_engine.breakers import Breakers
 from swifthoist_engine.endings import (
     conclude,
     late_run,
@@ -86,11 +85,6 @@
     facts: dict[RunnerId, RunnerFacts] = field(default_factory=dict)
     experience: Experience = field(default_factory=Experience)
 
-    @property
-    def breakers(self) -> Breakers:
-        """What speaks against each runner."""
-        return self.experience.breakers
-
     def pass_time(self, at_ms: Millis) -> None:
         """Note a time that a holder noted.
 
--- a/packages/engine/swifthoist_engine/durations.py
+++ b/packages/engine/swifthoist_engine/durations.py
@@ -382,21 +382,8 @@
 
 def _tells(past: PastRun) -> bool:
     """Tell whether a run says how long tasks like it take."""
-    step = past.step
-    if past.ending is Ending.FAILED or not past.timely or past.run.checkpoint:
+    if past.ending is Ending.FAILED or not past.comparable:
         return False
-    if step.lasting or step.filling or _is_far(past):
-        return False
-    if step.gang:
-        # The first end of a gang tells of all its members.
-        return len(past.gang) == step.width
-    return past.run.task.ordinal % -(-step.width // TASKS_OF_STEP) == 0
-
-
-def _is_far(past: PastRun) -> bool:
-    """Tell whether a run takes longer for where it was, or may do so."""
-    racks = {facts.rack for facts in past.gang_facts}
-    step = past.step
-    if step.data_rack and racks != {step.data_rack}:
+    if past.step.gang:
         return True
-    return step.gang and step.same_rack and len(racks) > 1
+    return past.run.task.ordinal % -(-past.step.width // TASKS_OF_STEP) == 0
--- a/packages/engine/swifthoist_engine/past_runs.py
+++ b/packages/engine/swifthoist_engine/past_runs.py
@@ -57,6 +57,30 @@
         """Time from its decision to its end."""
         return self.at_ms - self.run.started_ms
 
+    @property
+    def comparable(self) -> bool:
+        """Whether its time can be held against that of others of its queue.
+
+        Not so for runs whose end was noted late, that did part of the work or
+        last, that were far from their data or over several racks, and for the
+        ends of a gang behind the first one, which told of all of it.
+        """
+        step = self.step
+        if not self.timely or self.run.checkpoint or self._far:
+            return False
+        if step.lasting or step.filling:
+            return False
+        return not step.gang or len(self.gang) == step.width
+
+    @property
+    def _far(self) -> bool:
+        """Whether it took longer for where it was, or may have done so."""
+        racks = {facts.rack for facts in self.gang_facts}
+        step = self.step
+        if step.data_rack and racks != {step.data_rack}:
+            return True
+        return step.gang and step.same_rack and len(racks) > 1
+
 
 def past_run(
     facts: Mapping[RunnerId, RunnerFacts],
--- a/packages/engine/swifthoist_engine/speeds.py
+++ b/packages/engine/swifthoist_engine/speeds.py
@@ -284,22 +284,7 @@
 
 
 def _tells(past: PastRun) -> bool:
-    """Tell whether a run's time says anything of its runners' speed.
-
-    Left out are runs that did part of the work, that waited for data or other
-    racks, whose time is not theirs to say, and ends that were noted late.
-    """
-    step = past.step
-    if not past.timely or past.ending is not Ending.DONE or past.run.checkpoint:
-        return False
-    if step.lasting or step.filling:
-        return False
-    if step.gang and len(past.gang) < step.width:
-        # The first end of a gang has told of all of it.
-        return False
-    racks = {facts.rack for facts in past.gang_facts}
-    if step.data_rack and racks != {step.data_rack}:
-        return False
-    if step.gang and step.same_rack and len(racks) > 1:
+    """Tell whether a run's time says anything of its runners' speed."""
+    if past.ending is not Ending.DONE or not past.comparable:
         return False
     return all(facts.machine for facts in past.gang_facts)
--- a/packages/instance/swifthoist_instance/breaker_lines.py
+++ b/packages/instance/swifthoist_instance/breaker_lines.py
@@ -45,7 +45,7 @@
 
     def _about(self, runner: RunnerId) -> dict[str, object]:
         state = self._cell.state
-        breakers = self._cell.state.breakers
+        breakers = self._cell.state.experience.breakers
         strikes = breakers.strikes.get(runner, [])
         return {
             'runner': runner,
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -93,7 +93,7 @@
         views: list[RunnerView] = []
         evacuations = self._shared.zones.look()
         now_ms = self._shared.follower.time.now_ms()
-        breakers = self._shared.cell.state.breakers
+        learned = self._shared.cell.state.experience
         for runner, session in self._sessions.items():
             with guard.looking_at(Kind.RUNNER, runner):
                 zone = session.contact.registration.zone
@@ -103,10 +103,10 @@
                     allowed
                     and self._usable(session)
                     and runner not in cordoned,
-                    breakers.suspicion(runner, now_ms),
+                    learned.breakers.suspicion(runner, now_ms),
                     cold=session.contact.cold,
                     speed=self._speed(runner),
-                    trials=breakers.trials(runner, now_ms, runs),
+                    trials=learned.breakers.trials(runner, now_ms, runs),
                 )
                 views.append(session.describe(standing))
         return tuple(views)
--- a/tests/engine/test_attempts.py
+++ b/tests/engine/test_attempts.py
@@ -97,7 +97,8 @@
         self,
     ) -> None:
         """Nobody has to prove it meanwhile."""
-        breakers = self.scene.cell.state.breakers
+        state = self.scene.cell.state
+        breakers = state.experience.breakers
         self.assertEqual(breakers.suspicion('runner-0', NOW_MS), 1)
         now_ms = NOW_MS + FORGET_MS
         suspicion = breakers.suspicion('runner-0', now_ms)
--- a/tests/engine/test_breakers.py
+++ b/tests/engine/test_breakers.py
@@ -225,7 +225,7 @@
                 Belated(1, runner, 1),
                 Ended(1, runner, 1, ended, 1, Ending.FAILED, '', late_ms),
             )
-        breakers = scene.cell.state.breakers
+        breakers = scene.cell.state.experience.breakers
         self.assertEqual(breakers.doubted(late_ms), ['s'])
         scene.fold(RunnerGone(1, 's'))
         self.assertEqual(breakers.doubted(late_ms), [])
@@ -317,7 +317,7 @@
 
 def _views(cell: Cell) -> list[RunnerView]:
     """Describe three runners as a holder does."""
-    breakers = cell.state.breakers
+    breakers = cell.state.experience.breakers
     now_ms = cell.state.time_ms
     return [
         view(
--- a/tests/simulation/test_breakers.py
+++ b/tests/simulation/test_breakers.py
@@ -33,12 +33,14 @@
                 cut.clear()
                 await anyio.sleep(1)
                 state = holder.cell.state
-                doubted = state.breakers.doubted(state.time_ms)
+                doubted = state.experience.breakers.doubted(state.time_ms)
             self.assertEqual(len(doubted), 1)
             holder.kill()
             await anyio.sleep(0.2)
             state = (await cluster.holder()).cell.state
-            self.assertEqual(state.breakers.doubted(state.time_ms), doubted)
+            self.assertEqual(
+                state.experience.breakers.doubted(state.time_ms), doubted
+            )
 
         play(scene)
 
@@ -58,7 +60,7 @@
             state = holder.cell.state
 
             def nothing_speaks() -> bool:
-                return not state.breakers.doubted(state.time_ms)
+                return not state.experience.breakers.doubted(state.time_ms)
 
             await wait_until(nothing_speaks, 14)
 
