--- a/tests/engine/test_durations.py
+++ b/tests/engine/test_durations.py
@@ -9,7 +9,6 @@
 from hypothesis import strategies as st
 
 from bench.load import DHUAN
-from bench.site_play import Play
 from swifthoist_engine.cell import Cell, CellState
 from swifthoist_engine.durations import (
     AGE_MS,
@@ -26,7 +25,6 @@
 from swifthoist_engine.mechanisms import ALL
 from swifthoist_engine.model import JobSpec, StepSpec, TaskId, UnitId
 from swifthoist_engine.past_runs import PastRun, RunnerFacts
-from swifthoist_engine.planner import Decision, World, decide
 from swifthoist_engine.records import (
     Belated,
     Ended,
@@ -41,6 +39,7 @@
     take_snapshot,
 )
 from swifthoist_engine.speeds import Speeds
+from tests.engine.noted import Noted, starts_and_stops
 from tests.engine.scenes import (
     BATCH,
     BULK,
@@ -386,19 +385,10 @@
         self.assertGreater(len(told), 100)
 
 
-def _starts_and_stops(*, observed: bool) -> list[tuple[object, ...]]:
-    """Play a load, and note each decision."""
-    found: list[tuple[object, ...]] = []
-
-    def noting(world: World, epoch: int) -> Decision:
-        decision = decide(world, epoch)
-        stops = [(it.run.task, it.run.run) for it in decision.stops]
-        found.append((world.now_ms, decision.starts, stops))
-        return decision
-
+def _starts_and_stops(*, observed: bool) -> Noted:
+    """Play a load with a part of the decisions, or without."""
     mechanisms = ALL._replace(observed_durations=observed)
-    Play(DHUAN, noting, 3, 8, mechanisms=mechanisms).run()
-    return found
+    return starts_and_stops(DHUAN, mechanisms, 3, 8)
 
 
 if __name__ == '__main__':
--- a/tests/engine/test_speed_match.py
+++ b/tests/engine/test_speed_match.py
@@ -6,9 +6,10 @@
 from bench.site_play import Play
 from swifthoist_engine.mechanisms import ALL
 from swifthoist_engine.model import QueueTerms, Resources, StepSpec
-from swifthoist_engine.planner import Decision, World, decide
+from swifthoist_engine.planner import World, decide
 from swifthoist_engine.runners import RunnerView
 from swifthoist_engine.speed_figures import FASTER, SLOWER
+from tests.engine.noted import Noted, starts_and_stops
 from tests.engine.scenes import (
     BATCH,
     BULK,
@@ -133,19 +134,10 @@
 )  # fmt: skip
 
 
-def _starts_and_stops(*, speeds: bool) -> list[tuple[object, ...]]:
-    """Play a load on even runners, and note each decision."""
-    found: list[tuple[object, ...]] = []
-
-    def noting(world: World, epoch: int) -> Decision:
-        decision = decide(world, epoch)
-        stops = [(it.run.task, it.run.run) for it in decision.stops]
-        found.append((world.now_ms, decision.starts, stops))
-        return decision
-
+def _starts_and_stops(*, speeds: bool) -> Noted:
+    """Play a load with a part of the decisions, or without."""
     mechanisms = ALL._replace(speeds=speeds)
-    Play(EVEN, noting, 3, 20, 0.25, mechanisms=mechanisms).run()
-    return found
+    return starts_and_stops(EVEN, mechanisms, 3, 20, 0.25)
 
 
 class EvenTest(unittest.TestCase):
