--- a/packages/cli/swifthoist_cli/commands.py
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -27,6 +27,7 @@
     'accelerator_s',
     'wasted_s',
     'core_s',
+    'vain',
     'prompt',
     'tardy',
     'jobs',
@@ -41,6 +42,15 @@
     'ending',
 )
 _ZONE_COLUMNS = ('zone', 'since_ms', 'runners', 'runs')
+_SPEED_COLUMNS = (
+    'runner',
+    'machine',
+    'kind',
+    'rack',
+    'speed',
+    'factor',
+    'runs',
+)
 _BURN_COLUMNS = ('queue', 'long_ms', 'long_rate', 'short_rate', 'severity')
 
 
@@ -122,6 +132,10 @@
         """List the evacuated zones: since when, and what still runs there."""
         self._print_rows(self._api().call('GET', '/v1/zones'), _ZONE_COLUMNS)
 
+    def speeds(self) -> None:
+        """List how fast each runner is, the fastest first."""
+        self._print_rows(self._api().call('GET', '/v1/speeds'), _SPEED_COLUMNS)
+
     @verb
     def burn(self) -> int:
         """Report how fast error budgets are spent.
--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -14,8 +14,12 @@
 
 from swifthoist_core.types import Epoch, InstanceId, JobId, Millis, RunnerId
 from swifthoist_engine.account import Account
-from swifthoist_engine.breakers import Breakers
-from swifthoist_engine.endings import conclude, late_run, note_end
+from swifthoist_engine.endings import (
+    conclude,
+    late_run,
+    note_end,
+    note_gone,
+)
 from swifthoist_engine.experience import Experience
 from swifthoist_engine.histories import VANISHED
 from swifthoist_engine.jobs import Job, JobState, OpenRun, runs_of
@@ -57,7 +61,7 @@
     :ivar addresses: where each runner answered.
     :ivar account: who got what.
     :ivar upkeeps: the runner that each machine of a wave was before its
-        upkeep, for waves that are under way.
+        upkeep, for waves that are under way; empty once that is gone.
     :ivar waves_done: waves that are complete.
     :ivar claimed_ms: time at which the newest epoch was claimed.
     :ivar former: who held the cell before that; empty when it was released.
@@ -81,11 +85,6 @@
     facts: dict[RunnerId, RunnerFacts] = field(default_factory=dict)
     experience: Experience = field(default_factory=Experience)
 
-    @property
-    def breakers(self) -> Breakers:
-        """What speaks against each runner."""
-        return self.experience.breakers
-
     def pass_time(self, at_ms: Millis) -> None:
         """Note a time that a holder noted.
 
@@ -260,6 +259,7 @@
                 self.state.addresses.pop(record.runner, None)
                 self.state.facts.pop(record.runner, None)
                 self.state.experience.forget(record.runner)
+                note_gone(self.state.upkeeps, record.runner)
             case UpkeepBegun(_, wave, machine, runner):
                 begun = self.state.upkeeps.setdefault(wave, {})
                 begun.setdefault(machine, runner)
--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -28,6 +28,7 @@
     StepSpec,
 )
 from swifthoist_engine.records import Canceled, Record, Submitted
+from swifthoist_engine.speed_lines import speed_lines
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.job_lines import describe_end
@@ -162,6 +163,8 @@
                 since = self._configuration.requests.since
                 zones = zone_lines(self._follower.cell, since)
                 return Answer(200, [line._asdict() for line in zones])
+            case '/v1/speeds':
+                return Answer(200, _plain(speed_lines(state)))
             case '/v1/burn':
                 return Answer(200, _plain(burn_lines(state)))
             case _:
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -19,7 +19,7 @@
 )
 from swifthoist_engine.run_index import RunKey
 from swifthoist_engine.runners import RunnerView, Standing
-from swifthoist_engine.speeds import USUAL
+from swifthoist_engine.speed_figures import USUAL
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.leases import Lease, choose_lease_ms, lease_over_ms
 from swifthoist_instance.lives import HELD_UP_MS
@@ -93,7 +93,7 @@
         views: list[RunnerView] = []
         evacuations = self._shared.zones.look()
         now_ms = self._shared.follower.time.now_ms()
-        breakers = self._shared.cell.state.breakers
+        learned = self._shared.cell.state.experience
         for runner, session in self._sessions.items():
             with guard.looking_at(Kind.RUNNER, runner):
                 zone = session.contact.registration.zone
@@ -103,10 +103,10 @@
                     allowed
                     and self._usable(session)
                     and runner not in cordoned,
-                    breakers.suspicion(runner, now_ms),
+                    learned.breakers.suspicion(runner, now_ms),
                     cold=session.contact.cold,
                     speed=self._speed(runner),
-                    trials=breakers.trials(runner, now_ms, runs),
+                    trials=learned.breakers.trials(runner, now_ms, runs),
                 )
                 views.append(session.describe(standing))
         return tuple(views)
--- a/tests/engine/test_durations.py
+++ b/tests/engine/test_durations.py
@@ -21,6 +21,7 @@
     QueueKey,
 )
 from swifthoist_engine.expectations import KNOWN_RUNS, Expectations
+from swifthoist_engine.experience import Experience
 from swifthoist_engine.jobs import Job, OpenRun
 from swifthoist_engine.mechanisms import ALL
 from swifthoist_engine.model import JobSpec, StepSpec, TaskId, UnitId
@@ -379,7 +380,7 @@
 
     def test_decisions_are_the_same_where_nothing_was_learned(self) -> None:
         """All starts and stops of a play, with the part and without it."""
-        with patch.object(Durations, 'note'), patch.object(Speeds, 'note'):
+        with patch.object(Experience, 'note'):
             told = _starts_and_stops(observed=True)
             self.assertEqual(told, _starts_and_stops(observed=False))
         self.assertGreater(len(told), 100)
