Mend four faults that were found by reading

speeds against an absent instance ended with a traceback: the method lacked the decorator of the other commands; exit code 3 now, as they have. put took every status but 200 for not written: a 502 is an unknown outcome, as for appends. A truth value was taken for a port. NOTICE_FACTOR was used nowhere. Outcomes of runs were logged although the wait for their folding had run out; that is a warning of its own now.

Measured: tests.adapter and tests.cli; the three new checks failed before.

--- a/packages/cli/swifthoist_cli/commands.py
+++ b/packages/cli/swifthoist_cli/commands.py
@@ -132,6 +132,7 @@
         """List the evacuated zones, since when, and what still runs there."""
         self._print_rows(self._api().call('GET', '/v1/zones'), _ZONE_COLUMNS)
 
+    @command
     def speeds(self) -> None:
         """List the speed of each runner, the fastest first."""
         self._print_rows(self._api().call('GET', '/v1/speeds'), _SPEED_COLUMNS)
--- a/packages/engine/swifthoist_engine/placing.py
+++ b/packages/engine/swifthoist_engine/placing.py
@@ -36,11 +36,6 @@
 expected duration. After that, a start on one rack would come too late to be
 worth anything, and one across several racks is late in any case."""
 
-NOTICE_FACTOR = 1.2
-"""A task is not started on a draining runner that leaves before this multiple
-of its declared duration has passed."""
-
-
 HEALTHY_RUNNER_WAIT_MS = 2_000
 """How long a unit waits for healthy runners where there are too few of them, in
 ms: less than the 3 s after which a job counts as stalled."""
--- a/packages/instance/swifthoist_instance/outcomes.py
+++ b/packages/instance/swifthoist_instance/outcomes.py
@@ -48,8 +48,12 @@
         return False
     last = offset + len(records) - 1
     folded = await context.follower.wait_folded(last, RECORD_TIMEOUT_S)
-    for record in records:
-        _log_outcome(context, record)
+    if folded:
+        for record in records:
+            _log_outcome(context, record)
+    else:
+        fields = {'first': type(records[0]).__name__, 'offset': offset}
+        _log.warning('recorded, not folded in time', extra=fields)
     context.wake.notify()
     return folded
 
--- a/packages/platform/swifthoist_platform/boot.py
+++ b/packages/platform/swifthoist_platform/boot.py
@@ -148,7 +148,9 @@
 
 
 def _is_port(port: object) -> bool:
-    return isinstance(port, int) and 0 < port < 65_536
+    if not isinstance(port, int) or isinstance(port, bool):
+        return False
+    return 0 < port < 65_536
 
 
 def _link_bandwidth(limits: DocumentReader) -> float:
--- a/packages/platform/swifthoist_platform/store.py
+++ b/packages/platform/swifthoist_platform/store.py
@@ -169,13 +169,10 @@
         reply = await self._send(
             'POST', f'{names.LOG_APPEND}?{query}', timeout_s, body
         )
-        if reply.status == _OK:
-            return read_json(reply.content).integer(names.OFFSET)
         if reply.status == _CONFLICT:
             raise _conflict_error(reply)
-        if reply.status in _REFUSED:
-            raise LogUnavailableError(f'store returned HTTP {reply.status}')
-        raise OutcomeUnknownError(f'store returned HTTP {reply.status}')
+        _expect_written(reply)
+        return read_json(reply.content).integer(names.OFFSET)
 
     async def put(
         self, topic: str, key: str, content: bytes, timeout_s: float
@@ -195,9 +192,7 @@
         record = _add_length(bytes((len(name),)) + name + content)
         query = urlencode({names.TOPIC: topic, names.PART: 0})
         path = f'{names.LOG_APPEND}?{query}'
-        reply = await self._send('POST', path, timeout_s, record)
-        if reply.status != _OK:
-            raise LogUnavailableError(f'store returned HTTP {reply.status}')
+        _expect_written(await self._send('POST', path, timeout_s, record))
 
     async def read(
         self,
@@ -363,6 +358,13 @@
         raise LogUnavailableError(f'store returned HTTP {reply.status}')
 
 
+def _expect_written(reply: Reply) -> None:
+    if reply.status in _REFUSED:
+        raise LogUnavailableError(f'store returned HTTP {reply.status}')
+    if reply.status != _OK:
+        raise OutcomeUnknownError(f'store returned HTTP {reply.status}')
+
+
 def _conflict_error(reply: Reply) -> AppendConflictError:
     reason = read_json(reply.content).string(names.REASON)
     fenced = reason == Conflict.FENCED.value
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -8,6 +8,7 @@
 
 from swifthoist_core.errors import InvalidInputError
 from swifthoist_emulator.site import STANDARD, write_config, write_settings
+from swifthoist_platform import names
 from swifthoist_platform.boot import decode_boot_settings
 from swifthoist_platform.documents import (
     decode_catalogue,
@@ -212,6 +213,14 @@
         self.assertEqual(boot.bounds.revocation_ms, 5_000)
         self.assertEqual(boot.bounds.evacuation_ms, 5_000)
 
+    def test_a_truth_value_is_no_port(self) -> None:
+        """In Python it is an integer."""
+        content = write_settings('i', 'z', ('a:1', 'a:2', 'a:3'), 's:4')
+        document = msgspec.json.decode(content)
+        document[names.INTERNAL_PORTS] = [True, 7_000]
+        boot = decode_boot_settings(msgspec.json.encode(document))
+        self.assertEqual(boot.internal_ports, (7_000, 7_000))
+
     def test_everything_wrong_is_told_at_once(self) -> None:
         """A process does not start with incomplete settings."""
         with self.assertRaises(InvalidInputError) as caught:
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -86,6 +86,31 @@
             self.assertIs(type(caught.exception), expected)
 
 
+class _StatusEndpoint(NamedTuple):
+    """An endpoint that replies to every call with the same status."""
+
+    status: int
+
+    async def call(self, call: Call) -> Reply:
+        """Reply with the status and an empty body."""
+        return Reply(self.status, b'{}')
+
+    async def close(self) -> None:
+        """Do nothing; no connection is open."""
+
+
+class PutTest(unittest.TestCase):
+    """A failed write reports whether the value may have been written."""
+
+    def test_only_a_refusal_counts_as_not_written(self) -> None:
+        """A proxy's 502 says nothing about the store behind it."""
+        failures = ((429, LogUnavailableError), (502, OutcomeUnknownError))
+        for status, expected in failures:
+            client = StoreClient(_StatusEndpoint(status))
+            with self.assertRaises(expected):
+                run(partial(client.put, 'keyed.topic', 'key', b'x', 1))
+
+
 class TaskNameTest(unittest.TestCase):
     """Names of tasks in calls to runners."""
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -60,8 +60,10 @@
 
     def test_an_instance_that_does_not_answer_is_told_apart(self) -> None:
         """It has its own exit code; nothing was carried out."""
-        checked = run_swifthoist('jobs', '--url=http://127.0.0.1:9')
-        self.assertEqual(checked.returncode, 3)
+        for command in ('jobs', 'speeds'):
+            checked = run_swifthoist(command, '--url=http://127.0.0.1:9')
+            self.assertEqual(checked.returncode, 3)
+            self.assertNotIn('Traceback', checked.stderr)
 
     def test_a_target_is_needed(self) -> None:
         """The flag or the environment has to give a valid address."""
