--- a/packages/emulator/swifthoist_emulator/direct.py
+++ b/packages/emulator/swifthoist_emulator/direct.py
@@ -9,7 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
+from swifthoist_core.errors import AnswerLateError, UnreachableError
 from swifthoist_emulator.http import Request
 from swifthoist_emulator.world import World
 from swifthoist_platform.calls import Call, Reply
@@ -102,7 +102,7 @@
         :param call: the call.
         :returns: the reply, whatever its status.
         :raises UnreachableError: when the address is cut off.
-        :raises OutcomeUnknownError: when the reply was lost or late.
+        :raises AnswerLateError: when the reply was lost or late.
         """
         bare, _, query = call.path.partition('?')
         query_values = {
@@ -114,9 +114,11 @@
         request = Request(
             call.method, bare, query_values, sent, call.content, port
         )
-        with anyio.move_on_after(call.timeout_s):
+        with anyio.move_on_after(call.timeout_s) as scope:
+            if call.patience is not None:
+                call.patience.begin(scope)
             return await self._link.carry(self._address, request)
-        raise OutcomeUnknownError(f'{self._address}{bare}: no answer')
+        raise AnswerLateError(f'{self._address}{bare}: no answer')
 
     async def close(self) -> None:
         """Do nothing: there are no connections to close."""
--- a/packages/emulator/swifthoist_emulator/site.py
+++ b/packages/emulator/swifthoist_emulator/site.py
@@ -151,6 +151,7 @@
     listen: Sequence[str],
     store: str,
     link_mbps: float = 1_000,
+    ip: str = '127.0.0.1',
 ) -> bytes:
     """Encode the settings file of an instance.
 
@@ -159,12 +160,13 @@
     :param listen: addresses for callers, the balancer and operators.
     :param store: address of the store.
     :param link_mbps: bandwidth of its machine's link, in Mbit/s.
+    :param ip: IP address of its machine.
     :returns: the document.
     """
     document: dict[str, Any] = {
         names.NODE_NAME: instance,
         names.ZONE: zone,
-        names.IP: '127.0.0.1',
+        names.IP: ip,
         names.INTERNAL_PORTS: [int(listen[2].rpartition(':')[2])],
         names.LISTEN_ADDRS: {
             names.FRONTEND: listen[0],
--- a/packages/emulator/swifthoist_emulator/store_calls.py
+++ b/packages/emulator/swifthoist_emulator/store_calls.py
@@ -17,6 +17,10 @@
 
 RETENTION_MS = 300_000
 PAGE_SIZE = 500
+MAX_QUEUE_S = 2.0
+"""Longest time that an append waits for its partition, in seconds; others are
+refused."""
+
 KEYED_PREFIX = 'keyed.'
 
 _KB = 1_024
@@ -31,10 +35,39 @@
     append_id: AppendId | None
 
 
+class Pace(NamedTuple):
+    """How fast the store is.
+
+    :ivar append_s: time that an append occupies its partition, in seconds.
+        Others wait meanwhile, even if the caller has gone.
+    :ivar answer_s: delay of every answer, in seconds.
+    """
+
+    append_s: float = 0
+    answer_s: float = 0
+
+    def slowed(self, factor: float) -> 'Pace':
+        """Return the pace of a store that is slower by a factor.
+
+        :param factor: the factor.
+        :returns: its pace.
+        """
+        return Pace(self.append_s * factor, self.answer_s * factor)
+
+
+USUAL_PACE = Pace(0.002, 0.004)
+"""Pace of the platform's store."""
+
+INSTANT = Pace()
+
+
 class Store:
     """The emulated store.
 
     :ivar topics: topics by name.
+    :ivar pace: how fast it is.
+    :ivar queued_repeats: number of appends that came again while the same
+        append was still queued.
     :ivar read_bytes_s: total rate of all reads, in bytes a second. Responses
         are served one after the other, also to callers that have gone.
     """
@@ -47,6 +80,10 @@
         """
         self.topics: dict[str, Topic] = {}
         self.read_bytes_s = math.inf
+        self.pace = INSTANT
+        self.queued_repeats = 0
+        self._queued: list[AppendId] = []
+        self._partition_free_s = float(0)
         self._read_lock = anyio.Lock()
         self._faults = faults
         self._now_ms = now_ms
@@ -107,6 +144,7 @@
             case _:
                 pass
         response = await serve(request)
+        await anyio.sleep(self.pace.answer_s)
         if math.isfinite(self.read_bytes_s):
             async with self._read_lock:
                 await anyio.sleep(len(response.content) / self.read_bytes_s)
@@ -129,7 +167,27 @@
                 await self._store_late(append, fault)
             case _:
                 pass
-        return self._store(append)
+        if self.pace == INSTANT:
+            return self._store(append)
+        response = await self._store_in_turn(append)
+        await anyio.sleep(self.pace.answer_s)
+        return response
+
+    async def _store_in_turn(self, append: _Append) -> Response:
+        now_s = anyio.current_time()
+        begin_s = max(now_s, self._partition_free_s)
+        if begin_s - now_s > MAX_QUEUE_S:
+            return Response(503)
+        if append.append_id is None:
+            return self._store(append)
+        self.queued_repeats += append.append_id in self._queued
+        self._queued.append(append.append_id)
+        self._partition_free_s = begin_s + self.pace.append_s
+        with anyio.CancelScope(shield=True):
+            await anyio.sleep(self._partition_free_s - now_s)
+            self._queued.remove(append.append_id)
+            response = self._store(append)
+        return response
 
     async def _store_late(self, append: _Append, fault: Fault) -> None:
         with anyio.CancelScope(shield=True):
--- a/packages/emulator/swifthoist_emulator/world.py
+++ b/packages/emulator/swifthoist_emulator/world.py
@@ -1,7 +1,7 @@
 """The emulated platform as a whole, without a network."""
 
-from collections.abc import Sequence
-from typing import Any
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, TypeAlias
 
 import anyio
 import msgspec
@@ -40,6 +40,10 @@
 """Deadline of a wave of upkeep, in seconds."""
 
 
+Respond: TypeAlias = Callable[[Request], Awaitable[Response]]
+"""What answers the requests to an address."""
+
+
 class World:
     """The emulated store, operator and runners.
 
@@ -49,6 +53,8 @@
     :ivar store: the store.
     :ivar machines: the machines that host the runners.
     :ivar store_address: address of the store.
+    :ivar instances: what answers at the internal address of each instance, for
+        simulations without a network.
     """
 
     def __init__(
@@ -72,6 +78,7 @@
             self.fleet, self.store, self.checker, self.faults
         )
         self._runner_calls = RunnerCalls(self.fleet, self.faults)
+        self.instances: dict[str, Respond] = {}
         self._version = 0
         self._evacuated: dict[ZoneId, Millis] = {}
         self.store_address = addresses[0]
@@ -108,6 +115,9 @@
         """
         if address == self.store_address:
             return await self._answer_service(request)
+        instance = self.instances.get(address)
+        if instance is not None:
+            return await instance(request)
         return await self._runner_calls.answer(request, address)
 
     def order_upkeep(
--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -25,12 +25,14 @@
 from swifthoist_engine.jobs import Job, JobState, OpenRun, open_runs_from
 from swifthoist_engine.model import TaskId
 from swifthoist_engine.past_runs import RunnerFacts, past_run
+from swifthoist_engine.peers import Peer, add_peer
 from swifthoist_engine.records import (
     Beat,
     Canceled,
     Claimed,
     Ended,
     HolderRecord,
+    Joined,
     Record,
     Released,
     RunnerDescribed,
@@ -69,6 +71,7 @@
         own clock and up to the latest time that it recorded.
     :ivar facts: what each runner reported about itself.
     :ivar experience: statistics learned from ended runs.
+    :ivar peers: instances by name, the newest last.
     """
 
     epoch: Epoch = 0
@@ -85,6 +88,7 @@
     former_ms: Millis = 0
     facts: dict[RunnerId, RunnerFacts] = field(default_factory=dict)
     experience: Experience = field(default_factory=Experience)
+    peers: dict[str, Peer] = field(default_factory=dict)
 
     def advance_time(self, at_ms: Millis) -> None:
         """Advance the cell's time; it never goes back.
@@ -234,6 +238,8 @@
             case Claimed(epoch, instance, at_ms):
                 if epoch == self.state.epoch + 1:
                     self.state.change_holder(epoch, instance, at_ms)
+            case Joined(node, address, cores):
+                add_peer(self.state.peers, node, Peer(address, cores))
             case _:
                 if record.epoch == self.state.epoch:
                     self._apply_from_holder(record)
--- a/packages/engine/swifthoist_engine/records.py
+++ b/packages/engine/swifthoist_engine/records.py
@@ -74,6 +74,19 @@
     at_ms: Millis
 
 
+class Joined(NamedTuple):
+    """An instance tells where others reach it.
+
+    :ivar node: its name, without that of its life.
+    :ivar address: its internal address, ``host:port``.
+    :ivar cores: processor capacity of its machine, in cores.
+    """
+
+    node: str
+    address: str
+    cores: float
+
+
 class Released(NamedTuple):
     """The holder releases the cell, so another instance may claim it at once.
 
@@ -294,7 +307,7 @@
 )
 """Records that only the holder of the cell appends."""
 
-Record: TypeAlias = Submitted | Canceled | Claimed | HolderRecord
+Record: TypeAlias = Submitted | Canceled | Claimed | Joined | HolderRecord
 
 _KINDS: dict[str, type[Record]] = {
     kind.__name__: kind for kind in get_args(Record)
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -14,6 +14,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.evacuation import ZoneLine, zone_lines
 from swifthoist_engine.model import SiteTerms
+from swifthoist_engine.peers import Peer
 from swifthoist_instance.api import Api
 from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.configuration import Configuration
@@ -21,6 +22,7 @@
 from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Faults, Quarantine
 from swifthoist_instance.follower import READ_PAUSE_S, Follower
+from swifthoist_instance.hand_over import HandOverWatch
 from swifthoist_instance.holding import Holding
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import Journal
@@ -28,14 +30,18 @@
 from swifthoist_instance.learned import LearnedView
 from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.metrics import Metrics
+from swifthoist_instance.peers import LIFE_SEPARATOR, Peers
+from swifthoist_instance.recording import Recorder
 from swifthoist_instance.registry import Registry
 from swifthoist_instance.settings import DynamicEndpoint, Settings
 from swifthoist_instance.snapshotting import Snapshots
+from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_instance.supervision import run_supervised
-from swifthoist_instance.tenure import LIFE_SEPARATOR, Tenure, claim_delay_ms
+from swifthoist_instance.tenure import Tenure, claim_delay_ms
 from swifthoist_instance.turns import LoopMonitor
 from swifthoist_instance.web import ShutdownState, Web, serve_web
 from swifthoist_platform.advice import AdviceClient
+from swifthoist_platform.boot import BootSettings
 from swifthoist_platform.documents import Registration
 from swifthoist_platform.endpoint import EndpointProtocol
 from swifthoist_platform.machines import MachinesClient
@@ -54,6 +60,9 @@
 state can be requested. A holder that has just started takes the elapsed time
 from the wall clock, which may be ahead."""
 
+CALL_PRODUCER = 'calls'
+"""Names the producer of the records of callers."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -105,6 +114,7 @@
         self._life = f'{boot.instance}{LIFE_SEPARATOR}{environment.life}'
         retention_ms = int(boot.bounds.status_ms * RETENTION_FACTOR)
         self.faults = Faults(clock)
+        self._latency = StoreLatency(clock)
         self._quarantine = Quarantine(self.faults, clock)
         snapshots = Snapshots(
             self._open_store(), boot.store.keep_ms, boot.store.record_bytes
@@ -118,13 +128,34 @@
             # An instance that claims later than others may also detect the
             # loss of the holder later.
             READ_PAUSE_S + claim_delay_ms(boot.cores) / 1_000,
+            self._latency,
         )
         self._learned = LearnedView(self._follower)
         self._journal = Journal(
-            self._open_store(), self._life, clock, boot.link_bytes_s
+            self._open_store(),
+            self._life,
+            clock,
+            boot.link_bytes_s,
+            self._latency,
+        )
+        # Callers' records need no order with the holder's own, and must not
+        # wait for them while the store is slow.
+        self._call_journal = Journal(
+            self._open_store(),
+            f'{self._life}{LIFE_SEPARATOR}{CALL_PRODUCER}',
+            clock,
+            boot.link_bytes_s,
+            self._latency,
+        )
+        self._peers = Peers(
+            self._life,
+            Peer(_internal_address(boot), boot.cores),
+            self._follower,
+            clock,
+            environment.open_endpoint,
         )
         self._configuration = Configuration(
-            self._open_store(), clock, self._change_bound_ms
+            self._open_store(), clock, self._change_bound_ms, self._latency
         )
         self._cold_zones = ColdZones()
         zones = ZoneGate(
@@ -133,7 +164,20 @@
             lambda: settings.boot.bounds.evacuation_ms,
         )
         self.tenure = Tenure(
-            self._life, self._follower, self._journal, clock, boot.cores
+            self._life,
+            self._follower,
+            self._journal,
+            clock,
+            boot.cores,
+            self._latency,
+        )
+        self._hand_over = HandOverWatch(
+            self.tenure,
+            self._follower,
+            self._journal,
+            self._peers,
+            self._latency,
+            clock,
         )
         turns = LoopMonitor(clock)
         self._lives = LifeCounts()
@@ -162,7 +206,8 @@
         intake = Intake(
             self._configuration,
             self._follower,
-            self._journal,
+            Recorder(self._call_journal, self._peers, self._latency),
+            self._peers,
             self._revocation_ms,
         )
         metrics = Metrics()
@@ -174,7 +219,12 @@
         )
         metrics.register('log_reads', lambda: self._follower.reads)
         metrics.register('snapshots_written', lambda: snapshots.written)
-        metrics.register('appends', lambda: self._journal.appends)
+        journals = (self._journal, self._call_journal)
+        metrics.register('appends', lambda: sum(it.appends for it in journals))
+        metrics.register(
+            'appends_repeated', lambda: sum(it.repeats for it in journals)
+        )
+        self._register_store_metrics(metrics)
         metrics.register('epoch', lambda: self._follower.cell.state.epoch)
         metrics.register('faults', lambda: self.faults.count)
         metrics.register('set_aside', lambda: len(self._quarantine))
@@ -199,11 +249,16 @@
         api = Api(
             self._configuration,
             self._follower,
-            self._journal,
+            self._call_journal,
             self._describe,
         )
         self.web = Web(
-            intake, api, metrics, self._shutdown_state, boot.internal_ports[0]
+            intake,
+            api,
+            metrics,
+            self._shutdown_state,
+            boot.internal_ports[0],
+            self.tenure,
         )
 
     async def run(self) -> None:
@@ -229,9 +284,12 @@
         return [
             BackgroundTask('follower', self._follower.run),
             BackgroundTask('journal', self._journal.run),
+            BackgroundTask('call journal', self._call_journal.run),
             BackgroundTask('configuration', self._configuration.run),
             BackgroundTask('tenure', self.tenure.run),
             BackgroundTask('holding', self._holding.run),
+            BackgroundTask('hand-over', self._hand_over.run),
+            BackgroundTask('join', lambda: self._peers.join(self._journal)),
             BackgroundTask('settings', self._settings.run),
         ]
 
@@ -292,6 +350,17 @@
             **self._learned.describe(),
         }
 
+    def _register_store_metrics(self, metrics: Metrics) -> None:
+        latency = self._latency
+        counts = self._peers.counts
+        metrics.register('store_answer_ms', lambda: latency.answer_s * 1_000)
+        metrics.register('store_slow_ms', lambda: latency.slow_ms)
+        metrics.register('calls_passed_on', lambda: counts.served)
+        metrics.register('calls_not_passed_on', lambda: counts.unserved)
+        metrics.register(
+            'cell_handed_over', lambda: self._hand_over.handed_over
+        )
+
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
@@ -318,6 +387,7 @@
         return StoreClient(
             self._open(lambda: self._settings.boot.store.address),
             self._settings.boot.link_bytes_s,
+            self._latency,
         )
 
     def _open_advice(self) -> AdviceClient:
@@ -333,6 +403,12 @@
         return RunnerClient(entry.runner, endpoint)
 
 
+def _internal_address(boot: BootSettings) -> str:
+    """Return where other instances reach this one; empty if nowhere."""
+    port = boot.internal_ports[0]
+    return f'{boot.ip}:{port}' if port else ''
+
+
 def user_agent(instance: InstanceId) -> str:
     """Return the name that an instance sends with each call to the platform.
 
--- a/packages/instance/swifthoist_instance/configuration.py
+++ b/packages/instance/swifthoist_instance/configuration.py
@@ -11,6 +11,7 @@
 from swifthoist_core.types import Millis, Offset, ZoneId
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_instance.evacuations import EvacuationRequests
+from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_platform.documents import (
     Wave,
     decode_catalogue,
@@ -38,7 +39,7 @@
 """Maximum wait of a read, in seconds; a dead connection is detected only
 afterwards."""
 
-READ_GRACE_S = 0.6
+READ_GRACE_S = 0.7
 """Time for a read in addition to its wait, in seconds."""
 
 LIST_TIMEOUT_S = 1.5
@@ -72,6 +73,7 @@
         store: KeyedTopicReader,
         clock: Clock,
         change_bound_ms: Callable[[], Millis],
+        latency: StoreLatency | None = None,
     ) -> None:
         """Follow the operator's topic of a store.
 
@@ -79,6 +81,8 @@
         :param clock: source of time.
         :param change_bound_ms: returns the shortest time within which any
             change has to take effect, in ms.
+        :param latency: measures the time of the store's answers; None creates
+            a new one.
         """
         self.catalogue: Catalogue | None = None
         self.waves: dict[int, Wave] = {}
@@ -86,6 +90,7 @@
         self._store = store
         self._clock = clock
         self._change_bound_ms = change_bound_ms
+        self._latency = latency or StoreLatency(clock)
         self._position: Offset | None = None
         self._confirmed_ms: Millis | None = None
         self._failing = False
@@ -132,8 +137,9 @@
             self._position = listing.end
             return
         wait_s = self._wait_s()
+        timeout_s = wait_s + self._latency.grace_s(READ_GRACE_S)
         batch = await self._store.read(
-            OPERATOR_TOPIC, self._position, wait_s, wait_s + READ_GRACE_S
+            OPERATOR_TOPIC, self._position, wait_s, timeout_s
         )
         for item in map(parse_keyed_record, batch.records):
             self._apply_entry(item)
--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -24,6 +24,7 @@
 from swifthoist_instance.faults import Faults
 from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_instance.read_size import ReadSize
+from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_platform.store import Batch
 
 READ_WAIT_S = 1.0
@@ -94,6 +95,7 @@
         load: Callable[[], Awaitable[Restored | None]] | None = None,
         faults: Faults | None = None,
         read_pause_s: float = READ_PAUSE_S,
+        latency: StoreLatency | None = None,
     ) -> None:
         """Fold from the newest snapshot.
 
@@ -104,8 +106,11 @@
         :param faults: where faults are reported; None creates a new one.
         :param read_pause_s: pause between reads while another instance holds
             the cell, in seconds.
+        :param latency: measures the time of the store's answers; None creates
+            a new one.
         """
         self._read_pause_s = read_pause_s
+        self._latency = latency or StoreLatency(clock)
         self.cell = cell
         self.position: Offset = 0
         self.caught_up = False
@@ -144,6 +149,19 @@
         with anyio.move_on_after(REFRESH_TIMEOUT_S):
             await self.wait_progress()
 
+    def has_read_since(self, at_ms: Millis) -> bool:
+        """Return whether records up to a time are folded; if not, read them.
+
+        :param at_ms: the time, in ms of the clock that includes suspension.
+        :returns: whether a read began since then, or waits for new records.
+        """
+        if self._long_polling:
+            return True
+        if self.last_read_ms is not None and self.last_read_ms >= at_ms:
+            return True
+        self._read_requested.set()
+        return False
+
     async def wait_folded(self, offset: Offset, timeout_s: float) -> bool:
         """Wait until a record is folded.
 
@@ -185,7 +203,7 @@
         # A read after a pause must not wait: whoever requested it needs to know
         # as well when there are no new records.
         wait_s = READ_WAIT_S if self.caught_up and self._long_polling else 0
-        timeout_s = READ_WAIT_S + READ_GRACE_S
+        timeout_s = READ_WAIT_S + self._latency.grace_s(READ_GRACE_S)
         return await self._store.read(
             CELL_TOPIC,
             self.position,
@@ -300,20 +318,17 @@
         try:
             self.cell.fold(record)
         except MemoryError:
-            # Other instances may fold this record, so it must not be skipped.
-            self._reset()
+            # Other instances may fold this record, so it must not be skipped:
+            # the newest snapshot is loaded, and folded from there again.
+            self.cell.replace_state(CellState())
+            self.position = 0
+            self.caught_up = False
             raise
         except Exception as exc:
             # Every instance skips the same record, so their states agree. An
             # instance that stopped here would stop again at every start.
             self._note_fold_failure(record, exc)
 
-    def _reset(self) -> None:
-        """Discard the cell state, so that the newest snapshot is loaded."""
-        self.cell.replace_state(CellState())
-        self.position = 0
-        self.caught_up = False
-
     def _note_fold_failure(self, record: Record, exc: Exception) -> None:
         self.fold_failures += 1
         kind = type(record).__name__
--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -2,8 +2,9 @@
 
 Every instance serves every request. A job is accepted once its record is on
 the log. If the outcome of the append is unknown, the response reports neither
-success nor failure. Requests that cannot be served are refused immediately
-with a Retry-After time.
+success nor failure. A request that this instance cannot serve is passed on once
+to one that can; if there is none, it is refused immediately, with a Retry-After
+time unless only this instance is the cause.
 """
 
 import logging
@@ -11,11 +12,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from swifthoist_core.errors import (
-    Finding,
-    LogUnavailableError,
-    OutcomeUnknownError,
-)
+import anyio
+
+from swifthoist_core.errors import Finding, OutcomeUnknownError
 from swifthoist_core.types import JobId, Millis
 from swifthoist_engine.catalogue import Queue
 from swifthoist_engine.cell import count_waiting
@@ -24,7 +23,25 @@
 from swifthoist_engine.records import Canceled, Record, Submitted
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.follower import Follower
-from swifthoist_instance.journal import Journal
+from swifthoist_instance.messages import (
+    BAD_REQUEST,
+    CONFLICT,
+    GATEWAY_TIMEOUT,
+    GONE,
+    METHOD_NOT_ALLOWED,
+    NOT_FOUND,
+    OK,
+    UNAUTHORIZED,
+    UNAVAILABLE,
+    Answer,
+    Call,
+)
+from swifthoist_instance.peers import Peers
+from swifthoist_instance.recording import (
+    NotServedError,
+    Recorder,
+    answer_deadline,
+)
 from swifthoist_platform.job_calls import (
     Verb,
     decode_job,
@@ -42,14 +59,14 @@
 """Maximum age of the cell state from which callers are answered, in ms; one
 read of the log takes up to 1.7 s."""
 
-APPEND_SHARE = 0.8
-"""Maximum time for an append, as a share of the time that the caller waits."""
+STATE_RELAY_S = 0.3
+"""How long other instances are asked for the state of a job that is known here,
+in seconds."""
 
 CANCEL_FOLD_TIMEOUT_S = 1.0
 """How long a cancellation waits until its record is folded, in seconds."""
 
 DEFAULT_WAIT_S = 3.0
-MAX_WAIT_S = 4.0
 RETRY_AFTER_S = 1
 """Retry-After of a refused request, in seconds. Most disturbances of the store
 end within seconds, and other instances serve meanwhile."""
@@ -58,51 +75,9 @@
 """Maximum random addition to Retry-After, in seconds, so that refused callers
 do not all retry at once."""
 
-OK = 200
-BAD_REQUEST = 400
-UNAUTHORIZED = 401
-NOT_FOUND = 404
-METHOD_NOT_ALLOWED = 405
-CONFLICT = 409
-GONE = 410
-UNAVAILABLE = 503
-GATEWAY_TIMEOUT = 504
-
 _log = logging.getLogger(__name__)
 
 
-class Call(NamedTuple):
-    """A request of a caller.
-
-    :ivar method: HTTP method.
-    :ivar host: host name, in lower case and without port.
-    :ivar path: path, without query.
-    :ivar key: API key; empty if none was sent.
-    :ivar wait_s: how long the caller waits for the response, in seconds.
-    :ivar content: request body.
-    """
-
-    method: str
-    host: str
-    path: str
-    key: str
-    wait_s: float
-    content: bytes
-
-
-class Answer(NamedTuple):
-    """Response to a request.
-
-    :ivar status: HTTP status.
-    :ivar content: response body.
-    :ivar retry_after_s: value of Retry-After, in seconds; 0 omits it.
-    """
-
-    status: int
-    content: bytes = b''
-    retry_after_s: int = 0
-
-
 class _Admitted(NamedTuple):
     """What an admitted request may use.
 
@@ -123,20 +98,23 @@
         self,
         configuration: Configuration,
         follower: Follower,
-        journal: Journal,
+        recorder: Recorder,
+        peers: Peers,
         revocation_ms: Callable[[], Millis],
     ) -> None:
         """Serve from the cell state, and append accepted changes to the log.
 
         :param configuration: queues, teams and keys.
         :param follower: maintains the cell state from the log.
-        :param journal: appends records to the log.
+        :param recorder: records requests on the log.
+        :param peers: the other instances.
         :param revocation_ms: returns the time within which a revoked key has
             to be refused, in ms.
         """
         self._configuration = configuration
         self._follower = follower
-        self._journal = journal
+        self._recorder = recorder
+        self._peers = peers
         self._revocation_ms = revocation_ms
         self._random = random.Random()
 
@@ -162,6 +140,27 @@
         :param call: the request.
         :returns: the response.
         """
+        deadline = answer_deadline(call)
+        try:
+            return await self._serve(call)
+        except NotServedError as exc:
+            if call.relayed:
+                return self._refuse(call, str(exc))
+            return await self._pass_on(call, str(exc), deadline)
+
+    async def _pass_on(
+        self, call: Call, reason: str, deadline: float
+    ) -> Answer:
+        left_s = deadline - anyio.current_time()
+        relayed = await self._peers.relay(call, reason, left_s, to_holder=False)
+        if relayed.answer is not None:
+            return relayed.answer
+        if relayed.unknown and call.method != Verb.SHOW.value:
+            return Answer(GATEWAY_TIMEOUT)
+        alone = bool(self._peers.others) and not relayed.refused
+        return self._refuse(call, reason, alone=alone)
+
+    async def _serve(self, call: Call) -> Answer:
         admitted = self._admit(call)
         if isinstance(admitted, Answer):
             return admitted
@@ -184,7 +183,7 @@
     def _admit(self, call: Call) -> _Admitted | Answer:
         catalogue = self._configuration.catalogue
         if catalogue is None or not self._configuration_confirmed:
-            return self._refuse(call, 'configuration not confirmed')
+            raise NotServedError('configuration not confirmed')
         queue = catalogue.find_queue(call.host, call.path)
         if queue is None:
             return Answer(NOT_FOUND)
@@ -210,7 +209,7 @@
         if decoded.request is None:
             return Answer(BAD_REQUEST, encode_error(decoded.findings))
         if not self.ready:
-            return self._refuse(call, 'log not followed')
+            raise NotServedError('log not followed')
         request = decoded.request
         spec = JobSpec(
             job_id,
@@ -226,7 +225,7 @@
 
     def _show_queue(self, call: Call, queue: Queue) -> Answer:
         if not self.ready:
-            return self._refuse(call, 'log not followed')
+            raise NotServedError('log not followed')
         waiting = count_waiting(self._follower.cell.state, queue.name)
         return Answer(OK, encode_pending_count(waiting))
 
@@ -236,11 +235,23 @@
             await self._follower.refresh()
             job = self._find_job(queue, job_id)
         if job is not None:
-            return Answer(OK, encode_job_state(job.state))
+            return await self._show_newest(call, job)
         if not self.ready:
-            return self._refuse(call, 'log not followed')
+            raise NotServedError('log not followed')
         return Answer(GONE)
 
+    async def _show_newest(self, call: Call, job: Job) -> Answer:
+        """Show a job as another instance knows it, if that may be newer."""
+        known = Answer(OK, encode_job_state(job.state))
+        reads_succeed = self._follower.reading_since_ms is not None
+        if job.state.final or reads_succeed or call.relayed:
+            return known
+        relayed = await self._peers.relay(
+            call, 'state may be outdated', STATE_RELAY_S, to_holder=False
+        )
+        answer = relayed.answer
+        return answer if answer and answer.status == OK else known
+
     async def _cancel(self, call: Call, queue: Queue, job_id: str) -> Answer:
         job = self._find_job(queue, job_id)
         if job is not None and job.state.final:
@@ -248,7 +259,7 @@
         if not is_job_id(job_id):
             return Answer(GONE)
         if not self.ready:
-            return self._refuse(call, 'log not followed')
+            raise NotServedError('log not followed')
         record = Canceled(job_id, self._follower.time.now_ms())
         answer = await self._append_record(record, job_id, call)
         # The cell state may not include yet a job that another instance
@@ -266,9 +277,6 @@
         self, record: Record, job_id: JobId, call: Call
     ) -> Answer:
         kind = type(record).__name__
-        if not self._journal.available:
-            return self._refuse(call, 'log away')
-        wait_s = min(call.wait_s, MAX_WAIT_S) * APPEND_SHARE
         fields = {
             'job': job_id,
             'record': kind,
@@ -276,12 +284,13 @@
             'path': call.path,
         }
         try:
-            offset = await self._journal.append([record], wait_s)
-        except LogUnavailableError as exc:
-            return self._refuse(call, str(exc))
+            recorded = await self._recorder.record(record, call)
         except OutcomeUnknownError as exc:
             _log.warning('unknown', extra={**fields, 'why': str(exc)})
             return Answer(GATEWAY_TIMEOUT)
+        if recorded.offset is None:
+            return recorded.answer or Answer(GATEWAY_TIMEOUT)
+        offset = recorded.offset
         _log.info(
             'recorded',
             extra={**fields, **_job_fields(record), 'offset': offset},
@@ -290,7 +299,9 @@
             await self._follower.wait_folded(offset, CANCEL_FOLD_TIMEOUT_S)
         return Answer(OK)
 
-    def _refuse(self, call: Call, reason: str) -> Answer:
+    def _refuse(
+        self, call: Call, reason: str, *, alone: bool = False
+    ) -> Answer:
         fields = {
             'job': call.path.rpartition('/')[2],
             'method': call.method,
@@ -298,10 +309,14 @@
             'why': reason,
             'log_age_ms': self._follower.age_ms,
             'configuration_age_ms': self._configuration.age_ms,
+            'alone': alone,
         }
         _log.warning('refused', extra=fields)
-        spread_s = self._random.randint(0, RETRY_SPREAD_S)
         finding = Finding('instance', reason)
+        if alone:
+            # Another instance may serve the caller at once.
+            return Answer(UNAVAILABLE, encode_error((finding,)))
+        spread_s = self._random.randint(0, RETRY_SPREAD_S)
         return Answer(
             UNAVAILABLE, encode_error((finding,)), RETRY_AFTER_S + spread_s
         )
--- /dev/null
+++ b/packages/instance/swifthoist_instance/messages.py
@@ -0,0 +1,47 @@
+"""Requests of callers, and the answers to them."""
+
+from typing import NamedTuple
+
+OK = 200
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+METHOD_NOT_ALLOWED = 405
+CONFLICT = 409
+GONE = 410
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+
+
+class Call(NamedTuple):
+    """A request of a caller.
+
+    :ivar method: HTTP method.
+    :ivar host: host name, in lower case and without port.
+    :ivar path: path, without query.
+    :ivar key: API key; empty if none was sent.
+    :ivar wait_s: how long the caller waits for the response, in seconds.
+    :ivar content: request body.
+    :ivar relayed: whether another instance passed it on.
+    """
+
+    method: str
+    host: str
+    path: str
+    key: str
+    wait_s: float
+    content: bytes
+    relayed: bool = False
+
+
+class Answer(NamedTuple):
+    """Response to a request.
+
+    :ivar status: HTTP status.
+    :ivar content: response body.
+    :ivar retry_after_s: value of Retry-After, in seconds; 0 omits it.
+    """
+
+    status: int
+    content: bytes = b''
+    retry_after_s: int = 0
--- /dev/null
+++ b/packages/instance/swifthoist_instance/peers.py
@@ -0,0 +1,321 @@
+"""Hands calls to other instances: callers' requests, and the cell itself.
+
+Each instance tells once on the log where others reach it. A caller's request
+that this instance can't serve is passed on as it is, with its id, its key and
+the rest of its time; the other instance judges the key by its own
+configuration, and passes nothing on again.
+"""
+
+import logging
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+import anyio
+import msgspec
+
+from swifthoist_core.clock import Clock
+from swifthoist_core.errors import (
+    LogUnavailableError,
+    OutcomeUnknownError,
+    UnreachableError,
+)
+from swifthoist_core.types import Epoch, InstanceId, Millis
+from swifthoist_engine.cell import CellState
+from swifthoist_engine.peers import Peer
+from swifthoist_engine.records import Joined
+from swifthoist_instance.follower import Follower
+from swifthoist_instance.journal import Journal
+from swifthoist_instance.messages import (
+    GATEWAY_TIMEOUT,
+    OK,
+    UNAVAILABLE,
+    Answer,
+    Call,
+)
+from swifthoist_platform.calls import Call as PeerCall
+from swifthoist_platform.endpoint import EndpointProtocol
+from swifthoist_platform.job_calls import format_api_key
+
+RELAY_PATH = '/v1/relay'
+HAND_OVER_PATH = '/v1/hand-over'
+
+MAX_TRIES = 3
+"""Number of instances that a call is handed to, one after the other."""
+
+TRY_S = 0.5
+"""Time for an instance to answer a relayed call while others are left to try,
+in seconds. It must be reached within half of it."""
+
+HAND_OVER_TRY_S = 0.4
+"""Time for an instance to claim the cell when asked to, in seconds."""
+
+AVOID_MS = 1_000
+"""How long an instance that did not serve a call is asked last, in ms."""
+
+MAX_OPEN_RELAYS = 64
+"""Maximum number of calls that are being passed on at a time; others are
+refused."""
+
+JOIN_SPREAD_S = 1.0
+"""Instances that start together tell where they are reached within this time,
+in seconds."""
+
+JOIN_TIMEOUT_S = 3.0
+
+LIFE_SEPARATOR = '.'
+"""Separates the name of an instance from that of its life (one start of its
+process)."""
+
+_log = logging.getLogger(__name__)
+
+
+def node_of(instance: InstanceId) -> str:
+    """Return the name of an instance without that of its life.
+
+    :param instance: name of a life of the instance.
+    :returns: its part that all lives share; empty if there is none.
+    """
+    return instance.rpartition(LIFE_SEPARATOR)[0]
+
+
+class HandOver(NamedTuple):
+    """Asks an instance to claim the cell.
+
+    :ivar epoch: epoch of the holder that asks.
+    """
+
+    epoch: Epoch
+
+
+class Relayed(NamedTuple):
+    """What became of a call that was passed on.
+
+    :ivar answer: the answer; None if no instance served the call.
+    :ivar refused: number of instances that refused it.
+    :ivar unknown: whether an instance may have served it without an answer.
+    """
+
+    answer: Answer | None = None
+    refused: int = 0
+    unknown: bool = False
+
+
+@dataclass(slots=True)
+class RelayCounts:
+    """Counts of calls passed on, for the metrics.
+
+    :ivar served: calls that another instance served.
+    :ivar unserved: calls that none served.
+    """
+
+    served: int = 0
+    unserved: int = 0
+
+
+class Peers:
+    """The other instances, as told by the log.
+
+    :ivar counts: what became of the calls passed on.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        own: Peer,
+        follower: Follower,
+        clock: Clock,
+        open_endpoint: Callable[[str], EndpointProtocol],
+    ) -> None:
+        """Know the instances that the log names.
+
+        :param instance: name of this life of the instance.
+        :param own: where others reach this instance; without an address it
+            tells nobody.
+        :param follower: maintains the cell state from the log.
+        :param clock: source of time.
+        :param open_endpoint: opens the internal address of an instance.
+        """
+        self.counts = RelayCounts()
+        self._node = node_of(instance) or instance
+        self._own = own
+        self._follower = follower
+        self._clock = clock
+        self._open = open_endpoint
+        self._endpoints: dict[str, EndpointProtocol] = {}
+        self._avoid_until_ms: dict[str, Millis] = {}
+        self._open_relays = 0
+        self._random = random.Random(instance)
+
+    @property
+    def holder(self) -> str:
+        """Name of another instance that holds the cell and can be reached."""
+        node = node_of(self._state.holder)
+        known = node != self._node and node in self._state.peers
+        return node if known else ''
+
+    @property
+    def others(self) -> dict[str, Peer]:
+        """The other known instances by name."""
+        known = self._state.peers.items()
+        return {node: peer for node, peer in known if node != self._node}
+
+    @property
+    def _state(self) -> CellState:
+        return self._follower.cell.state
+
+    async def join(self, journal: Journal) -> None:
+        """Tell on the log, once, where others reach this instance.
+
+        :param journal: appends records to the log.
+        """
+        if not self._own.address:
+            return
+        while not self._follower.caught_up:
+            await self._follower.wait_progress()
+        await anyio.sleep(self._random.uniform(0, JOIN_SPREAD_S))
+        joined = Joined(self._node, *self._own)
+        while self._state.peers.get(self._node) != self._own:
+            try:
+                await journal.append([joined], JOIN_TIMEOUT_S)
+            except (LogUnavailableError, OutcomeUnknownError) as exc:
+                _log.warning('address not told', extra={'why': str(exc)})
+            await self._follower.wait_progress()
+
+    async def relay(
+        self, call: Call, reason: str, budget_s: float, *, to_holder: bool
+    ) -> Relayed:
+        """Pass a call on until an instance serves it.
+
+        :param call: the call.
+        :param reason: why this instance does not serve it, for the log.
+        :param budget_s: time for all attempts together, in seconds.
+        :param to_holder: only the holder of the cell is asked.
+        :returns: what became of the call.
+        """
+        targets = [self.holder] if to_holder else self._draw_targets()
+        if self._open_relays >= MAX_OPEN_RELAYS or not call.key.isascii():
+            return Relayed()
+        self._open_relays += 1
+        try:
+            found = await self._try_each(call, filter(None, targets), budget_s)
+        finally:
+            self._open_relays -= 1
+        served = found.answer is not None
+        self.counts.served += served
+        self.counts.unserved += not served
+        fields = {
+            'job': call.path.rpartition('/')[2],
+            'method': call.method,
+            'why': reason,
+            'status': found.answer.status if found.answer else None,
+            'refused_by': found.refused,
+            'outcome_unknown': found.unknown,
+        }
+        _log.info('call passed on', extra=fields)
+        return found
+
+    async def hand_over(self, epoch: Epoch) -> str:
+        """Ask others to claim the cell, one after the other.
+
+        :param epoch: epoch of this instance, which holds the cell.
+        :returns: name of the instance that did; empty if none did.
+        """
+        body = msgspec.json.encode(HandOver(epoch))
+        call = PeerCall('POST', HAND_OVER_PATH, HAND_OVER_TRY_S, body)
+        others = self.others
+        # A holder needs processor time, so ample machines come first.
+        by_cores = sorted(
+            self._shuffled(others), key=lambda node: -min(others[node].cores, 1)
+        )
+        for node in by_cores[:MAX_TRIES]:
+            try:
+                reply = await self._endpoint(node).call(call)
+            except (OutcomeUnknownError, UnreachableError) as exc:
+                fields = {'to': node, 'epoch': epoch, 'why': str(exc)}
+                _log.warning('cell not handed over', extra=fields)
+                continue
+            if reply.status == OK:
+                return node
+        return ''
+
+    async def _try_each(
+        self, call: Call, targets: Iterable[str], budget_s: float
+    ) -> Relayed:
+        refused = 0
+        unknown = False
+        left = list(targets)
+        deadline = anyio.current_time() + budget_s
+        while left and anyio.current_time() < deadline:
+            node = left.pop(0)
+            left_s = deadline - anyio.current_time()
+            tried = await self._try(
+                node, call, min(left_s, TRY_S) if left else left_s
+            )
+            if tried.answer is not None:
+                return tried._replace(refused=refused)
+            refused += tried.refused
+            unknown = unknown or tried.unknown
+        return Relayed(None, refused, unknown)
+
+    async def _try(self, node: str, call: Call, timeout_s: float) -> Relayed:
+        try:
+            answer = await self._ask(node, call, timeout_s)
+        except UnreachableError:
+            self._avoid(node)
+            return Relayed()
+        except OutcomeUnknownError:
+            self._avoid(node)
+            return Relayed(unknown=True)
+        if answer.status == GATEWAY_TIMEOUT:
+            return Relayed(unknown=True)
+        if answer.status == UNAVAILABLE:
+            self._avoid(node)
+            return Relayed(refused=1)
+        return Relayed(answer)
+
+    async def _ask(self, node: str, call: Call, timeout_s: float) -> Answer:
+        query = urlencode({'path': call.path})
+        headers = {
+            'Host': call.host,
+            'Authorization': format_api_key(call.key),
+            'Deadline-Ms': str(int(timeout_s * 1_000)),
+        }
+        request = PeerCall(
+            call.method,
+            f'{RELAY_PATH}?{query}',
+            timeout_s,
+            call.content,
+            headers,
+        )
+        reply = await self._endpoint(node).call(request)
+        return Answer(reply.status, reply.content)
+
+    def _draw_targets(self) -> list[str]:
+        """Draw instances, those that served lately first, then the holder.
+
+        The holder certainly reaches the store, but is to be spared.
+        """
+        holder = self.holder
+        now_ms = self._clock.boot_ms()
+        nodes = [node for node in self._shuffled(self.others) if node != holder]
+        nodes.sort(key=lambda node: self._avoid_until_ms.get(node, 0) > now_ms)
+        return [*nodes[: MAX_TRIES - bool(holder)], holder]
+
+    def _shuffled(self, nodes: Iterable[str]) -> list[str]:
+        drawn = list(nodes)
+        self._random.shuffle(drawn)
+        return drawn
+
+    def _avoid(self, node: str) -> None:
+        self._avoid_until_ms[node] = self._clock.boot_ms() + AVOID_MS
+
+    def _endpoint(self, node: str) -> EndpointProtocol:
+        address = self._state.peers[node].address
+        endpoint = self._endpoints.get(address)
+        if endpoint is None:
+            endpoint = self._open(address)
+            self._endpoints[address] = endpoint
+        return endpoint
--- a/packages/instance/swifthoist_instance/tenure.py
+++ b/packages/instance/swifthoist_instance/tenure.py
@@ -19,6 +19,8 @@
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.leases import MIN_CLOCK_RATE
+from swifthoist_instance.peers import node_of
+from swifthoist_instance.store_latency import StoreLatency
 
 HOLDER_TIMEOUT_MS = 1_300
 """Silence after which a holder is replaced, in ms: three heartbeats plus the
@@ -47,9 +49,16 @@
 distinguish that from being partitioned from the store itself. A new holder
 waits this long before it gives up runs on runners that it can't reach."""
 
-LIFE_SEPARATOR = '.'
-"""Separates the name of an instance from that of its life (one start of its
-process)."""
+SLOW_ANSWERS = 6
+"""Number of answers of the store for which a holder may be silent besides: its
+append, a read, and the same again for those that were under way before."""
+
+CLAIM_ANSWERS = 16
+"""Number of answers of the store over which claims are spread at least. The
+first claim is seen by others after three of them, so most need not claim."""
+
+TAKE_OVER_TIMEOUT_S = 0.35
+"""Time for a claim that the holder asked for, in seconds."""
 
 POLL_INTERVAL_S = 0.05
 APPEND_TIMEOUT_S = 2.0
@@ -95,6 +104,7 @@
         journal: Journal,
         clock: Clock,
         cores: float = SUFFICIENT_CORES,
+        latency: StoreLatency | None = None,
     ) -> None:
         """Create the tenure of an instance.
 
@@ -105,6 +115,8 @@
         :param clock: source of the time.
         :param cores: CPU of the machine, in cores; with too little, others
             claim first.
+        :param latency: measures the time of the store's answers; None creates
+            a new one.
         """
         self.stopped_claiming = False
         self._instance = instance
@@ -117,6 +129,7 @@
         self._claim_delay_ms = claim_delay_ms(cores)
         self._jitter_ms = self._random.uniform(0, CLAIM_JITTER_MS)
         self._heartbeat_ms = 0
+        self._latency = latency or StoreLatency(clock)
         self._born_ms = clock.boot_ms()
 
     @property
@@ -164,6 +177,23 @@
         except (LogUnavailableError, OutcomeUnknownError) as exc:
             _log.warning('release of cell failed', extra={'why': str(exc)})
 
+    async def take_over(self, epoch: Epoch) -> bool:
+        """Claim the cell, as its holder asked.
+
+        :param epoch: epoch of that holder.
+        :returns: whether this instance holds the cell now.
+        """
+        follower = self._follower
+        if self.stopped_claiming or not follower.caught_up:
+            return False
+        await follower.refresh()
+        reads_succeed = follower.reading_since_ms is not None
+        if not reads_succeed or follower.cell.state.epoch != epoch:
+            return False
+        with anyio.move_on_after(TAKE_OVER_TIMEOUT_S):
+            await self._claim()
+        return self.hold is not None
+
     def _others_renew_until_ms(
         self, state: CellState, now_ms: Millis
     ) -> Millis:
@@ -190,29 +220,33 @@
         if self.stopped_claiming or not follower.caught_up:
             return False
         reading_since_ms = follower.reading_since_ms
-        if reading_since_ms is None or not self._log_is_recent(
-            HOLDER_TIMEOUT_MS
-        ):
+        answer_ms = int(self._latency.answer_s * 1_000)
+        timeout_ms = HOLDER_TIMEOUT_MS + SLOW_ANSWERS * answer_ms
+        if reading_since_ms is None or not self._log_is_recent(timeout_ms):
             return False
-        quiet_ms = self._clock.boot_ms() - max(
-            follower.holder_seen_ms, reading_since_ms
-        )
-        quiet_ms -= int(self._claim_delay_ms)
+        claim_ms = max(follower.holder_seen_ms, reading_since_ms)
+        claim_ms += int(self._claim_delay_ms)
         holder = follower.cell.state.holder
         if not holder or self._is_earlier_life(holder):
-            return (
-                quiet_ms
-                > self._jitter_ms * VACANT_CLAIM_JITTER_MS / CLAIM_JITTER_MS
-            )
-        return quiet_ms > HOLDER_TIMEOUT_MS + self._jitter_ms
+            spread_ms = VACANT_CLAIM_JITTER_MS
+        else:
+            spread_ms = CLAIM_JITTER_MS
+            claim_ms += timeout_ms
+        if self._latency.slow:
+            spread_ms = max(spread_ms, CLAIM_ANSWERS * answer_ms)
+        claim_ms += int(self._jitter_ms * spread_ms / CLAIM_JITTER_MS)
+        if self._clock.boot_ms() <= claim_ms:
+            return False
+        # A read since then would show the claim of another instance.
+        return follower.has_read_since(claim_ms)
 
     def _is_earlier_life(self, holder: InstanceId) -> bool:
         """Return whether a holder is an earlier life of this instance.
 
         It has certainly ended, since this one runs.
         """
-        node = self._instance.rpartition(LIFE_SEPARATOR)[0]
-        return bool(node) and holder.rpartition(LIFE_SEPARATOR)[0] == node
+        node = node_of(self._instance)
+        return bool(node) and node_of(holder) == node
 
     async def _claim(self) -> None:
         self._jitter_ms = self._random.uniform(0, CLAIM_JITTER_MS)
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, NamedTuple, TypeAlias
+from urllib.parse import parse_qs
 
 import anyio
 import msgspec
@@ -10,15 +11,17 @@
 from hypercorn.config import Config
 
 from swifthoist_instance.api import Api
-from swifthoist_instance.intake import (
-    DEFAULT_WAIT_S,
+from swifthoist_instance.intake import DEFAULT_WAIT_S, Intake
+from swifthoist_instance.messages import (
+    BAD_REQUEST,
     OK,
     UNAVAILABLE,
     Answer,
     Call,
-    Intake,
 )
 from swifthoist_instance.metrics import Metrics
+from swifthoist_instance.peers import HAND_OVER_PATH, RELAY_PATH, HandOver
+from swifthoist_instance.tenure import Tenure
 from swifthoist_platform.job_calls import parse_api_key
 from swifthoist_platform.names import READY as READY_PATH
 
@@ -53,6 +56,17 @@
         self.shutting_down = False
 
 
+class Sent(NamedTuple):
+    """Headers and body of a request.
+
+    :ivar headers: headers, names in lower case.
+    :ivar content: body.
+    """
+
+    headers: dict[str, str]
+    content: bytes
+
+
 class Web(NamedTuple):
     """The ASGI application that hypercorn serves.
 
@@ -61,6 +75,7 @@
     :ivar metrics: counts callers' requests.
     :ivar shutdown_state: whether the instance is shutting down.
     :ivar internal_port: port that only operators and instances can reach.
+    :ivar tenure: claims the cell when its holder asks.
     """
 
     intake: Intake
@@ -68,6 +83,7 @@
     metrics: Metrics
     shutdown_state: ShutdownState
     internal_port: int
+    tenure: Tenure
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -81,7 +97,7 @@
         if scope['type'] != 'http':
             return
         if scope['server'][1] == self.internal_port:
-            answer = await self._serve_operator(scope, receive)
+            answer = await self._serve_internal(scope, receive)
         elif scope['path'] == READY_PATH:
             ready = self.intake.ready and not self.shutdown_state.shutting_down
             answer = Answer(OK if ready else UNAVAILABLE)
@@ -91,34 +107,64 @@
             answer, send, closing=self.shutdown_state.shutting_down
         )
 
-    async def _serve_operator(self, scope: Scope, receive: Receive) -> Answer:
+    async def answer_internal(
+        self, method: str, path: str, query: str, sent: Sent
+    ) -> Answer:
+        """Serve a request of an operator or of another instance.
+
+        :param method: HTTP method.
+        :param path: path.
+        :param query: query string, not decoded.
+        :param sent: its headers and body.
+        :returns: the response.
+        """
+        match path:
+            case _ if path == RELAY_PATH:
+                return await self._serve_relayed(method, query, sent)
+            case _ if path == HAND_OVER_PATH:
+                return await self._take_over(sent.content)
+            case _:
+                answer = await self.api.answer(
+                    method, path, query, sent.content
+                )
+                content = msgspec.json.encode(answer.document)
+                return Answer(answer.status, content)
+
+    async def _serve_internal(self, scope: Scope, receive: Receive) -> Answer:
         if scope['path'] == METRICS_PATH:
             return Answer(OK, self.metrics.expose())
         content = await _read_body(receive)
         if content is None:
             return Answer(TOO_LARGE)
-        answer = await self.api.answer(
-            scope['method'],
-            scope['path'],
-            scope['query_string'].decode('latin-1'),
-            content,
+        query = scope['query_string'].decode('latin-1')
+        sent = Sent(_headers(scope), content)
+        return await self.answer_internal(
+            scope['method'], scope['path'], query, sent
         )
-        return Answer(answer.status, msgspec.json.encode(answer.document))
+
+    async def _serve_relayed(
+        self, method: str, query: str, sent: Sent
+    ) -> Answer:
+        paths = parse_qs(query).get('path', [''])
+        call = _to_call(method, paths[0], sent)
+        return await self.intake.answer(call._replace(relayed=True))
+
+    async def _take_over(self, content: bytes) -> Answer:
+        try:
+            wanted = msgspec.json.decode(content, type=HandOver)
+        except msgspec.MsgspecError as exc:
+            _log.warning('hand-over unread', extra={'why': str(exc)})
+            return Answer(BAD_REQUEST)
+        taken = await self.tenure.take_over(wanted.epoch)
+        return Answer(OK if taken else UNAVAILABLE)
 
     async def _serve_caller(self, scope: Scope, receive: Receive) -> Answer:
         began = anyio.current_time()
         content = await _read_body(receive)
         if content is None:
             return Answer(TOO_LARGE)
-        headers = _headers(scope)
-        call = Call(
-            scope['method'],
-            headers.get('host', '').rsplit(':', 1)[0].lower(),
-            scope['path'],
-            parse_api_key(headers.get('authorization', '')),
-            _wait_s(headers.get('deadline-ms', '')),
-            content,
-        )
+        sent = Sent(_headers(scope), content)
+        call = _to_call(scope['method'], scope['path'], sent)
         answer = await self.intake.answer(call)
         took_ms = (anyio.current_time() - began) * 1_000
         self.metrics.count_call(call.method, answer.status, took_ms)
@@ -169,6 +215,18 @@
     }
 
 
+def _to_call(method: str, path: str, sent: Sent) -> Call:
+    headers = sent.headers
+    return Call(
+        method,
+        headers.get('host', '').rsplit(':', 1)[0].lower(),
+        path,
+        parse_api_key(headers.get('authorization', '')),
+        _wait_s(headers.get('deadline-ms', '')),
+        sent.content,
+    )
+
+
 def _wait_s(text: str) -> float:
     if text.isdecimal() and len(text) < 9:
         return int(text) / 1_000
--- a/packages/platform/swifthoist_platform/calls.py
+++ b/packages/platform/swifthoist_platform/calls.py
@@ -21,6 +21,32 @@
 _CONNECT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
+class Patience:
+    """Lets the maker of a call extend its timeout while the call is under way."""
+
+    def __init__(self) -> None:
+        """Belong to a call that has not begun."""
+        self._scope: anyio.CancelScope | None = None
+        self._began = float(0)
+
+    def begin(self, scope: anyio.CancelScope) -> None:
+        """Note the scope of the call, which has the first deadline.
+
+        :param scope: scope that is canceled at the deadline.
+        """
+        self._began = anyio.current_time()
+        self._scope = scope
+
+    def extend(self, timeout_s: float) -> None:
+        """Extend the timeout of the call; a shorter one changes nothing.
+
+        :param timeout_s: timeout since the call began, in seconds.
+        """
+        if self._scope is not None:
+            deadline = self._began + timeout_s
+            self._scope.deadline = max(self._scope.deadline, deadline)
+
+
 class Call(NamedTuple):
     """A request to the platform.
 
@@ -33,6 +59,7 @@
         have ``timeout_s`` apply to the whole call.
     :ivar content: body; empty for none.
     :ivar headers: headers in addition to those of the endpoint.
+    :ivar patience: extends the timeout of the whole call; None if nobody does.
     """
 
     method: str
@@ -41,6 +68,7 @@
     content: bytes = b''
     headers: Mapping[str, str] = {}
     read_timeout_s: float = 0
+    patience: Patience | None = None
 
 
 class Reply(NamedTuple):
@@ -81,6 +109,8 @@
     )
     try:
         with anyio.fail_after(call.timeout_s) as scope:
+            if call.patience is not None:
+                call.patience.begin(scope)
             reply = await transport.handle_async_request(request)
             content = await _read_body(reply, call, scope)
     except _CONNECT_ERRORS as exc:
--- a/packages/platform/swifthoist_platform/job_calls.py
+++ b/packages/platform/swifthoist_platform/job_calls.py
@@ -68,6 +68,15 @@
     return ''
 
 
+def format_api_key(key: str) -> str:
+    """Format an API key as the value of the ``Authorization`` header.
+
+    :param key: the key.
+    :returns: the value.
+    """
+    return f'{_KEY_SCHEME}{key}'
+
+
 def decode_job(content: bytes) -> DecodedJob:
     """Decode and check a submission.
 
--- a/packages/platform/swifthoist_platform/store.py
+++ b/packages/platform/swifthoist_platform/store.py
@@ -8,9 +8,11 @@
 import struct
 from collections.abc import Sequence
 from enum import StrEnum
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 from urllib.parse import urlencode
 
+import anyio
+
 from swifthoist_core.errors import (
     AnswerLateError,
     LogExpiredError,
@@ -21,7 +23,7 @@
 )
 from swifthoist_core.types import Offset
 from swifthoist_platform import names
-from swifthoist_platform.calls import Call, Reply
+from swifthoist_platform.calls import Call, Patience, Reply
 from swifthoist_platform.endpoint import EndpointProtocol
 from swifthoist_platform.values import read_json
 
@@ -36,6 +38,10 @@
 
 MAX_READ_KB = 1_024
 
+MAX_TIMED_BYTES = 16_384
+"""Size of a reply up to which its time tells of the store and not of the link,
+in bytes."""
+
 READ_TIMEOUT_S = 1.0
 """Longest pause within a reply, in seconds: twice the queueing delay of a link
 that counts as saturated."""
@@ -129,27 +135,45 @@
     end: Offset
 
 
+class AnswerTimer(Protocol):
+    """Measures how long the store takes to answer."""
+
+    def note_answer(self, took_s: float) -> None:
+        """Note the time of an answer, without any time asked to wait."""
+
+
 class StoreClient:
     """Appends to and reads topics of the store."""
 
     def __init__(
-        self, endpoint: EndpointProtocol, link_bytes_s: float = math.inf
+        self,
+        endpoint: EndpointProtocol,
+        link_bytes_s: float = math.inf,
+        timer: AnswerTimer | None = None,
     ) -> None:
         """Create a client.
 
         :param endpoint: endpoint of the store.
         :param link_bytes_s: bandwidth of the machine's link, in bytes per
             second.
+        :param timer: measures answers of reads; None for no measurement.
         """
         self._endpoint = endpoint
         self._link_bytes_s = link_bytes_s
+        self._timer = timer
 
-    async def append(self, batch: AppendRequest, timeout_s: float) -> Offset:
+    async def append(
+        self,
+        batch: AppendRequest,
+        timeout_s: float,
+        patience: Patience | None = None,
+    ) -> Offset:
         """Append records atomically.
 
         :param batch: the records.
         :param timeout_s: timeout of the call, in seconds, in addition to the
             time that the link needs for the records.
+        :param patience: extends the timeout; None if nobody does.
         :returns: offset of the first record.
         :raises AppendConflictError: if the producer is fenced or the store
             expected another sequence number.
@@ -167,7 +191,11 @@
         )
         body = b''.join(map(_add_length, batch.records))
         reply = await self._send(
-            'POST', f'{names.LOG_APPEND}?{query}', timeout_s, body
+            'POST',
+            f'{names.LOG_APPEND}?{query}',
+            timeout_s,
+            body,
+            patience=patience,
         )
         if reply.status == _CONFLICT:
             raise _conflict_error(reply)
@@ -225,12 +253,18 @@
                 names.WAIT_MS: int(wait_s * 1_000),
             }
         )
+        began = anyio.current_time()
         reply = await self._get(f'{names.LOG_READ}?{query}', timeout_s)
         if reply.status == _GONE:
             first = read_json(reply.content).integer(names.FIRST_OFFSET)
             raise LogExpiredError(first)
         _expect_ok(reply)
-        return parse_records(start, reply.content)
+        batch = parse_records(start, reply.content)
+        if self._timer is not None and len(reply.content) <= MAX_TIMED_BYTES:
+            # How long a read with records waited for the first is unknown.
+            if not wait_s or not batch.records:
+                self._timer.note_answer(anyio.current_time() - began - wait_s)
+        return batch
 
     async def newest(self, topic: str, timeout_s: float) -> KeyedListing:
         """Read the newest record of each key of a keyed topic.
@@ -283,6 +317,7 @@
         timeout_s: float,
         body: bytes = b'',
         read_timeout_s: float = 0,
+        patience: Patience | None = None,
     ) -> Reply:
         full_path = f'{names.ROOT}{path}'
         transfer_s = LINK_SHARE_DIVISOR * len(body) / self._link_bytes_s
@@ -293,6 +328,7 @@
             full_timeout_s,
             body,
             read_timeout_s=read_timeout_s,
+            patience=patience,
         )
         try:
             return await self._endpoint.call(call)
--- a/tests/instance/entry.py
+++ b/tests/instance/entry.py
@@ -5,13 +5,19 @@
 
 from swifthoist_emulator.site import HOST, STANDARD, write_config
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.peers import Peer
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.follower import READ_PAUSE_S, Follower
-from swifthoist_instance.intake import Answer, Call, Intake
+from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import Journal
+from swifthoist_instance.messages import Answer, Call
+from swifthoist_instance.peers import Peers
+from swifthoist_instance.recording import Recorder
 from swifthoist_instance.snapshotting import Snapshots
+from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_instance.tenure import Tenure, claim_delay_ms
 from swifthoist_platform import names
+from swifthoist_platform.endpoint import EndpointProtocol
 from swifthoist_platform.store import CONFIG_KEY, OPERATOR_TOPIC
 from tests.instance.fakes import FakeStore, LoopClock
 
@@ -51,10 +57,14 @@
         self.journal = Journal(store, name, clock)
         self.configuration = Configuration(store, clock, lambda: revoke_ms)
         self.tenure = Tenure(name, self.follower, self.journal, clock, cores)
+        peers = Peers(
+            name, Peer('', cores), self.follower, clock, _open_nothing
+        )
         self.intake = Intake(
             self.configuration,
             self.follower,
-            self.journal,
+            Recorder(self.journal, peers, StoreLatency(clock)),
+            peers,
             lambda: revoke_ms,
         )
 
@@ -81,6 +91,11 @@
         )
 
 
+def _open_nothing(address: str) -> EndpointProtocol:
+    """Fail: no other instance can be reached."""
+    raise AssertionError(f'unexpected call to {address}')
+
+
 def configure(store: FakeStore, version: int = 1) -> None:
     """Publish the standard configuration."""
     content = write_config(STANDARD, version)
--- a/tests/instance/fakes.py
+++ b/tests/instance/fakes.py
@@ -88,7 +88,9 @@
         self.topic(topic).append([record], 0)
         self._notify_readers()
 
-    async def append(self, batch: AppendRequest, timeout_s: float) -> Offset:
+    async def append(
+        self, batch: AppendRequest, timeout_s: float, patience: object = None
+    ) -> Offset:
         """Append records, or fail as the faults in force say."""
         await self._inject_fault(timeout_s)
         numbered = AppendId(batch.producer, 1, batch.sequence)
--- a/tests/instance/test_intake.py
+++ b/tests/instance/test_intake.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from swifthoist_emulator.site import STANDARD, write_config
-from swifthoist_instance.intake import Answer
 from swifthoist_instance.journal import CELL_TOPIC
+from swifthoist_instance.messages import Answer
 from swifthoist_platform import names
 from swifthoist_platform.job_calls import encode_job_state
 from swifthoist_platform.store import CONFIG_KEY, OPERATOR_TOPIC
--- a/tests/instance/test_web.py
+++ b/tests/instance/test_web.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from swifthoist_instance.intake import OK, Answer, Call
+from swifthoist_instance.messages import OK, Answer, Call
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.web import ShutdownState, Web
 
@@ -34,7 +34,7 @@
     def send_call(self, *messages: dict[str, Any]) -> list[Call]:
         """Send the messages of one call; return the calls of the intake."""
         intake = _Intake([])
-        web = Web(intake, None, Metrics(), ShutdownState(), 2)
+        web = Web(intake, None, Metrics(), ShutdownState(), 2, None)
         pieces = iter(messages)
 
         async def receive() -> dict[str, Any]:
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -5,19 +5,23 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
+from urllib.parse import urlencode
 
 import anyio
 from anyio.abc import TaskGroup
 
+from swifthoist_core.errors import UnreachableError
 from swifthoist_emulator.callers import Order, write_job
 from swifthoist_emulator.direct import Link
+from swifthoist_emulator.http import Request, Response
 from swifthoist_emulator.site import HOST, STANDARD, Site, write_settings
 from swifthoist_emulator.world import World
 from swifthoist_engine.cell import Cell
 from swifthoist_instance.application import Application, Environment
 from swifthoist_instance.faults import Faults
-from swifthoist_instance.intake import Answer, Call
+from swifthoist_instance.messages import Answer, Call
 from swifthoist_instance.supervision import run_supervised
+from swifthoist_instance.web import Sent
 from swifthoist_platform.boot import BootSettings, decode_boot_settings
 from tests.instance.fakes import JumpingClock, LoopClock, run
 from tests.simulation.network import Network
@@ -73,8 +77,9 @@
             return
         self._lives += 1
         content = write_settings(
-            self.name, 'north', LISTEN, STORE, self.link_mbps
+            self.name, 'north', LISTEN, STORE, self.link_mbps, self.name
         )
+        self._world.instances[self.internal_address] = self._answer_peer
         environment = Environment(
             self.clock, self.open_endpoint, str(self._lives)
         )
@@ -94,6 +99,25 @@
         if self.link.frozen:
             self.link.thaw()
 
+    @property
+    def internal_address(self) -> str:
+        """Address at which other nodes reach this one."""
+        return f'{self.name}:3'
+
+    async def _answer_peer(self, request: Request) -> Response:
+        if self.app is None:
+            raise UnreachableError(f'{self.name} is down')
+        if self.link.frozen:
+            await anyio.sleep_forever()
+        query = urlencode(request.query)
+        answer = await self.app.web.answer_internal(
+            request.method,
+            request.path,
+            query,
+            Sent(request.headers, request.content),
+        )
+        return Response(answer.status, answer.content)
+
     @property
     def holds(self) -> bool:
         """Whether the instance believes that it holds the cell."""
