Pass calls without a key on, and know an instance that was forgotten

One call ended with 500: there were 33 instances, and the address of the drawn one had just been replaced.

Change: no header without a key; an address that is gone is unreachable. The soak slows the store and turns the holder away, with draws of its own.

--- a/packages/instance/swifthoist_instance/peers.py
+++ b/packages/instance/swifthoist_instance/peers.py
@@ -280,9 +280,10 @@
         query = urlencode({'path': call.path})
         headers = {
             'Host': call.host,
-            'Authorization': format_api_key(call.key),
             'Deadline-Ms': str(int(timeout_s * 1_000)),
         }
+        if call.key:
+            headers['Authorization'] = format_api_key(call.key)
         request = PeerCall(
             call.method,
             f'{RELAY_PATH}?{query}',
@@ -313,7 +314,10 @@
         self._avoid_until_ms[node] = self._clock.boot_ms() + AVOID_MS
 
     def _endpoint(self, node: str) -> EndpointProtocol:
-        address = self._state.peers[node].address
+        peer = self._state.peers.get(node)
+        if peer is None:
+            raise UnreachableError(f'{node}: its address was forgotten')
+        address = peer.address
         endpoint = self._endpoints.get(address)
         if endpoint is None:
             endpoint = self._open(address)
--- a/soak/run_soak.py
+++ b/soak/run_soak.py
@@ -18,11 +18,12 @@
 from soak.proxy import Proxy
 from swifthoist_core.clock import SystemClock
 from swifthoist_emulator.callers import Order
-from swifthoist_emulator.faults import NO_FAULT
+from swifthoist_emulator.faults import NO_FAULT, Fault, FaultEffect
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.serving import ServedWorld
 from swifthoist_emulator.site import EVACUATE_MS, STANDARD
 from swifthoist_emulator.stage import Stage, open_stage
+from swifthoist_emulator.store_calls import INSTANT, USUAL_PACE
 from swifthoist_instance.application import user_agent
 
 INSTANCES = 4
@@ -44,6 +45,9 @@
 """Bandwidth of the last instance's link, in bytes a second: it needs seconds to
 read the log of a soak."""
 
+SLOW_FACTORS = (10, 60, 90)
+"""How many times as slow as usual the store may become."""
+
 SHORT_STEP = StepWork(500, (4_000, 8_000, 1))
 LONG_STEP = StepWork(3_000, (4_000, 8_000, 2))
 GANG_STEP = StepWork(1_200, (8_000, 32_000, 8), gang=3)
@@ -73,9 +77,10 @@
         :param instances: number of instances.
         """
         self._rng = random.Random(seed)
-        # A separate generator, so that evacuations don't change the other draws
-        # of known seeds.
+        # Separate generators, so that evacuations and trouble with the store
+        # don't change the other draws of known seeds.
         self._evacuation_rng = random.Random(seed)
+        self._store_rng = random.Random(seed)
         self._seconds = seconds
         self._instances = instances
         self._network_faults = NetworkFaults(seed)
@@ -119,6 +124,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._submit_jobs, stage, tasks)
                 tasks.start_soon(self._evacuate_zones)
+                tasks.start_soon(self._trouble_store, stage)
                 while True:
                     await anyio.sleep(
                         self._rng.uniform(0, MAX_FAULT_INTERVAL_S)
@@ -142,6 +148,27 @@
             await anyio.sleep(rng.uniform(EVACUATE_S, 2 * EVACUATE_S))
             self._world.cancel_evacuation(zone, rng.uniform(0, MAX_FAULT_S))
 
+    async def _trouble_store(self, stage: Stage) -> None:
+        """Slow the store down, or have it turn the holder away, in turn."""
+        rng = self._store_rng
+        faults = self._world.faults
+        while True:
+            await anyio.sleep(rng.uniform(0, 2 * MAX_FAULT_S))
+            factor = rng.choice(SLOW_FACTORS)
+            self._world.store.pace = USUAL_PACE.slowed(factor)
+            await anyio.sleep(rng.uniform(0, MAX_FAULT_S))
+            self._world.store.pace = INSTANT
+            await anyio.sleep(rng.uniform(0, 2 * MAX_FAULT_S))
+            holders = [it.name for it in stage.instances if it.holds()]
+            agents = frozenset(map(user_agent, holders))
+            busy = Fault(FaultEffect.BUSY, callers=agents)
+            if agents:
+                faults.store_writes = busy
+                faults.store_reads = busy
+            await anyio.sleep(rng.uniform(0, MAX_FAULT_S))
+            faults.store_writes = NO_FAULT
+            faults.store_reads = NO_FAULT
+
     async def _submit_job(self, stage: Stage) -> None:
         prefix, steps, width = self._rng.choice(
             (
@@ -164,6 +191,7 @@
     async def _check_completion(self, stage: Stage) -> list[str]:
         """End all faults and check that the accepted jobs complete."""
         self._network_faults.active.clear()
+        self._world.store.pace = INSTANT
         for fault in ('store_writes', 'store_reads', 'orders', 'looks'):
             setattr(self._world.faults, fault, NO_FAULT)
         for host in self._world.fleet.hosts.values():
--- /dev/null
+++ b/tests/instance/test_peers.py
@@ -0,0 +1,148 @@
+"""Tests of calls that are handed to other instances."""
+
+import unittest
+from collections.abc import Callable
+
+from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
+from swifthoist_engine.cell import Cell
+from swifthoist_engine.peers import MAX_PEERS, Peer, add_peer
+from swifthoist_engine.records import Claimed, Joined
+from swifthoist_instance.follower import Follower
+from swifthoist_instance.messages import OK, UNAVAILABLE, Call
+from swifthoist_instance.peers import Peers, Relayed
+from swifthoist_platform.calls import Call as PeerCall
+from swifthoist_platform.calls import Reply
+from tests.instance.fakes import FakeStore, LoopClock, run
+
+CALL = Call('POST', 'host', '/batch/x?y#1', 'key-red', 3, b'job')
+
+
+class _Endpoint:
+    """An instance that replies to every call in one way."""
+
+    def __init__(self, status: int, calls: list[PeerCall]) -> None:
+        """Reply with a status; 0 can't be reached, -1 never replies."""
+        self.status = status
+        self.calls = calls
+
+    async def call(self, call: PeerCall) -> Reply:
+        """Note the call and reply."""
+        self.calls.append(call)
+        if not self.status:
+            raise UnreachableError('refused')
+        if self.status < 0:
+            raise OutcomeUnknownError('silent')
+        return Reply(self.status, b'{}')
+
+    async def close(self) -> None:
+        """Do nothing; no connection is open."""
+
+
+def _peers(
+    statuses: dict[str, int], calls: list[PeerCall], holder: str = ''
+) -> Peers:
+    cell = Cell(1_000)
+    for node in statuses:
+        cell.fold(Joined(node, f'{node}:1', 1))
+    if holder:
+        cell.fold(Claimed(1, f'{holder}.life', 1))
+    follower = Follower(FakeStore(), cell, LoopClock())
+    return Peers(
+        'me.life',
+        Peer('me:1', 1),
+        follower,
+        LoopClock(),
+        lambda address: _Endpoint(statuses[address.split(':')[0]], calls),
+    )
+
+
+class RelayTest(unittest.TestCase):
+    """A call goes to instances in turn until one serves it."""
+
+    def relay(
+        self,
+        statuses: dict[str, int],
+        check: Callable[[Relayed, list[PeerCall]], None],
+        call: Call = CALL,
+        *,
+        holder: str = '',
+        to_holder: bool = False,
+    ) -> None:
+        """Pass a call on, and check what became of it."""
+
+        async def main() -> None:
+            calls: list[PeerCall] = []
+            peers = _peers(statuses, calls, holder)
+            relayed = await peers.relay(call, 'why', 2, to_holder=to_holder)
+            check(relayed, calls)
+
+        run(main)
+
+    def test_refused_and_unreachable_instances_are_passed_over(self) -> None:
+        """At most three are tried; the last of them is the holder."""
+
+        def check(relayed: Relayed, calls: list[PeerCall]) -> None:
+            assert relayed.answer is not None
+            self.assertEqual(relayed.answer.status, OK)
+            self.assertLessEqual(len(calls), 3)
+
+        statuses = {'a': 0, 'b': UNAVAILABLE, 'c': UNAVAILABLE, 'd': OK}
+        self.relay(statuses, check, holder='d')
+
+    def test_a_call_that_nobody_served_may_have_been_carried_out(self) -> None:
+        """If one instance did not reply, it is not known."""
+
+        def check(relayed: Relayed, _: list[PeerCall]) -> None:
+            self.assertEqual(relayed, Relayed(None, 1, unknown=True))
+
+        self.relay({'a': -1, 'b': UNAVAILABLE, 'c': 0}, check)
+
+    def test_a_caller_without_a_key_is_passed_on_without_one(self) -> None:
+        """An empty header value can't be sent, and looked like silence."""
+
+        def check(_: Relayed, calls: list[PeerCall]) -> None:
+            self.assertNotIn('Authorization', calls[0].headers)
+
+        self.relay({'a': OK}, check, CALL._replace(key=''))
+
+    def test_the_path_of_a_call_can_not_change_the_call(self) -> None:
+        """It is a parameter of the call to the other instance."""
+
+        def check(_: Relayed, calls: list[PeerCall]) -> None:
+            self.assertTrue(calls[0].path.endswith('%2Fbatch%2Fx%3Fy%231'))
+
+        self.relay({'a': OK}, check)
+
+    def test_only_the_holder_is_asked_where_it_is_wanted(self) -> None:
+        """Without a holder nobody is."""
+
+        def check(relayed: Relayed, calls: list[PeerCall]) -> None:
+            self.assertEqual((relayed.answer, len(calls)), (None, 0))
+
+        self.relay({'a': OK}, check, to_holder=True)
+
+    def test_an_instance_forgotten_meanwhile_is_unreachable(self) -> None:
+        """Its address was taken off the list by newer ones."""
+
+        async def main() -> None:
+            peers = _peers({'a': OK}, [])
+            peers._state.peers.clear()
+            tried = await peers._try('a', CALL, 1)
+            self.assertEqual(tried, Relayed())
+
+        run(main)
+
+
+class KnownPeersTest(unittest.TestCase):
+    """A bounded number of instances is known."""
+
+    def test_the_newest_are_kept(self) -> None:
+        """One that tells its address again counts as new."""
+        peers: dict[str, Peer] = {}
+        for number in range(MAX_PEERS):
+            add_peer(peers, f'n{number}', Peer('a:1', 1))
+        add_peer(peers, 'n0', Peer('b:1', 1))
+        add_peer(peers, 'late', Peer('a:1', 1))
+        self.assertEqual(len(peers), MAX_PEERS)
+        self.assertNotIn('n1', peers)
+        self.assertEqual(peers['n0'].address, 'b:1')
