Bench and tests for a refused holder and a silent cut; withdraw abandoned appends

An append whose caller left, since another instance recorded its request, was sent all the same later; it is withdrawn now if it was not sent. The account has tests of its new causes.

--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -46,15 +46,21 @@
 )
 
 
+HAND_OVER_BOUND_MS = 1_000
+"""Bound for a holder that the store refuses, in ms; it hands the cell over."""
+
+
 class Loss(NamedTuple):
     """A way to lose the holder.
 
     :ivar name: its name.
     :ivar cause: causes the loss; lasting faults are cleared after each round.
+    :ivar bound_ms: bound of the time until another instance holds, in ms.
     """
 
     name: str
     cause: Callable[[ServedWorld, Instance], None]
+    bound_ms: int = BOUND_MS
 
 
 def kill(_: ServedWorld, holder: Instance) -> None:
@@ -81,11 +87,21 @@
     world.faults.store_reads = fault
 
 
+def refuse(world: ServedWorld, holder: Instance) -> None:
+    """Have the store refuse the holder, and serve the others."""
+    fault = Fault(
+        FaultEffect.BUSY, callers=frozenset((user_agent(holder.name),))
+    )
+    world.faults.store_writes = fault
+    world.faults.store_reads = fault
+
+
 LOSSES = (
     Loss('kill', kill),
     Loss('freeze', freeze),
     Loss('cut', cut),
     Loss('leave', leave),
+    Loss('refuse', refuse, HAND_OVER_BOUND_MS),
 )
 
 
@@ -128,7 +144,7 @@
             times = await measure(stage, loss)
             name = f'takeover.{loss.name}'
             show(f'{name}.p50', statistics.median(times), 'ms', None)
-            holds &= show(f'{name}.worst', max(times), 'ms', BOUND_MS)
+            holds &= show(f'{name}.worst', max(times), 'ms', loss.bound_ms)
     return holds
 
 
--- a/packages/instance/swifthoist_instance/journal.py
+++ b/packages/instance/swifthoist_instance/journal.py
@@ -193,13 +193,16 @@
         entry = _PendingAppend([encode_record(record) for record in records])
         self._waiting.append(entry)
         self._wake.set()
-        with anyio.move_on_after(timeout_s):
-            await entry.settled.wait()
+        try:
+            with anyio.move_on_after(timeout_s):
+                await entry.settled.wait()
+        finally:
+            if entry.outcome is _Outcome.WAITING:
+                self._waiting.remove(entry)
         match entry.outcome:
             case _Outcome.DONE:
                 return entry.offset
             case _Outcome.WAITING:
-                self._waiting.remove(entry)
                 raise LogUnavailableError('the append was not sent in time')
             case _Outcome.REFUSED:
                 raise LogUnavailableError('the store refused the append')
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -118,17 +118,12 @@
         :param sent: its headers and body.
         :returns: the response.
         """
-        match path:
-            case _ if path == RELAY_PATH:
-                return await self._serve_relayed(method, query, sent)
-            case _ if path == HAND_OVER_PATH:
-                return await self._take_over(sent.content)
-            case _:
-                answer = await self.api.answer(
-                    method, path, query, sent.content
-                )
-                content = msgspec.json.encode(answer.document)
-                return Answer(answer.status, content)
+        if path == RELAY_PATH:
+            return await self._serve_relayed(method, query, sent)
+        if path == HAND_OVER_PATH:
+            return await self._take_over(sent.content)
+        answer = await self.api.answer(method, path, query, sent.content)
+        return Answer(answer.status, msgspec.json.encode(answer.document))
 
     async def _serve_internal(self, scope: Scope, receive: Receive) -> Answer:
         if scope['path'] == METRICS_PATH:
--- a/tests/accounts/test_losses.py
+++ b/tests/accounts/test_losses.py
@@ -50,6 +50,28 @@
         self.assertEqual(account.verdict, 'late')
         self.assertEqual(account.cause, 'run failed')
 
+    def test_a_wait_on_a_slow_store_is_no_lack_of_room(self) -> None:
+        """Every instance tells how long the store was slow."""
+        lines = [
+            _accepted(0.5),
+            _line(2.5, 'store no longer slow', lasted_ms=1_500),
+            _line(2.6, 'store no longer slow', lasted_ms=1_500),
+            _start(3.0, 1),
+            _end(4.0, 1, 'done'),
+        ]
+        account = accounts_of(read_lines(lines))[0]
+        self.assertAlmostEqual(account.parts['store slow'], 1.6)
+        self.assertAlmostEqual(account.parts['no room'], 0.9)
+
+    def test_a_job_that_was_never_accepted_counts_with_its_refusals(
+        self,
+    ) -> None:
+        """Its callers wait as much as others."""
+        lines = [_line(0, 'refused', method='POST', why='log away')]
+        account = accounts_of(read_lines(lines))[0]
+        self.assertEqual(account.verdict, 'not accepted')
+        self.assertEqual(account.cause, 'not accepted: log away')
+
     def test_a_pause_of_the_holder_is_no_lack_of_room(self) -> None:
         """No run starts or ends anywhere meanwhile: nobody holds the cell."""
         lines = [
--- a/tests/instance/test_journal.py
+++ b/tests/instance/test_journal.py
@@ -80,6 +80,28 @@
 
         run(main)
 
+    def test_an_append_whose_caller_left_is_not_sent_later(self) -> None:
+        """Another instance has recorded the same request meanwhile."""
+
+        async def main() -> None:
+            store = FakeStore()
+            store.silent = True
+            journal = Journal(store, 'me', LoopClock())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(journal.run)
+                async with anyio.create_task_group() as callers:
+                    callers.start_soon(journal.append, [Beat(1, 1)], 9)
+                    await anyio.sleep(0.2)
+                    callers.start_soon(journal.append, [Beat(1, 2)], 9)
+                    await anyio.sleep(0.2)
+                    callers.cancel_scope.cancel()
+                store.silent = False
+                await anyio.sleep(3)
+                self.assertEqual(store.topic(CELL_TOPIC).end, 1)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
     def test_lost_replies_are_settled_by_the_same_append(self) -> None:
         """No record is stored twice, however many replies are lost."""
 
--- a/tests/simulation/test_store_trouble.py
+++ b/tests/simulation/test_store_trouble.py
@@ -197,10 +197,16 @@
     """An instance that is cut off passes its callers on."""
 
     def call_cut_off(
-        self, wait_s: float, *, from_others: bool = False
+        self,
+        wait_s: float,
+        *,
+        from_others: bool = False,
+        silently: bool = False,
     ) -> list[tuple[float, int, int]]:
         """Call an instance that is cut off from the store, or from all.
 
+        Silently, its calls to the store hang; otherwise they fail at once.
+
         :returns: time, status and Retry-After of each answer.
         """
         answers: list[tuple[float, int, int]] = []
@@ -209,7 +215,14 @@
             holder = await cluster.holder()
             await anyio.sleep(SETTLE_S)
             cut = next(node for node in cluster.nodes if node is not holder)
-            cut.link.cut.add(STORE)
+            if silently:
+                fault = Fault(
+                    FaultEffect.SILENT, callers=frozenset((cut.name,))
+                )
+                cluster.world.faults.store_writes = fault
+                cluster.world.faults.store_reads = fault
+            else:
+                cut.link.cut.add(STORE)
             if from_others:
                 others = (node.internal_address for node in cluster.nodes)
                 cut.link.cut.update(others)
@@ -231,8 +244,8 @@
 
     def test_its_callers_are_taken_in_elsewhere(self) -> None:
         """Also once it can't confirm the configuration any more."""
-        for wait_s in (0, 4):
-            answers = self.call_cut_off(wait_s)
+        for wait_s, silently in ((0, False), (4, False), (0, True), (4, True)):
+            answers = self.call_cut_off(wait_s, silently=silently)
             self.assertEqual({status for _, status, _ in answers}, {OK})
             slow = [took_s for took_s, _, _ in answers if took_s > QUICK_S]
             self.assertLessEqual(len(slow), 1)
