--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -141,6 +141,10 @@
         :returns: the response.
         """
         deadline = answer_deadline(call)
+        catalogue = self._configuration.catalogue
+        if not call.relayed and catalogue is not None:
+            # Callers never see an instance go back to an older configuration.
+            call = call._replace(min_version=catalogue.version)
         try:
             return await self._serve(call)
         except NotServedError as exc:
@@ -184,6 +188,8 @@
         catalogue = self._configuration.catalogue
         if catalogue is None or not self._configuration_confirmed:
             raise NotServedError('configuration not confirmed')
+        if catalogue.version < call.min_version:
+            raise NotServedError('configuration older than at the sender')
         queue = catalogue.find_queue(call.host, call.path)
         if queue is None:
             return Answer(NOT_FOUND)
--- a/packages/instance/swifthoist_instance/messages.py
+++ b/packages/instance/swifthoist_instance/messages.py
@@ -23,6 +23,8 @@
     :ivar wait_s: how long the caller waits for the response, in seconds.
     :ivar content: request body.
     :ivar relayed: whether another instance passed it on.
+    :ivar min_version: oldest configuration by which it may be judged: that of
+        the instance that passed it on. 0 for any.
     """
 
     method: str
@@ -32,6 +34,7 @@
     wait_s: float
     content: bytes
     relayed: bool = False
+    min_version: int = 0
 
 
 class Answer(NamedTuple):
--- a/packages/instance/swifthoist_instance/peers.py
+++ b/packages/instance/swifthoist_instance/peers.py
@@ -42,6 +42,9 @@
 RELAY_PATH = '/v1/relay'
 HAND_OVER_PATH = '/v1/hand-over'
 
+MIN_VERSION_HEADER = 'Swifthoist-Min-Version'
+"""Header with the version of the sender's configuration."""
+
 MAX_TRIES = 3
 """Number of instances that a call is handed to, one after the other."""
 
@@ -281,6 +284,7 @@
         headers = {
             'Host': call.host,
             'Deadline-Ms': str(int(timeout_s * 1_000)),
+            MIN_VERSION_HEADER: str(call.min_version),
         }
         if call.key:
             headers['Authorization'] = format_api_key(call.key)
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -20,7 +20,12 @@
     Call,
 )
 from swifthoist_instance.metrics import Metrics
-from swifthoist_instance.peers import HAND_OVER_PATH, RELAY_PATH, HandOver
+from swifthoist_instance.peers import (
+    HAND_OVER_PATH,
+    MIN_VERSION_HEADER,
+    RELAY_PATH,
+    HandOver,
+)
 from swifthoist_instance.tenure import Tenure
 from swifthoist_platform.job_calls import parse_api_key
 from swifthoist_platform.names import READY as READY_PATH
@@ -142,7 +147,12 @@
     ) -> Answer:
         paths = parse_qs(query).get('path', [''])
         call = _to_call(method, paths[0], sent)
-        return await self.intake.answer(call._replace(relayed=True))
+        version = sent.headers.get(MIN_VERSION_HEADER.lower(), '')
+        call = call._replace(
+            relayed=True,
+            min_version=int(version) if version.isdecimal() else 0,
+        )
+        return await self.intake.answer(call)
 
     async def _take_over(self, content: bytes) -> Answer:
         try:
--- a/tests/instance/test_intake.py
+++ b/tests/instance/test_intake.py
@@ -6,9 +6,9 @@
 import anyio
 import msgspec
 
-from swifthoist_emulator.site import STANDARD, write_config
+from swifthoist_emulator.site import HOST, STANDARD, write_config
 from swifthoist_instance.journal import CELL_TOPIC
-from swifthoist_instance.messages import Answer
+from swifthoist_instance.messages import Answer, Call
 from swifthoist_platform import names
 from swifthoist_platform.job_calls import encode_job_state
 from swifthoist_platform.store import CONFIG_KEY, OPERATOR_TOPIC
@@ -143,6 +143,20 @@
 
         self.run_with_instances(scenario)
 
+    def test_a_call_is_not_judged_by_an_older_configuration(self) -> None:
+        """Its caller may have seen the effect of the newer one already."""
+
+        async def scenario(
+            first: InstanceHarness, second: InstanceHarness
+        ) -> None:
+            call = Call('POST', HOST, f'/batch/{ID}', 'key-red', 3, JOB, True)
+            newer = call._replace(min_version=2)
+            self.assertEqual((await first.intake.answer(newer)).status, 503)
+            same = call._replace(min_version=1)
+            self.assertEqual((await first.intake.answer(same)).status, 200)
+
+        self.run_with_instances(scenario)
+
     def test_an_instance_without_the_operator_stops_serving(self) -> None:
         """It stops well before the bound on accepting a revoked key."""
 
