--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -22,7 +22,7 @@
 )
 from swifthoist_engine.experience import Experience
 from swifthoist_engine.histories import VANISHED
-from swifthoist_engine.jobs import Job, JobState, OpenRun, open_runs_from
+from swifthoist_engine.jobs import Job, OpenRun, open_runs_from
 from swifthoist_engine.model import TaskId
 from swifthoist_engine.past_runs import RunnerFacts, past_run
 from swifthoist_engine.peers import Peer, add_peer
@@ -389,16 +389,3 @@
     belated = learned.belated.get(record.runner, 0)
     past = past_run(state.facts, job, run, record, gang, state.time_ms, belated)
     learned.observe(past)
-
-
-def count_waiting(state: CellState, queue: str) -> int:
-    """Count the accepted jobs of a queue that have not started any task.
-
-    :param state: state of the cell.
-    :param queue: name of the queue.
-    :returns: number of jobs.
-    """
-    return sum(
-        job.spec.queue == queue and job.state is JobState.QUEUED
-        for job in state.jobs.values()
-    )
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -13,10 +13,10 @@
 
 from swifthoist_core.types import JobId, Millis, OwnerId
 from swifthoist_engine.catalogue import Catalogue
-from swifthoist_engine.cell import Cell
+from swifthoist_engine.cell import Cell, CellState
 from swifthoist_engine.duration_estimates import DurationEstimates
 from swifthoist_engine.faults import FaultGuard, FaultSource
-from swifthoist_engine.jobs import Job, Unit
+from swifthoist_engine.jobs import Job, JobState, Unit
 from swifthoist_engine.mechanisms import DEFAULT_MECHANISMS, Mechanisms
 from swifthoist_engine.model import (
     QueueTerms,
@@ -315,3 +315,16 @@
     """
     doublings = min(max(runs - FREE_RETRIES, 0), MAX_DOUBLINGS)
     return RETRY_PAUSE_MS << doublings
+
+
+def count_waiting(state: CellState, queue: str) -> int:
+    """Count the accepted jobs of a queue that have not started any task.
+
+    :param state: state of the cell.
+    :param queue: name of the queue.
+    :returns: number of jobs.
+    """
+    return sum(
+        job.spec.queue == queue and job.state is JobState.QUEUED
+        for job in state.jobs.values()
+    )
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -16,6 +16,7 @@
 from swifthoist_engine.model import SiteTerms
 from swifthoist_engine.peers import Peer
 from swifthoist_instance.api import Api
+from swifthoist_instance.clients import Clients
 from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.dependencies import HolderDependencies
@@ -33,20 +34,15 @@
 from swifthoist_instance.peers import LIFE_SEPARATOR, Peers
 from swifthoist_instance.recording import Recorder
 from swifthoist_instance.registry import Registry
-from swifthoist_instance.settings import DynamicEndpoint, Settings
+from swifthoist_instance.settings import Settings
 from swifthoist_instance.snapshotting import Snapshots
 from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_instance.supervision import run_supervised
 from swifthoist_instance.tenure import Tenure, claim_delay_ms
 from swifthoist_instance.turns import LoopMonitor
 from swifthoist_instance.web import ShutdownState, Web, serve_web
-from swifthoist_platform.advice import AdviceClient
 from swifthoist_platform.boot import BootSettings
-from swifthoist_platform.documents import Registration
 from swifthoist_platform.endpoint import EndpointProtocol
-from swifthoist_platform.machines import MachinesClient
-from swifthoist_platform.runner_calls import RunnerClient
-from swifthoist_platform.store import StoreClient
 
 DEREGISTRATION_S = 2.5
 """How long the load balancer takes to remove an instance that is not ready, in
@@ -115,12 +111,15 @@
         retention_ms = int(boot.bounds.status_ms * RETENTION_FACTOR)
         self.faults = Faults(clock)
         self._latency = StoreLatency(clock)
+        self._clients = Clients(
+            settings, environment.open_endpoint, self._latency
+        )
         self._quarantine = Quarantine(self.faults, clock)
         snapshots = Snapshots(
-            self._open_store(), boot.store.keep_ms, boot.store.record_bytes
+            self._clients.store(), boot.store.keep_ms, boot.store.record_bytes
         )
         self._follower = Follower(
-            self._open_store(),
+            self._clients.store(),
             Cell(retention_ms),
             clock,
             snapshots.load,
@@ -132,7 +131,7 @@
         )
         self._learned = LearnedView(self._follower)
         self._journal = Journal(
-            self._open_store(),
+            self._clients.store(),
             self._life,
             clock,
             boot.link_bytes_s,
@@ -141,7 +140,7 @@
         # Callers' records need no order with the holder's own, and must not
         # wait for them while the store is slow.
         self._call_journal = Journal(
-            self._open_store(),
+            self._clients.store(),
             f'{self._life}{LIFE_SEPARATOR}{CALL_PRODUCER}',
             clock,
             boot.link_bytes_s,
@@ -155,7 +154,7 @@
             environment.open_endpoint,
         )
         self._configuration = Configuration(
-            self._open_store(), clock, self._change_bound_ms, self._latency
+            self._clients.store(), clock, self._change_bound_ms, self._latency
         )
         self._cold_zones = ColdZones()
         zones = ZoneGate(
@@ -190,11 +189,11 @@
                 snapshots,
                 lambda: settings.boot.bounds.lease_max_ms,
                 clock,
-                lambda: Registry(self._open_store(), clock),
-                self._open_runner,
-                self._open_advice,
-                self._open_machines,
-                self._open_store(),
+                lambda: Registry(self._clients.store(), clock),
+                self._clients.runner,
+                self._clients.advice,
+                self._clients.machines,
+                self._clients.store(),
                 self._quarantine,
                 self._site_terms,
                 turns,
@@ -379,29 +378,6 @@
             bounds.restore_ms, bounds.reclaim_ms, bounds.remote_factor
         )
 
-    def _open_machines(self) -> MachinesClient:
-        endpoint = self._open(lambda: self._settings.boot.machines_address)
-        return MachinesClient(endpoint, self._settings.boot.instance)
-
-    def _open_store(self) -> StoreClient:
-        return StoreClient(
-            self._open(lambda: self._settings.boot.store.address),
-            self._settings.boot.link_bytes_s,
-            self._latency,
-        )
-
-    def _open_advice(self) -> AdviceClient:
-        return AdviceClient(
-            self._open(lambda: self._settings.boot.advice_address)
-        )
-
-    def _open(self, address: Callable[[], str]) -> DynamicEndpoint:
-        return DynamicEndpoint(address, self._environment.open_endpoint)
-
-    def _open_runner(self, entry: Registration) -> RunnerClient:
-        endpoint = self._environment.open_endpoint(entry.address)
-        return RunnerClient(entry.runner, endpoint)
-
 
 def _internal_address(boot: BootSettings) -> str:
     """Return where other instances reach this one; empty if nowhere."""
--- a/packages/instance/swifthoist_instance/configuration.py
+++ b/packages/instance/swifthoist_instance/configuration.py
@@ -23,6 +23,8 @@
     EVACUATION_PREFIX,
     OPERATOR_TOPIC,
     WAVE_PREFIX,
+)
+from swifthoist_platform.store_records import (
     Batch,
     KeyedListing,
     KeyedRecord,
--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -25,7 +25,7 @@
 from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_instance.read_size import ReadSize
 from swifthoist_instance.store_latency import StoreLatency
-from swifthoist_platform.store import Batch
+from swifthoist_platform.store_records import Batch
 
 READ_WAIT_S = 1.0
 """How long a read waits for a record, in seconds."""
--- a/packages/instance/swifthoist_instance/journal.py
+++ b/packages/instance/swifthoist_instance/journal.py
@@ -28,11 +28,8 @@
 from swifthoist_engine.records import Record, encode_record
 from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_platform.calls import Patience
-from swifthoist_platform.store import (
-    AppendConflictError,
-    AppendRequest,
-    Batch,
-)
+from swifthoist_platform.store import AppendConflictError, AppendRequest
+from swifthoist_platform.store_records import Batch
 
 CELL_TOPIC = 'swifthoist.cell'
 """Topic of the log that every instance folds."""
--- a/packages/instance/swifthoist_instance/registry.py
+++ b/packages/instance/swifthoist_instance/registry.py
@@ -11,11 +11,8 @@
 from swifthoist_instance.configuration import KeyedTopicReader
 from swifthoist_instance.lives import is_plausible_birth
 from swifthoist_platform.documents import Registration, decode_registration
-from swifthoist_platform.store import (
-    RUNNER_TOPIC,
-    KeyedRecord,
-    parse_keyed_record,
-)
+from swifthoist_platform.store import RUNNER_TOPIC
+from swifthoist_platform.store_records import KeyedRecord, parse_keyed_record
 
 READ_WAIT_S = 1.0
 READ_GRACE_S = 0.7
--- a/packages/instance/swifthoist_instance/snapshotting.py
+++ b/packages/instance/swifthoist_instance/snapshotting.py
@@ -22,7 +22,7 @@
 )
 from swifthoist_instance.configuration import KeyedTopicReader
 from swifthoist_instance.follower import Follower
-from swifthoist_platform.store import parse_keyed_record
+from swifthoist_platform.store_records import parse_keyed_record
 
 SNAPSHOT_TOPIC = 'keyed.swifthoist.snapshot'
 """Topic of the chunks; the store keeps the newest record of each key."""
--- a/packages/platform/swifthoist_platform/store.py
+++ b/packages/platform/swifthoist_platform/store.py
@@ -3,9 +3,7 @@
 A keyed topic keeps the newest record of each key.
 """
 
-import base64
 import math
-import struct
 from collections.abc import Sequence
 from enum import StrEnum
 from typing import NamedTuple, Protocol
@@ -25,6 +23,14 @@
 from swifthoist_platform import names
 from swifthoist_platform.calls import Call, Patience, Reply
 from swifthoist_platform.endpoint import EndpointProtocol
+from swifthoist_platform.store_records import (
+    Batch,
+    KeyedListing,
+    KeyedRecord,
+    add_length,
+    decode_item,
+    parse_records,
+)
 from swifthoist_platform.values import read_json
 
 OPERATOR_TOPIC = 'keyed.op'
@@ -58,8 +64,6 @@
 _GONE = 410
 _PRECONDITION_FAILED = 412
 _REFUSED = frozenset((400, 403, 404, 413, 429, 503, 507))
-_READ_HEADER = struct.Struct('>QQ')
-_RECORD_LENGTH = struct.Struct('>I')
 
 
 class Conflict(StrEnum):
@@ -100,41 +104,6 @@
     sequence: int
 
 
-class Batch(NamedTuple):
-    """Records of a topic.
-
-    :ivar start: offset of the first of them.
-    :ivar records: the records, in order.
-    :ivar end: offset that the next record of the topic will get.
-    """
-
-    start: Offset
-    records: tuple[bytes, ...]
-    end: Offset
-
-
-class KeyedRecord(NamedTuple):
-    """The newest record of a key.
-
-    :ivar key: the key.
-    :ivar content: its value; empty if the key was deleted.
-    """
-
-    key: str
-    content: bytes
-
-
-class KeyedListing(NamedTuple):
-    """The newest record of each key of a keyed topic.
-
-    :ivar items: the records, one for each key.
-    :ivar end: offset from which to continue reading.
-    """
-
-    items: tuple[KeyedRecord, ...]
-    end: Offset
-
-
 class AnswerTimer(Protocol):
     """Measures how long the store takes to answer."""
 
@@ -189,7 +158,7 @@
                 names.SEQUENCE: batch.sequence,
             }
         )
-        body = b''.join(map(_add_length, batch.records))
+        body = b''.join(map(add_length, batch.records))
         reply = await self._send(
             'POST',
             f'{names.LOG_APPEND}?{query}',
@@ -217,7 +186,7 @@
         :raises OutcomeUnknownError: if the value may have been written.
         """
         name = key.encode()
-        record = _add_length(bytes((len(name),)) + name + content)
+        record = add_length(bytes((len(name),)) + name + content)
         query = urlencode({names.TOPIC: topic, names.PART: 0})
         path = f'{names.LOG_APPEND}?{query}'
         _expect_written(await self._send('POST', path, timeout_s, record))
@@ -288,7 +257,7 @@
             _expect_ok(reply)
             reader = read_json(reply.content)
             page = [
-                _decode_item(row.get(names.KEY), row.get(names.VALUE))
+                decode_item(row.get(names.KEY), row.get(names.VALUE))
                 for row in reader.array(names.ITEMS)
                 if isinstance(row, dict)
             ]
@@ -336,59 +305,6 @@
             raise LogUnavailableError(str(exc)) from exc
 
 
-def parse_records(start: Offset, content: bytes) -> Batch:
-    """Split the reply to a read into records.
-
-    :param start: offset that was requested.
-    :param content: body of the reply.
-    :returns: the records.
-    :raises LogUnavailableError: if the reply is truncated.
-    """
-    if len(content) < _READ_HEADER.size:
-        raise LogUnavailableError('truncated reply from the store')
-    end, _ = _READ_HEADER.unpack_from(content)
-    records: list[bytes] = []
-    position = _READ_HEADER.size
-    while position < len(content):
-        if position + _RECORD_LENGTH.size > len(content):
-            raise LogUnavailableError('truncated reply from the store')
-        length = _RECORD_LENGTH.unpack_from(content, position)[0]
-        position += _RECORD_LENGTH.size
-        records.append(content[position : position + length])
-        position += length
-    if position > len(content):
-        raise LogUnavailableError('truncated reply from the store')
-    return Batch(start, tuple(records), end)
-
-
-def parse_keyed_record(record: bytes) -> KeyedRecord | None:
-    """Split a record of a keyed topic into key and value.
-
-    :param record: length of the key in one byte, the key and the value.
-    :returns: the key and its value; none if the record is invalid.
-    """
-    if not record or len(record) < 1 + record[0]:
-        return None
-    try:
-        key = record[1 : 1 + record[0]].decode()
-    except UnicodeDecodeError:
-        return None
-    return KeyedRecord(key, record[1 + record[0] :])
-
-
-def _decode_item(key: object, encoded: object) -> KeyedRecord | None:
-    if not isinstance(key, str) or not isinstance(encoded, str):
-        return None
-    try:
-        return KeyedRecord(key, base64.b64decode(encoded))
-    except ValueError:
-        return KeyedRecord(key, b'')
-
-
-def _add_length(record: bytes) -> bytes:
-    return _RECORD_LENGTH.pack(len(record)) + record
-
-
 def _expect_ok(reply: Reply) -> None:
     if reply.status != _OK:
         raise LogUnavailableError(f'store returned HTTP {reply.status}')
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -15,9 +15,9 @@
 from swifthoist_engine.model import TaskId
 from swifthoist_platform.calls import Call, Reply
 from swifthoist_platform.runner_calls import parse_task, task_name
-from swifthoist_platform.store import (
+from swifthoist_platform.store import StoreClient
+from swifthoist_platform.store_records import (
     KeyedRecord,
-    StoreClient,
     parse_keyed_record,
     parse_records,
 )
--- a/tests/engine/test_cell.py
+++ b/tests/engine/test_cell.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from swifthoist_engine.cell import count_waiting
 from swifthoist_engine.jobs import JobState
 from swifthoist_engine.model import GANG_ORDINAL, TaskId, UnitId
+from swifthoist_engine.queueing import count_waiting
 from swifthoist_engine.records import (
     Canceled,
     Claimed,
--- a/tests/instance/fakes.py
+++ b/tests/instance/fakes.py
@@ -19,11 +19,9 @@
     MAX_READ_KB,
     AppendConflictError,
     AppendRequest,
-    Batch,
     Conflict,
-    KeyedListing,
-    KeyedRecord,
 )
+from swifthoist_platform.store_records import Batch, KeyedListing, KeyedRecord
 
 START_WALL_MS = 1_780_000_000_000
 """True time of day when a test begins, in ms since the Unix epoch."""
--- a/tests/instance/test_read_size.py
+++ b/tests/instance/test_read_size.py
@@ -14,7 +14,8 @@
     STEP_KB,
     ReadSize,
 )
-from swifthoist_platform.store import MAX_READ_KB, Batch
+from swifthoist_platform.store import MAX_READ_KB
+from swifthoist_platform.store_records import Batch
 from tests.engine.scenes import KEEP_MS
 from tests.instance.fakes import LoopClock, run
 
--- a/tests/instance/test_snapshotting.py
+++ b/tests/instance/test_snapshotting.py
@@ -23,7 +23,7 @@
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_instance.snapshotting import SNAPSHOT_TOPIC, Snapshots
-from swifthoist_platform.store import Batch, KeyedListing
+from swifthoist_platform.store_records import Batch, KeyedListing
 from tests.engine.scenes import BATCH, KEEP_MS, Scene, job_spec, task
 from tests.instance.entry import JOB, InstanceHarness, configure
 from tests.instance.fakes import FakeStore, LoopClock, run
--- a/tests/simulation/test_evacuation.py
+++ b/tests/simulation/test_evacuation.py
@@ -8,7 +8,7 @@
 from swifthoist_emulator.callers import Order
 from swifthoist_emulator.faults import NO_FAULT, Fault, FaultEffect
 from swifthoist_emulator.lives import StepWork
-from swifthoist_platform.store import Batch
+from swifthoist_platform.store_records import Batch
 from tests.simulation.cluster import Cluster, simulate
 
 SOUTH = 'south'
