Tell the own address once, however many start together

Cause, by reading: an instance told its address again until the fold listed it, which with over 32 instances need not happen before newer ones push it off.

Change: it is told once, and again only while the append has no success. Measured: tests.instance.test_peers, 64 instances at once.

--- a/packages/instance/swifthoist_instance/peers.py
+++ b/packages/instance/swifthoist_instance/peers.py
@@ -179,13 +179,19 @@
         while not self._follower.caught_up:
             await self._follower.wait_progress()
         await anyio.sleep(self._random.uniform(0, JOIN_SPREAD_S))
+        told = self._state.peers.get(self._node) == self._own
+        while not told:
+            told = await self._tell_address(journal)
+
+    async def _tell_address(self, journal: Journal) -> bool:
         joined = Joined(self._node, *self._own)
-        while self._state.peers.get(self._node) != self._own:
-            try:
-                await journal.append([joined], JOIN_TIMEOUT_S)
-            except (LogUnavailableError, OutcomeUnknownError) as exc:
-                _log.warning('address not told', extra={'why': str(exc)})
+        try:
+            await journal.append([joined], JOIN_TIMEOUT_S)
+        except (LogUnavailableError, OutcomeUnknownError) as exc:
+            _log.warning('address not told', extra={'why': str(exc)})
             await self._follower.wait_progress()
+            return False
+        return True
 
     async def relay(
         self, call: Call, reason: str, budget_s: float, *, to_holder: bool
--- a/tests/instance/test_peers.py
+++ b/tests/instance/test_peers.py
@@ -3,11 +3,14 @@
 import unittest
 from collections.abc import Callable
 
+import anyio
+
 from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.peers import MAX_PEERS, Peer, add_peer
 from swifthoist_engine.records import Claimed, Joined
 from swifthoist_instance.follower import Follower
+from swifthoist_instance.journal import CELL_TOPIC, Journal
 from swifthoist_instance.messages import OK, UNAVAILABLE, Call
 from swifthoist_instance.peers import Peers, Relayed
 from swifthoist_platform.calls import Call as PeerCall
@@ -38,6 +41,10 @@
         """Do nothing; no connection is open."""
 
 
+def _open_silent(_: str) -> _Endpoint:
+    return _Endpoint(-1, [])
+
+
 def _peers(
     statuses: dict[str, int], calls: list[PeerCall], holder: str = ''
 ) -> Peers:
@@ -133,6 +140,36 @@
         run(main)
 
 
+class JoinTest(unittest.TestCase):
+    """Each instance tells its address once."""
+
+    def test_many_that_start_together_tell_it_once_each(self) -> None:
+        """Also those that newer ones have pushed off the list by then."""
+        count = 2 * MAX_PEERS
+
+        async def main() -> None:
+            store = FakeStore()
+            async with anyio.create_task_group() as tasks:
+                for number in range(count):
+                    follower = Follower(store, Cell(1_000), LoopClock())
+                    journal = Journal(store, f'n{number}.life', LoopClock())
+                    peers = Peers(
+                        f'n{number}.life',
+                        Peer(f'n{number}:1', 1),
+                        follower,
+                        LoopClock(),
+                        _open_silent,
+                    )
+                    tasks.start_soon(follower.run)
+                    tasks.start_soon(journal.run)
+                    tasks.start_soon(peers.join, journal)
+                await anyio.sleep(5)
+                self.assertEqual(store.topic(CELL_TOPIC).end, count)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
+
 class KnownPeersTest(unittest.TestCase):
     """A bounded number of instances is known."""
 
