Send callers elsewhere at once only where no other instance was reached

Cause, by reading: an instance also counted as alone when it passed nothing on, as with over 64 calls under way; callers then spent their tries without a pause.

Change: alone is who tried others, reached none and was refused by none. Measured: tests.instance.test_peers, CutOffTest.

--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -161,8 +161,7 @@
             return relayed.answer
         if relayed.unknown and call.method != Verb.SHOW.value:
             return Answer(GATEWAY_TIMEOUT)
-        alone = bool(self._peers.others) and not relayed.refused
-        return self._refuse(call, reason, alone=alone)
+        return self._refuse(call, reason, alone=relayed.alone)
 
     async def _serve(self, call: Call) -> Answer:
         admitted = self._admit(call)
--- a/packages/instance/swifthoist_instance/peers.py
+++ b/packages/instance/swifthoist_instance/peers.py
@@ -99,11 +99,19 @@
     :ivar answer: the answer; None if no instance served the call.
     :ivar refused: number of instances that refused it.
     :ivar unknown: whether an instance may have served it without an answer.
+    :ivar unreached: number of instances that could not be reached or gave no
+        answer.
     """
 
     answer: Answer | None = None
     refused: int = 0
     unknown: bool = False
+    unreached: int = 0
+
+    @property
+    def alone(self) -> bool:
+        """Whether this instance seems to be cut off from all others."""
+        return self.unreached > 0 and not self.refused
 
 
 @dataclass(slots=True)
@@ -253,8 +261,7 @@
     async def _try_each(
         self, call: Call, targets: Iterable[str], budget_s: float
     ) -> Relayed:
-        refused = 0
-        unknown = False
+        total = Relayed()
         left = list(targets)
         deadline = anyio.current_time() + budget_s
         while left and anyio.current_time() < deadline:
@@ -264,20 +271,24 @@
                 node, call, min(left_s, TRY_S) if left else left_s
             )
             if tried.answer is not None:
-                return tried._replace(refused=refused)
-            refused += tried.refused
-            unknown = unknown or tried.unknown
-        return Relayed(None, refused, unknown)
+                return total._replace(answer=tried.answer)
+            total = Relayed(
+                None,
+                total.refused + tried.refused,
+                total.unknown or tried.unknown,
+                total.unreached + tried.unreached,
+            )
+        return total
 
     async def _try(self, node: str, call: Call, timeout_s: float) -> Relayed:
         try:
             answer = await self._ask(node, call, timeout_s)
         except UnreachableError:
             self._avoid(node)
-            return Relayed()
+            return Relayed(unreached=1)
         except OutcomeUnknownError:
             self._avoid(node)
-            return Relayed(unknown=True)
+            return Relayed(unknown=True, unreached=1)
         if answer.status == GATEWAY_TIMEOUT:
             return Relayed(unknown=True)
         if answer.status == UNAVAILABLE:
