--- a/tests/simulation/test_store_trouble.py
+++ b/tests/simulation/test_store_trouble.py
@@ -27,6 +27,8 @@
 CALLS_PER_S = 6
 TRIES = 4
 QUICK_S = 0.3
+NORMAL_AFTER_S = 0.5
+"""Time behind a slow spell after which a job starts as ever, in seconds."""
 ANSWERS = 5
 """Answers of the store within which an accepted task starts."""
 
@@ -102,7 +104,11 @@
             store.pace = USUAL_PACE.slowed(factor)
             placed.extend(await _submit_steadily(cluster, for_s))
             store.pace = USUAL_PACE
-            await anyio.sleep(1)
+            await anyio.sleep(NORMAL_AFTER_S)
+            behind: list[Placed] = []
+            order = cluster.order('/urgent/', SHORT)
+            await _place(cluster, cluster.nodes[0], order, behind)
+            self.assertLess(behind[0].answer_s + behind[0].start_s, QUICK_S)
             epochs.append(holder.cell.state.epoch)
             for order in cluster.accepted:
                 await cluster.wait_state(order, 'complete', 20)
