--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -5,7 +5,6 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 import anyio
 import msgspec
@@ -22,7 +21,7 @@
 from swifthoist_engine.snapshots import Restored
 from swifthoist_instance.cell_time import CellTime
 from swifthoist_instance.faults import Faults
-from swifthoist_instance.journal import CELL_TOPIC
+from swifthoist_instance.journal import CELL_TOPIC, RecordReader
 from swifthoist_instance.read_size import ReadSize
 from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_platform.store_records import Batch
@@ -54,20 +53,6 @@
 _log = logging.getLogger(__name__)
 
 
-class RecordReader(Protocol):
-    """Store operations that the follower needs."""
-
-    async def read(
-        self,
-        topic: str,
-        start: Offset,
-        wait_s: float,
-        timeout_s: float,
-        max_kb: int,
-    ) -> Batch:
-        """Read records in order, and wait for the first one."""
-
-
 class Follower:
     """Folds the log into the cell state.
 
--- a/packages/instance/swifthoist_instance/journal.py
+++ b/packages/instance/swifthoist_instance/journal.py
@@ -76,16 +76,8 @@
 _log = logging.getLogger(__name__)
 
 
-class RecordAppender(Protocol):
-    """Store operations that the journal needs."""
-
-    async def append(
-        self,
-        batch: AppendRequest,
-        timeout_s: float,
-        patience: Patience | None = None,
-    ) -> Offset:
-        """Append records atomically."""
+class RecordReader(Protocol):
+    """Store operation that reads the log of the cell."""
 
     async def read(
         self,
@@ -95,7 +87,19 @@
         timeout_s: float,
         max_kb: int,
     ) -> Batch:
-        """Read records in order."""
+        """Read records in order, and wait for the first one."""
+
+
+class RecordAppender(RecordReader, Protocol):
+    """Store operations that the journal needs."""
+
+    async def append(
+        self,
+        batch: AppendRequest,
+        timeout_s: float,
+        patience: Patience | None = None,
+    ) -> Offset:
+        """Append records atomically."""
 
 
 class _Outcome(Enum):
