Hand the cell to ample instances only

Change: the list drops the weakest first; only instances with at least half of the most cores are asked, up to six; else the claims of all decide, as before.

--- a/packages/engine/swifthoist_engine/peers.py
+++ b/packages/engine/swifthoist_engine/peers.py
@@ -3,8 +3,9 @@
 from typing import NamedTuple
 
 MAX_PEERS = 32
-"""Number of instances that are known; newer ones replace the oldest. A caller
-needs to reach one of them only."""
+"""Number of instances that are known; a newer one replaces the oldest of those
+with the least cores. A caller needs to reach one of them only, but the cell
+should be handed to one with ample cores."""
 
 
 class Peer(NamedTuple):
@@ -19,7 +20,7 @@
 
 
 def add_peer(peers: dict[str, Peer], node: str, peer: Peer) -> None:
-    """Add an instance as the newest; forget the oldest if there are too many.
+    """Add an instance as the newest; forget a weak one if there are too many.
 
     :param peers: instances by name, the newest last; changed in place.
     :param node: name of the instance.
@@ -27,5 +28,5 @@
     """
     peers.pop(node, None)
     peers[node] = peer
-    while len(peers) > MAX_PEERS:
-        peers.pop(next(iter(peers)))
+    if len(peers) > MAX_PEERS:
+        peers.pop(min(peers, key=lambda name: peers[name].cores))
--- a/packages/instance/swifthoist_instance/peers.py
+++ b/packages/instance/swifthoist_instance/peers.py
@@ -48,6 +48,13 @@
 MAX_TRIES = 3
 """Number of instances that a call is handed to, one after the other."""
 
+AMPLE_SHARE = 0.5
+"""Share of the most cores of any instance from which one may be handed the
+cell."""
+
+MAX_HOLDER_TRIES = 6
+"""Number of instances that are asked to take the cell, one after the other."""
+
 TRY_S = 0.5
 """Time for an instance to answer a relayed call while others are left to try,
 in seconds. It must be reached within half of it."""
@@ -242,12 +249,7 @@
         """
         body = msgspec.json.encode(HandOver(epoch))
         call = PeerCall('POST', HAND_OVER_PATH, HAND_OVER_TRY_S, body)
-        others = self.others
-        # A holder needs processor time, so ample machines come first.
-        by_cores = sorted(
-            self._shuffled(others), key=lambda node: -min(others[node].cores, 1)
-        )
-        for node in by_cores[:MAX_TRIES]:
+        for node in self._shuffled(self._ample_others())[:MAX_HOLDER_TRIES]:
             try:
                 reply = await self._endpoint(node).call(call)
             except (OutcomeUnknownError, UnreachableError) as exc:
@@ -258,6 +260,17 @@
                 return node
         return ''
 
+    def _ample_others(self) -> list[str]:
+        """Return the others that have cores like the best of them.
+
+        A weak holder decides and renews leases late for as long as it holds
+        the cell. If no ample one can take it, the claims of all decide.
+        """
+        others = self.others
+        most = max((peer.cores for peer in others.values()), default=0)
+        ample = AMPLE_SHARE * most
+        return [node for node, peer in others.items() if peer.cores >= ample]
+
     async def _try_each(
         self, call: Call, targets: Iterable[str], budget_s: float
     ) -> Relayed:
--- a/tests/instance/test_peers.py
+++ b/tests/instance/test_peers.py
@@ -155,6 +155,23 @@
         run(main)
 
 
+class HandOverTest(unittest.TestCase):
+    """The cell goes to an instance that can bear it."""
+
+    def test_a_weak_instance_is_not_asked_to_hold_the_cell(self) -> None:
+        """Its decisions and renewals would come late; others claim instead."""
+
+        async def main() -> None:
+            calls: list[PeerCall] = []
+            peers = _peers({'weak': OK, 'ample': UNAVAILABLE}, calls)
+            known = peers._state.peers
+            known['ample'] = known['ample']._replace(cores=2)
+            self.assertEqual(await peers.hand_over(1), '')
+            self.assertEqual(len(calls), 1)
+
+        run(main)
+
+
 class JoinTest(unittest.TestCase):
     """Each instance tells its address once."""
 
@@ -188,6 +205,15 @@
 class KnownPeersTest(unittest.TestCase):
     """A bounded number of instances is known."""
 
+    def test_the_ample_are_kept(self) -> None:
+        """A cell was handed to a weak instance, as no ample one was known."""
+        peers: dict[str, Peer] = {}
+        add_peer(peers, 'ample', Peer('a:1', 2))
+        for number in range(2 * MAX_PEERS):
+            add_peer(peers, f'n{number}', Peer('a:1', 0.5))
+        self.assertIn('ample', peers)
+        self.assertIn(f'n{2 * MAX_PEERS - 1}', peers)
+
     def test_the_newest_are_kept(self) -> None:
         """One that tells its address again counts as new."""
         peers: dict[str, Peer] = {}
