--- a/tests/instance/test_peers.py
+++ b/tests/instance/test_peers.py
@@ -166,6 +166,7 @@
             peers = _peers({'weak': OK, 'ample': UNAVAILABLE}, calls)
             known = peers._state.peers
             known['ample'] = known['ample']._replace(cores=2)
+            known['weak'] = known['weak']._replace(cores=0.5)
             self.assertEqual(await peers.hand_over(1), '')
             self.assertEqual(len(calls), 1)
 
