Install pbr before the packages, which its users need to build from source

Cause: where no wheel of hdrhistogram is served (aarch64), pip builds it from source without isolation. Its build needs pbr, which constraints.txt pins and nothing installed, so pip reported ResolutionImpossible. Change: make setup installs pbr beside setuptools before anything else.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 $(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(PY) || python3.11 -m venv $(VENV) || python3 -m venv $(VENV)
-	$(PY) -m pip install -q -c constraints.txt setuptools
+	$(PY) -m pip install -q -c constraints.txt setuptools pbr
 	$(PY) -m pip install -q -c constraints.txt -r requirements-dev.txt \
 		--no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
 	touch $@
