Record and log what a crashed runner was doing

The logs of the incident show neither which runs a crashed runner was starting nor how long it had not been heard of, so they can't tell the run that caused a crash from its neighbours. The holder now appends RunnerCrashed before the runs are closed: the runs that the runner may not have survived the start of, the others, and whether it was seen up before. A start that was refused a connection counts as never begun. Planned departures (draining, upkeep) are no crashes. Line 'runner crashed', metric runner_crashes.

--- a/packages/engine/swifthoist_engine/records.py
+++ b/packages/engine/swifthoist_engine/records.py
@@ -254,6 +254,41 @@
     at_ms: Millis
 
 
+class LostRun(NamedTuple):
+    """A run that was open on a runner that crashed.
+
+    :ivar task: the task.
+    :ivar run: number of the run.
+    """
+
+    task: TaskId
+    run: int
+
+
+class RunnerCrashed(NamedTuple):
+    """A runner went down without notice, with runs on it.
+
+    It precedes the :class:`Vanished` records of these runs.
+
+    :ivar epoch: epoch of the holder.
+    :ivar runner: the runner.
+    :ivar machine: its machine, or its address if that is unknown.
+    :ivar starting: runs that it may not have survived the start of.
+    :ivar running: runs that had been running before.
+    :ivar certain: the holder saw it up before and knows that it went down;
+        otherwise it may only have been unreachable.
+    :ivar at_ms: time at which the holder noticed it.
+    """
+
+    epoch: Epoch
+    runner: RunnerId
+    machine: str
+    starting: tuple[LostRun, ...]
+    running: tuple[LostRun, ...]
+    certain: bool
+    at_ms: Millis
+
+
 class RunnerGone(NamedTuple):
     """A runner has left for good; its state can be dropped.
 
@@ -301,6 +336,7 @@
     | RunnerMet
     | RunnerDescribed
     | RunnerDoubted
+    | RunnerCrashed
     | RunnerGone
     | UpkeepBegun
     | WaveDone
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -19,6 +19,7 @@
 from swifthoist_instance.clients import Clients
 from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.crash_counts import CrashCounts
 from swifthoist_instance.dependencies import HolderDependencies
 from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Faults, Quarantine
@@ -180,6 +181,7 @@
         )
         turns = LoopMonitor(clock)
         self._lives = LifeCounts()
+        self._crashes = CrashCounts()
         self._holding = Holding(
             HolderDependencies(
                 self.tenure,
@@ -200,6 +202,7 @@
                 zones,
                 self._cold_zones,
                 self._lives,
+                self._crashes,
             )
         )
         intake = Intake(
@@ -244,6 +247,7 @@
         metrics.register('runner_lives_ended', lambda: self._lives.ended)
         metrics.register('runs_lost_with_lives', lambda: self._lives.lost)
         metrics.register('runs_unsure_with_lives', lambda: self._lives.unsure)
+        metrics.register('runner_crashes', lambda: self._crashes.crashes)
         self._shutdown_state = ShutdownState()
         api = Api(
             self._configuration,
--- a/packages/instance/swifthoist_instance/contacts.py
+++ b/packages/instance/swifthoist_instance/contacts.py
@@ -42,6 +42,8 @@
     :ivar context: state shared within the tenure.
     :ivar last_answer_ms: when it last answered.
     :ivar unanswered: the newest look got no answer.
+    :ivar lost_ms: time of the first call without an answer since its last
+        answer; None if there was none.
     :ivar replaced: another life answers at its address.
     :ivar closed: the contact is over: the runner is gone, or the session ended.
     :ivar life: the life of the runner that this contact is with.
@@ -70,6 +72,7 @@
         self.context = context
         self.last_answer_ms: Millis = context.clock.boot_ms()
         self.unanswered = False
+        self.lost_ms: Millis | None = None
         self.replaced = False
         self.closed = False
         clock = context.clock
@@ -186,9 +189,15 @@
         """
         if clock_ms:
             self.unanswered = False
+            self.lost_ms = None
             self.last_answer_ms = self.context.clock.boot_ms()
             self.lease.note_clock(clock_ms, self.last_answer_ms)
 
+    def note_no_answer(self) -> None:
+        """Record that a call got no answer."""
+        if self.lost_ms is None:
+            self.lost_ms = self.context.clock.boot_ms()
+
     def note_answer(self, answer: OrderAnswer) -> bool:
         """Process what the answer to an order says about the runner.
 
--- a/packages/instance/swifthoist_instance/context.py
+++ b/packages/instance/swifthoist_instance/context.py
@@ -10,6 +10,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.hang_detector import HangDetector
 from swifthoist_engine.records import Record
+from swifthoist_instance.crash_counts import CrashCounts
 from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
@@ -34,6 +35,7 @@
     :ivar lines: logs events of runs.
     :ivar over: set, and never cleared, once the tenure was found not in force.
     :ivar lives: counts restarts of runners under the same id.
+    :ivar crashes: counts crashes of runners.
     """
 
     tenure: Tenure
@@ -48,6 +50,7 @@
     lines: RunLines
     over: anyio.Event
     lives: LifeCounts
+    crashes: CrashCounts
 
     @property
     def epoch(self) -> Epoch:
--- /dev/null
+++ b/packages/instance/swifthoist_instance/crash_counts.py
@@ -0,0 +1,12 @@
+"""Counts crashes of runners, for metrics."""
+
+
+class CrashCounts:
+    """Counts crashes, as this instance saw them.
+
+    :ivar crashes: runners that went down without notice, with runs on them.
+    """
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.crashes = 0
--- /dev/null
+++ b/packages/instance/swifthoist_instance/crashes.py
@@ -0,0 +1,127 @@
+"""Finds out which runs a crashed runner may not have survived the start of."""
+
+import logging
+from collections.abc import Iterable
+
+from swifthoist_core.types import Millis
+from swifthoist_engine.jobs import OpenRun
+from swifthoist_engine.records import LostRun, RunnerCrashed, Vanished
+from swifthoist_instance.contacts import Contact
+from swifthoist_instance.orders import Orders
+from swifthoist_instance.outcomes import (
+    Checkpoints,
+    record_all,
+    vanished_record,
+)
+
+STARTUP_MS = 2_000
+"""How long before the loss of contact a start may have crashed the runner, in
+ms: without a reset of its connection, a look takes 1.6 s to fail."""
+
+SURVIVAL_MS = 1_000
+"""How long after a start a runner has to answer to have survived it, in ms."""
+
+SAME_BATCH_MS = 1_000
+"""Starts on a runner within this time of its newest one count as equally
+recent, in ms."""
+
+UNSEEN_MS = 5_000
+"""How long before the claim of the holder a runner may have crashed without
+its predecessor recording it, in ms."""
+
+_log = logging.getLogger(__name__)
+
+
+async def record_crash(
+    contact: Contact,
+    orders: Orders,
+    lost: Iterable[OpenRun],
+    reason: str,
+    checkpoints: Checkpoints,
+    *,
+    certain: bool = True,
+) -> bool:
+    """Record that a runner went down, with the runs that are lost for certain.
+
+    :param contact: the contact with the runner.
+    :param orders: orders to it.
+    :param lost: runs that are certainly gone.
+    :param reason: why that is certain.
+    :param checkpoints: newest checkpoints reported for its runs.
+    :param certain: whether the runner is known to have gone down.
+    :returns: whether the records are folded.
+    """
+    context = contact.context
+    crash = _describe_crash(contact, orders, certain=certain)
+    vanished: list[RunnerCrashed | Vanished] = [
+        vanished_record(context, run, reason, checkpoints) for run in lost
+    ]
+    if crash is None:
+        return await record_all(context, vanished)
+    if not await record_all(context, [crash, *vanished]):
+        return False
+    context.crashes.crashes += 1
+    unheard_ms = context.clock.boot_ms() - contact.last_answer_ms
+    fields = {
+        'runner': crash.runner,
+        'machine': crash.machine,
+        'starting': [_name(run) for run in crash.starting],
+        'running': len(crash.running),
+        'certain': crash.certain,
+        'unheard_ms': unheard_ms,
+        'why': reason,
+    }
+    _log.warning('runner crashed', extra=fields)
+    return True
+
+
+def _describe_crash(
+    contact: Contact, orders: Orders, *, certain: bool
+) -> RunnerCrashed | None:
+    """Return the record of a crash; None if it was planned or cost nothing."""
+    context = contact.context
+    entry = contact.registration
+    begun = context.cell.state.upkeeps.values()
+    in_upkeep = any(entry.runner in it.values() for it in begun)
+    runs = [
+        run
+        for run in context.cell.runs_on(entry.runner)
+        if orders.starts.may_have_begun(run)
+    ]
+    if entry.draining or in_upkeep or not runs:
+        return None
+    # Without an answer in this term, the crash may have been before it.
+    seen_up = contact.lease.known
+    if seen_up:
+        starting = [run for run in runs if _was_starting(contact, orders, run)]
+    else:
+        starting = _newest_batch(runs, context.cell.state.claimed_ms)
+    return RunnerCrashed(
+        context.epoch,
+        entry.runner,
+        entry.machine or entry.address,
+        tuple(LostRun(run.task, run.run) for run in starting),
+        tuple(LostRun(it.task, it.run) for it in runs if it not in starting),
+        certain and seen_up,
+        context.follower.time.now_ms(),
+    )
+
+
+def _was_starting(contact: Contact, orders: Orders, run: OpenRun) -> bool:
+    sent_ms = orders.starts.sent_ms(run)
+    lost_ms = contact.lost_ms
+    if lost_ms is None:
+        lost_ms = contact.context.clock.boot_ms()
+    survived_ms = contact.last_answer_ms - sent_ms
+    return survived_ms < SURVIVAL_MS and lost_ms - sent_ms <= STARTUP_MS
+
+
+def _newest_batch(runs: list[OpenRun], claimed_ms: Millis) -> list[OpenRun]:
+    newest_ms = max(run.started_ms for run in runs)
+    if newest_ms < claimed_ms - UNSEEN_MS:
+        return []
+    return [it for it in runs if it.started_ms >= newest_ms - SAME_BATCH_MS]
+
+
+def _name(run: LostRun) -> str:
+    return f'{".".join(map(str, run.task))}#{run.run}'
--- a/packages/instance/swifthoist_instance/dependencies.py
+++ b/packages/instance/swifthoist_instance/dependencies.py
@@ -8,6 +8,7 @@
 from swifthoist_engine.model import SiteTerms
 from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.crash_counts import CrashCounts
 from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Quarantine
 from swifthoist_instance.follower import Follower
@@ -45,6 +46,7 @@
     :ivar zones: knows in which zones runs may be started.
     :ivar cold_zones: knows which zones have cold runners.
     :ivar lives: counts lives of runners that were replaced by a new life.
+    :ivar crashes: counts crashes of runners.
     """
 
     tenure: Tenure
@@ -65,3 +67,4 @@
     zones: ZoneGate
     cold_zones: ColdZones
     lives: LifeCounts
+    crashes: CrashCounts
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -92,6 +92,7 @@
             RunLines(dependencies.follower.cell, dependencies.clock),
             anyio.Event(),
             dependencies.lives,
+            dependencies.crashes,
         )
         self._roster = Roster(
             self._registry,
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -23,6 +23,7 @@
     Contact,
 )
 from swifthoist_instance.outcomes import note_doubt, record_vanished
+from swifthoist_instance.sent_starts import SentStarts
 from swifthoist_platform.runner_calls import OrderResult, StartOrder
 
 _log = logging.getLogger(__name__)
@@ -34,6 +35,7 @@
     :ivar settled: time by which the runner had confirmed the start or stop of
         each run; a look sent later shows whether the run is there.
     :ivar stops: reasons of the stops in progress, by run.
+    :ivar starts: starts that this term has ordered.
     """
 
     def __init__(self, contact: Contact, tasks: TaskGroup) -> None:
@@ -44,11 +46,11 @@
         """
         self.settled: dict[RunKey, Millis] = {}
         self.stops: dict[RunKey, str] = {}
-        self._ordered: set[RunKey] = set()
         self._pending_stopped: set[RunKey] = set()
         self._contact = contact
         self._context = contact.context
         self._tasks = tasks
+        self.starts = SentStarts(contact.context.cell, contact.context.clock)
 
     def start(self, run: OpenRun, ticket: str) -> None:
         """Send a start to the runner, in the background.
@@ -56,7 +58,7 @@
         :param run: the run; its record is folded.
         :param ticket: permission of the queue's policy; empty if none.
         """
-        self._ordered.add((run.task, run.run))
+        self.starts.note_ordered((run.task, run.run))
         self._tasks.start_soon(self._send_start, run, ticket)
 
     def stop_orphans(self, present: Set[RunKey]) -> None:
@@ -68,7 +70,7 @@
         :param present: runs that the runner has, or that ended there.
         """
         runs = self._context.cell.runs
-        known = present | self._ordered | self.stops.keys()
+        known = present | self.starts.keys() | self.stops.keys()
         for run in runs.on(self._contact.runner):
             key = (run.task, run.run)
             if run.epoch != self._context.epoch or key in known:
@@ -96,7 +98,9 @@
         key = (run.task, run.run)
         if run.epoch != self._context.epoch:
             return False
-        known = key in self._ordered or self._context.cell.runs.is_unsent(key)
+        known = key in self.starts.keys() or self._context.cell.runs.is_unsent(
+            key
+        )
         return known and key not in self._contact.pending_starts.keys()
 
     def stop_pending_starts(self) -> None:
@@ -117,18 +121,18 @@
         """
         self.settled.pop(key, None)
         self.stops.pop(key, None)
-        self._ordered.discard(key)
+        self.starts.forget(key)
 
     def forget_closed(self) -> None:
         """Forget the orders of runs that are no longer open."""
         closed = [
             key
-            for key in self._ordered | self.settled.keys()
+            for key in self.starts.keys() | self.settled.keys()
             if self._context.cell.find_run(*key) is None
         ]
         for key in closed:
             self.settled.pop(key, None)
-            self._ordered.discard(key)
+            self.starts.forget(key)
 
     async def _send_start(self, run: OpenRun, ticket: str) -> None:
         may_be_pending = False
@@ -192,12 +196,16 @@
             ticket,
         )
         may_be_pending = contact.pending_starts.note_sent(key)
+        sent_ms = self._context.clock.boot_ms()
         try:
             answer = await contact.client.start(order, CALL_S)
         except NO_ANSWER_ERRORS as exc:
-            fields = {**_run_fields(run), 'why': str(exc)}
-            _log.warning('start unanswered', extra=fields)
+            self.starts.note_unanswered(key, sent_ms, exc)
+            contact.note_no_answer()
+            _log_unanswered('start', run, exc)
             return None
+        if answer.result in {OrderResult.TAKEN, OrderResult.OLD}:
+            self.starts.note_sent(key, sent_ms)
         self._context.lines.note(
             'start',
             run.task,
@@ -250,13 +258,18 @@
                 run.task, run.run, self._context.epoch, CALL_S
             )
         except NO_ANSWER_ERRORS as exc:
-            fields = {**_run_fields(run), 'why': str(exc)}
-            _log.warning('stop unanswered', extra=fields)
+            contact.note_no_answer()
+            _log_unanswered('stop', run, exc)
             return False
         ours = contact.note_answer(answer)
         return ours and answer.result in {OrderResult.TAKEN, OrderResult.OLD}
 
 
+def _log_unanswered(kind: str, run: OpenRun, exc: Exception) -> None:
+    fields = {**_run_fields(run), 'why': str(exc)}
+    _log.warning(f'{kind} unanswered', extra=fields)
+
+
 def _run_fields(run: OpenRun) -> dict[str, object]:
     return {
         'job': run.task.job,
--- a/packages/instance/swifthoist_instance/rebirths.py
+++ b/packages/instance/swifthoist_instance/rebirths.py
@@ -8,12 +8,9 @@
 from swifthoist_engine.records import RunnerDescribed, RunnerGone, RunnerMet
 from swifthoist_engine.run_index import RunKey
 from swifthoist_instance.contacts import RETRY_S, Contact
+from swifthoist_instance.crashes import record_crash
 from swifthoist_instance.orders import Orders
-from swifthoist_instance.outcomes import (
-    Checkpoints,
-    record_all,
-    record_vanished,
-)
+from swifthoist_instance.outcomes import Checkpoints, record_all
 
 _log = logging.getLogger(__name__)
 
@@ -34,7 +31,7 @@
     runs = context.cell.runs_on(contact.runner)
     lost = [run for run in runs if orders.has_no_pending_start(run)]
     reason = 'its runner has started again'
-    if not await record_vanished(context, lost, reason, checkpoints):
+    if not await record_crash(contact, orders, lost, reason, checkpoints):
         await anyio.sleep(RETRY_S)
         return
     fields = {'lost': len(lost), 'unsure': len(runs) - len(lost)}
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -23,13 +23,13 @@
     RETRY_S,
     Contact,
 )
+from swifthoist_instance.crashes import record_crash
 from swifthoist_instance.orders import Orders
 from swifthoist_instance.outcomes import (
     Checkpoints,
     ended_record,
     note_doubt,
     record_all,
-    record_vanished,
     vanished_record,
 )
 from swifthoist_instance.paces import filling_tasks, keep_pace
@@ -190,8 +190,8 @@
             return
         runs = self._context.cell.runs_on(self.contact.runner)
         reason = 'another life of the runner answers'
-        if not await record_vanished(
-            self._context, runs, reason, self.checkpoints
+        if not await record_crash(
+            self.contact, orders, runs, reason, self.checkpoints
         ):
             return
         if self._context.cell.runs_on(self.contact.runner):
@@ -215,7 +215,8 @@
             )
         except NO_ANSWER_ERRORS as exc:
             contact.unanswered = True
-            await self._note_silence(str(exc))
+            contact.note_no_answer()
+            await self._note_silence(str(exc), orders)
             return
         if poll.result is not OrderResult.TAKEN:
             contact.note_verdict(poll.result)
@@ -255,14 +256,21 @@
         _log.info('runner synced', extra={'runner': self.contact.runner})
         self._context.wake.notify()
 
-    async def _note_silence(self, reason: str) -> None:
+    async def _note_silence(self, reason: str, orders: Orders) -> None:
         contact = self.contact
         now_ms = self._context.clock.boot_ms()
         if contact.lease.expired(now_ms):
             runs = self._context.cell.runs_on(self.contact.runner)
             unheard_s = (now_ms - contact.last_answer_ms) / 1_000
             cause = f'lease ended, no answer for {unheard_s:.1f} s'
-            await record_vanished(self._context, runs, cause, self.checkpoints)
+            await record_crash(
+                contact,
+                orders,
+                runs,
+                cause,
+                self.checkpoints,
+                certain=False,
+            )
         if contact.silent and self.synced:
             self.synced = False
             fields = {'runner': self.contact.runner, 'why': reason}
--- a/tests/instance/test_evacuations.py
+++ b/tests/instance/test_evacuations.py
@@ -132,6 +132,7 @@
             active=lambda: True,
             pending_starts=PendingStarts(LoopClock()),
             note_answer=mock.Mock(return_value=True),
+            note_no_answer=mock.Mock(),
         )
 
     def test_a_start_without_an_answer_is_not_sent_again(self) -> None:
