--- a/packages/emulator/swifthoist_emulator/checker.py
+++ b/packages/emulator/swifthoist_emulator/checker.py
@@ -1,6 +1,6 @@
 """Checks the scheduler's invariants against what runners actually did."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -9,6 +9,12 @@
 from swifthoist_engine.model import Resources, TaskId
 from swifthoist_engine.records import Ending
 
+CRASHES_BEFORE_LIMIT = 3
+"""Number of runners that a task may crash before its starts are limited."""
+
+MAX_STARTS_AFTER = 2
+"""Maximum number of starts of such a task from then on."""
+
 
 class RunLocation(NamedTuple):
     """A run and the runner that it is on.
@@ -35,6 +41,7 @@
         more starts are allowed there.
     :ivar late: the current order was delayed by a fault, so that a start in a
         closed zone is no violation.
+    :ivar crashes: number of runners that each task has crashed.
     """
 
     broken: list[str] = field(default_factory=list)
@@ -47,6 +54,8 @@
     accelerator_ms: int = 0
     closed: frozenset[RunnerId] = frozenset()
     late: bool = False
+    crashes: Counter[TaskId] = field(default_factory=Counter)
+    _starts_after_limit: Counter[TaskId] = field(default_factory=Counter)
     _running: dict[TaskId, set[RunLocation]] = field(
         default_factory=lambda: defaultdict(set)
     )
@@ -84,6 +93,7 @@
             self.broken.append(f'{task} starts, though nobody submitted it')
         if runner in self.closed and not self.late:
             self.broken.append(f'{task} starts on {runner}, which is evacuated')
+        self._limit_starts(task)
         # Whether an earlier end counts is only known once the scheduler
         # acknowledges it.
         self._superseded.update(
@@ -97,6 +107,20 @@
         if not total.fits(room):
             self.broken.append(f'{runner} is over its capacity: {total}')
 
+    def _limit_starts(self, task: TaskId) -> None:
+        if self.late or self.crashes[task] < CRASHES_BEFORE_LIMIT:
+            return
+        self._starts_after_limit[task] += 1
+        if self._starts_after_limit[task] > MAX_STARTS_AFTER:
+            self.broken.append(f'{task} starts, though it crashes its runners')
+
+    def note_crashed_by(self, task: TaskId) -> None:
+        """Record that a task has crashed the runner that started it.
+
+        :param task: the task.
+        """
+        self.crashes[task] += 1
+
     def note_end(
         self, runner: RunnerId, task: TaskId, run: int, how: str
     ) -> None:
--- a/packages/emulator/swifthoist_emulator/fleet.py
+++ b/packages/emulator/swifthoist_emulator/fleet.py
@@ -12,6 +12,9 @@
 
 GangKey = tuple[str, int, int, int]
 
+RESTART_MS = 3_000
+"""How long a runner that a task has crashed is down, in ms."""
+
 
 class Place(NamedTuple):
     """Location of a runner.
@@ -42,6 +45,8 @@
     :ivar cold_until_ms: end of its slow phase, in true time since the start.
     :ivar keeps_id: every life has the same runner id.
     :ivar since_ms: true time at which the clock of its life started.
+    :ivar restart_ms: true time at which its runner starts again; None if it
+        is up, or stays down.
     """
 
     name: str
@@ -54,6 +59,7 @@
     cold_until_ms: Millis = 0
     keeps_id: bool = False
     since_ms: Millis = 0
+    restart_ms: Millis | None = None
 
     @property
     def runner(self) -> RunnerId:
@@ -93,6 +99,7 @@
         """
         host.lives += 1
         host.draining = False
+        host.restart_ms = None
         host.life = Life(host.runner, host.room, self.checker)
         if host.keeps_id:
             host.since_ms = self.now_ms
@@ -123,6 +130,7 @@
         :param now_ms: true time since the start.
         """
         self.now_ms = now_ms
+        self._restart_crashed()
         lives = [host for host in self.hosts.values() if host.life]
         gangs = self._gangs(lives)
         for host in lives:
@@ -132,6 +140,21 @@
                 host.life.advance(int(passed_ms * host.drift))
         self._break_gangs(gangs, lives)
         self._join_gangs(lives)
+        self._crash_by_tasks(lives)
+
+    def _crash_by_tasks(self, hosts: Iterable[Host]) -> None:
+        for host in hosts:
+            task = host.life.crashing_task() if host.life else None
+            if task is not None:
+                self.checker.note_crashed_by(task)
+                self.kill(host)
+                host.restart_ms = self.now_ms + RESTART_MS
+
+    def _restart_crashed(self) -> None:
+        for host in self.hosts.values():
+            due_ms = host.restart_ms
+            if due_ms is not None and self.now_ms >= due_ms:
+                self.revive(host)
 
     def _gangs(self, hosts: Iterable[Host]) -> dict[GangKey, set[TaskId]]:
         gangs: dict[GangKey, set[TaskId]] = defaultdict(set)
--- a/packages/emulator/swifthoist_emulator/lives.py
+++ b/packages/emulator/swifthoist_emulator/lives.py
@@ -50,6 +50,8 @@
     :ivar serves: it serves users and has a tail latency.
     :ivar fills: it uses capacity that is left over, and slows down serving
         tasks on the same runner.
+    :ivar crashes_ms: the first task of the step crashes its runner this long
+        after each of its starts, in ms; None if it does not.
     """
 
     work_ms: Millis
@@ -60,6 +62,7 @@
     lasting: bool = False
     serves: bool = False
     fills: bool = False
+    crashes_ms: Millis | None = None
 
 
 def write_payload(steps: tuple[StepWork, ...]) -> str:
@@ -287,6 +290,16 @@
         filling = sum(it.pace for it in self.runs.values() if it.work.fills)
         return BASE_TAIL_MS + INTERFERENCE_MS * filling // FULL_PACE_PERCENT
 
+    def crashing_task(self) -> TaskId | None:
+        """Return the task that crashes the runner now; None if none does."""
+        for run in self.runs.values():
+            after_ms = run.work.crashes_ms
+            if after_ms is None or run.task.ordinal:
+                continue
+            if run.present and self.now_ms - run.started_ms >= after_ms:
+                return run.task
+        return None
+
     def crash(self) -> None:
         """Crash: all runs are lost."""
         self.over = True
