Send no start to a runner that has shrunk below it

What would be seen: a runner that doesn't guard its capacity is brought over it (LIMIT). Cause: a start that gets no answer is sent again unchanged for as long as it is wanted, while the room that it was decided by may be gone. Change: before each try the open runs of the runner are compared with its newest capacity; where they don't fit the start is withdrawn, by a stop if it may be pending. The emulator's runners can be resized, and judge a start by the largest capacity of the last 4.5 s (time in touch and one beat).

--- a/packages/emulator/swifthoist_emulator/fleet.py
+++ b/packages/emulator/swifthoist_emulator/fleet.py
@@ -124,6 +124,16 @@
         for other in others:
             _break_tasks(other, orphaned)
 
+    def resize(self, host: Host, room: Resources) -> None:
+        """Change the capacity of a runner while it runs.
+
+        :param host: the host.
+        :param room: the new capacity.
+        """
+        host.room = room
+        if host.life is not None:
+            host.life.resize(room)
+
     def crash(self, host: Host) -> None:
         """Crash the process of a runner, which starts again after a while.
 
--- a/packages/emulator/swifthoist_emulator/lives.py
+++ b/packages/emulator/swifthoist_emulator/lives.py
@@ -20,6 +20,9 @@
 GANG_TIMEOUT_MS = 3_000
 CHECKPOINT_INTERVAL_MS = 500
 
+SHRINK_GRACE_MS = 4_500
+"""How long after a runner has shrunk its former capacity still counts, in ms."""
+
 COLD_SLOWDOWN = 3
 """Factor by which a task takes longer on a cold runner."""
 
@@ -178,6 +181,15 @@
     _max_barred_run: dict[TaskId, int] = field(default_factory=dict)
     _last_end: int = 0
     _last_void_end: int = 0
+    _former_rooms: list[tuple[Millis, Resources]] = field(default_factory=list)
+
+    def resize(self, room: Resources) -> None:
+        """Change the capacity.
+
+        :param room: the new capacity.
+        """
+        self._former_rooms.append((self.now_ms, self.room))
+        self.room = room
 
     def advance(self, now_ms: Millis) -> None:
         """Advance the time: runs progress, leases and timeouts expire.
@@ -247,7 +259,9 @@
             self.now_ms,
             present=work.gang < 2,
         )
-        self.checker.note_start(self.runner, task, run, work.need, self.room)
+        self.checker.note_start(
+            self.runner, task, run, work.need, self._room_in_force()
+        )
         return ''
 
     def stop(self, task: TaskId, run: int) -> None:
@@ -310,6 +324,12 @@
         self.checker.note_crash(self.runner)
         self.runs.clear()
 
+    def _room_in_force(self) -> Resources:
+        """Return the capacity by which starts are judged."""
+        since_ms = self.now_ms - SHRINK_GRACE_MS
+        rooms = [room for at_ms, room in self._former_rooms if at_ms > since_ms]
+        return Resources(*map(max, zip(self.room, *rooms, strict=True)))
+
     def _check_tail_latency(self, run: TaskRun, passed_ms: Millis) -> None:
         over = run.work.serves and self.gauge(run) > TAIL_TARGET_MS
         run.over_ms = run.over_ms + passed_ms if over else 0
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -136,31 +136,49 @@
 
     async def _send_start(self, run: OpenRun, ticket: str) -> None:
         may_be_pending = False
-        while self._may_start(run):
+        while self._wanted(run):
+            obstacle = self._obstacle(run)
+            if obstacle:
+                await self._withdraw(
+                    run, obstacle, may_be_pending=may_be_pending
+                )
+                return
             result = await self._try_start(run, ticket)
-            match result:
-                case None:
-                    may_be_pending = True
-                case OrderResult.TAKEN | OrderResult.OLD:
-                    self._settle(run)
-                    return
-                case OrderResult.LATE:
-                    _log.warning('lease too short', extra=_run_fields(run))
-                case OrderResult.FENCED | OrderResult.OTHER_LIFE:
-                    return
-                case _:
-                    await self._note_rejected(
-                        run, result, may_be_pending=may_be_pending
-                    )
-                    return
+            may_be_pending = may_be_pending or result is None
+            if await self._is_final(run, result, may_be_pending=may_be_pending):
+                return
             await anyio.sleep(RETRY_S)
-        if self._wanted(run):
-            await self._withdraw(
-                run, 'its zone is evacuated', may_be_pending=may_be_pending
-            )
 
-    def _may_start(self, run: OpenRun) -> bool:
-        return self._wanted(run) and self._gate() is not Gate.CLOSED
+    async def _is_final(
+        self, run: OpenRun, result: OrderResult | None, *, may_be_pending: bool
+    ) -> bool:
+        """Process the result of a start, and return whether it is final."""
+        match result:
+            case None:
+                return False
+            case OrderResult.TAKEN | OrderResult.OLD:
+                self.settled[run.task, run.run] = self._context.clock.boot_ms()
+            case OrderResult.LATE:
+                _log.warning('lease too short', extra=_run_fields(run))
+                return False
+            case OrderResult.FENCED | OrderResult.OTHER_LIFE:
+                return True
+            case _:
+                await self._note_rejected(
+                    run, result, may_be_pending=may_be_pending
+                )
+        return True
+
+    def _obstacle(self, run: OpenRun) -> str:
+        """Return why a run must not start here any more; empty if it may."""
+        if self._gate() is Gate.CLOSED:
+            return 'its zone is evacuated'
+        entry = self._contact.registration
+        used = self._context.cell.runs.used_on(run.runner)
+        # Only the address of an unregistered runner is known.
+        if entry.service and not used.fits(entry.room):
+            return 'its runner has shrunk'
+        return ''
 
     def _wanted(self, run: OpenRun) -> bool:
         key = (run.task, run.run)
@@ -174,9 +192,6 @@
     def _gate(self) -> Gate:
         return self._context.zones.gate(self._contact.registration.zone)
 
-    def _settle(self, run: OpenRun) -> None:
-        self.settled[run.task, run.run] = self._context.clock.boot_ms()
-
     async def _try_start(self, run: OpenRun, ticket: str) -> OrderResult | None:
         contact = self._contact
         job = self._context.cell.find_job(run.task.job)
@@ -246,7 +261,7 @@
         self._context.lines.note_stop(run, reason)
         while self._contact.active() and not await self._try_stop(run):
             await anyio.sleep(RETRY_S)
-        self._settle(run)
+        self.settled[run.task, run.run] = self._context.clock.boot_ms()
         while self._contact.active() and self._context.cell.find_run(*key):
             await self._context.follower.wait_progress()
         self.stops.pop(key, None)
