Treat a document that nests too deep as invalid

What was seen: with 100,000 open brackets as a call's body, a runner's entry or the configuration, decoding raised RecursionError where only invalid JSON was expected. A caller got no proper answer; an entry of a runner ended the holder's term again and again, on each instance that took the cell over: the same class as a task that crashes runner after runner. Change: read_json reports it as a finding; the internal interface answers 400.

--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -196,7 +196,7 @@
     async def _submit(self, job_id: str, content: bytes) -> Answer:
         try:
             request = msgspec.json.decode(content, type=JobInput)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             return Answer(400, {'error': [str(exc)]})
         catalogue = self._configuration.catalogue
         queue = catalogue.queue_named(request['queue']) if catalogue else None
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -157,7 +157,7 @@
     async def _take_over(self, content: bytes) -> Answer:
         try:
             wanted = msgspec.json.decode(content, type=HandOver)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             _log.warning('hand-over unread', extra={'why': str(exc)})
             return Answer(BAD_REQUEST)
         taken = await self.tenure.take_over(wanted.epoch)
--- a/packages/platform/swifthoist_platform/values.py
+++ b/packages/platform/swifthoist_platform/values.py
@@ -188,6 +188,6 @@
     """
     try:
         document = msgspec.json.decode(content)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         return DocumentReader({}, findings=[Finding('document', str(exc))])
     return DocumentReader(document)
