--- a/tests/system/stage.py
+++ b/tests/system/stage.py
@@ -22,16 +22,16 @@
         *,
         instances: int = 3,
         site: Site = STANDARD,
-        start: Callable[[Stage], None] | None = None,
+        prepare: Callable[[Stage], None] | None = None,
     ) -> ServedWorld:
         """Run a scenario and check that no guarantee was violated.
 
-        :param start: prepares the stage before its instances start.
+        :param prepare: prepares the stage before its instances start.
         """
         world = ServedWorld(site, SystemClock())
         with tempfile.TemporaryDirectory() as folder:
             anyio.run(
-                _run_scenario, world, Path(folder), instances, scenario, start
+                _run_scenario, world, Path(folder), instances, scenario, prepare
             )
         self.assertEqual(world.checker.broken, [])
         return world
@@ -42,7 +42,7 @@
     folder: Path,
     count: int,
     scenario: Callable[[Stage], Awaitable[None]],
-    start: Callable[[Stage], None] | None,
+    prepare: Callable[[Stage], None] | None,
 ) -> None:
-    async with open_stage(world, folder, count, start) as stage:
+    async with open_stage(world, folder, count, prepare) as stage:
         await scenario(stage)
--- a/tests/system/test_versions.py
+++ b/tests/system/test_versions.py
@@ -167,7 +167,7 @@
                 await stage.wait_state(order, 'complete')
             await stage.wait_state(crashing, 'failed')
 
-        self.run_scenario(scenario, site=FEW_RUNNERS, start=self._begin_old)
+        self.run_scenario(scenario, site=FEW_RUNNERS, prepare=self._begin_old)
 
     def test_a_rollback_under_load_starts_no_task_that_was_given_up(
         self,
@@ -204,7 +204,7 @@
             began = [it for it in holder.lines() if '"term begins"' in it]
             self.assertEqual(len(began), 1)
 
-        self.run_scenario(scenario, site=FEW_RUNNERS, start=self._begin_old)
+        self.run_scenario(scenario, site=FEW_RUNNERS, prepare=self._begin_old)
 
     def _begin_old(self, stage: Stage) -> None:
         for instance in stage.instances:
