--- a/tests/instance/test_tenure.py
+++ b/tests/instance/test_tenure.py
@@ -6,11 +6,13 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from swifthoist_engine.records import Beat
+from swifthoist_engine.records import Beat, Claimed, encode_record
+from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_instance.tenure import (
     HOLDER_TIMEOUT_MS,
     MAX_CLAIM_DELAY_MS,
     MAX_LOG_OUTAGE_MS,
+    OUTDATED_HOLDER_MS,
     VACANT_CLAIM_JITTER_MS,
 )
 from tests.instance.entry import InstanceHarness, configure
@@ -89,6 +91,37 @@
 
         run(main)
 
+    def test_a_holder_of_an_earlier_version_is_replaced_once(self) -> None:
+        """It lacks something, although it is not silent."""
+
+        async def beat(store: FakeStore) -> None:
+            topic = store.topic(CELL_TOPIC)
+            topic.append([encode_record(Claimed(1, 'earlier', 1))], 0)
+            while True:
+                topic.append([encode_record(Beat(1, 1))], 0)
+                await anyio.sleep(0.2)
+
+        async def main() -> None:
+            store = FakeStore()
+            configure(store)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(beat, store)
+                instances = [
+                    InstanceHarness(f'entry-{number}', store)
+                    for number in range(3)
+                ]
+                for instance in instances:
+                    instance.start(tasks, claims=True)
+                await anyio.sleep(OUTDATED_HOLDER_MS / 1_000 - 0.1)
+                self.assertEqual(_holders(instances), [])
+                await anyio.sleep(1)
+                self.assertEqual(len(_holders(instances)), 1)
+                await anyio.sleep(10)
+                self.assertEqual(instances[0].epoch, 2)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
     def test_a_holder_stops_acting_once_it_has_not_read_for_long(self) -> None:
         """Another instance may hold the cell by then."""
 
