Count crashes of a unit at most once a run, and let urgent suspects not wait

A unit that outlasted a start forgot its crashes at starts, so a task whose starts are judged late now and then could crash more than five runners; they now count by 1 instead, and the bound of five holds. A gang lost under an older holder counted once for each member. An urgent suspect waited up to 1.5 s for a runner without other starts; it now takes the one with the least to lose at once.

--- a/packages/engine/swifthoist_engine/crashes.py
+++ b/packages/engine/swifthoist_engine/crashes.py
@@ -55,8 +55,8 @@
     """Add a crash to those of a unit.
 
     A run counts once, although the members of a gang may lose several runners
-    at a time. A run that outlasted its start clears the unit of crashes at
-    starts.
+    at a time. After a run that outlasted its start, crashes at starts before
+    it weigh no more than others.
 
     :param crashes: crashes of the unit, oldest first.
     :param crash: the crash.
@@ -69,7 +69,7 @@
         and (known.run != crash.run or known.weight > crash.weight)
     ]
     if crash.weight == RUNNING_WEIGHT:
-        kept = [it for it in kept if it.weight == RUNNING_WEIGHT]
+        kept = [known._replace(weight=RUNNING_WEIGHT) for known in kept]
     if all(known.run != crash.run for known in kept):
         kept.append(crash)
     return kept
@@ -83,7 +83,10 @@
     :returns: the crashes that count from now on.
     """
     light = sum(known.weight == RUNNING_WEIGHT for known in crashes)
-    return [*crashes, crash] if light < MAX_UNREPORTED else list(crashes)
+    counted = any(known.run == crash.run for known in crashes)
+    if counted or light >= MAX_UNREPORTED:
+        return list(crashes)
+    return [*crashes, crash]
 
 
 def should_give_up(crashes: Sequence[Crash]) -> bool:
--- a/packages/engine/swifthoist_engine/isolation.py
+++ b/packages/engine/swifthoist_engine/isolation.py
@@ -17,8 +17,8 @@
 in ms: by then a runner that has crashed is known to be silent."""
 
 ISOLATION_WAIT_MS = 1_500
-"""How long a suspected unit waits for a runner without other starts, in ms:
-less than the 3 s after which a job counts as stalled."""
+"""How long a suspected unit waits for a runner without other starts unless it
+is urgent, in ms: less than the 3 s after which a job counts as stalled."""
 
 PROBATION_WAIT_MS = 2_000
 """How long other units wait for other runners, in ms; see above."""
@@ -26,6 +26,9 @@
 SAME_MACHINE_RISK = 1_000_000
 """Rank of a machine that has crashed under a unit: behind all others."""
 
+STARTING_RISK = 10_000
+"""Rank of a runner with other starts: behind those with many runs."""
+
 
 class Isolation:
     """Isolation of suspected units in one decision."""
@@ -58,9 +61,9 @@
             return True
         waited_ms = pending.waited_ms(self._now_ms)
         if _is_suspected(pending):
-            if waited_ms > ISOLATION_WAIT_MS:
+            if pending.urgent or waited_ms > ISOLATION_WAIT_MS:
                 return True
-            return runner not in self._chosen and not self._is_starting(runner)
+            return not self._is_starting(runner)
         if runner in self._isolated:
             return False
         if runner not in self._on_probation:
@@ -94,9 +97,15 @@
         machine = facts.machine if facts else ''
         crashed = {crash.machine for crash in pending.state.crashes}
         known = bool(machine) and machine in crashed
-        return len(self._cell.runs_on(runner)) + SAME_MACHINE_RISK * known
+        return (
+            SAME_MACHINE_RISK * known
+            + STARTING_RISK * self._is_starting(runner)
+            + len(self._cell.runs_on(runner))
+        )
 
     def _is_starting(self, runner: RunnerId) -> bool:
+        if runner in self._chosen:
+            return True
         since_ms = self._now_ms - PROBATION_MS
         runs = self._cell.runs_on(runner)
         return any(run.started_ms > since_ms for run in runs)
--- a/tests/engine/test_crashes.py
+++ b/tests/engine/test_crashes.py
@@ -132,6 +132,9 @@
         self.scene.crash('runner-2', running=((FIRST, 2),))
         self.scene.start_and_crash(3, FIRST)
         self.assertEqual(self.scene.given_up, ())
+        self.assertEqual(
+            [it.weight for it in self.scene.unit(0).crashes], [1, 1, 5]
+        )
 
     def test_a_runner_that_may_be_unreachable_counts_less(self) -> None:
         """Two such losses don't suffice, three do."""
@@ -168,6 +171,14 @@
         )
         self.assertEqual(scene.decide([view(1)]).given_up, ())
 
+    def test_a_gang_that_an_older_holder_loses_counts_once_a_run(self) -> None:
+        """Each of its members is closed with the reason of a crash."""
+        scene = Scene(job_spec('j', BATCH, gang(2)))
+        scene.start(UnitId('j', 0, 0, -1), 'runner-1', 'runner-2')
+        for task_id, runner in ((FIRST, 'runner-1'), (SECOND, 'runner-2')):
+            scene.fold(Vanished(1, task_id, 1, runner, REASON))
+        self.assertEqual(len(scene.job().units[0, 0, -1].crashes), 1)
+
     def test_the_generation_is_that_of_the_instance_that_won_the_claim(
         self,
     ) -> None:
@@ -256,6 +267,21 @@
         placed = self._placed(view(2), now_ms=late_ms)
         self.assertEqual(set(placed) >= {UnitId(*FIRST), UnitId(*SECOND)}, True)
 
+    def test_an_urgent_one_does_not_wait_for_a_runner_of_its_own(self) -> None:
+        """It takes one without other starts if there is one."""
+        scene = CrashScene(
+            job_spec('j', URGENT, task()), job_spec('k', BULK, task())
+        )
+        scene.start_and_crash(1, FIRST)
+        scene.start(UnitId('k', 0, 0, 0), 'runner-2', at_ms=self.later_ms)
+        for views, chosen in (
+            ([view(2)], 'runner-2'),
+            ([view(2), view(3)], 'runner-3'),
+        ):
+            decision = scene.decide(views, now_ms=self.later_ms)
+            placed = runners_by_unit(decision)
+            self.assertEqual(placed, {UnitId(*FIRST): [chosen]})
+
     def test_nothing_else_starts_beside_one_on_probation(self) -> None:
         """A guaranteed urgent unit may, and others after some time."""
         self.scene.start(UnitId(*FIRST), 'runner-2', run=2, at_ms=self.later_ms)
