--- a/tests/system/test_versions.py
+++ b/tests/system/test_versions.py
@@ -10,7 +10,12 @@
 
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.site import STANDARD
-from swifthoist_emulator.stage import Instance, Stage
+from swifthoist_emulator.stage import (
+    POLL_S,
+    WAIT_TIMEOUT_S,
+    Instance,
+    Stage,
+)
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.model import TaskId, UnitId
 from swifthoist_engine.records import (
@@ -144,8 +149,9 @@
     ) -> None:
         """Stop an instance, and start it in another version."""
         instance.send(signal.SIGTERM)
-        while instance.popen is None or instance.popen.poll() is None:
-            await anyio.sleep(0.05)
+        with anyio.fail_after(WAIT_TIMEOUT_S):
+            while instance.popen is None or instance.popen.poll() is None:
+                await anyio.sleep(POLL_S)
         instance.import_path = import_path
         instance.start()
         await stage.wait_ready(instance)
