Tests: runners that fall silent by themselves, one of them red

With lasting ids it fails: one of four innocent jobs is given up, weights 3, 3 and 3. Run: tests.simulation.test_crashes, 10 pass, this one fails.

--- a/tests/simulation/test_crashes.py
+++ b/tests/simulation/test_crashes.py
@@ -202,3 +202,27 @@
 
         self.play(scenario)
         self.play(scenario, SAME_IDS)
+
+    def test_runners_that_fall_silent_by_themselves_fail_no_job(self) -> None:
+        """They don't answer while they are down, so calls have to time out."""
+        self.play(self._fall_silent_in_turn)
+
+    def test_runners_of_lasting_ids_that_fall_silent_fail_no_job(self) -> None:
+        """Their next lives answer at once under the same id."""
+        self.play(self._fall_silent_in_turn, SAME_IDS)
+
+    async def _fall_silent_in_turn(self, cluster: Cluster) -> None:
+        await cluster.holder()
+        fleet = cluster.world.fleet
+        orders = [cluster.order('/bulk/', LONG, width=6) for _ in range(4)]
+        for order in orders:
+            await cluster.submit(order)
+        for number in range(6):
+            await anyio.sleep(1.7)
+            hosts = list(fleet.hosts.values())
+            for host in hosts[number % 3 :: 3]:
+                fleet.kill(host)
+            await anyio.sleep(2)
+            for host in hosts[number % 3 :: 3]:
+                fleet.revive(host)
+        await _complete_all(cluster, orders, 90)
