Log each attempt of a call that is passed on, and each rejection

The logs could not tell three causes of false refusals apart: which instance answered what, whether a call was on its way when it was canceled, and what callers were told with a 4xx. `call passed on` now lists the attempts, also where it is canceled, and `call rejected` has the status and the version of the configuration.

--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -75,6 +75,9 @@
 """Maximum random addition to Retry-After, in seconds, so that refused callers
 do not all retry at once."""
 
+_REJECTIONS = frozenset((BAD_REQUEST, UNAUTHORIZED, NOT_FOUND, CONFLICT))
+"""Answers that blame the call; others log why they are given."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -146,11 +149,14 @@
             # Callers never see an instance go back to an older configuration.
             call = call._replace(min_version=catalogue.version)
         try:
-            return await self._serve(call)
+            answer = await self._serve(call)
         except NotServedError as exc:
             if call.relayed:
                 return self._refuse(call, str(exc))
-            return await self._pass_on(call, str(exc), deadline)
+            answer = await self._pass_on(call, str(exc), deadline)
+        if answer.status in _REJECTIONS and not call.relayed:
+            self._note_rejected(call, answer)
+        return answer
 
     async def _pass_on(
         self, call: Call, reason: str, deadline: float
@@ -304,6 +310,17 @@
             await self._follower.wait_folded(offset, CANCEL_FOLD_TIMEOUT_S)
         return Answer(OK)
 
+    def _note_rejected(self, call: Call, answer: Answer) -> None:
+        catalogue = self._configuration.catalogue
+        fields = {
+            'job': call.path.rpartition('/')[2],
+            'method': call.method,
+            'path': call.path,
+            'status': answer.status,
+            'version': catalogue.version if catalogue else None,
+        }
+        _log.info('call rejected', extra=fields)
+
     def _refuse(
         self, call: Call, reason: str, *, alone: bool = False
     ) -> Answer:
--- a/packages/instance/swifthoist_instance/peers.py
+++ b/packages/instance/swifthoist_instance/peers.py
@@ -120,6 +120,25 @@
         """Whether this instance seems to be cut off from all others."""
         return self.unreached > 0 and not self.refused
 
+    def describe(self) -> str:
+        """Describe the outcome of one attempt, for the log."""
+        if self.answer is not None:
+            return str(self.answer.status)
+        if self.unknown:
+            return 'unknown'
+        return 'refused' if self.refused else 'unreachable'
+
+
+class _Try(NamedTuple):
+    """An attempt to have another instance serve a call, for the log.
+
+    :ivar node: name of the instance.
+    :ivar outcome: what became of the attempt.
+    """
+
+    node: str
+    outcome: str = 'canceled'
+
 
 @dataclass(slots=True)
 class RelayCounts:
@@ -223,10 +242,21 @@
         if self._open_relays >= MAX_OPEN_RELAYS or not call.key.isascii():
             return Relayed()
         self._open_relays += 1
+        # An attempt that is canceled may still take effect.
+        found = Relayed(unknown=True)
+        tries: list[_Try] = []
         try:
-            found = await self._try_each(call, filter(None, targets), budget_s)
+            found = await self._try_each(
+                call, filter(None, targets), budget_s, tries
+            )
         finally:
             self._open_relays -= 1
+            self._note_relayed(call, reason, found, tries)
+        return found
+
+    def _note_relayed(
+        self, call: Call, reason: str, found: Relayed, tries: list['_Try']
+    ) -> None:
         served = found.answer is not None
         self.counts.served += served
         self.counts.unserved += not served
@@ -237,9 +267,9 @@
             'status': found.answer.status if found.answer else None,
             'refused_by': found.refused,
             'outcome_unknown': found.unknown,
+            'tries': tries,
         }
         _log.info('call passed on', extra=fields)
-        return found
 
     async def hand_over(self, epoch: Epoch) -> str:
         """Ask others to claim the cell, one after the other.
@@ -272,7 +302,11 @@
         return [node for node, peer in others.items() if peer.cores >= ample]
 
     async def _try_each(
-        self, call: Call, targets: Iterable[str], budget_s: float
+        self,
+        call: Call,
+        targets: Iterable[str],
+        budget_s: float,
+        tries: list['_Try'],
     ) -> Relayed:
         total = Relayed()
         left = list(targets)
@@ -280,9 +314,11 @@
         while left and anyio.current_time() < deadline:
             node = left.pop(0)
             left_s = deadline - anyio.current_time()
+            tries.append(_Try(node))
             tried = await self._try(
                 node, call, min(left_s, TRY_S) if left else left_s
             )
+            tries[-1] = _Try(node, tried.describe())
             if tried.answer is not None:
                 return total._replace(answer=tried.answer)
             total = Relayed(
