Tests of rejections of calls that may have taken effect, which fail

After an instance that gave no answer, the 400, 401, 404, 405, 409, 413, 500 or 502 of the next one becomes the answer of all; an instance that fails with 500 counts as one that rejected; and an append that is refused in the moment in which the request goes to another instance makes it refused, with that request on its way.

--- a/tests/instance/test_peers.py
+++ b/tests/instance/test_peers.py
@@ -11,7 +11,12 @@
 from swifthoist_engine.records import Claimed, Joined
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import CELL_TOPIC, Journal
-from swifthoist_instance.messages import OK, UNAVAILABLE, Call
+from swifthoist_instance.messages import (
+    OK,
+    UNAUTHORIZED,
+    UNAVAILABLE,
+    Call,
+)
 from swifthoist_instance.peers import Peers, Relayed
 from swifthoist_platform.calls import Call as PeerCall
 from swifthoist_platform.calls import Reply
@@ -105,6 +110,43 @@
 
         self.relay({'a': -1, 'b': UNAVAILABLE, 'c': 0}, check)
 
+    def test_a_later_refusal_is_not_told_of_a_call_that_may_have_run(
+        self,
+    ) -> None:
+        """The job runs from the instance whose answer was lost."""
+
+        def check(relayed: Relayed, calls: list[PeerCall]) -> None:
+            self.assertEqual((relayed.answer, relayed.unknown), (None, True))
+            self.assertEqual(len(calls), 2)
+
+        for status in (400, 401, 404, 405, 409, 413, 500, 502, UNAVAILABLE):
+            with self.subTest(status=status):
+                statuses = {'a': -1, 'b': status}
+                self.relay(statuses, check, holder='b')
+
+    def test_an_instance_that_fails_may_have_served_the_call(self) -> None:
+        """It answers 500 for a call that it did not finish."""
+
+        def check(relayed: Relayed, _: list[PeerCall]) -> None:
+            self.assertEqual((relayed.answer, relayed.unknown), (None, True))
+
+        for status in (500, 502):
+            with self.subTest(status=status):
+                self.relay({'a': status}, check)
+
+    def test_a_question_that_got_no_answer_is_put_to_the_next_one(
+        self,
+    ) -> None:
+        """It has no effect, so each answer to it is true."""
+
+        def check(relayed: Relayed, _: list[PeerCall]) -> None:
+            assert relayed.answer is not None
+            self.assertEqual(relayed.answer.status, UNAUTHORIZED)
+
+        statuses = {'a': -1, 'b': UNAUTHORIZED}
+        question = CALL._replace(method='GET')
+        self.relay(statuses, check, question, holder='b')
+
     def test_a_caller_without_a_key_is_passed_on_without_one(self) -> None:
         """An empty header value can't be sent, and looked like silence."""
 
--- a/tests/instance/test_recording.py
+++ b/tests/instance/test_recording.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import anyio.lowlevel
 
 from swifthoist_core.errors import (
     LogUnavailableError,
@@ -27,6 +28,8 @@
 RECORD = Canceled('1', 0)
 SERVED = Relayed(Answer(OK))
 SLOW_S = 0.4
+DRAWS = 20
+"""Orders in which tasks that are ready together are run."""
 
 
 class _Journal:
@@ -149,3 +152,27 @@
 
         late = _Journal(LogUnavailableError('refused'), HEDGE_S + 0.1)
         self.record(late, _Peers(Relayed(unknown=True)), check_late)
+
+    def test_a_refused_append_is_no_refusal_while_the_request_is_passed_on(
+        self,
+    ) -> None:
+        """The other instance records a request that was sent to it."""
+        for draw in range(DRAWS):
+            # Both deadlines end together, and each draw orders them anew.
+            journal = _Journal(LogUnavailableError('refused'), HEDGE_S)
+            peers = _Peers(Relayed(unknown=True))
+
+            async def check(
+                recording: Awaitable[Recorded],
+                draw: int = draw,
+                peers: _Peers = peers,
+            ) -> None:
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(draw):
+                        tasks.start_soon(anyio.lowlevel.checkpoint)
+                with self.assertRaises(SwifthoistError) as caught:
+                    await recording
+                refused = isinstance(caught.exception, NotServedError)
+                self.assertNotEqual(refused, bool(peers.targets))
+
+            self.record(journal, peers, check)
