Tell no rejection of a call that an earlier instance may have served

Callers saw 401, 404, 400 or 409 for a job that ran. A call that this instance can't serve goes to up to three others; if the first gave no answer within its 0.5 s, but recorded the job, the rejection of the next one, which judges by its own, possibly newer, configuration, was told as the outcome of all. Likewise an instance that answered 500 counted as one that rejected.

The outcomes of attempts are now combined in one place: behind one that may have taken effect only an answer that shows the effect counts (200, or 410 for what does not exist); all else stays unknown and is told as 504. Questions have no effect, so each answer to them counts, as before.

--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -165,7 +165,7 @@
         relayed = await self._peers.relay(call, reason, left_s, to_holder=False)
         if relayed.answer is not None:
             return relayed.answer
-        if relayed.unknown and call.method != Verb.SHOW.value:
+        if relayed.unknown:
             return Answer(GATEWAY_TIMEOUT)
         return self._refuse(call, reason, alone=relayed.alone)
 
--- a/packages/instance/swifthoist_instance/messages.py
+++ b/packages/instance/swifthoist_instance/messages.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from swifthoist_platform.job_calls import Verb
+
 OK = 200
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
@@ -9,6 +11,7 @@
 METHOD_NOT_ALLOWED = 405
 CONFLICT = 409
 GONE = 410
+INTERNAL_ERROR = 500
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
@@ -36,6 +39,11 @@
     relayed: bool = False
     min_version: int = 0
 
+    @property
+    def changes_state(self) -> bool:
+        """Whether serving the call may have an effect."""
+        return self.method != Verb.SHOW.value
+
 
 class Answer(NamedTuple):
     """Response to a request.
@@ -48,3 +56,8 @@
     status: int
     content: bytes = b''
     retry_after_s: int = 0
+
+    @property
+    def tells_effect(self) -> bool:
+        """Whether the answer is true whatever earlier attempts have done."""
+        return self.status in {OK, GONE}
--- a/packages/instance/swifthoist_instance/peers.py
+++ b/packages/instance/swifthoist_instance/peers.py
@@ -29,7 +29,7 @@
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.messages import (
-    GATEWAY_TIMEOUT,
+    INTERNAL_ERROR,
     OK,
     UNAVAILABLE,
     Answer,
@@ -104,7 +104,7 @@
     """What became of a call that was passed on.
 
     :ivar answer: the answer; None if no instance served the call.
-    :ivar refused: number of instances that refused it.
+    :ivar refused: number of instances that refused it or failed.
     :ivar unknown: whether an instance may have served it without an answer.
     :ivar unreached: number of instances that could not be reached or gave no
         answer.
@@ -120,6 +120,26 @@
         """Whether this instance seems to be cut off from all others."""
         return self.unreached > 0 and not self.refused
 
+    def followed_by(self, later: 'Relayed') -> 'Relayed':
+        """Return what became of a call after one more attempt.
+
+        A rejection tells only of the attempt that it answers. If another one
+        may have taken effect, the outcome stays unknown.
+
+        :param later: what became of the later attempt.
+        :returns: the outcome of all.
+        """
+        unknown = self.unknown or later.unknown
+        answer = later.answer
+        if unknown and answer is not None and not answer.tells_effect:
+            answer = None
+        return Relayed(
+            answer,
+            self.refused + later.refused,
+            unknown,
+            self.unreached + later.unreached,
+        )
+
     def describe(self) -> str:
         """Describe the outcome of one attempt, for the log."""
         if self.answer is not None:
@@ -319,14 +339,9 @@
                 node, call, min(left_s, TRY_S) if left else left_s
             )
             tries[-1] = _Try(node, tried.describe())
+            total = total.followed_by(tried)
             if tried.answer is not None:
-                return total._replace(answer=tried.answer)
-            total = Relayed(
-                None,
-                total.refused + tried.refused,
-                total.unknown or tried.unknown,
-                total.unreached + tried.unreached,
-            )
+                break
         return total
 
     async def _try(self, node: str, call: Call, timeout_s: float) -> Relayed:
@@ -337,12 +352,13 @@
             return Relayed(unreached=1)
         except OutcomeUnknownError:
             self._avoid(node)
-            return Relayed(unknown=True, unreached=1)
-        if answer.status == GATEWAY_TIMEOUT:
-            return Relayed(unknown=True)
+            return Relayed(unknown=call.changes_state, unreached=1)
         if answer.status == UNAVAILABLE:
             self._avoid(node)
             return Relayed(refused=1)
+        if answer.status >= INTERNAL_ERROR:
+            # Reached, so not cut off, but it may have failed half-way.
+            return Relayed(refused=1, unknown=call.changes_state)
         return Relayed(answer)
 
     async def _ask(self, node: str, call: Call, timeout_s: float) -> Answer:
