Count a request that is on its way to another instance as unknown

Callers saw 503 for a job that ran. An append that is unanswered for 0.7 s is followed by the same request at another instance. If the store refused the append in that moment, as it does to a process that was paused for a while, the race was over before it was known that the request had been sent; it was canceled on its way, and the outcome was that of the append alone.

The request is now not passed on once the race is decided, and from the moment in which it is, the race's outcome is unknown until the other instance's is known, whatever ends it.

--- a/packages/instance/swifthoist_instance/recording.py
+++ b/packages/instance/swifthoist_instance/recording.py
@@ -20,7 +20,7 @@
 from swifthoist_core.types import Offset
 from swifthoist_engine.records import Record
 from swifthoist_instance.journal import Journal
-from swifthoist_instance.messages import OK, Answer, Call
+from swifthoist_instance.messages import Answer, Call
 from swifthoist_instance.peers import Peers, Relayed
 from swifthoist_instance.store_latency import StoreLatency
 
@@ -36,6 +36,9 @@
 whether it is."""
 
 
+_UNKNOWN = Relayed(unknown=True)
+
+
 class NotServedError(SwifthoistError):
     """This instance can't serve a request, and nothing of it was recorded."""
 
@@ -142,9 +145,11 @@
         self, call: Call, deadline: float, race: '_Race'
     ) -> None:
         await anyio.sleep(HEDGE_S)
-        if self._latency.slow:
+        if self._latency.slow or race.decided.is_set():
             return
         race.relaying = True
+        # Whatever ends this attempt early, it may still take effect.
+        race.relayed = _UNKNOWN
         relayed = await self._peers.relay(
             call,
             'append unanswered',
@@ -152,9 +157,9 @@
             to_holder=False,
         )
         race.relaying = False
-        if relayed.answer is not None and relayed.answer.status != OK:
-            # The own append may have taken effect, so no refusal is true.
-            relayed = Relayed(unknown=True)
+        if relayed.answer is not None:
+            # The own append may have taken effect, so no rejection is true.
+            relayed = _UNKNOWN.followed_by(relayed)
         race.relayed = relayed
         if relayed.answer is not None or race.error is not None:
             race.decided.set()
@@ -167,7 +172,7 @@
     :ivar recorded: the own append, if it succeeded.
     :ivar error: why it did not.
     :ivar relaying: whether another instance is being asked.
-    :ivar relayed: what became of the request there.
+    :ivar relayed: what became of the request there; unknown until it ends.
     """
 
     def __init__(self) -> None:
