Answer 504 to calls that nobody finished

Callers saw 500 for a job that ran. An instance that is stopped serves for 3.5 s and has 1 s for what is left; a call that still waited for its append then, as while the store is slow, was canceled, and the server answered 500 in its name. An unexpected error behind an append ended the same way, and left no line anywhere, since the server's own log is off.

Both are now told as 504, since the call may have taken effect, and logged: `call cut off`, and a fault with its traceback. Questions that fail get 500.

--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -263,6 +263,7 @@
             self._shutdown_state,
             boot.internal_ports[0],
             self.tenure,
+            self.faults,
         )
 
     async def run(self) -> None:
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -11,9 +11,12 @@
 from hypercorn.config import Config
 
 from swifthoist_instance.api import Api
+from swifthoist_instance.faults import Faults
 from swifthoist_instance.intake import DEFAULT_WAIT_S, Intake
 from swifthoist_instance.messages import (
     BAD_REQUEST,
+    GATEWAY_TIMEOUT,
+    INTERNAL_ERROR,
     OK,
     UNAVAILABLE,
     Answer,
@@ -37,11 +40,17 @@
 GRACEFUL_TIMEOUT_S = 1.0
 """Time for connections to close after the last response, in seconds."""
 
+LAST_ANSWER_S = 0.2
+"""Time to send the answer to a call that is cut off by the end of the server,
+in seconds."""
+
 BODY_LIMIT = 4 * 1024 * 1024
 """Maximum request body that is read, in bytes."""
 
 TOO_LARGE = 413
 
+_READING_METHODS = frozenset(('GET', 'HEAD'))
+
 Scope: TypeAlias = dict[str, Any]
 Receive: TypeAlias = Callable[[], Awaitable[dict[str, Any]]]
 Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
@@ -81,6 +90,7 @@
     :ivar shutdown_state: whether the instance is shutting down.
     :ivar internal_port: port that only operators and instances can reach.
     :ivar tenure: claims the cell when its holder asks.
+    :ivar faults: reports calls that fail by an unexpected error.
     """
 
     intake: Intake
@@ -89,6 +99,7 @@
     shutdown_state: ShutdownState
     internal_port: int
     tenure: Tenure
+    faults: Faults
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -101,13 +112,17 @@
         """
         if scope['type'] != 'http':
             return
-        if scope['server'][1] == self.internal_port:
-            answer = await self._serve_internal(scope, receive)
-        elif scope['path'] == READY_PATH:
-            ready = self.intake.ready and not self.shutdown_state.shutting_down
-            answer = Answer(OK if ready else UNAVAILABLE)
-        else:
-            answer = await self._serve_caller(scope, receive)
+        canceled = anyio.get_cancelled_exc_class()
+        try:
+            answer = await self._serve(scope, receive)
+        except canceled:
+            _log.warning('call cut off', extra=_describe(scope))
+            # The server would answer 500, though the call may take effect.
+            with anyio.move_on_after(LAST_ANSWER_S, shield=True):
+                await _send_answer(Answer(GATEWAY_TIMEOUT), send, closing=True)
+            raise
+        except Exception as exc:
+            answer = self._note_failure(scope, exc)
         await _send_answer(
             answer, send, closing=self.shutdown_state.shutting_down
         )
@@ -130,6 +145,21 @@
         answer = await self.api.answer(method, path, query, sent.content)
         return Answer(answer.status, msgspec.json.encode(answer.document))
 
+    async def _serve(self, scope: Scope, receive: Receive) -> Answer:
+        if scope['server'][1] == self.internal_port:
+            return await self._serve_internal(scope, receive)
+        if scope['path'] == READY_PATH:
+            ready = self.intake.ready and not self.shutdown_state.shutting_down
+            return Answer(OK if ready else UNAVAILABLE)
+        return await self._serve_caller(scope, receive)
+
+    def _note_failure(self, scope: Scope, exc: Exception) -> Answer:
+        """Report an unexpected error; a change may have taken effect."""
+        fields = _describe(scope)
+        self.faults.note('call', scope['method'], exc, fields)
+        changes = scope['method'] not in _READING_METHODS
+        return Answer(GATEWAY_TIMEOUT if changes else INTERNAL_ERROR)
+
     async def _serve_internal(self, scope: Scope, receive: Receive) -> Answer:
         if scope['path'] == METRICS_PATH:
             return Answer(OK, self.metrics.expose())
@@ -238,6 +268,17 @@
     return DEFAULT_WAIT_S
 
 
+def _describe(scope: Scope) -> dict[str, object]:
+    """Return the log fields of a call that got no answer of its own."""
+    path = scope['path']
+    return {
+        'job': path.rpartition('/')[2],
+        'method': scope['method'],
+        'path': path,
+        'query': scope['query_string'].decode('latin-1'),
+    }
+
+
 async def _send_answer(answer: Answer, send: Send, *, closing: bool) -> None:
     headers = [(b'content-type', b'application/json')]
     headers.append((b'content-length', str(len(answer.content)).encode()))
--- a/tests/instance/test_web.py
+++ b/tests/instance/test_web.py
@@ -4,10 +4,19 @@
 from typing import Any, NamedTuple
 
 import anyio
+import anyio.lowlevel
 
-from swifthoist_instance.messages import OK, Answer, Call
+from swifthoist_instance.faults import Faults
+from swifthoist_instance.messages import (
+    GATEWAY_TIMEOUT,
+    INTERNAL_ERROR,
+    OK,
+    Answer,
+    Call,
+)
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.web import ShutdownState, Web
+from tests.instance.fakes import LoopClock
 
 SCOPE = {
     'type': 'http',
@@ -28,13 +37,85 @@
         return Answer(OK)
 
 
+class _Broken(NamedTuple):
+    error: Exception | None
+
+    async def answer(self, _: Call) -> Answer:
+        """Fail, or never end."""
+        if self.error is not None:
+            raise self.error
+        await anyio.sleep_forever()
+        raise AssertionError
+
+
+class _Conversation:
+    """One call to the application, and its answer."""
+
+    def __init__(self, intake: object, method: str) -> None:
+        """Prepare a call."""
+        self.statuses: list[int] = []
+        self.faults = Faults(LoopClock())
+        self._method = method
+        self._web = _web(intake, self.faults)
+
+    async def run(self) -> None:
+        """Make the call."""
+        scope = {**SCOPE, 'method': self._method}
+        await self._web(scope, self._receive, self._send)
+
+    async def _receive(self) -> dict[str, Any]:
+        return {'type': 'http.request', 'body': b'', 'more_body': False}
+
+    async def _send(self, message: dict[str, Any]) -> None:
+        await anyio.lowlevel.checkpoint()
+        if message['type'] == 'http.response.start':
+            self.statuses.append(message['status'])
+
+
+def _web(intake: object, faults: Faults) -> Web:
+    return Web(intake, None, Metrics(), ShutdownState(), 2, None, faults)
+
+
+class UnfinishedCallTest(unittest.TestCase):
+    """A call that nobody finished may have taken effect."""
+
+    def test_a_call_that_is_cut_off_by_the_end_is_not_told_as_failed(
+        self,
+    ) -> None:
+        """Its job was recorded while the server stopped, and ran."""
+
+        async def main() -> None:
+            cut_off = _Conversation(_Broken(None), 'POST')
+            with anyio.move_on_after(0.01):
+                await cut_off.run()
+            self.assertEqual(cut_off.statuses, [GATEWAY_TIMEOUT])
+
+        anyio.run(main)
+
+    def test_an_unexpected_error_is_not_told_as_failure_of_a_change(
+        self,
+    ) -> None:
+        """The error may come after the effect; a question has none."""
+        error = ExceptionGroup('group', [OverflowError('port')])
+        for method, status in (
+            ('POST', GATEWAY_TIMEOUT),
+            ('DELETE', GATEWAY_TIMEOUT),
+            ('GET', INTERNAL_ERROR),
+        ):
+            with self.subTest(method=method):
+                failed = _Conversation(_Broken(error), method)
+                anyio.run(failed.run)
+                self.assertEqual(failed.statuses, [status])
+                self.assertEqual(failed.faults.count, 1)
+
+
 class WebTest(unittest.TestCase):
     """Only complete calls reach the intake."""
 
     def send_call(self, *messages: dict[str, Any]) -> list[Call]:
         """Send the messages of one call; return the calls of the intake."""
         intake = _Intake([])
-        web = Web(intake, None, Metrics(), ShutdownState(), 2, None)
+        web = _web(intake, Faults(LoopClock()))
         pieces = iter(messages)
 
         async def receive() -> dict[str, Any]:
