--- a/tests/instance/test_intake.py
+++ b/tests/instance/test_intake.py
@@ -7,13 +7,22 @@
 import msgspec
 
 from swifthoist_emulator.site import HOST, STANDARD, write_config
+from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_instance.messages import Answer, Call
+from swifthoist_instance.peers import Relayed
+from swifthoist_instance.recording import Recorder
+from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_platform import names
 from swifthoist_platform.job_calls import encode_job_state
 from swifthoist_platform.store import CONFIG_KEY, OPERATOR_TOPIC
-from tests.instance.entry import JOB, InstanceHarness, configure
-from tests.instance.fakes import FakeStore, run
+from tests.instance.entry import (
+    JOB,
+    REVOKE_MS,
+    InstanceHarness,
+    configure,
+)
+from tests.instance.fakes import FakeStore, LoopClock, run
 
 ID = '00000000000000aa'
 _NO_STEPS = msgspec.json.encode({names.STEPS: 7})
@@ -214,3 +223,43 @@
             self.assertEqual((await second.call('GET', ID)).status, 200)
 
         self.run_with_instances(scenario)
+
+    def test_a_change_that_another_instance_may_have_made_is_not_refused(
+        self,
+    ) -> None:
+        """This instance has no configuration, and the others are silent."""
+
+        async def main() -> None:
+            store = FakeStore()
+            second = InstanceHarness('second', store)
+            peers = _SilentPeers()
+            intake = Intake(
+                second.configuration,
+                second.follower,
+                Recorder(second.journal, peers, StoreLatency(LoopClock())),
+                peers,
+                lambda: REVOKE_MS,
+            )
+            for method, status in (
+                ('POST', 504),
+                ('DELETE', 504),
+                ('GET', 503),
+            ):
+                call = Call(method, HOST, f'/batch/{ID}', 'key-red', 3, JOB)
+                peers.unknown = call.changes_state
+                self.assertEqual((await intake.answer(call)).status, status)
+
+        run(main)
+
+
+class _SilentPeers:
+    """Other instances that take every call and answer none."""
+
+    holder = ''
+    unknown = True
+
+    async def relay(
+        self, call: Call, reason: str, budget_s: float, *, to_holder: bool
+    ) -> Relayed:
+        """Tell that the call may have been served."""
+        return Relayed(unknown=self.unknown, unreached=1)
