Tests of refusals of jobs that an earlier attempt recorded, which fail

Callers see 503, which says that a job never runs, for a job that runs: attempt 1 gets 504, attempt 2 is refused by an instance that has the job in its own state but no confirmed configuration, or whose own append of it is still under way. Attempt 1 was not rejected, so this alone does not break REFUSED; it breaks what docs/API.md says of 503.

--- /dev/null
+++ b/tests/instance/test_refusals.py
@@ -0,0 +1,81 @@
+"""Tests of refusals of calls whose earlier attempt may have taken effect."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from swifthoist_instance.journal import CELL_TOPIC
+from swifthoist_instance.messages import UNAVAILABLE
+from tests.instance.entry import JOB, InstanceHarness, configure
+from tests.instance.fakes import FakeStore, run
+
+ID = '00000000000000aa'
+SETTLE_S = 0.5
+UNCONFIRMED_S = 3.5
+"""Time without the operator's topic after which no call is served."""
+
+
+class RetryTest(unittest.TestCase):
+    """A refusal promises that the job never runs, whichever attempt it is."""
+
+    def run_with_instances(
+        self,
+        scenario: Callable[[InstanceHarness, InstanceHarness], Awaitable[None]],
+    ) -> None:
+        """Run a scenario with two instances; each may lose the store alone."""
+
+        async def main() -> None:
+            store, view = FakeStore(), FakeStore()
+            configure(store)
+            view.topics = store.topics
+            first = InstanceHarness('first', store)
+            second = InstanceHarness('second', view)
+            async with anyio.create_task_group() as tasks:
+                first.start(tasks)
+                second.start(tasks)
+                await anyio.sleep(SETTLE_S)
+                await scenario(first, second)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
+    def test_no_refusal_while_the_own_append_of_the_job_is_under_way(
+        self,
+    ) -> None:
+        """The job runs once the store is back."""
+
+        async def scenario(
+            first: InstanceHarness, second: InstanceHarness
+        ) -> None:
+            first.store.silent = True
+            self.assertEqual((await first.call('POST', ID, JOB)).status, 504)
+            again = await first.call('POST', ID, JOB)
+            first.store.silent = False
+            await anyio.sleep(3)
+            self.assertEqual((await second.call('GET', ID)).status, 200)
+            self.assertNotEqual(again.status, UNAVAILABLE)
+
+        self.run_with_instances(scenario)
+
+    def test_no_refusal_of_a_job_that_the_instance_has_folded(self) -> None:
+        """It runs, though the configuration is not confirmed."""
+
+        async def scenario(
+            first: InstanceHarness, second: InstanceHarness
+        ) -> None:
+            first.store.replies_to_lose = 4
+            self.assertEqual((await first.call('POST', ID, JOB)).status, 504)
+            self.assertEqual(first.store.topic(CELL_TOPIC).end, 1)
+            await anyio.sleep(SETTLE_S)
+            self.assertIsNotNone(second.follower.cell.find_job(ID))
+            second.store.refuses = True
+            await anyio.sleep(UNCONFIRMED_S)
+            again = await second.call('POST', ID, JOB)
+            self.assertNotEqual(again.status, UNAVAILABLE)
+
+        self.run_with_instances(scenario)
+
+
+if __name__ == '__main__':
+    unittest.main()
