Log at the judging instance, and with the job's id, why a call had no success

What became of calls passed on has a module of its own; calls that have no effect are told apart in one place. Canceled calls count as neither passed on nor not.

--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -153,9 +153,9 @@
         except NotServedError as exc:
             if call.relayed:
                 return self._refuse(call, str(exc))
-            answer = await self._pass_on(call, str(exc), deadline)
-        if answer.status in _REJECTIONS and not call.relayed:
-            self._note_rejected(call, answer)
+            return await self._pass_on(call, str(exc), deadline)
+        if answer.status in _REJECTIONS and call.changes_state:
+            self._log_rejected(call, answer)
         return answer
 
     async def _pass_on(
@@ -310,14 +310,15 @@
             await self._follower.wait_folded(offset, CANCEL_FOLD_TIMEOUT_S)
         return Answer(OK)
 
-    def _note_rejected(self, call: Call, answer: Answer) -> None:
+    def _log_rejected(self, call: Call, answer: Answer) -> None:
         catalogue = self._configuration.catalogue
         fields = {
-            'job': call.path.rpartition('/')[2],
+            'job': call.job,
             'method': call.method,
             'path': call.path,
             'status': answer.status,
             'version': catalogue.version if catalogue else None,
+            'relayed': call.relayed,
         }
         _log.info('call rejected', extra=fields)
 
--- a/packages/instance/swifthoist_instance/messages.py
+++ b/packages/instance/swifthoist_instance/messages.py
@@ -15,6 +15,9 @@
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
+READING_METHODS = frozenset((Verb.SHOW.value, 'HEAD'))
+"""Methods of calls that have no effect."""
+
 
 class Call(NamedTuple):
     """A request of a caller.
@@ -39,10 +42,15 @@
     relayed: bool = False
     min_version: int = 0
 
+    @property
+    def job(self) -> str:
+        """Last part of the path, which is the id of a job in most calls."""
+        return self.path.rpartition('/')[2]
+
     @property
     def changes_state(self) -> bool:
         """Whether serving the call may have an effect."""
-        return self.method != Verb.SHOW.value
+        return self.method not in READING_METHODS
 
 
 class Answer(NamedTuple):
--- a/packages/instance/swifthoist_instance/peers.py
+++ b/packages/instance/swifthoist_instance/peers.py
@@ -35,6 +35,7 @@
     Answer,
     Call,
 )
+from swifthoist_instance.relayed import Relayed, Try, log_relayed
 from swifthoist_platform.calls import Call as PeerCall
 from swifthoist_platform.endpoint import EndpointProtocol
 from swifthoist_platform.job_calls import format_api_key
@@ -100,66 +101,6 @@
     epoch: Epoch
 
 
-class Relayed(NamedTuple):
-    """What became of a call that was passed on.
-
-    :ivar answer: the answer; None if no instance served the call.
-    :ivar refused: number of instances that refused it or failed.
-    :ivar unknown: whether an instance may have served it without an answer.
-    :ivar unreached: number of instances that could not be reached or gave no
-        answer.
-    """
-
-    answer: Answer | None = None
-    refused: int = 0
-    unknown: bool = False
-    unreached: int = 0
-
-    @property
-    def alone(self) -> bool:
-        """Whether this instance seems to be cut off from all others."""
-        return self.unreached > 0 and not self.refused
-
-    def followed_by(self, later: 'Relayed') -> 'Relayed':
-        """Return what became of a call after one more attempt.
-
-        A rejection tells only of the attempt that it answers. If another one
-        may have taken effect, the outcome stays unknown.
-
-        :param later: what became of the later attempt.
-        :returns: the outcome of all.
-        """
-        unknown = self.unknown or later.unknown
-        answer = later.answer
-        if unknown and answer is not None and not answer.tells_effect:
-            answer = None
-        return Relayed(
-            answer,
-            self.refused + later.refused,
-            unknown,
-            self.unreached + later.unreached,
-        )
-
-    def describe(self) -> str:
-        """Describe the outcome of one attempt, for the log."""
-        if self.answer is not None:
-            return str(self.answer.status)
-        if self.unknown:
-            return 'unknown'
-        return 'refused' if self.refused else 'unreachable'
-
-
-class _Try(NamedTuple):
-    """An attempt to have another instance serve a call, for the log.
-
-    :ivar node: name of the instance.
-    :ivar outcome: what became of the attempt.
-    """
-
-    node: str
-    outcome: str = 'canceled'
-
-
 @dataclass(slots=True)
 class RelayCounts:
     """Counts of calls passed on, for the metrics.
@@ -262,34 +203,20 @@
         if self._open_relays >= MAX_OPEN_RELAYS or not call.key.isascii():
             return Relayed()
         self._open_relays += 1
-        # An attempt that is canceled may still take effect.
-        found = Relayed(unknown=True)
-        tries: list[_Try] = []
+        # Logged if the attempts are canceled.
+        found = Relayed(unknown=call.changes_state)
+        tries: list[Try] = []
         try:
             found = await self._try_each(
                 call, filter(None, targets), budget_s, tries
             )
         finally:
             self._open_relays -= 1
-            self._note_relayed(call, reason, found, tries)
-        return found
-
-    def _note_relayed(
-        self, call: Call, reason: str, found: Relayed, tries: list['_Try']
-    ) -> None:
+            log_relayed(call, reason, found, tries)
         served = found.answer is not None
         self.counts.served += served
         self.counts.unserved += not served
-        fields = {
-            'job': call.path.rpartition('/')[2],
-            'method': call.method,
-            'why': reason,
-            'status': found.answer.status if found.answer else None,
-            'refused_by': found.refused,
-            'outcome_unknown': found.unknown,
-            'tries': tries,
-        }
-        _log.info('call passed on', extra=fields)
+        return found
 
     async def hand_over(self, epoch: Epoch) -> str:
         """Ask others to claim the cell, one after the other.
@@ -326,7 +253,7 @@
         call: Call,
         targets: Iterable[str],
         budget_s: float,
-        tries: list['_Try'],
+        tries: list[Try],
     ) -> Relayed:
         total = Relayed()
         left = list(targets)
@@ -334,11 +261,11 @@
         while left and anyio.current_time() < deadline:
             node = left.pop(0)
             left_s = deadline - anyio.current_time()
-            tries.append(_Try(node))
+            tries.append(Try(node))
             tried = await self._try(
                 node, call, min(left_s, TRY_S) if left else left_s
             )
-            tries[-1] = _Try(node, tried.describe())
+            tries[-1] = Try(node, tried.describe())
             total = total.followed_by(tried)
             if tried.answer is not None:
                 break
@@ -355,11 +282,12 @@
             return Relayed(unknown=call.changes_state, unreached=1)
         if answer.status == UNAVAILABLE:
             self._avoid(node)
-            return Relayed(refused=1)
+            return Relayed(refused=1, status=UNAVAILABLE)
         if answer.status >= INTERNAL_ERROR:
-            # Reached, so not cut off, but it may have failed half-way.
-            return Relayed(refused=1, unknown=call.changes_state)
-        return Relayed(answer)
+            # It may have failed half-way.
+            unknown = call.changes_state
+            return Relayed(refused=1, unknown=unknown, status=answer.status)
+        return Relayed(answer, status=answer.status)
 
     async def _ask(self, node: str, call: Call, timeout_s: float) -> Answer:
         query = urlencode({'path': call.path})
--- a/packages/instance/swifthoist_instance/recording.py
+++ b/packages/instance/swifthoist_instance/recording.py
@@ -21,7 +21,8 @@
 from swifthoist_engine.records import Record
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.messages import Answer, Call
-from swifthoist_instance.peers import Peers, Relayed
+from swifthoist_instance.peers import Peers
+from swifthoist_instance.relayed import Relayed
 from swifthoist_instance.store_latency import StoreLatency
 
 ANSWER_SHARE = 0.8
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -18,6 +18,7 @@
     GATEWAY_TIMEOUT,
     INTERNAL_ERROR,
     OK,
+    READING_METHODS,
     UNAVAILABLE,
     Answer,
     Call,
@@ -49,8 +50,6 @@
 
 TOO_LARGE = 413
 
-_READING_METHODS = frozenset(('GET', 'HEAD'))
-
 Scope: TypeAlias = dict[str, Any]
 Receive: TypeAlias = Callable[[], Awaitable[dict[str, Any]]]
 Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
@@ -156,8 +155,9 @@
     def _note_failure(self, scope: Scope, exc: Exception) -> Answer:
         """Report an unexpected error; a change may have taken effect."""
         fields = _describe(scope)
+        _log.error('call failed', extra={**fields, 'error': repr(exc)})
         self.faults.note('call', scope['method'], exc, fields)
-        changes = scope['method'] not in _READING_METHODS
+        changes = scope['method'] not in READING_METHODS
         return Answer(GATEWAY_TIMEOUT if changes else INTERNAL_ERROR)
 
     async def _serve_internal(self, scope: Scope, receive: Receive) -> Answer:
@@ -175,8 +175,7 @@
     async def _serve_relayed(
         self, method: str, query: str, sent: Sent
     ) -> Answer:
-        paths = parse_qs(query).get('path', [''])
-        call = _to_call(method, paths[0], sent)
+        call = _to_call(method, _relayed_path(query), sent)
         version = sent.headers.get(MIN_VERSION_HEADER.lower(), '')
         call = call._replace(
             relayed=True,
@@ -268,14 +267,21 @@
     return DEFAULT_WAIT_S
 
 
+def _relayed_path(query: str) -> str:
+    """Return the path of a call that another instance passed on."""
+    return parse_qs(query).get('path', [''])[0]
+
+
 def _describe(scope: Scope) -> dict[str, object]:
-    """Return the log fields of a call that got no answer of its own."""
+    """Return the log fields of a call that nobody finished."""
     path = scope['path']
+    if path == RELAY_PATH:
+        path = _relayed_path(scope['query_string'].decode('latin-1'))
     return {
         'job': path.rpartition('/')[2],
         'method': scope['method'],
         'path': path,
-        'query': scope['query_string'].decode('latin-1'),
+        'relayed': scope['path'] == RELAY_PATH,
     }
 
 
--- a/tests/instance/test_intake.py
+++ b/tests/instance/test_intake.py
@@ -10,8 +10,8 @@
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_instance.messages import Answer, Call
-from swifthoist_instance.peers import Relayed
 from swifthoist_instance.recording import Recorder
+from swifthoist_instance.relayed import Relayed
 from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_platform import names
 from swifthoist_platform.job_calls import encode_job_state
--- a/tests/instance/test_peers.py
+++ b/tests/instance/test_peers.py
@@ -17,7 +17,8 @@
     UNAVAILABLE,
     Call,
 )
-from swifthoist_instance.peers import Peers, Relayed
+from swifthoist_instance.peers import Peers
+from swifthoist_instance.relayed import Relayed
 from swifthoist_platform.calls import Call as PeerCall
 from swifthoist_platform.calls import Reply
 from tests.instance.fakes import FakeStore, LoopClock, run
--- a/tests/instance/test_recording.py
+++ b/tests/instance/test_recording.py
@@ -14,13 +14,13 @@
 from swifthoist_core.types import Offset
 from swifthoist_engine.records import Canceled, Record
 from swifthoist_instance.messages import OK, UNAUTHORIZED, Answer, Call
-from swifthoist_instance.peers import Relayed
 from swifthoist_instance.recording import (
     HEDGE_S,
     NotServedError,
     Recorded,
     Recorder,
 )
+from swifthoist_instance.relayed import Relayed
 from swifthoist_instance.store_latency import StoreLatency
 from tests.instance.fakes import LoopClock, run
 
