Refuse no call whose earlier attempt may take effect, where that is known

Callers saw 504 and then, for the same id, 503, which says that a job never runs; it ran. The second attempt came to an instance whose own append of the job was still under way, or that had folded the job and could not confirm its configuration. Such a call now gets 504 again, also where another instance passed it on.

--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -32,6 +32,7 @@
 from swifthoist_instance.learned import LearnedView
 from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.metrics import Metrics
+from swifthoist_instance.open_calls import OpenCalls
 from swifthoist_instance.peers import LIFE_SEPARATOR, Peers
 from swifthoist_instance.recording import Recorder
 from swifthoist_instance.registry import Registry
@@ -211,6 +212,7 @@
             Recorder(self._call_journal, self._peers, self._latency),
             self._peers,
             self._revocation_ms,
+            OpenCalls(clock),
         )
         metrics = Metrics()
         metrics.register('log_lines_dropped', logs.dropped.total)
--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -36,6 +36,7 @@
     Answer,
     Call,
 )
+from swifthoist_instance.open_calls import OpenCalls
 from swifthoist_instance.peers import Peers
 from swifthoist_instance.recording import (
     NotServedError,
@@ -104,6 +105,7 @@
         recorder: Recorder,
         peers: Peers,
         revocation_ms: Callable[[], Millis],
+        open_calls: OpenCalls,
     ) -> None:
         """Serve from the cell state, and append accepted changes to the log.
 
@@ -113,12 +115,14 @@
         :param peers: the other instances.
         :param revocation_ms: returns the time within which a revoked key has
             to be refused, in ms.
+        :param open_calls: calls whose outcome was told to be unknown.
         """
         self._configuration = configuration
         self._follower = follower
         self._recorder = recorder
         self._peers = peers
         self._revocation_ms = revocation_ms
+        self._open_calls = open_calls
         self._random = random.Random()
 
     @property
@@ -166,7 +170,7 @@
         if relayed.answer is not None:
             return relayed.answer
         if relayed.unknown:
-            return Answer(GATEWAY_TIMEOUT)
+            return self._leave_open(call)
         return self._refuse(call, reason, alone=relayed.alone)
 
     async def _serve(self, call: Call) -> Answer:
@@ -298,9 +302,9 @@
             recorded = await self._recorder.record(record, call)
         except OutcomeUnknownError as exc:
             _log.warning('unknown', extra={**fields, 'why': str(exc)})
-            return Answer(GATEWAY_TIMEOUT)
+            return self._leave_open(call)
         if recorded.offset is None:
-            return recorded.answer or Answer(GATEWAY_TIMEOUT)
+            return recorded.answer or self._leave_open(call)
         offset = recorded.offset
         _log.info(
             'recorded',
@@ -322,11 +326,22 @@
         }
         _log.info('call rejected', extra=fields)
 
+    def _leave_open(self, call: Call) -> Answer:
+        self._open_calls.note(call)
+        return Answer(GATEWAY_TIMEOUT)
+
+    def _may_take_effect(self, call: Call) -> bool:
+        """Return whether an earlier attempt of a call may take effect."""
+        if call in self._open_calls:
+            return True
+        submits = call.method == Verb.SUBMIT.value
+        return submits and self._follower.cell.find_job(call.job) is not None
+
     def _refuse(
         self, call: Call, reason: str, *, alone: bool = False
     ) -> Answer:
         fields = {
-            'job': call.path.rpartition('/')[2],
+            'job': call.job,
             'method': call.method,
             'path': call.path,
             'why': reason,
@@ -334,6 +349,9 @@
             'configuration_age_ms': self._configuration.age_ms,
             'alone': alone,
         }
+        if self._may_take_effect(call):
+            _log.warning('refusal withheld', extra=fields)
+            return Answer(GATEWAY_TIMEOUT)
         _log.warning('refused', extra=fields)
         finding = Finding('instance', reason)
         if alone:
--- a/tests/instance/entry.py
+++ b/tests/instance/entry.py
@@ -11,6 +11,7 @@
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.messages import Answer, Call
+from swifthoist_instance.open_calls import OpenCalls
 from swifthoist_instance.peers import Peers
 from swifthoist_instance.recording import Recorder
 from swifthoist_instance.snapshotting import Snapshots
@@ -66,6 +67,7 @@
             Recorder(self.journal, peers, StoreLatency(clock)),
             peers,
             lambda: revoke_ms,
+            OpenCalls(clock),
         )
 
     def start(self, tasks: TaskGroup, *, claims: bool = False) -> None:
--- a/tests/instance/test_intake.py
+++ b/tests/instance/test_intake.py
@@ -10,6 +10,7 @@
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_instance.messages import Answer, Call
+from swifthoist_instance.open_calls import OpenCalls
 from swifthoist_instance.recording import Recorder
 from swifthoist_instance.relayed import Relayed
 from swifthoist_instance.store_latency import StoreLatency
@@ -239,6 +240,7 @@
                 Recorder(second.journal, peers, StoreLatency(LoopClock())),
                 peers,
                 lambda: REVOKE_MS,
+                OpenCalls(LoopClock()),
             )
             for method, status in (
                 ('POST', 504),
