Test of a job that is canceled before its late append, which fails

A job whose append got no answer is canceled through another instance, which says 410; the append takes effect afterwards, and the job runs, since a cancellation of a job that is not folded yet leaves nothing behind.

--- a/tests/instance/test_refusals.py
+++ b/tests/instance/test_refusals.py
@@ -6,7 +6,7 @@
 import anyio
 
 from swifthoist_instance.journal import CELL_TOPIC
-from swifthoist_instance.messages import UNAVAILABLE
+from swifthoist_instance.messages import GONE, OK, UNAVAILABLE
 from tests.instance.entry import JOB, InstanceHarness, configure
 from tests.instance.fakes import FakeStore, run
 
@@ -76,6 +76,25 @@
 
         self.run_with_instances(scenario)
 
+    def test_a_job_that_was_canceled_before_its_late_append_does_not_run(
+        self,
+    ) -> None:
+        """The store may carry the append out seconds after the cancel."""
+
+        async def scenario(
+            first: InstanceHarness, second: InstanceHarness
+        ) -> None:
+            first.store.silent = True
+            self.assertEqual((await first.call('POST', ID, JOB)).status, 504)
+            canceled = await second.call('DELETE', ID)
+            self.assertIn(canceled.status, {OK, GONE})
+            first.store.silent = False
+            await anyio.sleep(3)
+            job = second.follower.cell.find_job(ID)
+            self.assertTrue(job is None or job.state.final, canceled)
+
+        self.run_with_instances(scenario)
+
 
 if __name__ == '__main__':
     unittest.main()
