--- a/tests/instance/test_refusals.py
+++ b/tests/instance/test_refusals.py
@@ -94,7 +94,3 @@
             self.assertTrue(job is None or job.state.final, canceled)
 
         self.run_with_instances(scenario)
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/instance/test_true_answers.py
+++ b/tests/instance/test_true_answers.py
@@ -32,6 +32,7 @@
     OK,
 )
 from swifthoist_instance.metrics import Metrics
+from swifthoist_instance.open_calls import OpenCalls
 from swifthoist_instance.peers import Peers
 from swifthoist_instance.recording import Recorder
 from swifthoist_instance.snapshotting import Snapshots
@@ -270,7 +271,14 @@
             lambda address: _Link(self, address.partition(':')[0]),
         )
         recorder = Recorder(calls, peers, latency)
-        intake = Intake(settings, follower, recorder, peers, lambda: REVOKE_MS)
+        intake = Intake(
+            settings,
+            follower,
+            recorder,
+            peers,
+            lambda: REVOKE_MS,
+            OpenCalls(clock),
+        )
         for part in (follower, own, calls, settings, tenure):
             self.tasks.start_soon(run_supervised, node, part.run)
         self.tasks.start_soon(peers.join, own)
@@ -297,7 +305,3 @@
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
                 run(partial(main, seed))
-
-
-if __name__ == '__main__':
-    unittest.main()
