Send no append whose time passed during a pause

A process that was paused for seconds with a request in its hands recorded it afterwards, up to as long as the pause after its caller had given up. The time that an append may wait is counted by the event loop, whose clock does not count a suspension; after a pause that it does count, the answer to the append before may be read first, and the next batch then took what had expired.

Each append now carries its end by the clock that counts suspension, and what is past it is dropped before a batch is sent: nothing was sent, so its caller is told so. A request that lay unread in the socket during the pause is still served, since its age is unknown.

Evidence: the test failed before (two records on the log), and does not now.

--- a/packages/instance/swifthoist_instance/journal.py
+++ b/packages/instance/swifthoist_instance/journal.py
@@ -106,6 +106,7 @@
     WAITING = auto()
     SENT = auto()
     DONE = auto()
+    EXPIRED = auto()
     REFUSED = auto()
     UNKNOWN = auto()
 
@@ -113,6 +114,7 @@
 @dataclass(slots=True)
 class _PendingAppend:
     records: list[bytes]
+    expires_ms: Millis
     outcome: _Outcome = _Outcome.WAITING
     offset: Offset = -1
     settled: anyio.Event = field(default_factory=anyio.Event)
@@ -191,7 +193,9 @@
         :raises LogUnavailableError: when they are certainly not appended.
         :raises OutcomeUnknownError: when they may take effect, now or later.
         """
-        entry = _PendingAppend([encode_record(record) for record in records])
+        expires_ms = self._clock.boot_ms() + int(timeout_s * 1_000)
+        encoded = [encode_record(record) for record in records]
+        entry = _PendingAppend(encoded, expires_ms)
         self._waiting.append(entry)
         self._wake.set()
         try:
@@ -203,7 +207,7 @@
         match entry.outcome:
             case _Outcome.DONE:
                 return entry.offset
-            case _Outcome.WAITING:
+            case _Outcome.WAITING | _Outcome.EXPIRED:
                 raise LogUnavailableError('the append was not sent in time')
             case _Outcome.REFUSED:
                 raise LogUnavailableError('the store refused the append')
@@ -256,6 +260,7 @@
         return True
 
     def _take_batch(self) -> list[_PendingAppend]:
+        self._drop_expired()
         entries: list[_PendingAppend] = []
         count = 0
         size = 0
@@ -270,6 +275,20 @@
             count += len(entry.records)
         return entries
 
+    def _drop_expired(self) -> None:
+        """Drop appends whose time passed while the process was paused.
+
+        Their callers may not have noticed yet, or wait by a clock that does
+        not count the pause.
+        """
+        now_ms = self._clock.boot_ms()
+        expired = [it for it in self._waiting if it.expires_ms < now_ms]
+        for entry in expired:
+            self._waiting.remove(entry)
+            entry.settle(_Outcome.EXPIRED)
+        if expired:
+            _log.warning('appends expired', extra={'count': len(expired)})
+
     async def _append_batch(self, entries: list[_PendingAppend]) -> None:
         if not entries:
             return
--- a/tests/instance/test_journal.py
+++ b/tests/instance/test_journal.py
@@ -12,6 +12,21 @@
 from tests.instance.fakes import FakeStore, LoopClock, run
 
 
+class _PausingClock(LoopClock):
+    """A clock that counts pauses, which the event loop's doesn't.
+
+    :ivar paused_ms: length of the pauses so far, in ms.
+    """
+
+    def __init__(self) -> None:
+        """Start without a pause."""
+        self.paused_ms = 0
+
+    def boot_ms(self) -> int:
+        """Return the loop's time and the pauses, in ms."""
+        return super().boot_ms() + self.paused_ms
+
+
 class JournalTest(unittest.TestCase):
     """Appends take effect once and report their outcome correctly."""
 
@@ -102,6 +117,40 @@
 
         run(main)
 
+    def test_an_append_whose_time_passed_during_a_pause_is_not_sent(
+        self,
+    ) -> None:
+        """Its caller has been answered elsewhere, or not at all."""
+
+        async def main() -> None:
+            store = FakeStore()
+            store.silent = True
+            clock = _PausingClock()
+            journal = Journal(store, 'me', clock)
+            refused: list[str] = []
+
+            async def append_late() -> None:
+                try:
+                    await journal.append([Beat(1, 2)], 3)
+                except LogUnavailableError as exc:
+                    refused.append(str(exc))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(journal.run)
+                tasks.start_soon(journal.append, [Beat(1, 1)], 9)
+                await anyio.sleep(0.1)
+                tasks.start_soon(append_late)
+                await anyio.sleep(0.1)
+                clock.paused_ms = 5_000
+                store.silent = False
+                await anyio.sleep(2)
+                self.assertEqual(store.topic(CELL_TOPIC).end, 1)
+                self.assertEqual(refused, ['the append was not sent in time'])
+                await journal.append([Beat(1, 3)], 1)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
     def test_lost_replies_are_settled_by_the_same_append(self) -> None:
         """No record is stored twice, however many replies are lost."""
 
