Start no run whose end may be recorded without an answer

A task could run twice. A run that was decided for a runner that is gone by then is recorded as ended without a start. If that append got no answer for 3 s, the run was kept as unsent, and its start was sent as soon as the runner could be reached again, as after an outage in which its entry expired; when the store then carried the append out, the task was free to start elsewhere beside it.

Such an append now counts as unsettled, like those of decisions: the next decision, and with it the next start, waits until a later record is folded, and so whatever was appended before is either folded or never will be. The rule has moved to a class of its own.

--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -9,14 +9,17 @@
 from swifthoist_engine.hang_detector import HangDetector
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.planner import Decision
-from swifthoist_engine.records import Beat
 from swifthoist_instance.context import TenureContext
 from swifthoist_instance.crashes import give_up_units
 from swifthoist_instance.deciding import Decider
 from swifthoist_instance.dependencies import HolderDependencies
 from swifthoist_instance.job_lines import JobLines
 from swifthoist_instance.notifier import Notifier
-from swifthoist_instance.outcomes import record_all, record_vanished
+from swifthoist_instance.outcomes import (
+    OwnRecords,
+    record_all,
+    record_vanished,
+)
 from swifthoist_instance.policies import Policies
 from swifthoist_instance.roster import Roster
 from swifthoist_instance.run_lines import RunLines
@@ -74,7 +77,6 @@
         :param hold: the tenure.
         """
         wake = Notifier()
-        self._has_unconfirmed_records = True
         self._dependencies = dependencies
         self._registry = dependencies.open_registry()
         self._policies = Policies(
@@ -95,6 +97,7 @@
             dependencies.lives,
             dependencies.crashes,
         )
+        self._own_records = OwnRecords(self._context)
         self._roster = Roster(
             self._registry,
             self._context,
@@ -165,7 +168,7 @@
             await self._context.wake.wait(MAX_DECISION_INTERVAL_S)
             await anyio.sleep(DEBOUNCE_S)
             catalogue = self._dependencies.configuration.catalogue
-            if catalogue is None or not await self._own_records_folded():
+            if catalogue is None or not await self._own_records.settle():
                 continue
             began_ms = self._dependencies.clock.boot_ms()
             decision = self._decider.decide(catalogue, tasks)
@@ -173,24 +176,6 @@
             await self._apply_decision(decision)
             await self._dependencies.turns.yield_to_others(took_ms)
 
-    async def _own_records_folded(self) -> bool:
-        """Return whether all earlier decisions of this instance are folded.
-
-        A decision whose append got no answer may still be in the log, and so
-        may one of a term that ended during an outage of the store. Appends
-        keep their order, so once a later record is folded, they are too.
-        """
-        if not self._context.may_act():
-            return False
-        if self._has_unconfirmed_records:
-            beat = Beat(
-                self._context.epoch, self._context.follower.time.now_ms()
-            )
-            self._has_unconfirmed_records = not await record_all(
-                self._context, [beat]
-            )
-        return not self._has_unconfirmed_records
-
     async def _apply_decision(self, decision: Decision) -> None:
         self._roster.stop(decision.stops)
         doubts = tuple(self._context.doubts)
@@ -200,7 +185,7 @@
         started = await record_all(self._context, (*doubts, *given_up, *starts))
         if not started:
             # They may be folded later and are sent to the runners then.
-            self._has_unconfirmed_records = True
+            self._own_records.note_unsettled()
         await self._send_starts()
 
     async def _send_starts(self) -> None:
@@ -215,5 +200,7 @@
                 unsent.append(run)
         reason = 'never sent, its runner is gone'
         if not await record_vanished(self._context, unsent, reason):
+            # Their ends may be folded later, so they must not be sent now.
+            self._own_records.note_unsettled()
             for run in unsent:
                 runs.mark_unsent(run)
--- a/packages/instance/swifthoist_instance/outcomes.py
+++ b/packages/instance/swifthoist_instance/outcomes.py
@@ -9,6 +9,7 @@
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.model import RunKey
 from swifthoist_engine.records import (
+    Beat,
     Doubt,
     Ended,
     Record,
@@ -58,6 +59,40 @@
     return folded
 
 
+class OwnRecords:
+    """Tells whether the earlier records of a component are all settled.
+
+    An append without an answer may still take effect, and so may one of a term
+    that ended during an outage of the store. Appends keep their order, so once
+    a later record is folded, they are folded too, or never will be.
+    """
+
+    def __init__(self, context: TenureContext) -> None:
+        """Start with records of earlier terms that may be under way.
+
+        :param context: state shared within the tenure.
+        """
+        self._context = context
+        self._settled = False
+
+    def note_unsettled(self) -> None:
+        """Note that a record was appended and is not known to be folded."""
+        self._settled = False
+
+    async def settle(self) -> bool:
+        """Make sure that no earlier record can still be folded.
+
+        :returns: whether that is certain; if not, decisions have to wait.
+        """
+        context = self._context
+        if not context.may_act():
+            return False
+        if not self._settled:
+            beat = Beat(context.epoch, context.follower.time.now_ms())
+            self._settled = await record_all(context, [beat])
+        return self._settled
+
+
 async def record_vanished(
     context: TenureContext,
     runs: Iterable[OpenRun],
