Order no other upkeep while one may be recorded without an answer

More machines of a wave than allowed could be down at a time. The begin of an upkeep is recorded before its order. If that append got no answer for 3 s, the machine still counted as up, and another one, which had become ready meanwhile and comes earlier in the list, was recorded and ordered; the first record was folded as well, and its order followed 0.5 s later, as for an order that was lost, while the other machine was down.

A wave now goes on only when the earlier records of the upkeep are settled, by the same rule as decisions.

Evidence: the test failed before (two machines down at once, one allowed) and doesn't now. Seen by reading; no play is known to have shown it.

--- a/packages/instance/swifthoist_instance/waves.py
+++ b/packages/instance/swifthoist_instance/waves.py
@@ -23,7 +23,7 @@
 )
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.context import TenureContext
-from swifthoist_instance.outcomes import record_all
+from swifthoist_instance.outcomes import OwnRecords, record_all
 from swifthoist_platform.documents import Wave, encode_wave_state
 from swifthoist_platform.machines import MachinesClient, UpkeepStatus
 from swifthoist_platform.store import STATUS_TOPIC, WAVE_PREFIX
@@ -81,6 +81,7 @@
         self._store = store
         self._cordoned_since: dict[str, Millis] = {}
         self._announced: set[int] = set()
+        self._own_records = OwnRecords(context)
 
     async def run(self) -> None:
         """Carry out waves one by one, until canceled."""
@@ -105,6 +106,9 @@
         return waves[left[0]] if left else None
 
     async def _advance(self, wave: Wave) -> None:
+        if not await self._own_records.settle():
+            # A machine more may count as down once they are folded.
+            return
         if wave.number not in self._announced:
             await self._write_status(wave, complete=False)
             self._announced.add(wave.number)
@@ -160,6 +164,7 @@
             context.epoch, wave.number, item.machine, item.runner
         )
         if not await record_all(context, [begun]):
+            self._own_records.note_unsettled()
             return
         answer = await self._machines.order_upkeep(
             item.machine, wave.number, context.epoch, CALL_TIMEOUT_S
--- a/tests/instance/test_unconfirmed.py
+++ b/tests/instance/test_unconfirmed.py
@@ -17,6 +17,7 @@
 from swifthoist_engine.records import (
     Placement,
     Started,
+    UpkeepBegun,
     Vanished,
     decode_record,
 )
@@ -28,12 +29,17 @@
 from swifthoist_instance.notifier import Notifier
 from swifthoist_instance.outcomes import OwnRecords
 from swifthoist_instance.run_lines import RunLines
+from swifthoist_instance.waves import Waves
+from swifthoist_platform.documents import Wave
+from swifthoist_platform.machines import Machine, UpkeepStatus
 from swifthoist_platform.store import AppendRequest
 from tests.instance.entry import JOB, InstanceHarness, configure
 from tests.instance.fakes import FakeStore, LoopClock, run
 
 JOB_ID = '00000000000000aa'
 TASK = TaskId(JOB_ID, 0, 0, 0)
+UPKEEP_S = 2.0
+DEADLINE_MS = 20_000
 
 
 class _MutedStore(FakeStore):
@@ -88,9 +94,41 @@
         """Take stops."""
 
 
-async def _hold(
-    store: FakeStore, tasks: TaskGroup
-) -> tuple[InstanceHarness, TenureContext]:
+class _Machines:
+    """A service of machines that are in upkeep for a while.
+
+    :ivar ordered: machines whose upkeep began.
+    :ivar most_down: most machines that were down at a time.
+    """
+
+    def __init__(self, *names: str) -> None:
+        """Start with all machines up."""
+        self.ordered: list[str] = []
+        self.most_down = 0
+        self._lives = dict.fromkeys(names, 0)
+        self._up_at: dict[str, float] = {}
+
+    async def list_all(self, timeout_s: float) -> tuple[Machine, ...]:
+        """List the machines; each upkeep makes a new runner."""
+        now = anyio.current_time()
+        return tuple(
+            Machine(name, self._up_at.get(name, 0) <= now, f'{name}-{life}')
+            for name, life in self._lives.items()
+        )
+
+    async def order_upkeep(self, name: str, *_: object) -> UpkeepStatus:
+        """Take a machine down, once."""
+        if name not in self.ordered:
+            self.ordered.append(name)
+            self._up_at[name] = anyio.current_time() + UPKEEP_S
+            self._lives[name] += 1
+        now = anyio.current_time()
+        down = sum(at > now for at in self._up_at.values())
+        self.most_down = max(self.most_down, down)
+        return UpkeepStatus.TAKEN
+
+
+async def _hold(store: FakeStore, tasks: TaskGroup) -> TenureContext:
     """Start an instance that holds the cell and knows a job."""
     configure(store)
     instance = InstanceHarness('first', store)
@@ -101,7 +139,7 @@
     assert hold is not None
     clock = LoopClock()
     zones = ZoneGate(EvacuationRequests(clock), clock.boot_ms, lambda: None)
-    context = TenureContext(
+    return TenureContext(
         instance.tenure,
         hold,
         instance.follower,
@@ -116,7 +154,6 @@
         LifeCounts(),
         CrashCounts(),
     )
-    return instance, context
 
 
 async def _record_start(context: TenureContext, runner: str) -> None:
@@ -164,7 +201,7 @@
             store = _MutedStore()
             roster = _Roster()
             async with anyio.create_task_group() as tasks:
-                _, context = await _hold(store, tasks)
+                context = await _hold(store, tasks)
                 term = _make_term(context, roster)
                 tasks.start_soon(term._decide_repeatedly, tasks)
                 await anyio.sleep(1)
@@ -181,3 +218,36 @@
                 tasks.cancel_scope.cancel()
 
         run(main)
+
+    def test_an_upkeep_that_may_be_recorded_counts_against_the_limit(
+        self,
+    ) -> None:
+        """Another machine that is ready later comes earlier in the list."""
+
+        async def main() -> None:
+            store = _MutedStore()
+            machines = _Machines('m1', 'm2')
+            async with anyio.create_task_group() as tasks:
+                context = await _hold(store, tasks)
+                await _record_start(context, 'm1-0')
+                configuration = mock.Mock()
+                names = ('m1', 'm2')
+                configuration.waves = {1: Wave(1, names, DEADLINE_MS, 1)}
+                waves = Waves(
+                    configuration,
+                    context,
+                    machines,
+                    store,
+                    list,
+                )
+                tasks.start_soon(waves.run)
+                store.muted_by = UpkeepBegun
+                await anyio.sleep(8)
+                self.assertTrue(store.muted)
+                store.recover()
+                await anyio.sleep(12)
+                self.assertEqual(sorted(machines.ordered), ['m1', 'm2'])
+                self.assertEqual(machines.most_down, 1)
+                tasks.cancel_scope.cancel()
+
+        run(main)
