--- a/packages/instance/swifthoist_instance/snapshotting.py
+++ b/packages/instance/swifthoist_instance/snapshotting.py
@@ -1,7 +1,7 @@
 """Writes snapshots while this instance holds the cell, and loads the newest."""
 
 import logging
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import anyio
 
@@ -14,6 +14,7 @@
 from swifthoist_core.types import Epoch, Millis, Offset
 from swifthoist_engine.snapshots import (
     HEAD_KEY,
+    Head,
     Restored,
     encode_head,
     restore,
@@ -43,6 +44,17 @@
 _log = logging.getLogger(__name__)
 
 
+class _SentHead(NamedTuple):
+    """A head that may have been written.
+
+    :ivar epoch: epoch of the tenure that wrote it.
+    :ivar head: the head.
+    """
+
+    epoch: Epoch
+    head: Head
+
+
 class SnapshotStore(KeyedTopicReader, Protocol):
     """Store operations that snapshots need."""
 
@@ -71,6 +83,7 @@
         self._store = store
         self._pause_s = min(retention_ms / 1_000 * PAUSE_SHARE, MAX_PAUSE_S)
         self._max_chunk_bytes = int(record_bytes * CHUNK_SHARE)
+        self._unsettled: _SentHead | None = None
 
     async def load(self) -> Restored | None:
         """Read the newest snapshot.
@@ -120,18 +133,21 @@
         :param epoch: epoch of the tenure.
         """
         before = self.written
+        dropped = False
         while True:
             await anyio.sleep(self._pause_s)
             try:
                 await self._write(follower, epoch)
-                if self.written == before + 2:
+                if not dropped and self.written >= before + 2:
                     await self._drop_stale(epoch)
+                    dropped = True
             except _WRITE_ERRORS as exc:
                 _log.warning('snapshot not written', extra={'why': str(exc)})
 
     async def _write(self, follower: Follower, epoch: Epoch) -> None:
         if follower.cell.state.epoch != epoch:
             return
+        await self._settle_head(epoch)
         # A tenure may continue the epoch of an earlier one, and must not
         # overwrite chunks that the head refers to, so the number of the
         # snapshot continues, too.
@@ -143,15 +159,34 @@
         )
         for key, chunk in snapshot.chunks.items():
             await self._store.put(SNAPSHOT_TOPIC, key, chunk, CALL_TIMEOUT_S)
-        head = encode_head(snapshot.head)
-        await self._store.put(SNAPSHOT_TOPIC, HEAD_KEY, head, CALL_TIMEOUT_S)
+        await self._write_head(_SentHead(epoch, snapshot.head))
+
+    async def _write_head(self, sent: _SentHead) -> None:
+        self._unsettled = sent
+        try:
+            await self._put_head(sent.head)
+        except LogUnavailableError:
+            self._unsettled = None
+            raise
+
+    async def _settle_head(self, epoch: Epoch) -> None:
+        """Write a head again that got no answer.
+
+        Until it is answered, the head in the store may refer to either slot, so
+        neither may be written. Other tenures use other slots.
+        """
+        sent = self._unsettled
+        if sent is not None and sent.epoch == epoch:
+            await self._put_head(sent.head)
+
+    async def _put_head(self, head: Head) -> None:
+        content = encode_head(head)
+        await self._store.put(SNAPSHOT_TOPIC, HEAD_KEY, content, CALL_TIMEOUT_S)
+        self._unsettled = None
         self.written += 1
         _log.info(
             'snapshot written',
-            extra={
-                'position': snapshot.head.position,
-                'chunks': snapshot.head.chunks,
-            },
+            extra={'position': head.position, 'chunks': head.chunks},
         )
 
     async def _drop_stale(self, epoch: Epoch) -> None:
--- a/tests/instance/test_snapshotting.py
+++ b/tests/instance/test_snapshotting.py
@@ -1,5 +1,6 @@
 """Tests of snapshots, which keep what the log has dropped."""
 
+import functools
 import unittest
 from typing import Any
 from unittest import mock
@@ -9,6 +10,7 @@
 from swifthoist_core.errors import (
     LogExpiredError,
     LogUnavailableError,
+    OutcomeUnknownError,
     SnapshotError,
 )
 from swifthoist_core.types import Offset
@@ -130,6 +132,45 @@
 
         run(main)
 
+    def test_a_snapshot_whose_head_got_no_answer_outlasts_the_next_one(
+        self,
+    ) -> None:
+        """Its head may have been written, and then needs its chunks."""
+        for written in (True, False):
+            with self.subTest(written=written):
+                run(functools.partial(self._lose_answer, written=written))
+
+    async def _lose_answer(self, *, written: bool) -> None:
+        store = FakeStore()
+        snapshots = Snapshots(store, 1_000, 1_000)
+        follower = Follower(store, Cell(KEEP_MS), LoopClock())
+        with anyio.move_on_after(0.3):
+            await snapshots.run(follower, 0)
+        put = store.put
+        heads: list[bytes] = []
+
+        async def lose_answer(topic, key, content, timeout_s) -> None:
+            if key == HEAD_KEY:
+                heads.append(content)
+                if written and len(heads) == 1:
+                    await put(topic, key, content, timeout_s)
+                raise OutcomeUnknownError('no answer')
+            await put(topic, key, content, timeout_s)
+
+        with mock.patch.object(store, 'put', lose_answer):
+            for time_ms in (1, 2, 3):
+                follower.cell.state.time_ms = time_ms
+                with anyio.move_on_after(0.3):
+                    await snapshots.run(follower, 0)
+                self.assertIsNotNone(await snapshots.load())
+        self.assertEqual(len(heads), 3)
+        follower.cell.state.time_ms = 4
+        with anyio.move_on_after(0.5):
+            await snapshots.run(follower, 0)
+        restored = await snapshots.load()
+        assert restored is not None
+        self.assertEqual(restored.state.time_ms, 4)
+
 
 class _ReplacingStore(FakeStore):
     """A store whose snapshot is replaced while it is listed.
