Count a start under way when its runner crashes

A task that crashes its runners could be started once more than intended. A start counted as sent only from its answer, or from the end of the wait for one. If another life of the runner answered a look first, as where a runner is back within 0.6 s, the crash was recorded without the run whose start was still under way, and without any run no crash was recorded at all.

A start now counts as one that may have begun from the moment in which it is sent, until its runner refuses it or no connection could be opened; a refusal does not tell of an earlier attempt.

Seen by reading; no play is known to have shown it.

--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -212,6 +212,7 @@
         )
         may_be_pending = contact.pending_starts.note_sent(key)
         sent_ms = self._context.clock.boot_ms()
+        self.starts.note_sent(key, sent_ms)
         try:
             answer = await contact.client.start(order, CALL_S)
         except NO_ANSWER_ERRORS as exc:
@@ -219,8 +220,8 @@
             contact.note_no_answer(exc)
             _log_unanswered('start', run, exc)
             return None
-        if answer.result in {OrderResult.TAKEN, OrderResult.OLD}:
-            self.starts.note_sent(key, sent_ms)
+        if answer.result not in {OrderResult.TAKEN, OrderResult.OLD}:
+            self.starts.note_not_begun(key, sent_ms)
         self._context.lines.note(
             'start',
             run.task,
--- a/packages/instance/swifthoist_instance/sent_starts.py
+++ b/packages/instance/swifthoist_instance/sent_starts.py
@@ -36,7 +36,7 @@
         self._sent_ms.setdefault(key, None)
 
     def note_sent(self, key: RunKey, sent_ms: Millis) -> None:
-        """Record that a start was sent and may have been carried out.
+        """Record that a start is being sent, and may be carried out.
 
         :param key: the run.
         :param sent_ms: when, in ms of the clock that includes suspension.
@@ -44,18 +44,28 @@
         if self._sent_ms.get(key) is None:
             self._sent_ms[key] = sent_ms
 
+    def note_not_begun(self, key: RunKey, sent_ms: Millis) -> None:
+        """Record that a start was certainly not carried out.
+
+        Earlier ones of the same run may have been.
+
+        :param key: the run.
+        :param sent_ms: when it was sent, as recorded.
+        """
+        if self._sent_ms.get(key) == sent_ms:
+            self._sent_ms[key] = None
+
     def note_unanswered(
         self, key: RunKey, sent_ms: Millis, exc: SwifthoistError
     ) -> None:
         """Record that a start got no answer.
 
         :param key: the run.
-        :param sent_ms: when it was sent, in ms of the clock that includes
-            suspension.
+        :param sent_ms: when it was sent, as recorded.
         :param exc: why there is no answer.
         """
-        if not isinstance(exc, UnreachableError):
-            self.note_sent(key, sent_ms)
+        if isinstance(exc, UnreachableError):
+            self.note_not_begun(key, sent_ms)
 
     def forget(self, key: RunKey) -> None:
         """Forget a run that is no longer open.
--- a/tests/instance/test_session_end.py
+++ b/tests/instance/test_session_end.py
@@ -5,7 +5,11 @@
 
 import anyio
 
-from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
+from swifthoist_core.errors import (
+    OutcomeUnknownError,
+    SwifthoistError,
+    UnreachableError,
+)
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.model import Resources, TaskId, UnitId
 from swifthoist_instance.contacts import Contact
@@ -13,9 +17,15 @@
 from swifthoist_instance.crash_counts import CrashCounts
 from swifthoist_instance.evacuations import EvacuationRequests, ZoneGate
 from swifthoist_instance.leases import Lease
+from swifthoist_instance.orders import Orders
+from swifthoist_instance.run_lines import RunLines
 from swifthoist_instance.sessions import Session
 from swifthoist_platform.documents import unregistered_runner
-from swifthoist_platform.runner_calls import RunnerClient
+from swifthoist_platform.runner_calls import (
+    OrderAnswer,
+    OrderResult,
+    RunnerClient,
+)
 from tests.engine.scenes import BATCH, Scene, job_spec, task
 from tests.instance.fakes import LoopClock, run
 
@@ -45,6 +55,22 @@
         """Do nothing; no connection is open."""
 
 
+class _AnsweringClient(_UnresponsiveClient):
+    """A runner that ends starts in one way after another, after a delay."""
+
+    def __init__(self, *endings: SwifthoistError | OrderResult) -> None:
+        super().__init__()
+        self.endings = list(endings)
+
+    async def start(self, *_: object) -> OrderAnswer:
+        """End in the next way."""
+        await anyio.sleep(ANSWER_S)
+        ending = self.endings.pop(0)
+        if isinstance(ending, SwifthoistError):
+            raise ending
+        return OrderAnswer(ending, 1)
+
+
 class _FakeContext:
     """The part of a tenure that a session uses."""
 
@@ -55,6 +81,7 @@
         self.clock = LoopClock()
         self.crashes = CrashCounts()
         self.in_force = True
+        self.lines = RunLines(cell, self.clock)
         self.zones = ZoneGate(
             EvacuationRequests(self.clock), self.clock.boot_ms, lambda: None
         )
@@ -64,6 +91,64 @@
         return self.in_force
 
 
+def _make_contact(context: _FakeContext, client: object) -> Contact:
+    contact = Contact(
+        unregistered_runner('r', 'runner:1'),
+        cast(RunnerClient, client),
+        Lease(LEASE_MS, LEASE_MS),
+        cast(TenureContext, context),
+    )
+    contact.note_clock(1)
+    return contact
+
+
+class StartUnderWayTest(unittest.TestCase):
+    """A start may have begun unless its runner says otherwise."""
+
+    def begun(
+        self, *endings: SwifthoistError | OrderResult
+    ) -> list[tuple[bool, bool]]:
+        """Return for each attempt whether the run may have begun.
+
+        :param endings: how the attempts to start it end.
+        :returns: what is told during each attempt, and after it.
+        """
+        scene = Scene(job_spec('j', BATCH, task(Resources(1, 1, 1))))
+        scene.start(UnitId('j', 0, 0, 0), 'r')
+        order = scene.cell.find_run(TaskId('j', 0, 0, 0), 1)
+        assert order is not None
+        scene.cell.runs.take_unsent()
+        found: list[tuple[bool, bool]] = []
+
+        async def main() -> None:
+            context = _FakeContext(scene.cell)
+            contact = _make_contact(context, _AnsweringClient(*endings))
+            async with anyio.create_task_group() as tasks:
+                orders = Orders(contact, tasks)
+                starts = orders.starts
+                starts.note_ordered((order.task, order.run))
+                for _ in endings:
+                    tasks.start_soon(orders._try_start, order, '')
+                    await anyio.sleep(ANSWER_S / 2)
+                    before = starts.may_have_begun(order)
+                    await anyio.sleep(ANSWER_S)
+                    found.append((before, starts.may_have_begun(order)))
+
+        run(main)
+        return found
+
+    def test_a_start_under_way_counts_when_its_runner_crashes(self) -> None:
+        """The runner may have crashed by it before the call got its answer."""
+        for ending in (UnreachableError('no'), OrderResult.NO_ROOM):
+            self.assertEqual(self.begun(ending), [(True, False)])
+
+    def test_a_refusal_does_not_tell_of_an_earlier_attempt(self) -> None:
+        """That one got no answer, and may be carried out."""
+        unknown = OutcomeUnknownError('no answer')
+        found = self.begun(unknown, OrderResult.NO_ROOM)
+        self.assertEqual(found, [(True, True), (True, True)])
+
+
 class SessionEndTest(unittest.TestCase):
     """A session that is ending accepts no more orders."""
 
@@ -77,14 +162,7 @@
         async def main() -> None:
             context = _FakeContext(scene.cell)
             client = _UnresponsiveClient()
-            lease = Lease(LEASE_MS, LEASE_MS)
-            contact = Contact(
-                unregistered_runner('r', 'runner:1'),
-                cast(RunnerClient, client),
-                lease,
-                cast(TenureContext, context),
-            )
-            contact.note_clock(1)
+            contact = _make_contact(context, client)
             session = Session(contact)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(session.run)
