Check that no job runs of which each attempt was rejected

The emulator's checker now keeps the jobs that were rejected at each attempt, and reports one that starts, whichever comes first. No answer, 502 and 504 are no rejection.

--- a/packages/emulator/swifthoist_emulator/callers.py
+++ b/packages/emulator/swifthoist_emulator/callers.py
@@ -22,6 +22,12 @@
 
 _FINAL_STATUSES = frozenset((200, 400, 401, 404, 410))
 
+_NO_ANSWER = 0
+_FIRST_ERROR = 400
+
+_UNKNOWN_STATUSES = frozenset((_NO_ANSWER, 502, 504))
+"""Outcomes that leave open whether a call takes effect."""
+
 
 class Order(NamedTuple):
     """A job to submit.
@@ -75,7 +81,10 @@
         :returns: the last HTTP status; 0 for no answer.
         """
         self._checker.submitted.add(order.job)
-        return await self._call('POST', order, write_job(order))
+        statuses = await self._call('POST', order, write_job(order))
+        if are_rejections(statuses):
+            self._checker.note_rejected(order.job)
+        return statuses[-1]
 
     async def cancel(self, order: Order) -> int:
         """Cancel a job, and retry until the answer is final.
@@ -83,10 +92,10 @@
         :param order: the job.
         :returns: the last HTTP status; 0 for no answer.
         """
-        status = await self._call('DELETE', order)
-        if status == 200:
+        statuses = await self._call('DELETE', order)
+        if statuses[-1] == 200:
             self._checker.canceled.add(order.job)
-        return status
+        return statuses[-1]
 
     async def state(self, order: Order) -> str:
         """Query the state of a job.
@@ -108,15 +117,16 @@
 
     async def _call(
         self, method: str, order: Order, content: bytes = b''
-    ) -> int:
-        status = 0
+    ) -> list[int]:
+        """Call until the answer is final; return the status of each attempt."""
+        statuses: list[int] = []
         for _ in range(MAX_TRIES):
             reply = await self._try(method, order, content)
-            status = 0 if reply is None else reply.status_code
-            if status in _FINAL_STATUSES:
-                return status
+            statuses.append(_NO_ANSWER if reply is None else reply.status_code)
+            if statuses[-1] in _FINAL_STATUSES:
+                break
             await anyio.sleep(RETRY_PAUSE_S)
-        return status
+        return statuses
 
     async def _try(
         self, method: str, order: Order, content: bytes
@@ -137,6 +147,18 @@
             return None
 
 
+def are_rejections(statuses: Sequence[int]) -> bool:
+    """Return whether a call had certainly no effect, as its caller was told.
+
+    :param statuses: HTTP status of each attempt; 0 for no answer.
+    :returns: whether each attempt was rejected.
+    """
+    return not any(
+        status in _UNKNOWN_STATUSES or status < _FIRST_ERROR
+        for status in statuses
+    )
+
+
 def write_job(order: Order) -> bytes:
     """Encode the body of a submission.
 
--- a/packages/emulator/swifthoist_emulator/checker.py
+++ b/packages/emulator/swifthoist_emulator/checker.py
@@ -35,6 +35,8 @@
     :ivar starts: number of starts.
     :ivar done: tasks that have succeeded, by job.
     :ivar submitted: jobs that callers submitted.
+    :ivar rejected: jobs of which callers were told at each attempt that it was
+        rejected.
     :ivar canceled: jobs whose cancel was acknowledged.
     :ivar accelerator_ms: accelerator-milliseconds that runners spent.
     :ivar closed: runners in zones whose evacuation started so long ago that no
@@ -50,11 +52,13 @@
         default_factory=lambda: defaultdict(set)
     )
     submitted: set[JobId] = field(default_factory=set)
+    rejected: set[JobId] = field(default_factory=set)
     canceled: set[JobId] = field(default_factory=set)
     accelerator_ms: int = 0
     closed: frozenset[RunnerId] = frozenset()
     late: bool = False
     crashes: Counter[TaskId] = field(default_factory=Counter)
+    _started: set[JobId] = field(default_factory=set)
     _starts_after_limit: Counter[TaskId] = field(default_factory=Counter)
     _running: dict[TaskId, set[RunLocation]] = field(
         default_factory=lambda: defaultdict(set)
@@ -85,6 +89,9 @@
         :param room: capacity of the runner.
         """
         self.starts += 1
+        self._started.add(task.job)
+        if task.job in self.rejected:
+            self.broken.append(f'{task} starts, though it was rejected')
         if self._running[task]:
             self.broken.append(f'{task} runs twice: {self._running[task]}')
         if task in self._acknowledged_done:
@@ -114,6 +121,15 @@
         if self._starts_after_limit[task] > MAX_STARTS_AFTER:
             self.broken.append(f'{task} starts, though it crashes its runners')
 
+    def note_rejected(self, job: JobId) -> None:
+        """Record that a caller gave a job up after rejections alone.
+
+        :param job: the job.
+        """
+        self.rejected.add(job)
+        if job in self._started:
+            self.broken.append(f'{job} was rejected, though it had started')
+
     def note_crashed_by(self, task: TaskId) -> None:
         """Record that a task has crashed the runner that started it.
 
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 
 from swifthoist_core.errors import UnreachableError
-from swifthoist_emulator.callers import Order, write_job
+from swifthoist_emulator.callers import Order, are_rejections, write_job
 from swifthoist_emulator.direct import Link
 from swifthoist_emulator.http import Request, Response
 from swifthoist_emulator.site import HOST, STANDARD, Site, write_settings
@@ -200,7 +200,10 @@
     async def submit(self, order: Order) -> bool:
         """Submit a job, with a few retries; return whether it was accepted."""
         self.world.checker.submitted.add(order.job)
-        if await self._call('POST', order, write_job(order)) != OK:
+        statuses = await self._call('POST', order, write_job(order))
+        if are_rejections(statuses):
+            self.world.checker.note_rejected(order.job)
+        if statuses[-1] != OK:
             return False
         self.accepted.append(order)
         return True
@@ -208,7 +211,8 @@
     async def cancel(self, order: Order) -> None:
         """Cancel a job; the cancel may take effect without an acknowledgement."""
         self.cancel_requested.add(order.job)
-        if await self._call('DELETE', order) == OK:
+        statuses = await self._call('DELETE', order)
+        if statuses[-1] == OK:
             self.world.checker.canceled.add(order.job)
             self.canceled.append(order)
 
@@ -244,14 +248,17 @@
 
     async def _call(
         self, method: str, order: Order, content: bytes = b''
-    ) -> int:
+    ) -> list[int]:
+        """Call until the answer is final; return the status of each attempt."""
+        statuses: list[int] = []
         for _ in range(5):
             node = self.random.choice(self.nodes)
             answer = await node.call(method, order, content)
-            if answer is not None and answer.status in {OK, 410}:
-                return answer.status
+            statuses.append(answer.status if answer is not None else 0)
+            if statuses[-1] in {OK, 410}:
+                break
             await anyio.sleep(0.5)
-        return 0
+        return statuses
 
 
 async def wait_until(holds: Callable[[], bool], limit_s: float = 30) -> None:
