Use no address or id that no call can be made with

What callers saw: one entry among those of the runners, with a port out of range, ended the holder's term each time that it was listed. The holder kept its epoch, so no other instance took over.

Cause: the port of an entry only had to be a number, in any script, and the client of a runner raised what nobody catches: OverflowError in an exception group for ports over 65535, httpx.InvalidURL for hosts with control characters, brackets, IDNA faults, octets over 255 or 70,000 characters, IDNAError for broken xn-- labels. An id that is not ASCII raised UnicodeEncodeError, since each call names it in a header.

Change: one check of addresses and one of ids, applied to entries, to addresses that instances tell on the log, and to those in the settings. An entry over 16 KB names no runner either: what it says is recorded in one append with others. As a second line, an endpoint makes no call to an invalid address and builds the request before anything is sent; either counts as not sent. The problem of an entry is counted in unusable_entries and logged once a key, no longer once a term.

What was known of a runner holds when its entry turns odd, as before.

--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -42,6 +42,7 @@
 from swifthoist_instance.supervision import run_supervised
 from swifthoist_instance.tenure import Tenure, claim_delay_ms
 from swifthoist_instance.turns import LoopMonitor
+from swifthoist_instance.unusable_entries import UnusableEntries
 from swifthoist_instance.web import ShutdownState, Web, serve_web
 from swifthoist_platform.boot import BootSettings
 from swifthoist_platform.endpoint import EndpointProtocol
@@ -183,6 +184,7 @@
         turns = LoopMonitor(clock)
         self._lives = LifeCounts()
         self._crashes = CrashCounts()
+        self._unusable_entries = UnusableEntries()
         self._holding = Holding(
             HolderDependencies(
                 self.tenure,
@@ -192,7 +194,9 @@
                 snapshots,
                 lambda: settings.boot.bounds.lease_max_ms,
                 clock,
-                lambda: Registry(self._clients.store(), clock),
+                lambda: Registry(
+                    self._clients.store(), clock, self._unusable_entries
+                ),
                 self._clients.runner,
                 self._clients.advice,
                 self._clients.machines,
@@ -251,6 +255,9 @@
         metrics.register('runs_unsure_with_lives', lambda: self._lives.unsure)
         metrics.register('runner_crashes', lambda: self._crashes.crashes)
         metrics.register('tasks_given_up', lambda: self._crashes.given_up)
+        metrics.register(
+            'unusable_entries', lambda: self._unusable_entries.count
+        )
         self._shutdown_state = ShutdownState()
         api = Api(
             self._configuration,
--- a/packages/instance/swifthoist_instance/peers.py
+++ b/packages/instance/swifthoist_instance/peers.py
@@ -36,9 +36,11 @@
     Call,
 )
 from swifthoist_instance.relayed import Relayed, Try, log_relayed
+from swifthoist_platform.addresses import is_address
 from swifthoist_platform.calls import Call as PeerCall
 from swifthoist_platform.endpoint import EndpointProtocol
 from swifthoist_platform.job_calls import format_api_key
+from swifthoist_platform.values import is_number
 
 RELAY_PATH = '/v1/relay'
 HAND_OVER_PATH = '/v1/hand-over'
@@ -76,6 +78,9 @@
 
 JOIN_TIMEOUT_S = 3.0
 
+MAX_SHOWN_CHARS = 100
+"""Number of characters of a name that the log shows."""
+
 LIFE_SEPARATOR = '.'
 """Separates the name of an instance from that of its life (one start of its
 process)."""
@@ -145,20 +150,24 @@
         self._endpoints: dict[str, EndpointProtocol] = {}
         self._avoid_until_ms: dict[str, Millis] = {}
         self._open_relays = 0
+        self._logged_unusable: set[str] = set()
         self._random = random.Random(instance)
 
     @property
     def holder(self) -> str:
         """Name of another instance that holds the cell and can be reached."""
         node = node_of(self._state.holder)
-        known = node != self._node and node in self._state.peers
-        return node if known else ''
+        return node if node in self.others else ''
 
     @property
     def others(self) -> dict[str, Peer]:
         """The other known instances by name."""
         known = self._state.peers.items()
-        return {node: peer for node, peer in known if node != self._node}
+        return {
+            node: peer
+            for node, peer in known
+            if node != self._node and self._is_usable(node, peer)
+        }
 
     @property
     def _state(self) -> CellState:
@@ -327,6 +336,15 @@
     def _avoid(self, node: str) -> None:
         self._avoid_until_ms[node] = self._clock.boot_ms() + AVOID_MS
 
+    def _is_usable(self, node: str, peer: Peer) -> bool:
+        """Return whether an instance told an address; log if it didn't."""
+        usable = is_address(peer.address) and is_number(peer.cores)
+        if not usable and node not in self._logged_unusable:
+            self._logged_unusable.add(node)
+            fields = {'node': node[:MAX_SHOWN_CHARS]}
+            _log.error('address of instance unusable', extra=fields)
+        return usable
+
     def _endpoint(self, node: str) -> EndpointProtocol:
         peer = self._state.peers.get(node)
         if peer is None:
--- a/packages/instance/swifthoist_instance/registry.py
+++ b/packages/instance/swifthoist_instance/registry.py
@@ -10,6 +10,7 @@
 from swifthoist_core.types import Millis, Offset, RunnerId
 from swifthoist_instance.configuration import KeyedTopicReader
 from swifthoist_instance.lives import is_plausible_birth
+from swifthoist_instance.unusable_entries import UnusableEntries
 from swifthoist_platform.documents import Registration, decode_registration
 from swifthoist_platform.store import RUNNER_TOPIC
 from swifthoist_platform.store_records import KeyedRecord, parse_keyed_record
@@ -49,11 +50,17 @@
     :ivar loaded: set once all registrations were read.
     """
 
-    def __init__(self, store: KeyedTopicReader, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: KeyedTopicReader,
+        clock: Clock,
+        unusable: UnusableEntries | None = None,
+    ) -> None:
         """Create a registry.
 
         :param store: the store to watch.
         :param clock: source of the time.
+        :param unusable: counts entries with problems; None creates a new one.
         """
         self.listed: dict[RunnerId, Listed] = {}
         self.loaded = anyio.Event()
@@ -61,7 +68,7 @@
         self._clock = clock
         self._position: Offset | None = None
         self._unavailable = False
-        self._logged_unusable: set[str] = set()
+        self._unusable = unusable or UnusableEntries()
 
     def present(self, runner: RunnerId) -> Registration | None:
         """Find a runner that may get work.
@@ -126,8 +133,11 @@
             READ_WAIT_S,
             READ_WAIT_S + READ_GRACE_S,
         )
-        for item in filter(None, map(parse_keyed_record, batch.records)):
-            self._apply(item)
+        for item in map(parse_keyed_record, batch.records):
+            if item is None:
+                self._unusable.note('', 'key undecodable')
+            else:
+                self._apply(item)
         self._position += len(batch.records)
 
     async def _read_all(self) -> None:
@@ -147,14 +157,14 @@
             return
         decoded = decode_registration(item.key, item.content)
         if decoded.registration is None:
-            self._log_unusable(item.key, '; '.join(map(str, decoded.findings)))
+            self._unusable.note(item.key, '; '.join(map(str, decoded.findings)))
             return
         for finding in decoded.findings:
-            self._log_unusable(item.key, str(finding))
+            self._unusable.note(item.key, str(finding))
         old = self.listed.get(item.key)
         new = self._resolve_birth(decoded.registration, old)
         if new is None:
-            self._log_unusable(item.key, 'is of an earlier life')
+            self._unusable.note(item.key, 'is of an earlier life')
             return
         if old is None or old.registration.draining != new.draining:
             _log.info(
@@ -175,7 +185,7 @@
             entry.born_ms, self._clock
         ):
             if entry.born_ms or known_ms:
-                self._log_unusable(
+                self._unusable.note(
                     entry.runner, f'its birth is {entry.born_ms}'
                 )
             return entry._replace(born_ms=known_ms)
@@ -188,11 +198,3 @@
         _log.info('runner absent', extra={'runner': runner})
         now_ms = self._clock.boot_ms()
         self.listed[runner] = found._replace(absent_ms=now_ms)
-
-    def _log_unusable(self, key: str, problem: str) -> None:
-        if key not in self._logged_unusable:
-            self._logged_unusable.add(key)
-            _log.error(
-                'problem in registry entry',
-                extra={'key': key, 'problem': problem},
-            )
--- a/packages/platform/swifthoist_platform/boot.py
+++ b/packages/platform/swifthoist_platform/boot.py
@@ -137,8 +137,10 @@
         ip=reader.string(names.IP),
         store=_decode_store(reader.nested(names.PLATFORM)),
         bounds=_decode_bounds(reader.nested(names.BOUNDS)),
-        advice_address=reader.string(names.ADVICE),
-        machines_address=reader.nested(names.CLOUD_API).string(names.ADDRESS),
+        advice_address=reader.address(names.ADVICE, optional=True),
+        machines_address=reader.nested(names.CLOUD_API).address(
+            names.ADDRESS, optional=True
+        ),
         beat_ms=reader.integer(names.HEARTBEAT_MS, 1_500),
         cores=limits.number(names.CPU_SHARE, 1) * limits.number(names.CORES, 1),
         link_bytes_s=_link_bandwidth(limits),
@@ -160,7 +162,7 @@
 
 def _decode_store(reader: DocumentReader) -> StoreSettings:
     return StoreSettings(
-        reader.string(names.ADDRESS),
+        reader.address(names.ADDRESS, optional=True),
         reader.integer(names.RECORD_BYTES, 262_144),
         reader.integer(names.CALL_BYTES, 2_097_152),
         int(reader.number(names.KEEP_S, 20) * _MS_PER_S),
--- a/packages/platform/swifthoist_platform/calls.py
+++ b/packages/platform/swifthoist_platform/calls.py
@@ -82,8 +82,29 @@
     content: bytes
 
 
+def build_request(url: str | httpx.URL, call: Call) -> httpx.Request:
+    """Build the request of a call; nothing is sent.
+
+    :param url: full URL of the request.
+    :param call: the call.
+    :returns: the request.
+    :raises UnreachableError: if the URL or a header is not valid.
+    """
+    timeouts = {'connect': call.timeout_s * _CONNECT_FRACTION}
+    try:
+        return httpx.Request(
+            call.method,
+            url,
+            content=call.content,
+            headers=call.headers,
+            extensions={'timeout': timeouts},
+        )
+    except (httpx.InvalidURL, UnicodeError) as exc:
+        raise UnreachableError(f'call not valid: {exc!r}') from exc
+
+
 async def send(
-    transport: httpx.AsyncHTTPTransport, url: httpx.URL, call: Call
+    transport: httpx.AsyncHTTPTransport, request: httpx.Request, call: Call
 ) -> Reply:
     """Make a call and wait for the complete reply.
 
@@ -92,21 +113,14 @@
     the time of a call.
 
     :param transport: transport whose connections are used.
-    :param url: full URL of the request.
-    :param call: the request.
+    :param request: the request.
+    :param call: the call that it is built of.
     :returns: the reply, whatever its status.
     :raises UnreachableError: if no connection could be opened in time.
     :raises AnswerLateError: if the reply timed out.
     :raises OutcomeUnknownError: if the reply was lost.
     """
-    timeouts = {'connect': call.timeout_s * _CONNECT_FRACTION}
-    request = httpx.Request(
-        call.method,
-        url,
-        content=call.content,
-        headers=call.headers,
-        extensions={'timeout': timeouts},
-    )
+    url = request.url
     try:
         with anyio.fail_after(call.timeout_s) as scope:
             if call.patience is not None:
--- a/packages/platform/swifthoist_platform/documents.py
+++ b/packages/platform/swifthoist_platform/documents.py
@@ -10,6 +10,7 @@
 from swifthoist_engine.model import QueueTerms, Resources
 from swifthoist_engine.past_runs import RunnerFacts
 from swifthoist_platform import names
+from swifthoist_platform.addresses import is_header_id
 from swifthoist_platform.values import DocumentReader, read_json
 
 _DRAINING = 'draining'
@@ -18,6 +19,13 @@
 _COMPLETE = 'complete'
 _MS_PER_S = 1_000
 
+MAX_SHOWN_CHARS = 100
+"""Number of characters of an invalid text that a finding shows."""
+
+MAX_ENTRY_BYTES = 16_384
+"""Largest entry of a runner, in bytes: what it says of itself is recorded, with
+that of others in one append."""
+
 
 class Registration(NamedTuple):
     """A runner's entry in the registry.
@@ -105,15 +113,21 @@
     :param content: content of the entry, which may be invalid.
     :returns: the runner, or the problems of the entry.
     """
+    if not is_header_id(runner):
+        return DecodedRegistration(None, (Finding('key', 'is no id'),))
+    if len(content) > MAX_ENTRY_BYTES:
+        problem = f'has over {MAX_ENTRY_BYTES} bytes'
+        return DecodedRegistration(None, (Finding('document', problem),))
     reader = read_json(content)
     state = reader.string(names.STATE)
     if state not in {_READY, _DRAINING}:
-        reader.findings.append(Finding(names.STATE, f'is unknown: {state!r}'))
+        problem = f'is unknown: {state[:MAX_SHOWN_CHARS]!r}'
+        reader.findings.append(Finding(names.STATE, problem))
     labels = reader.strings(names.LABELS)
     entry = Registration(
         runner=runner,
         service=reader.string(names.SERVICE),
-        address=reader.string(names.ADDRESS),
+        address=reader.address(names.ADDRESS),
         zone=reader.string(names.ZONE),
         draining=state == _DRAINING,
         room=_decode_resources(reader.nested(names.CAPACITY)),
@@ -128,9 +142,6 @@
     for name in (names.SERVICE, names.ADDRESS, names.CAPACITY):
         if not reader.has(name):
             reader.findings.append(Finding(name, 'is missing'))
-    host, _, port = entry.address.rpartition(':')
-    if not host or not port.isdecimal():
-        reader.findings.append(Finding(names.ADDRESS, 'is no address'))
     if reader.findings:
         return DecodedRegistration(None, tuple(reader.findings))
     born_ms = reader.timestamp_ms(names.BORN)
--- a/packages/platform/swifthoist_platform/endpoint.py
+++ b/packages/platform/swifthoist_platform/endpoint.py
@@ -8,7 +8,8 @@
 import httpx
 
 from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
-from swifthoist_platform.calls import Call, Reply, send
+from swifthoist_platform.addresses import is_address
+from swifthoist_platform.calls import Call, Reply, build_request, send
 
 USER_TIMEOUT_MS = 1_500
 """How long sent data may remain unacknowledged, in ms. Longer than any reply
@@ -22,6 +23,9 @@
 
 KEEP_ALIVE_S = 20.0
 
+MAX_SHOWN_CHARS = 100
+"""Number of characters of an invalid address that an error shows."""
+
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
@@ -104,6 +108,7 @@
         """
         self.address = address
         self._headers = headers or {}
+        self._usable = is_address(address)
         self._urls: dict[str, httpx.URL] = {}
         self._create_transport = create_transport
         self._pool = _Pool(create_transport)
@@ -113,29 +118,34 @@
 
         :param call: the call.
         :returns: the reply, whatever its status.
-        :raises UnreachableError: if no connection could be opened.
+        :raises UnreachableError: if no connection could be opened, or the
+            address or the call is not valid.
         :raises OutcomeUnknownError: if the reply was lost or timed out.
         """
+        if not self._usable:
+            shown = self.address[:MAX_SHOWN_CHARS]
+            raise UnreachableError(f'{shown!r} is no valid address')
         pool = self._pool
-        url = self._url(call.path)
         full_call = call._replace(headers={**self._headers, **call.headers})
+        request = self._build_request(full_call)
         try:
             async with pool as transport:
-                return await send(transport, url, full_call)
+                return await send(transport, request, full_call)
         except (OutcomeUnknownError, UnreachableError):
             if pool is self._pool:
                 self._pool = _Pool(self._create_transport)
                 await pool.retire()
             raise
 
-    def _url(self, path: str) -> httpx.URL:
-        """Return the URL of a path; URLs without a query are cached."""
-        url = self._urls.get(path)
-        if url is None:
-            url = httpx.URL(f'http://{self.address}{path}')
-            if '?' not in path:
-                self._urls[path] = url
-        return url
+    def _build_request(self, call: Call) -> httpx.Request:
+        """Build a request; URLs without a query are cached."""
+        url = self._urls.get(call.path)
+        if url is not None:
+            return build_request(url, call)
+        request = build_request(f'http://{self.address}{call.path}', call)
+        if '?' not in call.path:
+            self._urls[call.path] = request.url
+        return request
 
     async def close(self) -> None:
         """Close the connections."""
--- a/packages/platform/swifthoist_platform/machines.py
+++ b/packages/platform/swifthoist_platform/machines.py
@@ -5,6 +5,7 @@
 
 from enum import StrEnum
 from typing import NamedTuple
+from urllib.parse import urlencode
 
 import msgspec
 
@@ -69,7 +70,7 @@
         listed: list[Machine] = []
         token = ''
         for _ in range(PAGE_LIMIT):
-            query = f'?{names.PAGE_TOKEN}={token}' if token else ''
+            query = f'?{urlencode({names.PAGE_TOKEN: token})}' if token else ''
             path = f'{names.ROOT}{names.MACHINES_LIST}{query}'
             reply = await self._endpoint.call(Call('GET', path, timeout_s))
             if reply.status != _OK:
--- a/packages/platform/swifthoist_platform/values.py
+++ b/packages/platform/swifthoist_platform/values.py
@@ -5,11 +5,12 @@
 """
 
 from collections.abc import Callable, Mapping
-from typing import Any, TypeAlias, TypeVar
+from typing import Any, TypeAlias, TypeGuard, TypeVar
 
 import msgspec
 
 from swifthoist_core.errors import Finding
+from swifthoist_platform.addresses import is_address
 
 MAX_NUMBER = 1 << 53
 """Largest valid number: larger integers are not exact in JSON, and records of
@@ -19,6 +20,17 @@
 _Element = TypeVar('_Element')
 
 
+def is_number(found: object) -> TypeGuard[float]:
+    """Return whether a value is a number from 0 to the largest valid one.
+
+    :param found: decoded JSON.
+    :returns: whether it is; a boolean is none.
+    """
+    if isinstance(found, bool) or not isinstance(found, int | float):
+        return False
+    return 0 <= found <= MAX_NUMBER
+
+
 class DocumentReader:
     """Reads the fields of a JSON object and collects its problems.
 
@@ -68,6 +80,21 @@
         self._add_finding(name, 'is no text')
         return default
 
+    def address(self, name: str, *, optional: bool = False) -> str:
+        """Read the address of a server.
+
+        :param name: name of the field.
+        :param optional: whether an empty text stands for none.
+        :returns: ``host:port``; empty if missing or invalid.
+        """
+        found = self._fields.get(name)
+        if not isinstance(found, str):
+            return self.string(name)
+        if is_address(found) or (optional and not found):
+            return found
+        self._add_finding(name, 'is no address')
+        return ''
+
     def number(self, name: str, default: float = 0) -> float:
         """Read a number of at least 0.
 
@@ -78,13 +105,13 @@
         found = self._fields.get(name)
         if found is None:
             return default
-        if isinstance(found, bool) or not isinstance(found, int | float):
-            self._add_finding(name, 'is no number')
-            return default
-        if not 0 <= found <= MAX_NUMBER:
+        if is_number(found):
+            return found
+        if isinstance(found, int | float) and not isinstance(found, bool):
             self._add_finding(name, 'is out of range')
-            return default
-        return found
+        else:
+            self._add_finding(name, 'is no number')
+        return default
 
     def integer(self, name: str, default: int = 0) -> int:
         """Read a number of at least 0 and truncate it to an integer.
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -7,7 +7,11 @@
 from hypothesis import strategies as st
 
 from swifthoist_core.errors import InvalidInputError
-from swifthoist_emulator.site import STANDARD, write_config, write_settings
+from swifthoist_emulator.site import (
+    STANDARD,
+    write_config,
+    write_settings,
+)
 from swifthoist_platform import names
 from swifthoist_platform.boot import decode_boot_settings
 from swifthoist_platform.documents import (
@@ -24,6 +28,7 @@
     DEPENDS_ON,
     GPU,
     LABELS,
+    REMAINING_MS,
     SERVICE,
     STATE,
     STEPS,
@@ -78,6 +83,9 @@
             (SERVICE, None),
             (ADDRESS, 7),
             (ADDRESS, 'nowhere'),
+            (ADDRESS, ''),
+            (ADDRESS, '127.0.0.1:65536'),
+            (ADDRESS, '127.0.0.1:0'),
             (STATE, 'resting'),
             (CAPACITY, 'large'),
         )
@@ -89,6 +97,35 @@
                 places = ' '.join(item.location for item in decoded.findings)
                 self.assertIn(name, places)
 
+    def test_an_id_that_no_header_carries_names_no_runner(self) -> None:
+        """Every call to the runner would raise."""
+        content = msgspec.json.encode(REGISTRY_ENTRY)
+        for runner in ('', ' ', 'a b', 'a\n', 'caf\xe9', '\u2603', 'x' * 256):
+            with self.subTest(runner=runner):
+                decoded = decode_registration(runner, content)
+                self.assertIsNone(decoded.registration)
+                self.assertTrue(decoded.findings)
+
+    def test_a_number_out_of_range_names_no_runner(self) -> None:
+        """Of a capacity and of times alike; 2^53 is the largest that is exact."""
+        cases = ('-1', '9007199254740993', '1e300', '1e400', '9' * 5_000)
+        for name in (GPU, COLD_LEFT_MS, REMAINING_MS):
+            for text in cases:
+                number = msgspec.Raw(text.encode())
+                changed = {CAPACITY: {GPU: number}}
+                if name != GPU:
+                    changed = {name: number}
+                content = msgspec.json.encode({**REGISTRY_ENTRY, **changed})
+                with self.subTest(name=name, text=text[:30]):
+                    decoded = decode_registration('r', content)
+                    self.assertIsNone(decoded.registration)
+
+    def test_an_entry_that_fits_into_no_record_names_no_runner(self) -> None:
+        """Its labels are recorded in one append with those of others."""
+        labels = ['k' * 200_000, 'r' * 200_000]
+        content = msgspec.json.encode({**REGISTRY_ENTRY, LABELS: labels})
+        self.assertIsNone(decode_registration('r', content).registration)
+
     def test_a_birth_that_can_not_be_read_loses_no_runner(self) -> None:
         """It is a finding; the runner is used with an unknown birth."""
         for value in ('1780000000000', 1.5, -3, True, [7]):
@@ -221,6 +258,17 @@
         boot = decode_boot_settings(msgspec.json.encode(document))
         self.assertEqual(boot.internal_ports, (7_000, 7_000))
 
+    def test_an_address_that_can_not_be_used_is_a_finding(self) -> None:
+        """None is used; the settings that were read before stay."""
+        content = write_settings('i', 'z', ('a:1', 'a:2', 'a:3'), 's:4')
+        document = msgspec.json.decode(content)
+        document[names.PLATFORM][names.ADDRESS] = '127.0.0.1:99999'
+        document[names.ADVICE] = 'a\x01:80'
+        document[names.CLOUD_API] = {ADDRESS: '127.0.0.1:0'}
+        with self.assertRaises(InvalidInputError) as caught:
+            decode_boot_settings(msgspec.json.encode(document))
+        self.assertEqual(len(caught.exception.findings), 3)
+
     def test_everything_wrong_is_told_at_once(self) -> None:
         """A process does not start with incomplete settings."""
         with self.assertRaises(InvalidInputError) as caught:
--- a/tests/adapter/test_endpoint.py
+++ b/tests/adapter/test_endpoint.py
@@ -6,12 +6,32 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
-from swifthoist_core.errors import AnswerLateError, OutcomeUnknownError
+from swifthoist_core.errors import (
+    AnswerLateError,
+    OutcomeUnknownError,
+    UnreachableError,
+)
 from swifthoist_platform.calls import Call
 from swifthoist_platform.endpoint import MAX_CONNECTIONS, Endpoint
 
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 ANSWER_DELAY_S = 0.2
+UNUSABLE_ADDRESSES = (
+    '127.0.0.1:99999',
+    '127.0.0.1:65536',
+    f'127.0.0.1:{"9" * 20}',
+    f'127.0.0.1:{"9" * 5_000}',
+    '127.0.0.1:\u0663',
+    '127.0.0.1:',
+    '\u2603:80',
+    'a\x01:80',
+    'xn--a:80',
+    'xn--:80',
+    '999.1.1.1:80',
+    '[::1:80',
+    '127.0.0.1:1:80',
+    f'{"x" * 70_000}:80',
+)
 
 
 class _SlowServer:
@@ -87,6 +107,36 @@
 
         self.run_with_server(scenario)
 
+    def test_a_call_that_can_not_be_made_counts_as_not_sent(self) -> None:
+        """Whoever makes it catches no other error."""
+
+        async def main() -> None:
+            for address in UNUSABLE_ADDRESSES:
+                endpoint = Endpoint(address)
+                with self.subTest(address=address[:30]):
+                    with self.assertRaises(UnreachableError):
+                        await endpoint.call(Call('GET', '/', 1))
+                await endpoint.close()
+
+        anyio.run(main)
+
+    def test_a_call_that_no_request_carries_counts_as_not_sent(self) -> None:
+        """A part that came from elsewhere is no text of a URL or a header."""
+
+        async def scenario(endpoint: Endpoint, server: _SlowServer) -> None:
+            calls = (
+                Call('GET', '/', 1, headers={'Expect-Instance': 'caf\xe9'}),
+                Call('GET', '/', 1, headers={'Expect-Instance': '\u2603'}),
+                Call('GET', '/?PageToken=\x01', 1),
+                Call('GET', f'/?PageToken={"x" * 70_000}', 1),
+            )
+            for call in calls:
+                with self.assertRaises(UnreachableError):
+                    await endpoint.call(call)
+            self.assertEqual(server.max_open, 0)
+
+        self.run_with_server(scenario)
+
     def test_an_answer_that_is_late_is_told_apart_from_one_that_breaks_off(
         self,
     ) -> None:
--- a/tests/instance/test_lives.py
+++ b/tests/instance/test_lives.py
@@ -15,6 +15,7 @@
     PendingStarts,
 )
 from swifthoist_instance.registry import Registry
+from swifthoist_instance.unusable_entries import UnusableEntries
 from swifthoist_platform import names
 from swifthoist_platform.store import RUNNER_TOPIC
 from tests.instance.fakes import FakeStore, run
@@ -154,6 +155,34 @@
         run(main)
         self.assertEqual(births_in_use, [*(BORN for _ in births), BORN + 3])
 
+    def test_an_odd_entry_changes_no_runner_and_is_logged_once(self) -> None:
+        """It names no runner; what was known of the others holds."""
+        unusable = UnusableEntries()
+        listed: list[bool] = []
+
+        async def main() -> None:
+            store = FakeStore()
+            registry = Registry(store, _ManualClock(), unusable)
+            store.publish(RUNNER_TOPIC, 'r', _entry(BORN))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(registry.run)
+                await registry.loaded.wait()
+                for key in ('r', 'r', 'odd', 'caf\xe9', ''):
+                    store.publish(RUNNER_TOPIC, key, b'[' * 100_000)
+                    await anyio.sleep(1)
+                    entry = registry.present('r')
+                    listed.append(
+                        entry is not None and len(registry.listed) == 1
+                    )
+                tasks.cancel_scope.cancel()
+
+        with self.assertLogs('swifthoist_instance', level='ERROR') as logs:
+            run(main)
+        self.assertTrue(all(listed))
+        keys = [record.key for record in logs.records]
+        self.assertEqual(keys, ['r', 'odd', 'caf\xe9', ''])
+        self.assertEqual(unusable.count, 5)
+
 
 def _entry(born: object) -> bytes:
     document = {
--- a/tests/instance/test_peers.py
+++ b/tests/instance/test_peers.py
@@ -1,5 +1,6 @@
 """Tests of calls that are handed to other instances."""
 
+import math
 import unittest
 from collections.abc import Callable
 
@@ -201,6 +202,32 @@
 class HandOverTest(unittest.TestCase):
     """The cell goes to an instance that can bear it."""
 
+    def test_an_instance_that_told_no_address_is_not_asked(self) -> None:
+        """Neither as the holder nor as another one."""
+        odd = (
+            Joined('b', '127.0.0.1:99999', 1),
+            Joined('c', 'a\x01:80', 1),
+            Joined('d', 'd:1', math.nan),
+            Joined('e', 'e:1', math.inf),
+        )
+        cell = Cell(1_000)
+        for joined in (*odd, Joined('f', 'f:1', 1)):
+            cell.fold(joined)
+        cell.fold(Claimed(1, 'b.life', 1))
+        found: list[object] = []
+
+        async def main() -> None:
+            follower = Follower(FakeStore(), cell, LoopClock())
+            own = Peer('a:1', 1)
+            peers = Peers('a.life', own, follower, LoopClock(), _open_silent)
+            for _ in range(2):
+                found.extend((list(peers.others), peers.holder))
+
+        with self.assertLogs(level='ERROR') as logs:
+            run(main)
+        self.assertEqual(found, 2 * [['f'], ''])
+        self.assertEqual(len(logs.records), len(odd))
+
     def test_a_weak_instance_is_not_asked_to_hold_the_cell(self) -> None:
         """Its decisions and renewals would come late; others claim instead."""
 
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -18,6 +18,8 @@
 from swifthoist_emulator.world import World
 from swifthoist_platform.endpoint import Endpoint, open_transport
 
+MAX_PORT = 65_535
+
 LATENCY_S = 0.001
 """One-way latency of a chunk, in seconds."""
 
@@ -156,6 +158,15 @@
             if rng.random() < share:
                 self.silence([conn], replies_only=rng.choice((False, True)))
 
+    def knows(self, address: str) -> bool:
+        """Return whether anything listens, or did, at an address."""
+        world = self._world
+        return (
+            address == world.store_address
+            or address in world.instances
+            or address in world.fleet.hosts
+        )
+
     def open(self, caller: str, address: str) -> Connection:
         """Open a connection."""
         conn = Connection(caller, address, self.links.get(caller))
@@ -188,9 +199,15 @@
     async def connect_tcp(
         self, host: str, port: int, *_: object, **options: object
     ) -> Connection:
-        """Open a connection."""
+        """Open a connection; fail as the sockets of a system do."""
+        if not 0 <= port <= MAX_PORT:
+            error = OverflowError('connect(): port must be 0-65535.')
+            raise ExceptionGroup('unhandled errors in a TaskGroup', [error])
         await anyio.sleep(LATENCY_S)
-        return self._network.open(self._caller, f'{host}:{port}')
+        address = f'{host}:{port}'
+        if not self._network.knows(address):
+            raise httpcore.ConnectError(f'{address}: connection refused')
+        return self._network.open(self._caller, address)
 
 
 async def _next_request(
