Carry out no wave and load no configuration without a valid number

A wave that could not be decoded was carried out as wave 0 with no machines, and told as complete; a configuration whose version was a truth value, negative or too large was loaded as version 0 by a process that had none. Both were found by reading. Now the number must be valid, and problems of a wave are logged.

Evidence: test_a_version_that_can_not_be_read_is_none failed before; the tests of waves fail there since they ask for findings, which did not exist.

--- a/packages/instance/swifthoist_instance/configuration.py
+++ b/packages/instance/swifthoist_instance/configuration.py
@@ -165,12 +165,20 @@
         if item.key == CONFIG_KEY:
             self._apply_catalogue(item.content)
         elif item.key.startswith(WAVE_PREFIX) and item.content:
-            wave = decode_wave(item.content)
-            self.waves[wave.number] = wave
-            _log.info('wave received', extra={'wave': wave.number})
+            self._apply_wave(item)
         elif item.key.startswith(EVACUATION_PREFIX):
             self._note_evacuation(item)
 
+    def _apply_wave(self, item: KeyedRecord) -> None:
+        decoded = decode_wave(item.content)
+        for finding in decoded.findings:
+            fields = {'key': item.key, 'finding': str(finding)}
+            _log.error('wave invalid', extra=fields)
+        wave = decoded.wave
+        if wave is not None:
+            self.waves[wave.number] = wave
+            _log.info('wave received', extra={'wave': wave.number})
+
     def _note_evacuation(self, item: KeyedRecord) -> None:
         """Begin or end an evacuation.
 
--- a/packages/platform/swifthoist_platform/documents.py
+++ b/packages/platform/swifthoist_platform/documents.py
@@ -153,7 +153,7 @@
 class DecodedCatalogue(NamedTuple):
     """Result of decoding a configuration.
 
-    :ivar catalogue: the configuration; none if it has no version.
+    :ivar catalogue: the configuration; none if it has no valid version.
     :ivar findings: problems of the configuration.
     """
 
@@ -168,10 +168,13 @@
     :returns: the configuration and its problems.
     """
     reader = read_json(content)
+    version = reader.integer(names.VERSION)
     if not reader.has(names.VERSION):
-        return DecodedCatalogue(None, (Finding(names.VERSION, 'is missing'),))
+        reader.findings.append(Finding(names.VERSION, 'is missing'))
+    if reader.findings:
+        return DecodedCatalogue(None, tuple(reader.findings))
     catalogue = Catalogue(
-        version=reader.integer(names.VERSION),
+        version=version,
         queues=reader.decode_each(names.ROUTES, _decode_queue),
         teams=reader.decode_each(names.TENANTS, _decode_team),
         max_body_bytes=reader.nested(names.LIMITS).integer(
@@ -205,19 +208,36 @@
     at_once: int
 
 
-def decode_wave(content: bytes) -> Wave:
+class DecodedWave(NamedTuple):
+    """Result of decoding a wave of upkeep.
+
+    :ivar wave: the wave; none if the document has no valid number.
+    :ivar findings: problems of the document.
+    """
+
+    wave: Wave | None
+    findings: tuple[Finding, ...]
+
+
+def decode_wave(content: bytes) -> DecodedWave:
     """Decode a wave of upkeep.
 
     :param content: content of the document.
-    :returns: the wave.
+    :returns: the wave and its problems.
     """
     reader = read_json(content)
-    return Wave(
-        reader.integer(names.WAVE),
+    number = reader.integer(names.WAVE)
+    if not reader.has(names.WAVE):
+        reader.findings.append(Finding(names.WAVE, 'is missing'))
+    if reader.findings:
+        return DecodedWave(None, tuple(reader.findings))
+    wave = Wave(
+        number,
         reader.strings(names.MACHINES),
         int(reader.number(names.DEADLINE_S) * _MS_PER_S),
         max(reader.integer(names.MAX_COUNT, 1), 1),
     )
+    return DecodedWave(wave, tuple(reader.findings))
 
 
 def encode_wave_state(number: int, *, complete: bool) -> bytes:
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -11,10 +11,12 @@
     STANDARD,
     write_config,
     write_settings,
+    write_wave,
 )
 from swifthoist_platform import names
 from swifthoist_platform.boot import decode_boot_settings
 from swifthoist_platform.documents import (
+    Wave,
     decode_catalogue,
     decode_registration,
     decode_wave,
@@ -186,11 +188,41 @@
         self.assertIsNone(catalogue.find_queue('other', '/urgent/x'))
         self.assertIsNone(catalogue.find_queue('jobs.example', '/none/x'))
 
+    def test_a_version_that_can_not_be_read_is_none(self) -> None:
+        """The first configuration of a process would be a wrong one."""
+        for text in ('true', '"7"', '-1', '1e300', '1e400'):
+            content = b'{"Version":' + text.encode() + b',"Routes":[]}'
+            decoded = decode_catalogue(content)
+            self.assertIsNone(decoded.catalogue, text)
+            self.assertTrue(decoded.findings)
+
     def test_a_document_without_version_is_no_configuration(self) -> None:
         """The configuration in force stays."""
         self.assertIsNone(decode_catalogue(b'{"Routes":[]}').catalogue)
 
 
+class WaveTest(unittest.TestCase):
+    """A wave of upkeep."""
+
+    def test_a_wave_is_decoded(self) -> None:
+        """Its deadline is in seconds."""
+        wave = decode_wave(write_wave(3, ['m'], 2, 1.5)).wave
+        self.assertEqual(wave, Wave(3, ('m',), 1_500, 2))
+
+    def test_a_document_without_number_is_no_wave(self) -> None:
+        """It would be carried out as the wave 0, and told as complete."""
+        for content in (
+            b'{}',
+            b'[' * 100_000,
+            b'{"Wave":true}',
+            b'{"Wave":9007199254740993}',
+            b'{"Wave":1e400}',
+        ):
+            decoded = decode_wave(content)
+            self.assertIsNone(decoded.wave)
+            self.assertTrue(decoded.findings)
+
+
 class JobTest(unittest.TestCase):
     """Job submissions of callers."""
 
