Leave out rows of a runner's answer that no record can hold

What callers would see: an answer of one runner ends the holder's term as often as it is given. A task name with a number of 5,000 digits raised ValueError; numbers of 2^63 and more are no integers of the log's records.

Cause: only the types of the parts of a row were checked, and a truth value is an integer in Python. Now numbers are from 0 to 2^53, those in task names have up to 9 ASCII digits, and a checkpoint over 1,000 characters counts as none, since the ends of one answer are recorded in one append. A row that is left out makes the answer incomplete, as before.

Evidence: test_odd_rows_of_a_runner_end_no_term failed before with that ValueError; in test_store, the names, 5 of 6 numbers, a figure and a checkpoint.

--- a/packages/platform/swifthoist_platform/runner_calls.py
+++ b/packages/platform/swifthoist_platform/runner_calls.py
@@ -4,6 +4,7 @@
 an id or a birth time of its own, so that calls to an earlier one are detected.
 """
 
+import re
 from enum import StrEnum
 from typing import Any, NamedTuple
 
@@ -16,7 +17,7 @@
 from swifthoist_platform import names
 from swifthoist_platform.calls import Call, Reply
 from swifthoist_platform.endpoint import EndpointProtocol
-from swifthoist_platform.values import DocumentReader, read_json
+from swifthoist_platform.values import DocumentReader, is_number, read_json
 
 MAX_WAIT_MS = 2_000
 """Longest time for which a poll may wait for a run to end, in ms."""
@@ -24,6 +25,11 @@
 MAX_ENDED_RUNS = 500
 """Maximum number of ended runs in the reply to a poll."""
 
+MAX_CHECKPOINT_CHARS = 1_000
+"""Longest checkpoint that is kept, in characters: the ends in the reply to a
+poll are recorded in one append."""
+
+_TASK_NAME = re.compile(r'([!-\-/-~]{1,64})' + 3 * r'\.([0-9]{1,9})')
 _OK = 200
 _BAD_REQUEST = 400
 _CONFLICT = 409
@@ -285,9 +291,10 @@
     """
     if not isinstance(name, str):
         return None
-    job, *numbers = name.split('.')
-    if len(numbers) != 3 or not all(map(str.isdecimal, numbers)):
+    found = _TASK_NAME.fullmatch(name)
+    if found is None:
         return None
+    job, *numbers = found.groups()
     return TaskId(job, *map(int, numbers))
 
 
@@ -338,10 +345,12 @@
     match row:
         case [name, int(run), str(checkpoint), int(pace), *more]:
             task = parse_task(name)
-            gauge = more[0] if more else None
-            if not isinstance(gauge, int | float):
-                gauge = None
-            return task and RunningTask(task, run, checkpoint, pace, gauge)
+            if task is None or not all(map(is_number, (run, pace))):
+                return None
+            gauge = more[0] if more and is_number(more[0]) else None
+            return RunningTask(
+                task, run, _usable_checkpoint(checkpoint), pace, gauge
+            )
         case _:
             return None
 
@@ -352,6 +361,15 @@
             task = parse_task(name)
             if task is None or how not in set(Ending):
                 return None
-            return EndedRun(number, task, run, Ending(how), checkpoint)
+            if not all(map(is_number, (number, run))):
+                return None
+            return EndedRun(
+                number, task, run, Ending(how), _usable_checkpoint(checkpoint)
+            )
         case _:
             return None
+
+
+def _usable_checkpoint(checkpoint: str) -> str:
+    """Return a checkpoint, or an empty one for a start from scratch."""
+    return checkpoint if len(checkpoint) <= MAX_CHECKPOINT_CHARS else ''
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -5,6 +5,8 @@
 from functools import partial
 from typing import NamedTuple
 
+import anyio
+
 from swifthoist_core.errors import (
     AnswerLateError,
     LogSilentError,
@@ -14,7 +16,12 @@
 )
 from swifthoist_engine.model import TaskId
 from swifthoist_platform.calls import Call, Reply
-from swifthoist_platform.runner_calls import parse_task, task_name
+from swifthoist_platform.runner_calls import (
+    PollReply,
+    RunnerClient,
+    parse_task,
+    task_name,
+)
 from swifthoist_platform.store import StoreClient
 from swifthoist_platform.store_records import (
     KeyedRecord,
@@ -119,6 +126,79 @@
         task = TaskId('0123456789abcdef', 2, 1, 17)
         self.assertEqual(parse_task(task_name(task)), task)
 
+    def test_a_name_of_another_form_is_none(self) -> None:
+        """Digits of other scripts and numbers without end are no parts."""
+        job = '0123456789abcdef'
+        for name in (
+            f'{job}.0.0.\u0663',
+            f'{job}.0.0.{"9" * 5_000}',
+            f'{job}.0.0.-1',
+            f'{job}.0.0',
+            f'{job}.0.0.0.0',
+            f'{"x" * 70_000}.0.0.0',
+            '.0.0.0',
+            7,
+        ):
+            self.assertIsNone(parse_task(name))
+
+
+class _ReplyEndpoint(NamedTuple):
+    """An endpoint that replies to every call with the same body."""
+
+    content: bytes
+
+    async def call(self, call: Call) -> Reply:
+        """Reply with the body."""
+        return Reply(200, self.content)
+
+    async def close(self) -> None:
+        """Do nothing; no connection is open."""
+
+
+class PollTest(unittest.TestCase):
+    """Rows of a runner's answer that can't be recorded are left out."""
+
+    def poll(self, content: bytes) -> PollReply:
+        """Poll a runner that gives an answer."""
+        client = RunnerClient('r', _ReplyEndpoint(content))
+        return anyio.run(partial(client.poll, 1, 0, None, 0, 1))
+
+    def test_rows_with_numbers_out_of_range_are_left_out(self) -> None:
+        """A record of the log could not hold them."""
+        name = b'"0123456789abcdef.0.0.0"'
+        for number in (
+            b'-1',
+            b'true',
+            b'1.5',
+            b'9007199254740993',
+            b'18446744073709551616',
+            b'9' * 30,
+        ):
+            with self.subTest(number=number):
+                running = b'[%b,%b,"",100,0]' % (name, number)
+                ended = b'[%b,%b,1,"done",""]' % (number, name)
+                reply = self.poll(
+                    b'{"ClockMs":5,"Running":[%b],"EndedRuns":[%b]}'
+                    % (running, ended)
+                )
+                self.assertEqual((reply.running, reply.ends), ((), ()))
+                self.assertFalse(reply.complete)
+
+    def test_a_figure_out_of_range_is_unknown(self) -> None:
+        """The run counts nevertheless."""
+        row = b'["0123456789abcdef.0.0.0",1,"",100,%b]'
+        for figure in (b'-1', b'true', b'1e300', b'"x"'):
+            body = b'{"ClockMs":5,"Running":[%b],"EndedRuns":[]}'
+            reply = self.poll(body % (row % figure))
+            self.assertEqual([it.gauge for it in reply.running], [None])
+
+    def test_a_checkpoint_that_fits_into_no_append_is_none(self) -> None:
+        """The run is resumed from the beginning instead of never."""
+        body = b'{"ClockMs":5,"Running":[],"EndedRuns":[%b]}'
+        row = b'[3,"0123456789abcdef.0.0.0",1,"stopped","%b"]'
+        reply = self.poll(body % (row % (b'x' * 300_000)))
+        self.assertEqual([end.checkpoint for end in reply.ends], [''])
+
     def test_other_names_are_no_tasks(self) -> None:
         """They are ignored."""
         for name in ('a.1.2', 'a.1.2.x', 'a.1.2.3.4', '', None, 7):
--- a/tests/simulation/test_poisonous_input.py
+++ b/tests/simulation/test_poisonous_input.py
@@ -2,11 +2,14 @@
 
 import unittest
 from collections.abc import Mapping
+from unittest.mock import patch
 
 import anyio
 import msgspec
 
-from swifthoist_emulator.lives import StepWork
+from swifthoist_emulator.http import Request, Response
+from swifthoist_emulator.lives import Life, StepWork
+from swifthoist_emulator.runner_calls import RunnerCalls
 from swifthoist_emulator.site import SERVICE
 from swifthoist_engine.records import Joined, encode_record
 from swifthoist_instance.journal import CELL_TOPIC
@@ -73,6 +76,37 @@
 )
 
 
+_TASK = b'"0123456789abcdef.0.0.0"'
+_ODD_TASKS = (
+    b'"0123456789abcdef.0.0.%b"' % (b'9' * 5_000),
+    '"0123456789abcdef.0.0.\u0663"'.encode(),
+    b'"%b.0.0.0"' % (b'x' * 70_000),
+    b'7',
+    b'""',
+)
+_TOO_LARGE = (b'-1', b'true', b'9223372036854775808', b'9' * 30)
+ODD_ROWS = {
+    names.RUNNING: (
+        *(b'[%b,1,"",100,0]' % task for task in _ODD_TASKS),
+        *(b'[%b,%b,"",100,0]' % (_TASK, number) for number in _TOO_LARGE),
+        *(b'[%b,1,"",%b,0]' % (_TASK, number) for number in _TOO_LARGE),
+        *(b'[%b,1,"",100,%b]' % (_TASK, number) for number in _TOO_LARGE),
+        b'[]',
+        b'{}',
+        b'7',
+    ),
+    names.ENDED_RUNS: (
+        *(b'[1,%b,1,"done",""]' % task for task in _ODD_TASKS),
+        *(b'[%b,%b,1,"done",""]' % (number, _TASK) for number in _TOO_LARGE),
+        *(b'[1,%b,%b,"done",""]' % (_TASK, number) for number in _TOO_LARGE),
+        b'[1,%b,1,"unheard-of",""]' % _TASK,
+        b'[]',
+        b'{}',
+        b'7',
+    ),
+}
+
+
 def _entry(**changes: object) -> bytes:
     return msgspec.json.encode({**ENTRY, **changes})
 
@@ -245,6 +279,38 @@
             OPERATOR_TOPIC,
         )
 
+    def test_odd_rows_of_a_runner_end_no_term(self) -> None:
+        """They are among the runs that it lists, and those that ended."""
+        real = RunnerCalls._poll
+        odd_lives: set[str] = set()
+
+        async def poll(
+            calls: RunnerCalls, request: Request, life: Life
+        ) -> Response:
+            response = await real(calls, request, life)
+            if life.runner not in odd_lives or response.status != 200:
+                return response
+            content = response.content
+            for name, rows in ODD_ROWS.items():
+                begin = f'"{name}":['.encode()
+                with_odd = begin + b','.join((*rows, b''))
+                content = content.replace(begin, with_odd)
+            return Response(200, content.replace(b',]', b']'))
+
+        async def scenario(cluster: Cluster) -> None:
+            holder = await cluster.holder()
+            await anyio.sleep(1)
+            epoch = holder.cell.state.epoch
+            host = cluster.world.fleet.hosts['runner-0:1']
+            odd_lives.add(host.runner)
+            await anyio.sleep(2)
+            odd_lives.clear()
+            await self.expect_service(cluster, epoch)
+
+        with patch.object(RunnerCalls, '_poll', poll):
+            world = simulate(scenario, over_network=True)
+        self.assertEqual(world.checker.broken, [])
+
     def test_addresses_of_instances_that_can_not_be_used_end_no_task(
         self,
     ) -> None:
