Take a listing that can't be decoded for no empty one

A page of a listing that was no JSON counted as an empty one that ends at offset 0: all runners would be absent, and evacuations over. One key that is no UTF-8 text, or half of a surrogate pair, makes a whole page undecodable. And where the last key of a page had no valid value, the next page began at an earlier key, up to 200 times.

Now a page is read with such bytes replaced; one that still can't be decoded is a failed read, which is repeated. The next page begins after the last key, whatever its value, and a page that does not advance is the last one.

--- a/packages/platform/swifthoist_platform/store.py
+++ b/packages/platform/swifthoist_platform/store.py
@@ -28,7 +28,7 @@
     KeyedListing,
     KeyedRecord,
     add_length,
-    decode_item,
+    decode_page,
     parse_records,
 )
 from swifthoist_platform.values import read_json
@@ -255,18 +255,12 @@
             path = f'{names.LOG_NEWEST}?{urlencode(query)}'
             reply = await self._get(path, timeout_s)
             _expect_ok(reply)
-            reader = read_json(reply.content)
-            page = [
-                decode_item(row.get(names.KEY), row.get(names.VALUE))
-                for row in reader.array(names.ITEMS)
-                if isinstance(row, dict)
-            ]
-            items.extend(item for item in page if item is not None)
-            end = reader.integer(names.END_OFFSET)
-            first_end = end if first_end is None else first_end
-            if not reader.boolean(names.HAS_MORE) or not items:
+            page = decode_page(reply.content)
+            items.extend(page.items)
+            first_end = page.end if first_end is None else first_end
+            if not page.has_more or page.last_key == after:
                 break
-            after = items[-1].key
+            after = page.last_key
         return KeyedListing(tuple(items), first_end or 0)
 
     async def _get(self, path: str, timeout_s: float) -> Reply:
--- a/packages/platform/swifthoist_platform/store_records.py
+++ b/packages/platform/swifthoist_platform/store_records.py
@@ -1,14 +1,18 @@
 """Records as the store frames them, and their decoding."""
 
 import base64
+import re
 import struct
 from typing import NamedTuple
 
 from swifthoist_core.errors import LogUnavailableError
 from swifthoist_core.types import Offset
+from swifthoist_platform import names
+from swifthoist_platform.values import read_json
 
 _READ_HEADER = struct.Struct('>QQ')
 _RECORD_LENGTH = struct.Struct('>I')
+_SURROGATE = re.compile(rb'\\u[dD][89a-fA-F][0-9a-fA-F]{2}')
 
 
 class Batch(NamedTuple):
@@ -86,6 +90,60 @@
     return KeyedRecord(key, record[1 + record[0] :])
 
 
+class KeyedPage(NamedTuple):
+    """One page of a listing.
+
+    :ivar items: the records whose key and value are valid.
+    :ivar end: offset that the next record of the topic will get.
+    :ivar has_more: whether other pages follow.
+    :ivar last_key: key after which the next page begins; empty if none has one.
+    """
+
+    items: tuple[KeyedRecord, ...]
+    end: Offset
+    has_more: bool
+    last_key: str
+
+
+def decode_page(content: bytes) -> KeyedPage:
+    """Decode a page of a listing.
+
+    :param content: body of the reply.
+    :returns: the page.
+    :raises LogUnavailableError: if it can't be decoded as a whole.
+    """
+    reader = read_json(content)
+    if reader.findings:
+        # One key that is no text must not hide the others.
+        reader = read_json(_replace_undecodable(content))
+    rows = [row for row in reader.array(names.ITEMS) if isinstance(row, dict)]
+    end = reader.integer(names.END_OFFSET)
+    has_more = reader.boolean(names.HAS_MORE)
+    if reader.findings or not reader.has(names.END_OFFSET):
+        found = '; '.join(map(str, reader.findings))
+        raise LogUnavailableError(
+            f'undecodable listing from the store: {found}'
+        )
+    keys = [
+        row[names.KEY] for row in rows if isinstance(row.get(names.KEY), str)
+    ]
+    found_items = (
+        decode_item(row.get(names.KEY), row.get(names.VALUE)) for row in rows
+    )
+    return KeyedPage(
+        tuple(item for item in found_items if item is not None),
+        end,
+        has_more,
+        keys[-1] if keys else '',
+    )
+
+
+def _replace_undecodable(content: bytes) -> bytes:
+    """Replace bytes that are no UTF-8, and halves of surrogate pairs."""
+    text = content.decode(errors='replace').encode()
+    return _SURROGATE.sub(rb'\\ufffd', text)
+
+
 def decode_item(key: object, encoded: object) -> KeyedRecord | None:
     """Decode an entry of a listing.
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -24,7 +24,9 @@
 )
 from swifthoist_platform.store import StoreClient
 from swifthoist_platform.store_records import (
+    KeyedPage,
     KeyedRecord,
+    decode_page,
     parse_keyed_record,
     parse_records,
 )
@@ -63,6 +65,77 @@
             self.assertIsNone(parse_keyed_record(damaged))
 
 
+class PageTest(unittest.TestCase):
+    """A page of a listing is decoded, or the listing fails."""
+
+    def decode(self, *rows: bytes) -> KeyedPage:
+        """Decode a page of some rows."""
+        items = b','.join(rows)
+        return decode_page(
+            b'{"items":[' + items + b'],"HasMore":true,"EndOffset":7}'
+        )
+
+    def test_a_key_that_is_no_text_hides_no_other(self) -> None:
+        """Otherwise a single entry would make all runners disappear."""
+        good = b'{"Key":"a","Value":"eA=="}'
+        for odd in (
+            b'{"Key":"\xff","Value":"eA=="}',
+            b'{"Key":"\\ud800","Value":"eA=="}',
+            b'{"Key":"\\udcff\\ud83d","Value":"eA=="}',
+            b'{"Key":7,"Value":"eA=="}',
+            b'{"Key":"b","Value":7}',
+            b'{"Key":"b","Value":"\xe9"}',
+            b'7',
+        ):
+            with self.subTest(odd=odd):
+                page = self.decode(good, odd)
+                self.assertEqual(page.items[0], KeyedRecord('a', b'x'))
+                self.assertEqual(page.end, 7)
+                self.assertTrue(page.has_more)
+
+    def test_a_page_that_can_not_be_read_is_no_empty_listing(self) -> None:
+        """Otherwise all runners would count as gone."""
+        for content in (b'', b'{}', b'[' * 100_000, b'{"items":[],'):
+            client = StoreClient(_ReplyEndpoint(content))
+            with self.assertRaises(LogUnavailableError):
+                anyio.run(partial(client.newest, 'keyed.topic', 1))
+
+    def test_a_key_that_is_no_text_hides_no_other_of_a_listing(self) -> None:
+        """The others are on the same page."""
+        rows = b'{"Key":"a","Value":"eA=="},{"Key":"\xff","Value":"eA=="}'
+        body = b'{"items":[%b],"HasMore":false,"EndOffset":7}' % rows
+        client = StoreClient(_ReplyEndpoint(body))
+        listing = anyio.run(partial(client.newest, 'keyed.topic', 1))
+        self.assertEqual(listing.items[0], KeyedRecord('a', b'x'))
+        self.assertEqual(listing.end, 7)
+
+    def test_the_next_page_begins_after_a_key_that_is_no_text(self) -> None:
+        """A page that does not advance is the last one."""
+        self.assertEqual(self.decode(b'{"Key":"b","Value":7}').last_key, 'b')
+        self.assertEqual(self.decode(b'{"Key":7}').last_key, '')
+        endpoint = _PagesEndpoint([])
+        client = StoreClient(endpoint)
+        listing = anyio.run(partial(client.newest, 'keyed.topic', 1))
+        self.assertEqual(len(endpoint.paths), 2)
+        self.assertEqual(listing.end, 9)
+
+
+class _PagesEndpoint(NamedTuple):
+    """An endpoint that replies with the same page each time."""
+
+    paths: list[str]
+
+    async def call(self, call: Call) -> Reply:
+        """Reply with a page that says that others follow."""
+        self.paths.append(call.path)
+        row = b'{"Key":"\xff","Value":"eA=="}'
+        body = b'{"items":[' + row + b'],"HasMore":true,"EndOffset":9}'
+        return Reply(200, body)
+
+    async def close(self) -> None:
+        """Do nothing; no connection is open."""
+
+
 class _FailingEndpoint(NamedTuple):
     """An endpoint whose calls all fail with the same error."""
 
