Complete no wave without an upkeep whose order was lost

A wave could be told as complete although a machine had not begun its upkeep. A machine counts as back from its upkeep when it has another runner than before; where runners keep their ids, the record that a runner is gone stands for that. If the order got no answer and wasn't carried out, and the runner was away for a while and came back, the machine counted as done.

Before a wave is complete, the order is given again to machines whose runner is known only as gone and whose order this term has not seen answered, as many at a time as may be down; a machine that had its upkeep only confirms that.

--- a/packages/instance/swifthoist_instance/waves.py
+++ b/packages/instance/swifthoist_instance/waves.py
@@ -1,7 +1,7 @@
 """Carries out waves of machine upkeep while this instance is the holder."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
 import anyio
@@ -82,6 +82,7 @@
         self._cordoned_since: dict[str, Millis] = {}
         self._announced: set[int] = set()
         self._own_records = OwnRecords(context)
+        self._served: set[tuple[int, str]] = set()
 
     async def run(self) -> None:
         """Carry out waves one by one, until canceled."""
@@ -117,6 +118,8 @@
         now_ms = self._context.clock.boot_ms()
         step = next_step(state, self._context.cell, now_ms)
         await self._execute(wave, step, now_ms)
+        if step.complete:
+            await self._complete(wave, state)
 
     async def _read_state(self, wave: Wave) -> WaveState:
         listed = await self._machines.list_all(CALL_TIMEOUT_S)
@@ -142,14 +145,35 @@
         self._stop(Stop(run, 'its machine is emptied') for run in step.moved)
         async with anyio.create_task_group() as tasks:
             for item in step.order:
-                tasks.start_soon(self._try_order, wave, item)
-        if step.complete:
+                tasks.start_soon(self._try_order, self._order, wave, item)
+
+    async def _complete(self, wave: Wave, state: WaveState) -> None:
+        """Complete a wave, unless an order may not have been carried out.
+
+        A runner that went away and is back under its id may have had no upkeep.
+        Another order has no effect on a machine that had it.
+        """
+        unsure = [
+            item
+            for item in state.machines
+            if not state.begun[item.machine]
+            and (wave.number, item.machine) not in self._served
+        ]
+        async with anyio.create_task_group() as tasks:
+            for item in unsure[: wave.at_once]:
+                tasks.start_soon(self._try_order, self._send_order, wave, item)
+        if not unsure:
             await self._finish(wave)
 
-    async def _try_order(self, wave: Wave, item: MachineState) -> None:
+    async def _try_order(
+        self,
+        order: Callable[[Wave, MachineState], Awaitable[None]],
+        wave: Wave,
+        item: MachineState,
+    ) -> None:
         """Order an upkeep; a failure doesn't delay the others."""
         try:
-            await self._order(wave, item)
+            await order(wave, item)
         except _CALL_ERRORS as exc:
             fields = {
                 'wave': wave.number,
@@ -166,6 +190,10 @@
         if not await record_all(context, [begun]):
             self._own_records.note_unsettled()
             return
+        await self._send_order(wave, item)
+
+    async def _send_order(self, wave: Wave, item: MachineState) -> None:
+        context = self._context
         answer = await self._machines.order_upkeep(
             item.machine, wave.number, context.epoch, CALL_TIMEOUT_S
         )
@@ -176,6 +204,8 @@
             'answer': answer.value,
         }
         _log.info('upkeep', extra=fields)
+        if answer is UpkeepStatus.TAKEN:
+            self._served.add((wave.number, item.machine))
         if answer is UpkeepStatus.FENCED:
             context.tenure.note_fenced(context.epoch)
 
--- a/tests/instance/test_unconfirmed.py
+++ b/tests/instance/test_unconfirmed.py
@@ -16,6 +16,7 @@
 from swifthoist_engine.planner import Decision
 from swifthoist_engine.records import (
     Placement,
+    RunnerGone,
     Started,
     UpkeepBegun,
     Vanished,
@@ -99,12 +100,14 @@
 
     :ivar ordered: machines whose upkeep began.
     :ivar most_down: most machines that were down at a time.
+    :ivar orders_to_lose: number of orders to come that are lost on their way.
     """
 
     def __init__(self, *names: str) -> None:
         """Start with all machines up."""
         self.ordered: list[str] = []
         self.most_down = 0
+        self.orders_to_lose = 0
         self._lives = dict.fromkeys(names, 0)
         self._up_at: dict[str, float] = {}
 
@@ -118,6 +121,9 @@
 
     async def order_upkeep(self, name: str, *_: object) -> UpkeepStatus:
         """Take a machine down, once."""
+        if self.orders_to_lose:
+            self.orders_to_lose -= 1
+            raise OutcomeUnknownError('no answer')
         if name not in self.ordered:
             self.ordered.append(name)
             self._up_at[name] = anyio.current_time() + UPKEEP_S
@@ -191,6 +197,19 @@
     return term
 
 
+def _start_wave(
+    context: TenureContext,
+    machines: _Machines,
+    store: FakeStore,
+    tasks: TaskGroup,
+) -> None:
+    """Carry out a wave in which one machine may be down."""
+    configuration = mock.Mock()
+    configuration.waves = {1: Wave(1, ('m1', 'm2'), DEADLINE_MS, 1)}
+    waves = Waves(configuration, context, machines, store, list)
+    tasks.start_soon(waves.run)
+
+
 class UnconfirmedTest(unittest.TestCase):
     """A record without an answer may still be folded."""
 
@@ -230,17 +249,7 @@
             async with anyio.create_task_group() as tasks:
                 context = await _hold(store, tasks)
                 await _record_start(context, 'm1-0')
-                configuration = mock.Mock()
-                names = ('m1', 'm2')
-                configuration.waves = {1: Wave(1, names, DEADLINE_MS, 1)}
-                waves = Waves(
-                    configuration,
-                    context,
-                    machines,
-                    store,
-                    list,
-                )
-                tasks.start_soon(waves.run)
+                _start_wave(context, machines, store, tasks)
                 store.muted_by = UpkeepBegun
                 await anyio.sleep(8)
                 self.assertTrue(store.muted)
@@ -251,3 +260,26 @@
                 tasks.cancel_scope.cancel()
 
         run(main)
+
+    def test_a_wave_is_not_complete_without_an_upkeep_whose_order_was_lost(
+        self,
+    ) -> None:
+        """Its runner was away for a while, and is back under its id."""
+
+        async def main() -> None:
+            store = FakeStore()
+            machines = _Machines('m1')
+            machines.orders_to_lose = 1
+            async with anyio.create_task_group() as tasks:
+                context = await _hold(store, tasks)
+                _start_wave(context, machines, store, tasks)
+                while machines.orders_to_lose:
+                    await anyio.sleep(0.01)
+                gone = RunnerGone(context.epoch, 'm1-0')
+                await context.journal.append([gone], 1)
+                await anyio.sleep(10)
+                self.assertEqual(machines.ordered, ['m1'])
+                self.assertIn(1, context.cell.state.waves_done)
+                tasks.cancel_scope.cancel()
+
+        run(main)
