Answer a repeated submission by the job that was accepted

An operator who repeats a submission that got no answer could be told that it is rejected although the job had been accepted and runs: the repeat was checked against the configuration as it is by then, and 400 was told if the queue had gone or the job was not allowed any more. A repeat with another queue was told as accepted, though it had no effect.

As for callers, a job that is known answers for itself: 200 if it is in the same queue, else 409. The log is read first, as for questions.

Evidence: the test failed before (400) and doesn't now.

--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -124,7 +124,7 @@
         :returns: the response.
         """
         job_path = _JOB_PATH.fullmatch(path)
-        if method == 'GET':
+        if method in {'GET', 'POST'}:
             await self._follower.refresh()
         match method:
             case 'GET' if job_path:
@@ -198,6 +198,12 @@
             request = msgspec.json.decode(content, type=JobInput)
         except (msgspec.MsgspecError, RecursionError) as exc:
             return Answer(400, {'error': [str(exc)]})
+        known = self._follower.cell.find_job(job_id)
+        if known is not None:
+            return _answer_repeat(known, request)
+        return await self._accept(job_id, request)
+
+    async def _accept(self, job_id: str, request: JobInput) -> Answer:
         catalogue = self._configuration.catalogue
         queue = catalogue.queue_named(request['queue']) if catalogue else None
         if queue is None:
@@ -232,6 +238,14 @@
         return Answer(200, {'offset': offset})
 
 
+def _answer_repeat(job: Job, request: JobInput) -> Answer:
+    """Answer a submission of a job that was accepted before."""
+    if job.spec.queue == request['queue']:
+        return Answer(200, _summarize(job))
+    finding = Finding('queue', f'is {job.spec.queue} for the job of this id')
+    return Answer(409, {'error': [str(finding)]})
+
+
 def _to_step_spec(request: StepInput) -> StepSpec:
     rest: dict[str, Any] = dict(request)
     need = Resources(
--- a/tests/instance/test_api.py
+++ b/tests/instance/test_api.py
@@ -1,5 +1,6 @@
 """Tests of the operators' interface."""
 
+import dataclasses
 import unittest
 
 import anyio
@@ -43,3 +44,41 @@
                 tasks.cancel_scope.cancel()
 
         run(main)
+
+
+class RepeatedTest(unittest.TestCase):
+    """A submission without an answer is repeated by its operator."""
+
+    def test_a_repeat_is_not_rejected_after_its_job_was_accepted(self) -> None:
+        """Also if its queue has gone, or the job is not allowed any more."""
+
+        async def main() -> None:
+            store = FakeStore()
+            configure(store)
+            instance = InstanceHarness('first', store)
+            api = Api(
+                instance.configuration,
+                instance.follower,
+                instance.journal,
+                dict,
+            )
+            async with anyio.create_task_group() as tasks:
+                instance.start(tasks)
+                await anyio.sleep(1)
+                path = f'/v1/jobs/{_JOBS[1]}'
+                content = b'{"queue": "batch", "steps": [{"cpu": 1}]}'
+                accepted = await api.answer('POST', path, '', content)
+                self.assertEqual(accepted.status, 200)
+                await anyio.sleep(1)
+                assert instance.configuration.catalogue is not None
+                instance.configuration.catalogue = dataclasses.replace(
+                    instance.configuration.catalogue, queues=()
+                )
+                repeated = await api.answer('POST', path, '', content)
+                self.assertEqual(repeated.status, 200)
+                other = b'{"queue": "bulk", "steps": [{"cpu": 1}]}'
+                rejected = await api.answer('POST', path, '', other)
+                self.assertEqual(rejected.status, 409)
+                tasks.cancel_scope.cancel()
+
+        run(main)
