--- a/bench/control.py
+++ b/bench/control.py
@@ -20,7 +20,7 @@
 from swifthoist_emulator.serving import ServedWorld
 from swifthoist_emulator.site import STANDARD
 from swifthoist_emulator.stage import Instance, Stage, open_stage
-from swifthoist_instance.application import user_agent
+from swifthoist_instance.clients import user_agent
 
 RUNNERS = (12, 48, 96)
 INSTANCES = 3
--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -22,7 +22,7 @@
 from swifthoist_emulator.serving import ServedWorld
 from swifthoist_emulator.site import STANDARD
 from swifthoist_emulator.stage import Instance, Stage, open_stage
-from swifthoist_instance.application import user_agent
+from swifthoist_instance.clients import user_agent
 from swifthoist_instance.follower import READ_PAUSE_S
 from swifthoist_instance.tenure import (
     CLAIM_JITTER_MS,
--- a/packages/instance/swifthoist_instance/__main__.py
+++ b/packages/instance/swifthoist_instance/__main__.py
@@ -8,7 +8,8 @@
 
 from swifthoist_core.clock import SystemClock
 from swifthoist_core.errors import InvalidInputError
-from swifthoist_instance.application import Application, Environment, user_agent
+from swifthoist_instance.application import Application, Environment
+from swifthoist_instance.clients import user_agent
 from swifthoist_instance.jsonlogs import configure_logs
 from swifthoist_instance.settings import Settings
 from swifthoist_platform.boot import BOOT_VARIABLE, read_boot_settings
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 
 from swifthoist_core.clock import Clock
-from swifthoist_core.types import InstanceId, Millis
+from swifthoist_core.types import Millis
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.evacuation import ZoneLine, zone_lines
 from swifthoist_engine.model import SiteTerms
@@ -44,7 +44,6 @@
 from swifthoist_instance.turns import LoopMonitor
 from swifthoist_instance.unusable_entries import UnusableEntries
 from swifthoist_instance.web import ShutdownState, Web, serve_web
-from swifthoist_platform.boot import BootSettings
 from swifthoist_platform.endpoint import EndpointProtocol
 
 DEREGISTRATION_S = 2.5
@@ -151,7 +150,7 @@
         )
         self._peers = Peers(
             self._life,
-            Peer(_internal_address(boot), boot.cores),
+            Peer(boot.internal_address, boot.cores),
             self._follower,
             clock,
             environment.open_endpoint,
@@ -281,8 +280,8 @@
         stopped = anyio.Event()
         boot = self._settings.boot
         addresses = [boot.callers_address, boot.ready_address]
-        if boot.internal_ports[0]:
-            addresses.append(f'{boot.ip}:{boot.internal_ports[0]}')
+        if boot.internal_address:
+            addresses.append(boot.internal_address)
         async with anyio.create_task_group() as tasks:
             for name, func in self.background_tasks():
                 tasks.start_soon(run_supervised, name, func)
@@ -392,18 +391,3 @@
         return SiteTerms(
             bounds.restore_ms, bounds.reclaim_ms, bounds.remote_factor
         )
-
-
-def _internal_address(boot: BootSettings) -> str:
-    """Return where other instances reach this one; empty if nowhere."""
-    port = boot.internal_ports[0]
-    return f'{boot.ip}:{port}' if port else ''
-
-
-def user_agent(instance: InstanceId) -> str:
-    """Return the name that an instance sends with each call to the platform.
-
-    :param instance: name of the instance.
-    :returns: value of the ``User-Agent`` header.
-    """
-    return f'swifthoist/{instance}'
--- a/packages/instance/swifthoist_instance/clients.py
+++ b/packages/instance/swifthoist_instance/clients.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from swifthoist_core.types import InstanceId
 from swifthoist_instance.settings import DynamicEndpoint, Settings
 from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_platform.advice import AdviceClient
@@ -60,3 +61,12 @@
 
     def _open(self, address: Callable[[], str]) -> DynamicEndpoint:
         return DynamicEndpoint(address, self._open_endpoint)
+
+
+def user_agent(instance: InstanceId) -> str:
+    """Return the name that an instance sends with each call to the platform.
+
+    :param instance: name of the instance.
+    :returns: value of the ``User-Agent`` header.
+    """
+    return f'swifthoist/{instance}'
--- a/packages/platform/swifthoist_platform/boot.py
+++ b/packages/platform/swifthoist_platform/boot.py
@@ -103,6 +103,12 @@
     cores: float
     link_bytes_s: float
 
+    @property
+    def internal_address(self) -> str:
+        """Where other instances reach this one; empty if nowhere."""
+        port = self.internal_ports[0]
+        return f'{self.ip}:{port}' if port else ''
+
 
 def read_boot_settings(path: Path) -> BootSettings:
     """Read the settings file.
--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -17,7 +17,7 @@
 from swifthoist_emulator.serving import ServedWorld
 from swifthoist_emulator.site import STANDARD
 from swifthoist_emulator.stage import Instance, Stage
-from swifthoist_instance.application import user_agent
+from swifthoist_instance.clients import user_agent
 from swifthoist_platform import names
 
 MAX_FAULT_S = 4.0
--- a/soak/run_soak.py
+++ b/soak/run_soak.py
@@ -24,7 +24,7 @@
 from swifthoist_emulator.site import EVACUATE_MS, STANDARD
 from swifthoist_emulator.stage import Stage, open_stage
 from swifthoist_emulator.store_calls import INSTANT, USUAL_PACE
-from swifthoist_instance.application import user_agent
+from swifthoist_instance.clients import user_agent
 
 INSTANCES = 4
 MEAN_JOB_INTERVAL_S = 0.5
