Send a suspected start only to a runner that has just answered

Jobs that did nothing were shown as failed while runners of lasting ids fell silent again and again. A runner that is down is noticed after up to 1.6 s. A task that was lost with one runner was sent to another one that was down already, got no answer, and was blamed for that loss by 3, since it had been sent less than 2 s before contact was lost. In the red test, task 0.0.2 of job 1 was blamed three times so (runs 2, 4 and 6, none of which ever began), and given up. Other ids only had other placements there.

A runner has to answer a call that waits for nothing before a suspected task is sent to it. The call doesn't renew the lease. A task that nobody suspects is sent at once, as before.

--- a/packages/engine/swifthoist_engine/suspects.py
+++ b/packages/engine/swifthoist_engine/suspects.py
@@ -84,6 +84,17 @@
     return any(unit.crashes for unit in job.units.values())
 
 
+def is_suspected(job: Job, task: TaskId) -> bool:
+    """Tell whether runners have crashed under the unit of a task.
+
+    :param job: the job.
+    :param task: a task of it.
+    :returns: whether it is suspected.
+    """
+    unit = job.find_unit(job.unit_of(task))
+    return unit is not None and bool(unit.crashes)
+
+
 def units_to_give_up(job: Job) -> Iterator[UnitId]:
     """List the units of a job that must not start again.
 
--- a/packages/instance/swifthoist_instance/contacts.py
+++ b/packages/instance/swifthoist_instance/contacts.py
@@ -189,6 +189,28 @@
         """Return whether the runner should still be called."""
         return self.context.may_act() and not self.gone
 
+    async def probe(self) -> bool:
+        """Call the runner, without renewing its lease.
+
+        :returns: whether this life of it has answered.
+        """
+        try:
+            poll = await self.client.poll(
+                self.context.epoch, self.next_seen(), None, 0, CALL_S
+            )
+        except NO_ANSWER_ERRORS as exc:
+            self.note_no_answer(exc)
+            return False
+        self.note_verdict(poll.result)
+        if poll.result is OrderResult.UNHEALTHY:
+            return True
+        if poll.result is not OrderResult.TAKEN:
+            return False
+        if not self.life.note_answer_birth(poll.born_ms):
+            return False
+        self.note_clock(poll.clock_ms)
+        return True
+
     def note_clock(self, clock_ms: Millis) -> None:
         """Record that the runner answered.
 
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -13,9 +13,10 @@
 
 from swifthoist_core.types import Millis
 from swifthoist_engine.evacuation import Gate
-from swifthoist_engine.jobs import OpenRun
+from swifthoist_engine.jobs import Job, OpenRun
 from swifthoist_engine.model import RunKey
 from swifthoist_engine.records import Doubt
+from swifthoist_engine.suspects import is_suspected
 from swifthoist_instance.contacts import (
     CALL_S,
     NO_ANSWER_ERRORS,
@@ -171,7 +172,7 @@
 
     def _obstacle(self, run: OpenRun) -> str:
         """Return why a run must not start here any more; empty if it may."""
-        if self._gate() is Gate.CLOSED:
+        if _gate(self._contact) is Gate.CLOSED:
             return 'its zone is evacuated'
         entry = self._contact.registration
         used = self._context.cell.runs.used_on(run.runner)
@@ -189,13 +190,10 @@
             return False
         return self._context.cell.find_run(*key) is not None
 
-    def _gate(self) -> Gate:
-        return self._context.zones.gate(self._contact.registration.zone)
-
     async def _try_start(self, run: OpenRun, ticket: str) -> OrderResult | None:
         contact = self._contact
         job = self._context.cell.find_job(run.task.job)
-        if contact.silent or job is None or self._gate() is not Gate.OPEN:
+        if job is None or not await self._is_receptive(run, job):
             return None
         until_ms = contact.lease.next_expiry(self._context.clock.boot_ms())
         if until_ms is None:
@@ -236,6 +234,19 @@
             contact.pending_starts.note_answered(key)
         return answer.result
 
+    async def _is_receptive(self, run: OpenRun, job: Job) -> bool:
+        """Return whether a start may be sent to the runner now."""
+        contact = self._contact
+        if contact.silent or _gate(self._contact) is not Gate.OPEN:
+            return False
+        is_repeated = (run.task, run.run) in contact.pending_starts.keys()
+        if is_repeated or not is_suspected(job, run.task):
+            return True
+        # Sent to a runner that is already down, it would be blamed for that.
+        if not await contact.probe() or not self._wanted(run):
+            return False
+        return _gate(contact) is Gate.OPEN and not self._obstacle(run)
+
     async def _note_rejected(
         self, run: OpenRun, result: OrderResult, *, may_be_pending: bool
     ) -> None:
@@ -281,6 +292,10 @@
         return ours and answer.result in {OrderResult.TAKEN, OrderResult.OLD}
 
 
+def _gate(contact: Contact) -> Gate:
+    return contact.context.zones.gate(contact.registration.zone)
+
+
 def _log_unanswered(kind: str, run: OpenRun, exc: Exception) -> None:
     fields = {**_run_fields(run), 'why': str(exc)}
     _log.warning(f'{kind} unanswered', extra=fields)
