Count starts on runners that fall silent together by 1

A task that did nothing was given up after three runners that lost power or their path, since each start within 2 s of a silent loss counted by 3. Where another runner is lost within 2 s, a common cause is likelier: the starts count like runs that were there before. They still count, so a task that takes machines down silently is given up with its fifth runner at most, also where several of them do so at the same moments.

Calls to runners that fall silent together time out up to 1.6 s apart, so the 0.3 s for broken connections are too short here. The log line tells with_others.

--- a/packages/instance/swifthoist_instance/crash_counts.py
+++ b/packages/instance/swifthoist_instance/crash_counts.py
@@ -33,15 +33,19 @@
         if len(self._lost_ms) > MAX_LOSSES:
             self._lost_ms.pop(next(iter(self._lost_ms)))
 
-    def lost_alone(self, runner: RunnerId) -> bool:
+    def lost_alone(
+        self, runner: RunnerId, within_ms: Millis = SAME_MOMENT_MS
+    ) -> bool:
         """Tell whether no other runner was lost at the same moment.
 
         :param runner: a runner that was lost.
+        :param within_ms: how far apart losses at one moment may be noticed, in
+            ms.
         :returns: whether the cause can be on that runner.
         """
         lost_ms = self._lost_ms.get(runner)
         return lost_ms is not None and not any(
-            abs(other_ms - lost_ms) <= SAME_MOMENT_MS
+            abs(other_ms - lost_ms) <= within_ms
             for other, other_ms in self._lost_ms.items()
             if other != runner
         )
--- a/packages/instance/swifthoist_instance/crashes.py
+++ b/packages/instance/swifthoist_instance/crashes.py
@@ -75,6 +75,7 @@
         'starting': [_name(run) for run in crash.starting],
         'running': len(crash.running),
         'certain': crash.certain,
+        'with_others': _fell_silent_with_others(contact),
         'unheard_ms': unheard_ms,
         'why': reason,
     }
@@ -130,12 +131,16 @@
         starting = [run for run in runs if _was_starting(contact, orders, run)]
     else:
         starting = _newest_batch(runs, context.cell.state.claimed_ms)
+    running = [run for run in runs if run not in starting]
+    if seen_up and starting and _fell_silent_with_others(contact):
+        # A common cause is likelier than a start, which still counts lightly.
+        running, starting = starting, []
     return RunnerCrashed(
         context.epoch,
         entry.runner,
         entry.machine or entry.address,
         tuple((run.task, run.run) for run in starting),
-        tuple((it.task, it.run) for it in runs if it not in starting),
+        tuple((run.task, run.run) for run in running),
         certain
         and seen_up
         and contact.lost_at_once
@@ -154,6 +159,14 @@
     return survived_ms < SURVIVAL_MS and lost_ms - sent_ms <= startup_ms
 
 
+def _fell_silent_with_others(contact: Contact) -> bool:
+    """Return whether runners were lost together, without broken connections."""
+    if contact.lost_ms is None or contact.lost_at_once:
+        return False
+    crashes = contact.context.crashes
+    return not crashes.lost_alone(contact.runner, SILENT_STARTUP_MS)
+
+
 def _newest_batch(runs: list[OpenRun], claimed_ms: Millis) -> list[OpenRun]:
     newest_ms = max(run.started_ms for run in runs)
     if newest_ms < claimed_ms - UNSEEN_MS:
--- a/tests/instance/test_crash_counts.py
+++ b/tests/instance/test_crash_counts.py
@@ -7,6 +7,7 @@
     SAME_MOMENT_MS,
     CrashCounts,
 )
+from swifthoist_instance.crashes import SILENT_STARTUP_MS
 
 
 class LossTest(unittest.TestCase):
@@ -23,6 +24,16 @@
         self.assertTrue(counts.lost_alone('a'))
         self.assertFalse(counts.lost_alone('unknown'))
 
+    def test_losses_that_are_noticed_late_are_near_over_a_longer_time(
+        self,
+    ) -> None:
+        """Calls to runners that fall silent together time out one by one."""
+        counts = CrashCounts()
+        counts.note_loss('a', 1_000)
+        counts.note_loss('b', 1_000 + SILENT_STARTUP_MS)
+        self.assertTrue(counts.lost_alone('a'))
+        self.assertFalse(counts.lost_alone('a', SILENT_STARTUP_MS))
+
     def test_old_losses_are_dropped(self) -> None:
         """Ids of runners are not used again on most platforms."""
         counts = CrashCounts()
