Keep runners that are down from answering in the stand-in

A look that waited while its machine was killed was answered from what was left of that life: no runs, and a clock. So the runs were closed as missing at once and their starts went to the runner that had just answered. No machine does that; the call gets no answer now. The check is unchanged and meets the time-outs that it was written for.

Tasks can take machines down silently, too.

--- a/packages/emulator/swifthoist_emulator/fleet.py
+++ b/packages/emulator/swifthoist_emulator/fleet.py
@@ -77,12 +77,15 @@
     :ivar hosts: the hosts by address.
     :ivar began_ms: wall time at which true time started.
     :ivar now_ms: true time since the start.
+    :ivar silent_crashes: tasks take whole machines down, so that connections
+        are not refused but get no answer.
     """
 
     checker: InvariantChecker
     hosts: dict[str, Host] = field(default_factory=dict)
     began_ms: Millis = 0
     now_ms: Millis = 0
+    silent_crashes: bool = False
 
     def add(self, host: Host) -> None:
         """Add a host and start its runner.
@@ -144,8 +147,7 @@
         """
         if host.life is not None:
             host.life.reset = True
-            self.kill(host)
-            host.restart_ms = self.now_ms + RESTART_MS
+            self._kill_for_a_while(host)
 
     def advance(self, now_ms: Millis) -> None:
         """Advance the time of all runners.
@@ -170,7 +172,14 @@
             task = host.life.crashing_task() if host.life else None
             if task is not None:
                 self.checker.note_crashed_by(task)
-                self.crash(host)
+                if self.silent_crashes:
+                    self._kill_for_a_while(host)
+                else:
+                    self.crash(host)
+
+    def _kill_for_a_while(self, host: Host) -> None:
+        self.kill(host)
+        host.restart_ms = self.now_ms + RESTART_MS
 
     def _restart_crashed(self) -> None:
         for host in self.hosts.values():
--- a/packages/emulator/swifthoist_emulator/runner_calls.py
+++ b/packages/emulator/swifthoist_emulator/runner_calls.py
@@ -48,7 +48,7 @@
         :raises OutcomeUnknownError: if its process went down meanwhile.
         """
         host = self._fleet.hosts[address]
-        if host.restart_ms is not None:
+        if host.restart_ms is not None and not self._fleet.silent_crashes:
             raise UnreachableError(f'{address}: connection refused')
         if address in self._faults.cut or host.life is None:
             await self._faults.hold_unanswered()
@@ -104,12 +104,7 @@
             life.renew(int(body[names.UNTIL_MS]))
         if effect is FaultEffect.LOST:
             await self._faults.hold_unanswered()
-        wait_s = int(body.get(names.WAIT_MS, 0)) / 1_000
-        with anyio.move_on_after(wait_s):
-            while not life.ends:
-                await anyio.sleep(END_POLL_S)
-                if life.reset:
-                    raise OutcomeUnknownError(f'{life.runner}: reset')
+        await self._wait_for_ends(life, int(body.get(names.WAIT_MS, 0)) / 1_000)
         running = [_describe_run(run, life) for run in life.runs.values()]
         ends = [
             [end.number, task_name(end.task), end.run, end.ending, end.saved]
@@ -126,6 +121,16 @@
             document[names.BORN] = life.born_ms
         return answer_json(200, document)
 
+    async def _wait_for_ends(self, life: Life, wait_s: float) -> None:
+        with anyio.move_on_after(wait_s):
+            while not life.ends:
+                await anyio.sleep(END_POLL_S)
+                if life.reset:
+                    raise OutcomeUnknownError(f'{life.runner}: reset')
+        if life.over:
+            # The machine went down during the wait: nothing is left to answer.
+            await self._faults.hold_unanswered()
+
 
 def _describe_run(run: TaskRun, life: Life) -> list[object]:
     gauge = life.gauge(run)
--- a/tests/simulation/test_crashes.py
+++ b/tests/simulation/test_crashes.py
@@ -1,6 +1,7 @@
 """Tests of tasks that crash the runners that start them."""
 
 import unittest
+from functools import partial
 
 import anyio
 
@@ -211,18 +212,62 @@
         """Their next lives answer at once under the same id."""
         self.play(self._fall_silent_in_turn, SAME_IDS)
 
-    async def _fall_silent_in_turn(self, cluster: Cluster) -> None:
+    def test_runners_that_fall_silent_at_other_moments_fail_no_job(
+        self,
+    ) -> None:
+        """Other moments and lengths of the losses than in the case above."""
+        for up_s, down_s in ((0.9, 2), (1.2, 1.2), (1, 5)):
+            for site in (FEW_RUNNERS, SAME_IDS):
+                with self.subTest(up_s=up_s, down_s=down_s, site=site):
+                    scenario = partial(
+                        self._fall_silent_in_turn, up_s=up_s, down_s=down_s
+                    )
+                    self.play(scenario, site)
+
+    def test_a_task_that_takes_machines_down_silently_is_given_up(self) -> None:
+        """Machines that lose power don't break their connections."""
+
+        async def scenario(cluster: Cluster) -> None:
+            await cluster.holder()
+            cluster.world.fleet.silent_crashes = True
+            order = cluster.order('/batch/', CRASHING)
+            await cluster.submit(order)
+            await cluster.wait_state(order, 'failed', 60)
+            await anyio.sleep(10)
+            self.assertLessEqual(_crashes(cluster, order.job), MAX_CRASHES)
+
+        self.play(scenario)
+        self.play(scenario, SAME_IDS)
+
+    def test_silent_crashes_of_several_tasks_at_once_are_limited(self) -> None:
+        """Runners that fall silent together excuse none without an end."""
+
+        async def scenario(cluster: Cluster) -> None:
+            await cluster.holder()
+            cluster.world.fleet.silent_crashes = True
+            orders = [cluster.order('/batch/', CRASHING) for _ in range(3)]
+            for order in orders:
+                await cluster.submit(order)
+            for order in orders:
+                await cluster.wait_state(order, 'failed', 90)
+
+        self.play(scenario)
+        self.play(scenario, SAME_IDS)
+
+    async def _fall_silent_in_turn(
+        self, cluster: Cluster, up_s: float = 1.7, down_s: float = 2
+    ) -> None:
         await cluster.holder()
         fleet = cluster.world.fleet
         orders = [cluster.order('/bulk/', LONG, width=6) for _ in range(4)]
         for order in orders:
             await cluster.submit(order)
         for number in range(6):
-            await anyio.sleep(1.7)
+            await anyio.sleep(up_s)
             hosts = list(fleet.hosts.values())
             for host in hosts[number % 3 :: 3]:
                 fleet.kill(host)
-            await anyio.sleep(2)
+            await anyio.sleep(down_s)
             for host in hosts[number % 3 :: 3]:
                 fleet.revive(host)
         await _complete_all(cluster, orders, 90)
