Tests of a count of crashes over a takeover and of shrunk runners in a burst

The first loses the holder at the second crash of a series; the one that it recorded has to count for the next holder, so that there is no third. The second shrinks all runners while urgent jobs stop others there, and wants the room used after they have grown.

--- a/tests/simulation/test_capacities.py
+++ b/tests/simulation/test_capacities.py
@@ -5,6 +5,7 @@
 import anyio
 
 from swifthoist_emulator.faults import NO_FAULT, Fault, FaultEffect
+from swifthoist_emulator.fleet import Host
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.site import RUNNER_CAPACITY, STANDARD
 from swifthoist_engine.model import Resources
@@ -23,6 +24,10 @@
         fleet.resize(host, room)
 
 
+def _running(host: Host) -> int:
+    return len(host.life.runs) if host.life else 0
+
+
 async def _change(cluster: Cluster, number: int) -> None:
     match number % 8:
         case 2:
@@ -61,6 +66,41 @@
 
         self.play(scenario)
 
+    def test_runners_that_shrink_in_a_burst_take_no_more_and_are_used_again(
+        self,
+    ) -> None:
+        """Urgent jobs stop others there, which hold their room until the end."""
+
+        async def scenario(cluster: Cluster) -> None:
+            await cluster.holder()
+            checker = cluster.world.checker
+            before = [cluster.order('/bulk/', LONG, width=8) for _ in range(8)]
+            for order in before:
+                await cluster.submit(order)
+            await anyio.sleep(2)
+            _resize(cluster, SHRUNK)
+            burst = []
+            for number in range(12):
+                prefix = '/batch/' if number % 2 else '/urgent/'
+                burst.append(cluster.order(prefix, SMALL, width=4))
+                await cluster.submit(burst[-1])
+                await anyio.sleep(0.5)
+            await anyio.sleep(4)
+            fleet = cluster.world.fleet
+            crowd = [_running(host) for host in fleet.hosts.values()]
+            self.assertLessEqual(max(crowd), SHRUNK.accelerators)
+            self.assertEqual(checker.broken, [])
+            _resize(cluster, RUNNER_CAPACITY)
+            with anyio.fail_after(5):
+                while min(map(_running, fleet.hosts.values())) <= (
+                    SHRUNK.accelerators
+                ):
+                    await anyio.sleep(0.1)
+            for order in (*before, *burst):
+                await cluster.wait_state(order, 'complete', 120)
+
+        self.play(scenario)
+
     def test_a_start_without_an_answer_is_not_repeated_on_a_shrunk_runner(
         self,
     ) -> None:
--- a/tests/simulation/test_crashes.py
+++ b/tests/simulation/test_crashes.py
@@ -96,6 +96,29 @@
 
         self.play(scenario)
 
+    def test_a_crash_that_a_lost_holder_recorded_still_counts(self) -> None:
+        """It is killed at the second crash, which it could not record."""
+
+        async def scenario(cluster: Cluster) -> None:
+            await cluster.holder()
+            order = cluster.order('/batch/', CRASHING)
+            beside = [cluster.order('/bulk/', SMALL) for _ in range(3)]
+            await cluster.submit(order)
+            await wait_until(lambda: _crashes(cluster, order.job) == 1)
+            for it in beside:
+                await cluster.submit(it)
+            with anyio.fail_after(20):
+                while _crashes(cluster, order.job) < 2:
+                    await anyio.sleep(0.01)
+            (await cluster.holder()).kill()
+            await cluster.wait_state(order, 'failed', 40)
+            await _complete_all(cluster, beside)
+            await anyio.sleep(10)
+            self.assertEqual(_crashes(cluster, order.job), 2)
+
+        self.play(scenario)
+        self.play(scenario, SAME_IDS)
+
     def test_crashes_are_counted_while_answers_are_lost(self) -> None:
         """Neither the starts nor the records get answers for some time."""
 
