Count a call as late whose timeout is extended while it runs out

If the deadline had passed in the same turn, as after a pause of the process, the call was canceled, but `fail_after` compares the time with the new deadline, raised nothing, and the reply was missing. Whatever ends the scope without a reply is now a late answer.

--- a/packages/platform/swifthoist_platform/calls.py
+++ b/packages/platform/swifthoist_platform/calls.py
@@ -121,19 +121,23 @@
     :raises OutcomeUnknownError: if the reply was lost.
     """
     url = request.url
+    began = anyio.current_time()
     try:
-        with anyio.fail_after(call.timeout_s) as scope:
+        with anyio.move_on_after(call.timeout_s) as scope:
             if call.patience is not None:
                 call.patience.begin(scope)
             reply = await transport.handle_async_request(request)
             content = await _read_body(reply, call, scope)
+            return Reply(reply.status_code, content)
     except _CONNECT_ERRORS as exc:
         raise UnreachableError(f'{url}: {exc!r}') from exc
     except TimeoutError as exc:
         raise AnswerLateError(f'{url}: {exc!r}') from exc
     except (httpx.HTTPError, httpx.StreamError) as exc:
         raise OutcomeUnknownError(f'{url}: {exc!r}') from exc
-    return Reply(reply.status_code, content)
+    # Even if the deadline was extended meanwhile, since the call is canceled.
+    waited_s = anyio.current_time() - began
+    raise AnswerLateError(f'{url}: no complete reply for {waited_s:.3f} s')
 
 
 async def _read_body(
