--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -48,6 +48,9 @@
 BODY_LIMIT = 4 * 1024 * 1024
 """Maximum request body that is read, in bytes."""
 
+MAX_DIGITS = 15
+"""Maximum length of a number in a header: more digits are not exact in JSON."""
+
 TOO_LARGE = 413
 
 Scope: TypeAlias = dict[str, Any]
@@ -178,8 +181,7 @@
         call = _to_call(method, _relayed_path(query), sent)
         version = sent.headers.get(MIN_VERSION_HEADER.lower(), '')
         call = call._replace(
-            relayed=True,
-            min_version=int(version) if version.isdecimal() else 0,
+            relayed=True, min_version=_parse_number(version) or 0
         )
         return await self.intake.answer(call)
 
@@ -262,9 +264,14 @@
 
 
 def _wait_s(text: str) -> float:
-    if text.isdecimal() and len(text) < 9:
-        return int(text) / 1_000
-    return DEFAULT_WAIT_S
+    wait_ms = _parse_number(text)
+    return DEFAULT_WAIT_S if wait_ms is None else wait_ms / 1_000
+
+
+def _parse_number(text: str) -> int | None:
+    """Return a number of a header; None if it is missing or no number."""
+    valid = text.isdecimal() and len(text) <= MAX_DIGITS
+    return int(text) if valid else None
 
 
 def _relayed_path(query: str) -> str:
--- a/tests/instance/test_web.py
+++ b/tests/instance/test_web.py
@@ -15,7 +15,8 @@
     Call,
 )
 from swifthoist_instance.metrics import Metrics
-from swifthoist_instance.web import ShutdownState, Web
+from swifthoist_instance.peers import MIN_VERSION_HEADER, RELAY_PATH
+from swifthoist_instance.web import Sent, ShutdownState, Web
 from tests.instance.fakes import LoopClock
 
 SCOPE = {
@@ -109,6 +110,21 @@
                 self.assertEqual(failed.faults.count, 1)
 
 
+class RelayedCallTest(unittest.TestCase):
+    """Calls that another instance passed on."""
+
+    def test_a_version_that_is_no_number_fails_no_call(self) -> None:
+        """It may come from any writer."""
+        intake = _Intake([])
+        web = _web(intake, Faults(LoopClock()))
+        versions = ('7', '', 'x', '9' * 5_000)
+        for version in versions:
+            sent = Sent({MIN_VERSION_HEADER.lower(): version}, b'')
+            anyio.run(web.answer_internal, 'POST', RELAY_PATH, 'path=/', sent)
+        found = [call.min_version for call in intake.calls]
+        self.assertEqual(found, [7, 0, 0, 0])
+
+
 class WebTest(unittest.TestCase):
     """Only complete calls reach the intake."""
 
