--- a/tests/instance/entry.py
+++ b/tests/instance/entry.py
@@ -1,5 +1,8 @@
 """An instance without web server and runners, for tests."""
 
+from collections.abc import Awaitable, Callable
+
+import anyio
 import msgspec
 from anyio.abc import TaskGroup
 
@@ -20,12 +23,15 @@
 from swifthoist_platform import names
 from swifthoist_platform.endpoint import EndpointProtocol
 from swifthoist_platform.store import CONFIG_KEY, OPERATOR_TOPIC
-from tests.instance.fakes import FakeStore, LoopClock
+from tests.instance.fakes import FakeStore, LoopClock, run
 
 KEEP_MS = 100_000
 LOG_KEEP_MS = 20_000
 RECORD_BYTES = 400
 REVOKE_MS = 5_000
+SETTLE_S = 0.5
+"""Time until an instance that starts follows the log, in seconds."""
+
 JOB = msgspec.json.encode(
     {
         names.SPEC: 'x',
@@ -102,3 +108,31 @@
     """Publish the standard configuration."""
     content = write_config(STANDARD, version)
     store.publish(OPERATOR_TOPIC, CONFIG_KEY, content)
+
+
+def run_two(
+    scenario: Callable[[InstanceHarness, InstanceHarness], Awaitable[None]],
+    *,
+    apart: bool = False,
+) -> None:
+    """Run a scenario with two instances.
+
+    :param scenario: the test.
+    :param apart: faults of the first one's store don't reach the second.
+    """
+
+    async def main() -> None:
+        store = FakeStore()
+        configure(store)
+        view = FakeStore() if apart else store
+        view.topics = store.topics
+        first = InstanceHarness('first', store)
+        second = InstanceHarness('second', view)
+        async with anyio.create_task_group() as tasks:
+            first.start(tasks)
+            second.start(tasks)
+            await anyio.sleep(SETTLE_S)
+            await scenario(first, second)
+            tasks.cancel_scope.cancel()
+
+    run(main)
--- a/tests/instance/test_intake.py
+++ b/tests/instance/test_intake.py
@@ -1,7 +1,6 @@
 """Tests of admission and of the answers to callers."""
 
 import unittest
-from collections.abc import Awaitable, Callable
 
 import anyio
 import msgspec
@@ -20,42 +19,20 @@
 from tests.instance.entry import (
     JOB,
     REVOKE_MS,
+    SETTLE_S,
     InstanceHarness,
-    configure,
+    run_two,
 )
 from tests.instance.fakes import FakeStore, LoopClock, run
 
 ID = '00000000000000aa'
 _NO_STEPS = msgspec.json.encode({names.STEPS: 7})
-SETTLE_S = 0.5
 JOB_COUNT = 100
 
 
 class IntakeTest(unittest.TestCase):
     """Callers get correct answers, at once where possible."""
 
-    def run_with_instances(
-        self,
-        scenario: Callable[[InstanceHarness, InstanceHarness], Awaitable[None]],
-    ) -> None:
-        """Run a scenario with two instances on one store."""
-
-        async def main() -> None:
-            store = FakeStore()
-            configure(store)
-            first, second = (
-                InstanceHarness('first', store),
-                InstanceHarness('second', store),
-            )
-            async with anyio.create_task_group() as tasks:
-                first.start(tasks)
-                second.start(tasks)
-                await anyio.sleep(SETTLE_S)
-                await scenario(first, second)
-                tasks.cancel_scope.cancel()
-
-        run(main)
-
     def test_an_accepted_job_is_shown_by_every_instance(self) -> None:
         """The other instance shows it soon after the acknowledgement."""
 
@@ -67,7 +44,7 @@
             shown = await second.call('GET', ID)
             self.assertEqual(shown, Answer(200, encode_job_state('queued')))
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_a_question_for_a_state_has_the_log_read_at_once(self) -> None:
         """An instance without requests reads the log only occasionally."""
@@ -88,7 +65,7 @@
             self.assertEqual(records, JOB_COUNT)
             self.assertLess(second.follower.reads, records / 3)
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_a_cancel_finds_a_job_that_was_accepted_elsewhere_just_now(
         self,
@@ -109,7 +86,7 @@
             shown = await first.call('GET', ID)
             self.assertEqual(shown, Answer(200, encode_job_state('canceled')))
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_a_cancel_of_a_job_that_nobody_knows_is_told_so(self) -> None:
         """The answer is 410, and the cancel has no later effect."""
@@ -119,7 +96,7 @@
         ) -> None:
             self.assertEqual((await second.call('DELETE', ID)).status, 410)
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_refusals_are_told_apart(self) -> None:
         """Unknown key, malformed job and malformed job id."""
@@ -135,7 +112,7 @@
             self.assertEqual((await first.call('POST', 'x', JOB)).status, 400)
             self.assertEqual((await first.call('GET', 'x')).status, 410)
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_a_revoked_key_is_refused_after_the_change(self) -> None:
         """Every instance that follows the operator's topic refuses it."""
@@ -151,7 +128,7 @@
             await anyio.sleep(SETTLE_S)
             self.assertEqual((await first.call('POST', ID, JOB)).status, 401)
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_a_call_is_not_judged_by_an_older_configuration(self) -> None:
         """Its caller may have seen the effect of the newer one already."""
@@ -165,7 +142,7 @@
             same = call._replace(min_version=1)
             self.assertEqual((await first.intake.answer(same)).status, 200)
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_an_instance_without_the_operator_stops_serving(self) -> None:
         """It stops well before the bound on accepting a revoked key."""
@@ -180,7 +157,7 @@
             self.assertGreater(refused.retry_after_s, 0)
             self.assertFalse(first.intake.ready)
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_a_lost_append_is_neither_accepted_nor_refused(self) -> None:
         """The same append is repeated, and the job is recorded once."""
@@ -193,7 +170,7 @@
             self.assertEqual(len(first.follower.cell.state.jobs), 1)
             self.assertEqual(first.follower.position, 1)
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_a_store_that_refuses_gives_a_true_refusal_at_once(self) -> None:
         """The job never runs, and the caller is told when to retry."""
@@ -208,7 +185,7 @@
             self.assertLess(anyio.current_time() - began, 0.1)
             self.assertEqual(first.store.topic('swifthoist.cell').end, 0)
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_an_append_without_an_answer_leaves_the_outcome_open(self) -> None:
         """The answer is 504, not a refusal; the append succeeds later."""
@@ -223,7 +200,7 @@
             await anyio.sleep(3)
             self.assertEqual((await second.call('GET', ID)).status, 200)
 
-        self.run_with_instances(scenario)
+        run_two(scenario)
 
     def test_a_change_that_another_instance_may_have_made_is_not_refused(
         self,
--- a/tests/instance/test_refusals.py
+++ b/tests/instance/test_refusals.py
@@ -1,17 +1,14 @@
 """Tests of refusals of calls whose earlier attempt may have taken effect."""
 
 import unittest
-from collections.abc import Awaitable, Callable
 
 import anyio
 
 from swifthoist_instance.journal import CELL_TOPIC
 from swifthoist_instance.messages import GONE, OK, UNAVAILABLE
-from tests.instance.entry import JOB, InstanceHarness, configure
-from tests.instance.fakes import FakeStore, run
+from tests.instance.entry import JOB, SETTLE_S, InstanceHarness, run_two
 
 ID = '00000000000000aa'
-SETTLE_S = 0.5
 UNCONFIRMED_S = 3.5
 """Time without the operator's topic after which no call is served."""
 
@@ -19,27 +16,6 @@
 class RetryTest(unittest.TestCase):
     """A refusal promises that the job never runs, whichever attempt it is."""
 
-    def run_with_instances(
-        self,
-        scenario: Callable[[InstanceHarness, InstanceHarness], Awaitable[None]],
-    ) -> None:
-        """Run a scenario with two instances; each may lose the store alone."""
-
-        async def main() -> None:
-            store, view = FakeStore(), FakeStore()
-            configure(store)
-            view.topics = store.topics
-            first = InstanceHarness('first', store)
-            second = InstanceHarness('second', view)
-            async with anyio.create_task_group() as tasks:
-                first.start(tasks)
-                second.start(tasks)
-                await anyio.sleep(SETTLE_S)
-                await scenario(first, second)
-                tasks.cancel_scope.cancel()
-
-        run(main)
-
     def test_no_refusal_while_the_own_append_of_the_job_is_under_way(
         self,
     ) -> None:
@@ -56,7 +32,7 @@
             self.assertEqual((await second.call('GET', ID)).status, 200)
             self.assertNotEqual(again.status, UNAVAILABLE)
 
-        self.run_with_instances(scenario)
+        run_two(scenario, apart=True)
 
     def test_no_refusal_of_a_job_that_the_instance_has_folded(self) -> None:
         """It runs, though the configuration is not confirmed."""
@@ -74,7 +50,7 @@
             again = await second.call('POST', ID, JOB)
             self.assertNotEqual(again.status, UNAVAILABLE)
 
-        self.run_with_instances(scenario)
+        run_two(scenario, apart=True)
 
     def test_a_job_that_was_canceled_before_its_late_append_does_not_run(
         self,
@@ -93,4 +69,4 @@
             job = second.follower.cell.find_job(ID)
             self.assertTrue(job is None or job.state.final, canceled)
 
-        self.run_with_instances(scenario)
+        run_two(scenario, apart=True)
