--- /dev/null
+++ b/review/standin/__init__.py
@@ -0,0 +1,1 @@
+"""What the cases of the review add to the project's emulator."""
