--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,96 +1,57 @@
-"""A wave is said to be complete, and one of its machines had no upkeep.
+"""A job runs on although its cancelling was acknowledged.
 
-The machine service is down for five seconds from the moment at which the order
-for the last machine arrives: that order is not carried out, and not answered.
-Meanwhile the runner on that machine crashes, and a new one starts there.
+One instance stands still for 3.5 s. A client hands a job in there, gets no
+answer within its deadline of 3 s, and cancels the job at another instance,
+which answers 410. Then the first instance wakes, and accepts the job.
 """
 
-import anyio
-import msgspec
-
-from standin.harness import (
-    SITE,
-    TROUBLE,
-    RecordedWorld,
-    Scene,
-    main,
-    wait_until,
-)
-from swifthoist_core.clock import SystemClock
-from swifthoist_core.errors import OutcomeUnknownError
-from swifthoist_emulator.http import Request, Response
-
-FIRST, LAST = 'runner-0', 'runner-1'
-DOWN_S = 5.0
-CRASH_AFTER_S = 0.5
-
+import signal
 
-class World(RecordedWorld):
-    """A platform whose machine service goes down for a while."""
-
-    down = False
-    was_down = False
+import anyio
 
-    async def answer(self, address: str, request: Request) -> Response:
-        if self.down and request.path == '/-/machines':
-            await self.faults.hold_unanswered()
-        return await super().answer(address, request)
+from standin.harness import BOUNDS, TROUBLE, Scene, body_of, main
+from swifthoist_emulator.lives import StepWork
 
-    async def answer_order(
-        self, call: str, address: str, request: Request
-    ) -> Response:
-        if call == 'machine-upkeep':
-            wanted = request.document()['Machine']
-            if TROUBLE and wanted == LAST and not self.was_down:
-                self.down = self.was_down = True
-                self.record(f'trouble  machine service is down, {DOWN_S} s')
-            if self.down:
-                await self.faults.hold_unanswered()
-                raise OutcomeUnknownError('machine service down')
-        return await super().answer_order(call, address, request)
+JOB = '00000000000000a4'
+FREEZE_S = 3.5
+DEADLINE_S = 3.0
+WORK_MS = 30_000
 
 
 async def play(scene: Scene) -> str:
-    world = scene.world
-    assert isinstance(world, World)
-    await scene.holder()
-    world.order_upkeep(1, [FIRST, LAST], 1)
-    scene.record(f'operator op/wave/1: {FIRST}, {LAST}, MaxCount 1')
-    if TROUBLE:
-        await wait_until(lambda: world.down, 30, f'the order for {LAST}')
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_service_returns, scene, world)
-            tasks.start_soon(_runner_crashes, scene)
-    shown = ''
-    for _ in range(400):
-        content = world.store.topic('keyed.status').newest().get('wave/1')
-        state = msgspec.json.decode(content)['State'] if content else ''
-        if state != shown:
-            shown = state
-            begun = sorted(world.machines.begun(1))
-            scene.record(f'status   wave/1 {state}; upkeep begun: {begun}')
-        if state == 'complete':
-            break
-        await anyio.sleep(0.1)
-    missing = {FIRST, LAST} - world.machines.begun(1)
-    if shown == 'complete' and missing:
-        return f'MIXED: wave 1 is complete, no upkeep has begun on {missing}'
+    holder = await scene.holder()
+    frozen, other = [it for it in scene.instances if it is not holder]
+    scene.record(f'holder   {holder.name}')
+    # The instances have told one another where they are reached.
+    await anyio.sleep(3)
+    work = StepWork(WORK_MS, (26_000, 110_000, 2))
+    step = {'Count': 1, 'Cpu': 26_000, 'MemMb': 110_000, 'Gpu': 2,
+            'EstimateMs': WORK_MS}
+    path = f'/batch/{JOB}'
+    body = body_of(step, works=(work,))
+    async with anyio.create_task_group() as tasks:
+        if TROUBLE:
+            frozen.signal(signal.SIGSTOP)
+            tasks.start_soon(_wake, frozen)
+        await scene.call(frozen, 'POST', path, body, DEADLINE_S)
+        status, _ = await scene.call(other, 'DELETE', path)
+    if status not in {200, 410}:
+        return ''
+    acknowledged = scene.record.now()
+    gone_ms = BOUNDS['cancel_ms'] + BOUNDS['StopMs']
+    # Well after the freeze: no disruption is near for ContactMs and more.
+    await anyio.sleep((BOUNDS['ContactMs'] + 2 * gone_ms) / 1000)
+    waited = scene.record.now() - acknowledged
+    await scene.call(other, 'GET', path)
+    if scene.host_of(JOB):
+        return (f'UNASKED: a task runs {waited:.1f} s after the cancelling '
+                f'was acknowledged with {status}')
     return ''
 
 
-async def _service_returns(scene: Scene, world: World) -> None:
-    await anyio.sleep(DOWN_S)
-    world.down = False
-    scene.record('trouble  machine service is back')
-
-
-async def _runner_crashes(scene: Scene) -> None:
-    await anyio.sleep(CRASH_AFTER_S)
-    host = next(
-        it for it in scene.world.fleet.hosts.values() if it.name == LAST
-    )
-    scene.record(f'crash    {host.runner} on {LAST}')
-    scene.world.fleet.crash(host)
+async def _wake(instance) -> None:
+    await anyio.sleep(FREEZE_S)
+    instance.signal(signal.SIGCONT)
 
 
-main(__file__, play, lambda: World(SITE, SystemClock()))
+main(__file__, play)
