Count crashes of runners by task, with the evidence that its run was there

Cause: crashes were one list for what is started as a whole, five were enough whatever they weighed, and a run that was only recorded as started weighed as much as one that was there. In the logs of the case five lines 'runner crashed' name five members, and 'task given up' has weights 1, 1, 1, 1, 1.

Change: crashes count by task; CrashWitnessed and StartSent tell what the holder knows of each run; nothing is given up with fewer than two crashes that are more than assumed. Crashes long after a start count towards the maximum of five only, a machine weighs once. Both records are skipped by older builds, whose holders are replaced (generation 2). The checker of the emulator reports a job that failed without a failed run and without two crashes under one task.

A delayed call of the emulator to a runner that is down raised; it is lost now.

--- a/packages/emulator/swifthoist_emulator/callers.py
+++ b/packages/emulator/swifthoist_emulator/callers.py
@@ -109,6 +109,8 @@
         found: str = msgspec.json.decode(reply.content)[names.STATE]
         if found == 'complete':
             self._checker.note_complete(order.job, order.units())
+        if found == 'failed':
+            self._checker.note_failed(order.job)
         return found
 
     async def close(self) -> None:
--- a/packages/emulator/swifthoist_emulator/checker.py
+++ b/packages/emulator/swifthoist_emulator/checker.py
@@ -15,6 +15,9 @@
 MAX_STARTS_AFTER = 2
 """Maximum number of starts of such a task from then on."""
 
+CRASHES_TO_GIVE_UP = 2
+"""Runners that must have crashed under a task before it may be given up."""
+
 
 class RunLocation(NamedTuple):
     """A run and the runner that it is on.
@@ -44,6 +47,9 @@
     :ivar late: the current order was delayed by a fault, so that a start in a
         closed zone is no violation.
     :ivar crashes: number of runners that each task has crashed.
+    :ivar lost: number of runners that went down under each task, whatever the
+        cause.
+    :ivar failures: number of runs that ended as failed, by job.
     """
 
     broken: list[str] = field(default_factory=list)
@@ -58,6 +64,8 @@
     closed: frozenset[RunnerId] = frozenset()
     late: bool = False
     crashes: Counter[TaskId] = field(default_factory=Counter)
+    lost: Counter[TaskId] = field(default_factory=Counter)
+    failures: Counter[JobId] = field(default_factory=Counter)
     _started: set[JobId] = field(default_factory=set)
     _starts_after_limit: Counter[TaskId] = field(default_factory=Counter)
     _running: dict[TaskId, set[RunLocation]] = field(
@@ -149,10 +157,37 @@
         """
         self._running[task].discard(RunLocation(runner, run))
         self._used[runner].pop(task, None)
+        if how == Ending.FAILED:
+            self.failures[task.job] += 1
         if how == Ending.DONE:
             self.done[task.job].add(task)
             self._unacknowledged_done[task].add(RunLocation(runner, run))
 
+    def note_lost(self, runner: RunnerId, task: TaskId, run: int) -> None:
+        """Record that a runner went down under a run.
+
+        :param runner: the runner.
+        :param task: the task.
+        :param run: number of the run.
+        """
+        self.lost[task] += 1
+        self.note_end(runner, task, run, 'lost')
+
+    def note_failed(self, job: JobId) -> None:
+        """Check a job that is reported as failed.
+
+        :param job: the job.
+        """
+        worst = max(
+            (count for task, count in self.lost.items() if task.job == job),
+            default=0,
+        )
+        if not self.failures[job] and worst < CRASHES_TO_GIVE_UP:
+            self.broken.append(
+                f'{job} is failed, though no run of it has failed and at most'
+                f' {worst} runners went down under a task of it'
+            )
+
     def note_crash(self, runner: RunnerId) -> None:
         """Drop the ends of a crashed runner, since they can't be acknowledged.
 
--- a/packages/emulator/swifthoist_emulator/direct.py
+++ b/packages/emulator/swifthoist_emulator/direct.py
@@ -4,6 +4,7 @@
 may be cut off from one instance, and a frozen instance neither sends nor reads.
 """
 
+import logging
 from urllib.parse import parse_qs
 
 import anyio
@@ -18,6 +19,9 @@
 """Delay of a call, in seconds."""
 
 
+_log = logging.getLogger(__name__)
+
+
 class Link:
     """The link between one instance and the platform.
 
@@ -81,7 +85,10 @@
 
     async def _deliver_late(self, address: str, request: Request) -> None:
         await self._thawed.wait()
-        await self._world.answer(address, request)
+        try:
+            await self._world.answer(address, request)
+        except UnreachableError as exc:
+            _log.info('late call lost', extra={'why': str(exc)})
 
 
 class DirectEndpoint:
--- a/packages/emulator/swifthoist_emulator/lives.py
+++ b/packages/emulator/swifthoist_emulator/lives.py
@@ -320,7 +320,7 @@
         """Crash: all runs are lost."""
         self.over = True
         for run in tuple(self.runs.values()):
-            self.checker.note_end(self.runner, run.task, run.run, 'lost')
+            self.checker.note_lost(self.runner, run.task, run.run)
         self.checker.note_crash(self.runner)
         self.runs.clear()
 
--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -13,6 +13,12 @@
 
 from swifthoist_core.types import JobId, Millis, RunnerId
 from swifthoist_engine.cell_state import CellState
+from swifthoist_engine.crash_records import (
+    CrashWitnessed,
+    RunnerCrashed,
+    StartSent,
+    TaskGivenUp,
+)
 from swifthoist_engine.endings import (
     placeholder_run,
     update_job_outcome,
@@ -36,10 +42,8 @@
     HolderRecord,
     Joined,
     Record,
-    RunnerCrashed,
     Started,
     Submitted,
-    TaskGivenUp,
     Vanished,
 )
 from swifthoist_engine.run_index import RunIndex
@@ -47,6 +51,7 @@
     has_suspects,
     note_crash,
     note_unreported_crash,
+    note_witnessed,
 )
 
 MAX_FINISHED = 20_000
@@ -199,6 +204,12 @@
                 blamed = set(note_crash(self.state.jobs, record))
                 self.suspects |= blamed
                 self.dirty |= blamed
+            case CrashWitnessed():
+                note_witnessed(self.state.jobs, record)
+            case StartSent(_, task, number):
+                run = self.find_run(task, number)
+                if run is not None:
+                    run.sent = True
             case TaskGivenUp(_, task, at_ms):
                 self._finish_early(task.job, at_ms, canceled=False)
             case _:
--- a/packages/engine/swifthoist_engine/cell_state.py
+++ b/packages/engine/swifthoist_engine/cell_state.py
@@ -20,10 +20,11 @@
     WaveDone,
 )
 
-GENERATION = 1
+GENERATION = 2
 """Generation of this version. Instances of a later generation take the cell
 over from a holder of an earlier one, which lacks something that all must do.
-The first one reports crashes of runners."""
+The first one reports crashes of runners; the second tells under which tasks
+they crashed."""
 
 
 @dataclass(slots=True)
--- a/packages/engine/swifthoist_engine/crashes.py
+++ b/packages/engine/swifthoist_engine/crashes.py
@@ -2,13 +2,15 @@
 
 A runner that goes down takes all its runs with it, and most of them did nothing
 to it. A crash counts for more the fewer runs the runner was starting, and units
-that are under suspicion start apart from each other.
+that are under suspicion start apart from each other. A crash that a run may
+have missed makes its task suspect, but is no reason to give it up.
 """
 
 from collections.abc import Sequence
+from enum import StrEnum
 from typing import NamedTuple
 
-from swifthoist_core.types import Millis, RunnerId
+from swifthoist_core.types import Epoch, Millis, RunnerId
 
 STARTING_ALONE_WEIGHT = 5
 """Weight of a crash while the runner was starting nothing but this unit."""
@@ -21,10 +23,15 @@
 """Weight of a crash some time after the start, while none was in progress."""
 
 GIVE_UP_WEIGHT = 8
-"""Weight at which a unit is given up: two crashes if it was started apart."""
+"""Weight of crashes at starts at which a task is given up: two crashes if it was
+started apart."""
+
+MIN_BACKED = 2
+"""Fewest crashes under the task itself without which it is never given up."""
 
 MAX_CRASHES = 5
-"""Number of crashes after which a unit is given up whatever they weigh."""
+"""Number of crashes, including assumed ones, after which a task with enough
+backed ones is given up whatever they weigh."""
 
 MAX_UNREPORTED = 3
 """Most crashes that are counted from terms of holders that don't report any,
@@ -34,14 +41,30 @@
 """How long a crash counts, in ms."""
 
 
+class Evidence(StrEnum):
+    """How it is known that a run was on its runner when that went down."""
+
+    SEEN = 'seen'
+    """The runner had it, and answered until its connections broke."""
+
+    LIKELY = 'likely'
+    """It was there or on its way at the last answer of the runner, which then
+    fell silent before it went down."""
+
+    ASSUMED = 'assumed'
+    """It was recorded as started there, or the runner may only be cut off."""
+
+
 class Crash(NamedTuple):
-    """A crash of a runner under a run of a unit.
+    """A crash of a runner under a run of a task.
 
     :ivar run: number of the run.
     :ivar runner: the runner.
     :ivar machine: its machine, or its address; empty if unknown.
-    :ivar weight: how much it speaks against the unit.
+    :ivar weight: how much it speaks against the task.
     :ivar at_ms: time at which it was noticed.
+    :ivar epoch: epoch of the holder that noticed it; 0 if unknown.
+    :ivar evidence: how it is known that the run was there.
     """
 
     run: int
@@ -49,16 +72,22 @@
     machine: str
     weight: int
     at_ms: Millis
+    epoch: Epoch = 0
+    evidence: Evidence = Evidence.ASSUMED
+
+    @property
+    def place(self) -> str:
+        """Machine that crashed, or else the runner."""
+        return self.machine or self.runner
 
 
 def with_crash(crashes: Sequence[Crash], crash: Crash) -> list[Crash]:
-    """Add a crash to those of a unit.
+    """Add a crash to those of a task.
 
-    A run counts once, although the members of a gang may lose several runners
-    at a time. After a run that outlasted its start, crashes at starts before
-    it weigh no more than others.
+    After a run that outlasted its start, crashes at starts before it weigh no
+    more than others.
 
-    :param crashes: crashes of the unit, oldest first.
+    :param crashes: crashes of the task, oldest first.
     :param crash: the crash.
     :returns: the crashes that count from now on.
     """
@@ -78,7 +107,7 @@
 def with_unreported(crashes: Sequence[Crash], crash: Crash) -> list[Crash]:
     """Add a crash that the holder didn't report as one.
 
-    :param crashes: crashes of the unit, oldest first.
+    :param crashes: crashes of the task, oldest first.
     :param crash: the crash.
     :returns: the crashes that count from now on.
     """
@@ -89,12 +118,39 @@
     return [*crashes, crash]
 
 
+def with_evidence(
+    crashes: Sequence[Crash], run: int, evidence: Evidence
+) -> list[Crash]:
+    """Note how it is known that a run was on the runner that crashed.
+
+    :param crashes: crashes of the task.
+    :param run: number of the run.
+    :param evidence: the evidence.
+    :returns: the crashes with it.
+    """
+    return [
+        known._replace(evidence=evidence) if known.run == run else known
+        for known in crashes
+    ]
+
+
 def should_give_up(crashes: Sequence[Crash]) -> bool:
-    """Tell whether a unit is to be given up.
+    """Tell whether a task is to be given up.
+
+    A machine that goes down again and again weighs no more than once, and
+    crashes of runners long after the start only count towards the maximum.
 
-    :param crashes: crashes of the unit.
+    :param crashes: crashes of the task.
     :returns: whether it must not start again.
     """
+    backed = [it for it in crashes if it.evidence is not Evidence.ASSUMED]
+    if len(backed) < MIN_BACKED:
+        return False
     if len(crashes) >= MAX_CRASHES:
         return True
-    return sum(crash.weight for crash in crashes) >= GIVE_UP_WEIGHT
+    weights: dict[str, int] = {}
+    for crash in backed:
+        if crash.weight == RUNNING_WEIGHT:
+            continue
+        weights[crash.place] = max(crash.weight, weights.get(crash.place, 0))
+    return sum(weights.values()) >= GIVE_UP_WEIGHT
--- a/packages/engine/swifthoist_engine/isolation.py
+++ b/packages/engine/swifthoist_engine/isolation.py
@@ -95,7 +95,11 @@
             return int(runner in self._on_probation)
         facts = self._cell.state.facts.get(runner)
         machine = facts.machine if facts else ''
-        crashed = {crash.machine for crash in pending.state.crashes}
+        crashed = {
+            crash.machine
+            for crashes in pending.state.task_crashes.values()
+            for crash in crashes
+        }
         known = bool(machine) and machine in crashed
         return (
             SAME_MACHINE_RISK * known
@@ -112,4 +116,4 @@
 
 
 def _is_suspected(pending: PendingUnit) -> bool:
-    return pending.state is not None and bool(pending.state.crashes)
+    return pending.state is not None and pending.state.suspected
--- a/packages/engine/swifthoist_engine/jobs.py
+++ b/packages/engine/swifthoist_engine/jobs.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 
 from swifthoist_core.types import Epoch, JobId, Millis, RunnerId
-from swifthoist_engine.crashes import Crash
+from swifthoist_engine.crashes import Crash, should_give_up
 from swifthoist_engine.histories import Attempt, History
 from swifthoist_engine.model import (
     GANG_ORDINAL,
@@ -46,6 +46,7 @@
     :ivar started_ms: time of the decision to start it.
     :ivar checkpoint: checkpoint from which it resumed; empty for a start from
         the beginning.
+    :ivar sent: its start went to a runner that had just answered.
     """
 
     task: TaskId
@@ -54,6 +55,7 @@
     epoch: Epoch
     started_ms: Millis
     checkpoint: str = ''
+    sent: bool = False
 
 
 @dataclass(slots=True)
@@ -69,7 +71,8 @@
     :ivar open: open runs by the ordinal of their task.
     :ivar failed_on: runners that listed a failed end of it.
     :ivar idle_since_ms: time of the newest end of one of its runs.
-    :ivar crashes: crashes of runners that it may have caused.
+    :ivar task_crashes: crashes of runners under each of its tasks that the task
+        may have caused, by the ordinal of the task.
     """
 
     last_run: int = 0
@@ -81,7 +84,17 @@
     open: dict[int, OpenRun] = field(default_factory=dict)
     failed_on: list[RunnerId] = field(default_factory=list)
     idle_since_ms: Millis = 0
-    crashes: list[Crash] = field(default_factory=list)
+    task_crashes: dict[int, list[Crash]] = field(default_factory=dict)
+
+    @property
+    def suspected(self) -> bool:
+        """Whether a runner has crashed that it may have caused."""
+        return bool(self.task_crashes)
+
+    @property
+    def to_give_up(self) -> bool:
+        """Whether it must not start again, since it crashes its runners."""
+        return any(map(should_give_up, self.task_crashes.values()))
 
 
 @dataclass(slots=True)
--- a/packages/engine/swifthoist_engine/planner.py
+++ b/packages/engine/swifthoist_engine/planner.py
@@ -21,7 +21,7 @@
     DEFAULT_SITE_TERMS,
     RunKey,
     SiteTerms,
-    UnitId,
+    TaskId,
 )
 from swifthoist_engine.occupancy import Occupancy
 from swifthoist_engine.placing import Placer
@@ -31,7 +31,7 @@
 from swifthoist_engine.reservations import Reservations
 from swifthoist_engine.root_causes import find_root_causes
 from swifthoist_engine.runners import RunnerView
-from swifthoist_engine.suspects import units_to_give_up
+from swifthoist_engine.suspects import tasks_to_give_up
 
 MAX_STARTS = 64
 """Most tasks that one decision starts; the next decision follows at once."""
@@ -125,14 +125,14 @@
     :ivar awaiting_policy: units of queues whose policy has not answered yet.
     :ivar faults: exceptions met, with the jobs, runners and teams excluded
         because of them.
-    :ivar given_up: units to give up, since they crash their runners.
+    :ivar given_up: tasks to give up, since they crash their runners.
     """
 
     starts: tuple[Started, ...]
     stops: tuple[Stop, ...]
     awaiting_policy: tuple[PendingUnit, ...]
     faults: tuple[Fault, ...] = ()
-    given_up: tuple[UnitId, ...] = ()
+    given_up: tuple[TaskId, ...] = ()
 
 
 def decide(inputs: DecisionInput, epoch: Epoch) -> Decision:
@@ -158,7 +158,7 @@
         inputs.mechanisms,
         estimates,
     )
-    given_up = tuple(_units_to_give_up(inputs.cell, guard))
+    given_up = tuple(_tasks_to_give_up(inputs.cell, guard))
     inputs = inputs.without(guard.faults)
     for _ in range(MAX_ATTEMPTS):
         attempt = _try_to_decide(inputs, epoch, units)
@@ -174,13 +174,13 @@
     return Decision((), stops, (), guard.faults)
 
 
-def _units_to_give_up(cell: Cell, guard: FaultGuard) -> Iterator[UnitId]:
+def _tasks_to_give_up(cell: Cell, guard: FaultGuard) -> Iterator[TaskId]:
     for name in sorted(cell.suspects):
         job = cell.find_job(name)
         if job is None or job.final:
             continue
         with guard.isolate(FaultSource.JOB, name):
-            yield from units_to_give_up(job)
+            yield from tasks_to_give_up(job)
 
 
 def duration_estimates(inputs: DecisionInput) -> DurationEstimates:
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -15,7 +15,6 @@
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.cell_state import CellState
-from swifthoist_engine.crashes import should_give_up
 from swifthoist_engine.duration_estimates import DurationEstimates
 from swifthoist_engine.faults import FaultGuard, FaultSource
 from swifthoist_engine.jobs import Job, JobState, Unit
@@ -299,7 +298,7 @@
 def _is_startable(unit: Unit | None, context: _Context) -> bool:
     if unit is None:
         return True
-    if unit.done or unit.open or should_give_up(unit.crashes):
+    if unit.done or unit.open or unit.to_give_up:
         return False
     # A clock that was ahead may have put the end in the future.
     if not context.mechanisms.retry_pause:
--- a/packages/engine/swifthoist_engine/records.py
+++ b/packages/engine/swifthoist_engine/records.py
@@ -19,7 +19,13 @@
     RunnerId,
     ZoneId,
 )
-from swifthoist_engine.model import JobSpec, RunKey, TaskId, UnitId
+from swifthoist_engine.crash_records import (
+    CrashWitnessed,
+    RunnerCrashed,
+    StartSent,
+    TaskGivenUp,
+)
+from swifthoist_engine.model import JobSpec, TaskId, UnitId
 
 
 class Ending(StrEnum):
@@ -254,44 +260,6 @@
     at_ms: Millis
 
 
-class RunnerCrashed(NamedTuple):
-    """A runner went down without notice, with runs on it.
-
-    It precedes the :class:`Vanished` records of these runs.
-
-    :ivar epoch: epoch of the holder.
-    :ivar runner: the runner.
-    :ivar machine: its machine, or its address if that is unknown.
-    :ivar starting: runs that it may not have survived the start of.
-    :ivar running: runs that had been running before.
-    :ivar certain: the holder saw it up before and saw its connections break,
-        and no others at that moment; otherwise it may only have been
-        unreachable, or have crashed at another time or for another cause.
-    :ivar at_ms: time at which the holder noticed it.
-    """
-
-    epoch: Epoch
-    runner: RunnerId
-    machine: str
-    starting: tuple[RunKey, ...]
-    running: tuple[RunKey, ...]
-    certain: bool
-    at_ms: Millis
-
-
-class TaskGivenUp(NamedTuple):
-    """A task crashes the runners that start it; its job fails.
-
-    :ivar epoch: epoch of the holder.
-    :ivar task: the task.
-    :ivar at_ms: time of the decision.
-    """
-
-    epoch: Epoch
-    task: TaskId
-    at_ms: Millis
-
-
 class HolderGeneration(NamedTuple):
     """The holder tells the generation of its version, right after its claim.
 
@@ -353,6 +321,8 @@
     | RunnerDescribed
     | RunnerDoubted
     | RunnerCrashed
+    | CrashWitnessed
+    | StartSent
     | TaskGivenUp
     | HolderGeneration
     | RunnerGone
--- a/packages/engine/swifthoist_engine/suspects.py
+++ b/packages/engine/swifthoist_engine/suspects.py
@@ -3,23 +3,28 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from swifthoist_core.types import JobId, Millis, RunnerId
+from swifthoist_engine.crash_records import (
+    CrashWitnessed,
+    RunnerCrashed,
+    TaskGivenUp,
+)
 from swifthoist_engine.crashes import (
     RUNNING_WEIGHT,
     STARTING_ALONE_WEIGHT,
     STARTING_WEIGHT,
     Crash,
+    Evidence,
     should_give_up,
     with_crash,
+    with_evidence,
     with_unreported,
 )
 from swifthoist_engine.jobs import Job, OpenRun, Unit, find_open_run
-from swifthoist_engine.model import RunKey, TaskId, UnitId
+from swifthoist_engine.model import RunKey, TaskId
 from swifthoist_engine.records import (
     Ended,
     Ending,
     Record,
-    RunnerCrashed,
-    TaskGivenUp,
 )
 
 CRASH_REASONS = frozenset(
@@ -37,25 +42,54 @@
 def note_crash(
     jobs: Mapping[JobId, Job], record: RunnerCrashed
 ) -> Iterator[JobId]:
-    """Count a crash against the units that may have caused it.
+    """Count a crash against the tasks that may have caused it.
 
     :param jobs: the jobs by id.
     :param record: the crash.
-    :returns: jobs of these units.
+    :returns: jobs of these tasks.
     """
-    starting = _open_units(jobs, record.starting)
+    starting = _open_on(jobs, record.starting, record.runner)
+    units = {jobs[task.job].unit_of(task) for task, _ in starting}
     weight = STARTING_WEIGHT
-    if record.certain and len(starting) == 1:
+    if record.certain and len(units) == 1:
         weight = STARTING_ALONE_WEIGHT
     blamed = starting
     if not starting:
         weight = RUNNING_WEIGHT
-        blamed = _open_units(jobs, record.running)
-    for unit_id, run in blamed.items():
-        unit = jobs[unit_id.job].ensure_unit(unit_id)
-        crash = Crash(run, record.runner, record.machine, weight, record.at_ms)
-        unit.crashes = with_crash(unit.crashes, crash)
-        yield unit_id.job
+        blamed = _open_on(jobs, record.running, record.runner)
+    for task, run in blamed:
+        crash = Crash(
+            run,
+            record.runner,
+            record.machine,
+            weight,
+            record.at_ms,
+            record.epoch,
+        )
+        job = jobs[task.job]
+        unit = job.ensure_unit(job.unit_of(task))
+        known = unit.task_crashes.get(task.ordinal, [])
+        unit.task_crashes[task.ordinal] = with_crash(known, crash)
+        yield task.job
+
+
+def note_witnessed(jobs: Mapping[JobId, Job], record: CrashWitnessed) -> None:
+    """Note which runs were on a runner when it crashed.
+
+    :param jobs: the jobs by id.
+    :param record: the runs; their crash is counted already.
+    """
+    by_evidence = (
+        (Evidence.SEEN, record.seen),
+        (Evidence.LIKELY, record.likely),
+    )
+    for evidence, runs in by_evidence:
+        for task, run in _open_on(jobs, runs, record.runner):
+            job = jobs[task.job]
+            crashes = job.ensure_unit(job.unit_of(task)).task_crashes
+            if task.ordinal in crashes:
+                known = crashes[task.ordinal]
+                crashes[task.ordinal] = with_evidence(known, run, evidence)
 
 
 def note_unreported_crash(
@@ -71,8 +105,9 @@
     """
     if reason in CRASH_REASONS:
         crash = Crash(run.run, run.runner, '', RUNNING_WEIGHT, at_ms)
-        unit.crashes = with_unreported(unit.crashes, crash)
-    return bool(unit.crashes)
+        known = unit.task_crashes.get(run.task.ordinal, [])
+        unit.task_crashes[run.task.ordinal] = with_unreported(known, crash)
+    return unit.suspected
 
 
 def has_suspects(job: Job) -> bool:
@@ -81,7 +116,7 @@
     :param job: the job.
     :returns: whether it has such a unit.
     """
-    return any(unit.crashes for unit in job.units.values())
+    return any(unit.suspected for unit in job.units.values())
 
 
 def is_suspected(job: Job, task: TaskId) -> bool:
@@ -92,18 +127,21 @@
     :returns: whether it is suspected.
     """
     unit = job.find_unit(job.unit_of(task))
-    return unit is not None and bool(unit.crashes)
+    return unit is not None and unit.suspected
 
 
-def units_to_give_up(job: Job) -> Iterator[UnitId]:
-    """List the units of a job that must not start again.
+def tasks_to_give_up(job: Job) -> Iterator[TaskId]:
+    """List the tasks of a job that must not start again.
 
     :param job: the job.
-    :returns: ids of the units, also of those that were given up.
+    :returns: ids of the tasks, also of those that were given up.
     """
     for key, unit in job.units.items():
-        if not unit.done and should_give_up(unit.crashes):
-            yield UnitId(job.job, *key)
+        if unit.done:
+            continue
+        for ordinal, crashes in unit.task_crashes.items():
+            if should_give_up(crashes):
+                yield TaskId(job.job, *key[:2], ordinal)
 
 
 def runners_on_probation(
@@ -117,7 +155,9 @@
     """
     found: set[RunnerId] = set()
     for job in jobs:
-        for unit in filter(_is_suspected, job.units.values()):
+        for unit in job.units.values():
+            if not unit.suspected:
+                continue
             found |= {
                 run.runner
                 for run in unit.open.values()
@@ -127,24 +167,23 @@
 
 
 def give_up_records(
-    job: Job, unit_id: UnitId, epoch: int, at_ms: Millis
+    job: Job, task: TaskId, epoch: int, at_ms: Millis
 ) -> Sequence[Record]:
-    """Make the records that give a unit up and fail its job.
+    """Make the records that give a task up and fail its job.
 
     Versions that don't know :class:`TaskGivenUp` fail the job by failed ends,
     as many as the unit has attempts left.
 
     :param job: the job.
-    :param unit_id: the unit.
+    :param task: the task.
     :param epoch: epoch of the holder.
     :param at_ms: time of the decision.
     :returns: the records.
     """
-    unit = job.ensure_unit(unit_id)
-    task = TaskId(*unit_id[:3], max(unit_id.ordinal, 0))
-    last = unit.crashes[-1]
+    unit = job.ensure_unit(job.unit_of(task))
+    last = unit.task_crashes[task.ordinal][-1]
     records: list[Record] = [TaskGivenUp(epoch, task, at_ms)]
-    if job.step(unit_id).lasting:
+    if job.step(task).lasting:
         return records
     runner = f'{CRASH_RUNNER_PREFIX}{last.runner}'
     first = max(unit.last_run, unit.failed_run + 1)
@@ -165,16 +204,13 @@
     return records
 
 
-def _is_suspected(unit: Unit) -> bool:
-    return bool(unit.crashes)
-
-
-def _open_units(
-    jobs: Mapping[JobId, Job], lost: Iterable[RunKey]
-) -> dict[UnitId, int]:
-    """Return the units of runs that are still open, with their run numbers."""
-    return {
-        jobs[task.job].unit_of(task): run
-        for task, run in lost
-        if find_open_run(jobs, task, run) is not None
-    }
+def _open_on(
+    jobs: Mapping[JobId, Job], lost: Iterable[RunKey], runner: RunnerId
+) -> list[RunKey]:
+    """Return the runs that are still open on a runner."""
+    found: list[RunKey] = []
+    for task, number in lost:
+        run = find_open_run(jobs, task, number)
+        if run is not None and run.runner == runner:
+            found.append((task, number))
+    return found
--- a/packages/instance/swifthoist_instance/contacts.py
+++ b/packages/instance/swifthoist_instance/contacts.py
@@ -13,6 +13,7 @@
 from swifthoist_instance.context import TenureContext
 from swifthoist_instance.leases import Lease
 from swifthoist_instance.lives import Life, PendingStarts
+from swifthoist_instance.presence import Presence
 from swifthoist_platform.documents import Registration
 from swifthoist_platform.runner_calls import (
     OrderAnswer,
@@ -50,6 +51,8 @@
     :ivar lost_ms: time of the first call without an answer since its last
         answer; None if there was none.
     :ivar lost_at_once: that call did not time out.
+    :ivar refused: no call since its last answer timed out.
+    :ivar presence: runs that it had when it last answered.
     :ivar replaced: another life answers at its address.
     :ivar closed: the contact is over: the runner is gone, or the session ended.
     :ivar life: the life of the runner that this contact is with.
@@ -80,6 +83,8 @@
         self.unanswered = False
         self.lost_ms: Millis | None = None
         self.lost_at_once = False
+        self.refused = False
+        self.presence = Presence()
         self.replaced = False
         self.closed = False
         clock = context.clock
@@ -230,7 +235,10 @@
         if self.lost_ms is None:
             self.lost_ms = self.context.clock.boot_ms()
             self.lost_at_once = not isinstance(exc, AnswerLateError)
+            self.refused = True
             self.context.crashes.note_loss(self.runner, self.lost_ms)
+        if isinstance(exc, AnswerLateError):
+            self.refused = False
 
     def note_answer(self, answer: OrderAnswer) -> bool:
         """Process what the answer to an order says about the runner.
--- a/packages/instance/swifthoist_instance/crashes.py
+++ b/packages/instance/swifthoist_instance/crashes.py
@@ -4,11 +4,13 @@
 from collections.abc import Iterable
 
 from swifthoist_core.types import Millis
+from swifthoist_engine.crash_records import CrashWitnessed, RunnerCrashed
+from swifthoist_engine.crashes import Crash
 from swifthoist_engine.jobs import OpenRun
-from swifthoist_engine.model import RunKey, UnitId
-from swifthoist_engine.records import Record, RunnerCrashed, Vanished
+from swifthoist_engine.model import RunKey, TaskId
+from swifthoist_engine.records import Record
 from swifthoist_engine.suspects import give_up_records
-from swifthoist_instance.contacts import Contact
+from swifthoist_instance.contacts import RUNNER_TIMEOUT_MS, Contact
 from swifthoist_instance.context import TenureContext
 from swifthoist_instance.orders import Orders
 from swifthoist_instance.outcomes import (
@@ -60,12 +62,15 @@
     """
     context = contact.context
     crash = _describe_crash(contact, orders, certain=certain)
-    vanished: list[RunnerCrashed | Vanished] = [
+    vanished = [
         vanished_record(context, run, reason, checkpoints) for run in lost
     ]
     if crash is None:
         return await record_all(context, vanished)
-    if not await record_all(context, [crash, *vanished]):
+    records: list[Record] = [crash]
+    if certain or contact.refused:
+        records.append(_describe_witnessed(contact, orders))
+    if not await record_all(context, [*records, *vanished]):
         return False
     context.crashes.crashes += 1
     unheard_ms = context.clock.boot_ms() - contact.last_answer_ms
@@ -75,6 +80,7 @@
         'starting': [_name(run) for run in crash.starting],
         'running': len(crash.running),
         'certain': crash.certain,
+        'witnessed': _name_witnessed(records[1:]),
         'with_others': _fell_silent_with_others(contact),
         'unheard_ms': unheard_ms,
         'why': reason,
@@ -83,33 +89,40 @@
     return True
 
 
-def give_up_units(
-    context: TenureContext, units: Iterable[UnitId]
+def give_up_tasks(
+    context: TenureContext, tasks: Iterable[TaskId]
 ) -> list[Record]:
-    """Make the records that give units up, and log each of them.
+    """Make the records that give tasks up, and log each of them.
 
     :param context: state shared within the tenure.
-    :param units: the units; they belong to jobs that are not finished.
+    :param tasks: the tasks; they belong to jobs that are not finished.
     :returns: records for the next append.
     """
     records: list[Record] = []
-    for unit_id in units:
-        job = context.cell.state.jobs[unit_id.job]
-        crashes = job.ensure_unit(unit_id).crashes
+    for task in tasks:
+        job = context.cell.state.jobs[task.job]
+        unit = job.ensure_unit(job.unit_of(task))
+        crashes = unit.task_crashes[task.ordinal]
         now_ms = context.follower.time.now_ms()
-        records += give_up_records(job, unit_id, context.epoch, now_ms)
+        records += give_up_records(job, task, context.epoch, now_ms)
         context.crashes.given_up += 1
         fields = {
-            'job': unit_id.job,
-            'task': '.'.join(map(str, unit_id[1:])),
-            'crashes': len(crashes),
-            'runners': [crash.runner for crash in crashes],
-            'weights': [crash.weight for crash in crashes],
+            'job': task.job,
+            'task': '.'.join(map(str, task[1:])),
+            'crashes': [_describe(crash) for crash in crashes],
         }
         _log.warning('task given up', extra=fields)
     return records
 
 
+def _describe(crash: Crash) -> str:
+    """Return a crash in short: run, evidence, weight, runner, holder."""
+    return (
+        f'#{crash.run} {crash.evidence} {crash.weight} on {crash.runner}'
+        f' ({crash.machine}), epoch {crash.epoch}'
+    )
+
+
 def _describe_crash(
     contact: Contact, orders: Orders, *, certain: bool
 ) -> RunnerCrashed | None:
@@ -149,6 +162,59 @@
     )
 
 
+def _describe_witnessed(contact: Contact, orders: Orders) -> CrashWitnessed:
+    """Return which runs were on a runner when it crashed."""
+    runs = contact.context.cell.runs_on(contact.runner)
+    had = [run for run in runs if (run.task, run.run) in contact.presence]
+    arriving = [
+        run
+        for run in runs
+        if run not in had and _was_arriving(contact, orders, run)
+    ]
+    unsure = frozenset[RunKey]()
+    if contact.life.over:
+        # The next life may have answered these.
+        unsure = frozenset(contact.pending_starts.keys())
+    seen = frozenset[RunKey]()
+    if _was_watched(contact):
+        seen = frozenset((run.task, run.run) for run in had) - unsure
+    likely = frozenset((run.task, run.run) for run in (*had, *arriving)) - seen
+    return CrashWitnessed(
+        contact.context.epoch,
+        contact.runner,
+        tuple(sorted(seen)),
+        tuple(sorted(likely)),
+    )
+
+
+def _was_watched(contact: Contact) -> bool:
+    """Return whether a look was waiting for ends when the connections broke."""
+    if contact.lost_ms is None or not contact.lost_at_once:
+        return False
+    unheard_ms = contact.lost_ms - contact.last_answer_ms
+    return contact.lease.known and unheard_ms <= RUNNER_TIMEOUT_MS
+
+
+def _was_arriving(contact: Contact, orders: Orders, run: OpenRun) -> bool:
+    """Return whether a start was sent to the runner while it was up.
+
+    If the runner has answered since without the run, the start was not carried
+    out by then.
+    """
+    if not run.sent:
+        return False
+    return not contact.presence.was_looked_at(orders.starts.sent_ms(run))
+
+
+def _name_witnessed(records: Iterable[Record]) -> list[str]:
+    return [
+        _name(key)
+        for record in records
+        if isinstance(record, CrashWitnessed)
+        for key in (*record.seen, *record.likely)
+    ]
+
+
 def _was_starting(contact: Contact, orders: Orders, run: OpenRun) -> bool:
     sent_ms = orders.starts.sent_ms(run)
     lost_ms = contact.lost_ms
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -10,7 +10,7 @@
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.planner import Decision
 from swifthoist_instance.context import TenureContext
-from swifthoist_instance.crashes import give_up_units
+from swifthoist_instance.crashes import give_up_tasks
 from swifthoist_instance.deciding import Decider
 from swifthoist_instance.dependencies import HolderDependencies
 from swifthoist_instance.job_lines import JobLines
@@ -180,7 +180,7 @@
         self._roster.stop(decision.stops)
         doubts = tuple(self._context.doubts)
         self._context.doubts.clear()
-        given_up = give_up_units(self._context, decision.given_up)
+        given_up = give_up_tasks(self._context, decision.given_up)
         starts = decision.starts
         started = await record_all(self._context, (*doubts, *given_up, *starts))
         if not started:
--- a/packages/instance/swifthoist_instance/learned.py
+++ b/packages/instance/swifthoist_instance/learned.py
@@ -16,11 +16,12 @@
     return [
         {
             'job': job.job,
-            'task': '.'.join(map(str, key)),
-            'crashes': [crash._asdict() for crash in unit.crashes],
+            'task': '.'.join(map(str, (*key[:2], ordinal))),
+            'crashes': [crash._asdict() for crash in crashes],
         }
         for key, unit in job.units.items()
-        if unit.crashes and not job.final
+        for ordinal, crashes in unit.task_crashes.items()
+        if not job.final
     ]
 
 
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -15,7 +15,9 @@
 from swifthoist_engine.evacuation import Gate
 from swifthoist_engine.jobs import Job, OpenRun
 from swifthoist_engine.model import RunKey
-from swifthoist_engine.records import Doubt
+from swifthoist_engine.records import (
+    Doubt,
+)
 from swifthoist_engine.suspects import is_suspected
 from swifthoist_instance.contacts import (
     CALL_S,
@@ -23,7 +25,11 @@
     RETRY_S,
     Contact,
 )
-from swifthoist_instance.outcomes import note_doubt, record_vanished
+from swifthoist_instance.outcomes import (
+    note_doubt,
+    record_sent,
+    record_vanished,
+)
 from swifthoist_instance.sent_starts import SentStarts
 from swifthoist_platform.runner_calls import OrderResult, StartOrder
 
@@ -158,7 +164,10 @@
             case None:
                 return False
             case OrderResult.TAKEN | OrderResult.OLD:
-                self.settled[run.task, run.run] = self._context.clock.boot_ms()
+                key, now_ms = (run.task, run.run), self._context.clock.boot_ms()
+                self.settled[key] = now_ms
+                if result is OrderResult.TAKEN:
+                    self._contact.presence.note_started(key, now_ms)
             case OrderResult.LATE:
                 _log.warning('lease too short', extra=_run_fields(run))
                 return False
@@ -243,9 +252,12 @@
         if is_repeated or not is_suspected(job, run.task):
             return True
         # Sent to a runner that is already down, it would be blamed for that.
-        if not await contact.probe() or not self._wanted(run):
+        if not await contact.probe():
             return False
-        return _gate(contact) is Gate.OPEN and not self._obstacle(run)
+        lost_ms = contact.lost_ms
+        announced = await record_sent(self._context, run)
+        up = announced and contact.lost_ms == lost_ms and self._wanted(run)
+        return up and _gate(contact) is Gate.OPEN and not self._obstacle(run)
 
     async def _note_rejected(
         self, run: OpenRun, result: OrderResult, *, may_be_pending: bool
@@ -289,6 +301,8 @@
             _log_unanswered('stop', run, exc)
             return False
         ours = contact.note_answer(answer)
+        if ours:
+            contact.presence.note_stopped((run.task, run.run))
         return ours and answer.result in {OrderResult.TAKEN, OrderResult.OLD}
 
 
--- a/packages/instance/swifthoist_instance/outcomes.py
+++ b/packages/instance/swifthoist_instance/outcomes.py
@@ -6,6 +6,7 @@
 
 from swifthoist_core.errors import LogUnavailableError, OutcomeUnknownError
 from swifthoist_core.types import JobId, RunnerId
+from swifthoist_engine.crash_records import StartSent
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.model import RunKey
 from swifthoist_engine.records import (
@@ -113,6 +114,17 @@
     return await record_all(context, records)
 
 
+async def record_sent(context: TenureContext, run: OpenRun) -> bool:
+    """Record that the start of a run is about to reach its runner.
+
+    :param context: state shared within the tenure.
+    :param run: the run.
+    :returns: whether the record is folded.
+    """
+    sent = StartSent(context.epoch, run.task, run.run)
+    return run.sent or await record_all(context, [sent])
+
+
 def note_doubt(
     context: TenureContext, runner: RunnerId, doubt: Doubt, job: JobId = ''
 ) -> None:
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -290,6 +290,7 @@
     ) -> None:
         answered_ms = self._context.clock.boot_ms()
         self._running = {(row.task, row.run): row for row in poll.running}
+        self.contact.presence.note_look(self._running.keys(), sent_ms)
         self._note_checkpoints()
         seen = self.contact.seen
         ends = [end for end in poll.ends if end.number > seen]
--- a/tests/instance/test_evacuations.py
+++ b/tests/instance/test_evacuations.py
@@ -15,6 +15,7 @@
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.evacuations import EvacuationRequests, ZoneGate
 from swifthoist_instance.lives import PendingStarts
+from swifthoist_instance.presence import Presence
 from swifthoist_instance.run_lines import RunLines
 from swifthoist_platform.runner_calls import (
     OrderAnswer,
@@ -131,6 +132,7 @@
             lease=SimpleNamespace(next_expiry=lambda now_ms: now_ms + 1),
             active=lambda: True,
             pending_starts=PendingStarts(LoopClock()),
+            presence=Presence(),
             note_answer=mock.Mock(return_value=True),
             note_no_answer=mock.Mock(),
         )
--- a/tests/instance/test_orders.py
+++ b/tests/instance/test_orders.py
@@ -1,19 +1,27 @@
 """Tests of the orders to a runner."""
 
 import unittest
+from collections.abc import Sequence
 from typing import cast
 
 import anyio
 
 from swifthoist_core.errors import OutcomeUnknownError
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.crash_records import (
+    RunnerCrashed,
+)
 from swifthoist_engine.model import TaskId, UnitId
-from swifthoist_engine.records import RunnerCrashed, Vanished
+from swifthoist_engine.records import (
+    Record,
+    Vanished,
+)
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.context import TenureContext
 from swifthoist_instance.crash_counts import CrashCounts
 from swifthoist_instance.evacuations import EvacuationRequests, ZoneGate
 from swifthoist_instance.leases import Lease
+from swifthoist_instance.notifier import Notifier
 from swifthoist_instance.orders import Orders
 from swifthoist_platform.documents import unregistered_runner
 from swifthoist_platform.runner_calls import (
@@ -64,6 +72,20 @@
             EvacuationRequests(self.clock), self.clock.boot_ms, lambda: None
         )
 
+        self.journal = self
+        self.follower = self
+        self.wake = Notifier()
+
+    async def append(self, records: Sequence[Record], _: float) -> int:
+        """Fold records at once."""
+        for record in records:
+            self.cell.fold(record)
+        return 0
+
+    async def wait_folded(self, *_: object) -> bool:
+        """Return that the records are folded."""
+        return True
+
     def may_act(self) -> bool:
         """Return whether the tenure is in force."""
         return True
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -225,6 +225,8 @@
         state = answer.content.decode().split('"')[3]
         if state == 'complete':
             self.world.checker.note_complete(order.job, order.units())
+        if state == 'failed':
+            self.world.checker.note_failed(order.job)
         return state
 
     @property
--- a/tests/simulation/test_crashes.py
+++ b/tests/simulation/test_crashes.py
@@ -6,6 +6,7 @@
 import anyio
 
 from swifthoist_emulator.faults import NO_FAULT, Fault, FaultEffect
+from swifthoist_emulator.fleet import Host
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.site import STANDARD, Site
 from swifthoist_engine.model import TaskId
@@ -15,6 +16,7 @@
 LONG = StepWork(9_000, (4_000, 8_000, 1))
 CRASHING = SMALL._replace(crashes_ms=10)
 GANG = StepWork(1_000, (8_000, 32_000, 8), gang=3)
+LONG_GANG = StepWork(4_000, (8_000, 32_000, 8), gang=4)
 FEW_RUNNERS = STANDARD._replace(runners=6)
 SAME_IDS = FEW_RUNNERS._replace(lasting_ids=True)
 
@@ -294,3 +296,56 @@
             for host in hosts[number % 3 :: 3]:
                 fleet.revive(host)
         await _complete_all(cluster, orders, 90)
+
+    def test_a_gang_whose_members_lose_a_runner_each_fails_no_job(self) -> None:
+        """At each start another runner crashes by itself."""
+
+        async def scenario(cluster: Cluster) -> None:
+            await cluster.holder()
+            fleet = cluster.world.fleet
+            order = cluster.order('/batch/', LONG_GANG)
+            await cluster.submit(order)
+            for member in range(LONG_GANG.gang):
+                fleet.crash(
+                    await _wait_host(cluster, TaskId(order.job, 0, 0, member))
+                )
+            await cluster.wait_state(order, 'complete', 40)
+
+        self.play(scenario)
+        self.play(scenario, SAME_IDS)
+
+    def test_starts_that_never_arrived_fail_no_job(self) -> None:
+        """Holders die with them, and the runners crash before the next one."""
+
+        async def scenario(cluster: Cluster) -> None:
+            fleet = cluster.world.fleet
+            await cluster.holder()
+            order = cluster.order('/batch/', SMALL, width=4)
+            for number in range(4):
+                holder = await cluster.holder()
+                await anyio.sleep(2)
+                cluster.world.faults.orders = Fault(FaultEffect.SILENT)
+                if not number:
+                    await cluster.submit(order)
+                await anyio.sleep(1)
+                holder.kill()
+                for host in list(fleet.hosts.values()):
+                    fleet.crash(host)
+                await anyio.sleep(4)
+                cluster.world.faults.orders = NO_FAULT
+                holder.start()
+            await cluster.wait_state(order, 'complete', 40)
+
+        self.play(scenario)
+        self.play(scenario, SAME_IDS)
+
+
+async def _wait_host(cluster: Cluster, task: TaskId) -> Host:
+    """Wait until a task runs, and return its host."""
+    with anyio.fail_after(20):
+        while True:
+            for host in cluster.world.fleet.hosts.values():
+                runs = host.life.runs.values() if host.life else ()
+                if any(run.task == task for run in runs):
+                    return host
+            await anyio.sleep(0.01)
