Let a cancel bind submissions that come behind it

Cause: the fold dropped Canceled of an unknown job, though the answer rests on it; and a request counted its caller's time from when it was read. In the logs Canceled has a lower offset than Submitted.

A late submission is folded as canceled, one made behind the cancel gets 409. The holder appends Canceled once more, so that versions that drop the first one show the same. Each instance measures its loop's delay; a change that may have waited longer than its caller gets 503.

The checker reports starts behind answered cancels in every simulation.

--- a/packages/emulator/swifthoist_emulator/callers.py
+++ b/packages/emulator/swifthoist_emulator/callers.py
@@ -22,6 +22,9 @@
 
 _FINAL_STATUSES = frozenset((200, 400, 401, 404, 410))
 
+_CANCELED_STATUSES = frozenset((200, 410))
+"""Answers after which no task of a canceled job starts."""
+
 _NO_ANSWER = 0
 _FIRST_ERROR = 400
 
@@ -93,8 +96,8 @@
         :returns: the last HTTP status; 0 for no answer.
         """
         statuses = await self._call('DELETE', order)
-        if statuses[-1] == 200:
-            self._checker.canceled.add(order.job)
+        if statuses[-1] in _CANCELED_STATUSES:
+            self._checker.note_canceled(order.job)
         return statuses[-1]
 
     async def state(self, order: Order) -> str:
--- a/packages/emulator/swifthoist_emulator/checker.py
+++ b/packages/emulator/swifthoist_emulator/checker.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from swifthoist_core.types import JobId, RunnerId
+from swifthoist_core.types import JobId, Millis, RunnerId
 from swifthoist_engine.model import Resources, TaskId
 from swifthoist_engine.records import Ending
 
@@ -15,6 +15,9 @@
 MAX_STARTS_AFTER = 2
 """Maximum number of starts of such a task from then on."""
 
+CANCEL_MS = 3_000
+"""Time after the acknowledgement of a cancel in which tasks may still start."""
+
 CRASHES_TO_GIVE_UP = 2
 """Runners that must have crashed under a task before it may be given up."""
 
@@ -40,7 +43,8 @@
     :ivar submitted: jobs that callers submitted.
     :ivar rejected: jobs of which callers were told at each attempt that it was
         rejected.
-    :ivar canceled: jobs whose cancel was acknowledged.
+    :ivar canceled: when the cancel of each job was acknowledged.
+    :ivar now_ms: true time since the start.
     :ivar accelerator_ms: accelerator-milliseconds that runners spent.
     :ivar closed: runners in zones whose evacuation started so long ago that no
         more starts are allowed there.
@@ -59,7 +63,8 @@
     )
     submitted: set[JobId] = field(default_factory=set)
     rejected: set[JobId] = field(default_factory=set)
-    canceled: set[JobId] = field(default_factory=set)
+    canceled: dict[JobId, Millis] = field(default_factory=dict)
+    now_ms: Millis = 0
     accelerator_ms: int = 0
     closed: frozenset[RunnerId] = frozenset()
     late: bool = False
@@ -98,14 +103,11 @@
         """
         self.starts += 1
         self._started.add(task.job)
-        if task.job in self.rejected:
-            self.broken.append(f'{task} starts, though it was rejected')
+        self._check_job(task)
         if self._running[task]:
             self.broken.append(f'{task} runs twice: {self._running[task]}')
         if task in self._acknowledged_done:
             self.broken.append(f'{task} starts again, though it was done')
-        if task.job not in self.submitted:
-            self.broken.append(f'{task} starts, though nobody submitted it')
         if runner in self.closed and not self.late:
             self.broken.append(f'{task} starts on {runner}, which is evacuated')
         self._limit_starts(task)
@@ -122,6 +124,15 @@
         if not total.fits(room):
             self.broken.append(f'{runner} is over its capacity: {total}')
 
+    def _check_job(self, task: TaskId) -> None:
+        """Check that the job of a task that starts is wanted."""
+        if task.job in self.rejected:
+            self.broken.append(f'{task} starts, though it was rejected')
+        if task.job not in self.submitted:
+            self.broken.append(f'{task} starts, though nobody submitted it')
+        if self._is_canceled(task.job) and not self.late:
+            self.broken.append(f'{task} starts, though it was canceled')
+
     def _limit_starts(self, task: TaskId) -> None:
         if self.late or self.crashes[task] < CRASHES_BEFORE_LIMIT:
             return
@@ -129,6 +140,19 @@
         if self._starts_after_limit[task] > MAX_STARTS_AFTER:
             self.broken.append(f'{task} starts, though it crashes its runners')
 
+    def note_canceled(self, job: JobId) -> None:
+        """Record that the cancel of a job was acknowledged.
+
+        :param job: the job.
+        """
+        self.canceled.setdefault(job, self.now_ms)
+
+    def _is_canceled(self, job: JobId) -> bool:
+        canceled_ms = self.canceled.get(job)
+        if canceled_ms is None:
+            return False
+        return self.now_ms - canceled_ms > CANCEL_MS
+
     def note_rejected(self, job: JobId) -> None:
         """Record that a caller gave a job up after rejections alone.
 
--- a/packages/emulator/swifthoist_emulator/direct.py
+++ b/packages/emulator/swifthoist_emulator/direct.py
@@ -85,10 +85,14 @@
 
     async def _deliver_late(self, address: str, request: Request) -> None:
         await self._thawed.wait()
+        checker = self._world.checker
+        checker.late = True
         try:
             await self._world.answer(address, request)
         except UnreachableError as exc:
             _log.info('late call lost', extra={'why': str(exc)})
+        finally:
+            checker.late = False
 
 
 class DirectEndpoint:
--- a/packages/emulator/swifthoist_emulator/fleet.py
+++ b/packages/emulator/swifthoist_emulator/fleet.py
@@ -155,6 +155,7 @@
         :param now_ms: true time since the start.
         """
         self.now_ms = now_ms
+        self.checker.now_ms = now_ms
         self._restart_crashed()
         lives = [host for host in self.hosts.values() if host.life]
         gangs = self._gangs(lives)
--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -178,7 +178,10 @@
                 if spec.terms.priority == 0:
                     self.urgent[spec.job] = job
                 self.dirty.add(spec.job)
+                canceled_ms = self.state.early_cancels.get(spec.job)
+                self._finish_early(spec.job, canceled_ms, canceled=True)
             case Canceled(job_id, at_ms):
+                self.state.note_cancel(job_id, at_ms)
                 self._finish_early(job_id, at_ms, canceled=True)
             case Claimed(epoch, instance, at_ms):
                 if epoch == self.state.epoch + 1:
@@ -217,6 +220,7 @@
 
     def _forget_finished(self) -> None:
         limit = self.state.time_ms - self._keep_ms
+        self.state.forget_early_cancels(limit)
         old = [
             job.job
             for job in self.state.jobs.values()
@@ -229,10 +233,11 @@
             self.suspects.discard(job_id)
 
     def _finish_early(
-        self, job_id: JobId, at_ms: Millis, *, canceled: bool
+        self, job_id: JobId, at_ms: Millis | None, *, canceled: bool
     ) -> None:
+        """Finish a job unless it is unknown, final or, without a time, wanted."""
         job = self.state.jobs.get(job_id)
-        if job is None or job.final:
+        if job is None or job.final or at_ms is None:
             return
         self.dirty.add(job_id)
         job.canceled = canceled
--- a/packages/engine/swifthoist_engine/cell_state.py
+++ b/packages/engine/swifthoist_engine/cell_state.py
@@ -26,6 +26,9 @@
 The first one reports crashes of runners; the second tells under which tasks
 they crashed."""
 
+MAX_EARLY_CANCELS = 20_000
+"""Most cancels of unknown jobs that are remembered; the oldest are dropped."""
+
 
 @dataclass(slots=True)
 class CellState:
@@ -49,6 +52,9 @@
     :ivar experience: statistics learned from ended runs.
     :ivar peers: instances by name, the newest last.
     :ivar holder_generation: generation of the holder; 0 if it didn't tell.
+    :ivar early_cancels: time at which a job was canceled that was not known,
+        and of which a submission may still come, by the id of the job. A job
+        that came late stays in it until the holder has canceled it again.
     """
 
     epoch: Epoch = 0
@@ -67,6 +73,7 @@
     experience: Experience = field(default_factory=Experience)
     peers: dict[str, Peer] = field(default_factory=dict)
     holder_generation: int = 0
+    early_cancels: dict[JobId, Millis] = field(default_factory=dict)
 
     def advance_time(self, at_ms: Millis) -> None:
         """Advance the cell's time; it never goes back.
@@ -75,6 +82,42 @@
         """
         self.time_ms = max(self.time_ms, at_ms)
 
+    def note_cancel(self, job: JobId, at_ms: Millis) -> None:
+        """Remember a cancel if its job is not known.
+
+        :param job: id of the job.
+        :param at_ms: time of the cancel.
+        """
+        if job in self.jobs:
+            self.early_cancels.pop(job, None)
+            return
+        self.early_cancels.setdefault(job, max(at_ms, self.time_ms))
+        if len(self.early_cancels) > MAX_EARLY_CANCELS:
+            self.early_cancels.pop(next(iter(self.early_cancels)))
+
+    def late_jobs(self) -> list[JobId]:
+        """Return the jobs that were canceled before their submission came.
+
+        Versions that don't remember such cancels take them for waiting jobs,
+        until they are canceled once more.
+
+        :returns: ids of the jobs.
+        """
+        return [job for job in self.early_cancels if job in self.jobs]
+
+    def forget_early_cancels(self, before_ms: Millis) -> None:
+        """Forget old cancels of jobs that never came.
+
+        :param before_ms: time of the cell before which they were made.
+        """
+        if not self.early_cancels:
+            return
+        self.early_cancels = {
+            job: at_ms
+            for job, at_ms in self.early_cancels.items()
+            if at_ms >= before_ms or job in self.jobs
+        }
+
     def apply(self, record: HolderRecord) -> None:
         """Apply a record of the holder that concerns no job.
 
--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -201,6 +201,8 @@
         known = self._follower.cell.find_job(job_id)
         if known is not None:
             return _answer_repeat(known, request)
+        if job_id in self._follower.cell.state.early_cancels:
+            return Answer(409, {'error': ['the job was canceled before']})
         return await self._accept(job_id, request)
 
     async def _accept(self, job_id: str, request: JobInput) -> Answer:
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -181,6 +181,7 @@
             clock,
         )
         turns = LoopMonitor(clock)
+        self._turns = turns
         self._lives = LifeCounts()
         self._crashes = CrashCounts()
         self._unusable_entries = UnusableEntries()
@@ -272,6 +273,7 @@
             boot.internal_ports[0],
             self.tenure,
             self.faults,
+            turns,
         )
 
     async def run(self) -> None:
@@ -304,6 +306,7 @@
             BackgroundTask('hand-over', self._hand_over.run),
             BackgroundTask('join', lambda: self._peers.join(self._journal)),
             BackgroundTask('settings', self._settings.run),
+            BackgroundTask('loop monitor', self._turns.run),
         ]
 
     async def _serve(
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -9,6 +9,7 @@
 from swifthoist_engine.hang_detector import HangDetector
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.planner import Decision
+from swifthoist_engine.records import Canceled
 from swifthoist_instance.context import TenureContext
 from swifthoist_instance.crashes import give_up_tasks
 from swifthoist_instance.deciding import Decider
@@ -24,6 +25,7 @@
 from swifthoist_instance.roster import Roster
 from swifthoist_instance.run_lines import RunLines
 from swifthoist_instance.tenure import Hold
+from swifthoist_instance.turns import CHECK_INTERVAL_S
 from swifthoist_instance.waves import Waves
 
 MAX_DECISION_INTERVAL_S = 0.25
@@ -142,7 +144,7 @@
             tasks.start_soon(self._decide_repeatedly, tasks)
             tasks.start_soon(snapshots.run, self._dependencies.follower, epoch)
             while self._context.may_act():
-                await self._dependencies.turns.pause()
+                await anyio.sleep(CHECK_INTERVAL_S)
             tasks.cancel_scope.cancel()
         unread_ms = self._dependencies.follower.age_ms
         _log.info('term ends', extra={'epoch': epoch, 'unread_ms': unread_ms})
@@ -181,8 +183,14 @@
         doubts = tuple(self._context.doubts)
         self._context.doubts.clear()
         given_up = give_up_tasks(self._context, decision.given_up)
-        starts = decision.starts
-        started = await record_all(self._context, (*doubts, *given_up, *starts))
+        now_ms = self._context.follower.time.now_ms()
+        canceled = [
+            Canceled(job, now_ms)
+            for job in self._context.cell.state.late_jobs()
+        ]
+        started = await record_all(
+            self._context, (*doubts, *canceled, *given_up, *decision.starts)
+        )
         if not started:
             # They may be folded later and are sent to the runners then.
             self._own_records.note_unsettled()
--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -174,6 +174,8 @@
         return self._refuse(call, reason, alone=relayed.alone)
 
     async def _serve(self, call: Call) -> Answer:
+        if call.wait_s <= 0 and call.changes_state:
+            raise NotServedError('read after its caller may have given up')
         admitted = self._admit(call)
         if isinstance(admitted, Answer):
             return admitted
@@ -215,6 +217,12 @@
         if known is not None:
             same = known.spec.queue == admitted.queue.name
             return Answer(OK) if same else Answer(CONFLICT)
+        cell = self._follower.cell
+        canceled_ms = cell.state.early_cancels.get(job_id)
+        if canceled_ms is not None:
+            ago_s = (self._follower.time.now_ms() - canceled_ms) / 1_000
+            finding = Finding('id', f'was canceled {ago_s:.1f} s ago')
+            return Answer(CONFLICT, encode_error((finding,)))
         if len(call.content) > admitted.max_body_bytes:
             finding = Finding(
                 'body', f'is over {admitted.max_body_bytes} bytes'
--- a/packages/instance/swifthoist_instance/messages.py
+++ b/packages/instance/swifthoist_instance/messages.py
@@ -26,7 +26,8 @@
     :ivar host: host name, in lower case and without port.
     :ivar path: path, without query.
     :ivar key: API key; empty if none was sent.
-    :ivar wait_s: how long the caller waits for the response, in seconds.
+    :ivar wait_s: how long the caller still waits for the response, in seconds;
+        not above 0 if it may have given up before the call was read.
     :ivar content: request body.
     :ivar relayed: whether another instance passed it on.
     :ivar min_version: oldest configuration by which it may be judged: that of
--- a/packages/instance/swifthoist_instance/turns.py
+++ b/packages/instance/swifthoist_instance/turns.py
@@ -1,6 +1,7 @@
-"""Measures how long the event loop of a holder was blocked, and by what.
+"""Measures how long the event loop was blocked, and by what.
 
-Renewals of leases, answers and orders wait while other code computes.
+Renewals of leases, answers and orders wait while other code computes, and all
+of them while the process is stopped.
 """
 
 import logging
@@ -24,6 +25,9 @@
 """Pause after a decision, as a multiple of the time that it took, so that
 decisions use at most a third of the CPU."""
 
+RESUME_MS = 500
+"""Time in which requests that came while the loop was blocked are read, in ms."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -43,12 +47,23 @@
         self.decision_ms: Millis = 0
         self._clock = clock
         self._logged_ms: Millis | None = None
-
-    async def pause(self) -> None:
-        """Sleep for one interval and check how late the loop resumes."""
-        due_ms = self._clock.boot_ms() + int(CHECK_INTERVAL_S * 1_000)
-        await anyio.sleep(CHECK_INTERVAL_S)
-        self.note_delay(self._clock.boot_ms() - due_ms)
+        self._blocked_ms: Millis = 0
+        self._resumed_ms: Millis | None = None
+
+    async def run(self) -> None:
+        """Check the loop at intervals, until canceled."""
+        while True:
+            due_ms = self._clock.boot_ms() + int(CHECK_INTERVAL_S * 1_000)
+            await anyio.sleep(CHECK_INTERVAL_S)
+            self.note_delay(self._clock.boot_ms() - due_ms)
+
+    @property
+    def request_age_ms(self) -> Millis:
+        """How long a request that is read now may have waited, in ms."""
+        if self._resumed_ms is None:
+            return 0
+        since_ms = self._clock.boot_ms() - self._resumed_ms
+        return self._blocked_ms + since_ms if since_ms <= RESUME_MS else 0
 
     def note_delay(self, late_ms: Millis) -> None:
         """Record the delay of a check, and log a long one.
@@ -60,6 +75,8 @@
         logged_ms = self._logged_ms
         if late_ms < LOGGED_DELAY_MS:
             return
+        self._blocked_ms = late_ms
+        self._resumed_ms = now_ms
         if logged_ms is not None and now_ms - logged_ms < MIN_LOG_GAP_MS:
             return
         self._logged_ms = now_ms
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -31,6 +31,7 @@
     HandOver,
 )
 from swifthoist_instance.tenure import Tenure
+from swifthoist_instance.turns import LoopMonitor
 from swifthoist_platform.job_calls import parse_api_key
 from swifthoist_platform.names import READY as READY_PATH
 
@@ -93,6 +94,7 @@
     :ivar internal_port: port that only operators and instances can reach.
     :ivar tenure: claims the cell when its holder asks.
     :ivar faults: reports calls that fail by an unexpected error.
+    :ivar turns: tells how long a request may have waited to be read.
     """
 
     intake: Intake
@@ -102,6 +104,7 @@
     internal_port: int
     tenure: Tenure
     faults: Faults
+    turns: LoopMonitor
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -178,7 +181,7 @@
     async def _serve_relayed(
         self, method: str, query: str, sent: Sent
     ) -> Answer:
-        call = _to_call(method, _relayed_path(query), sent)
+        call = self._to_call(method, _relayed_path(query), sent)
         version = sent.headers.get(MIN_VERSION_HEADER.lower(), '')
         call = call._replace(
             relayed=True, min_version=_parse_number(version) or 0
@@ -200,12 +203,24 @@
         if content is None:
             return Answer(TOO_LARGE)
         sent = Sent(_headers(scope), content)
-        call = _to_call(scope['method'], scope['path'], sent)
+        call = self._to_call(scope['method'], scope['path'], sent)
         answer = await self.intake.answer(call)
         took_ms = (anyio.current_time() - began) * 1_000
         self.metrics.count_call(call.method, answer.status, took_ms)
         return answer
 
+    def _to_call(self, method: str, path: str, sent: Sent) -> Call:
+        headers = sent.headers
+        wait_s = _wait_s(headers.get('deadline-ms', ''))
+        return Call(
+            method,
+            headers.get('host', '').rsplit(':', 1)[0].lower(),
+            path,
+            parse_api_key(headers.get('authorization', '')),
+            wait_s - self.turns.request_age_ms / 1_000,
+            sent.content,
+        )
+
 
 async def serve_web(
     app: Web, addresses: Iterable[str], stopped: anyio.Event
@@ -251,18 +266,6 @@
     }
 
 
-def _to_call(method: str, path: str, sent: Sent) -> Call:
-    headers = sent.headers
-    return Call(
-        method,
-        headers.get('host', '').rsplit(':', 1)[0].lower(),
-        path,
-        parse_api_key(headers.get('authorization', '')),
-        _wait_s(headers.get('deadline-ms', '')),
-        sent.content,
-    )
-
-
 def _wait_s(text: str) -> float:
     wait_ms = _parse_number(text)
     return DEFAULT_WAIT_S if wait_ms is None else wait_ms / 1_000
--- a/tests/engine/test_cell.py
+++ b/tests/engine/test_cell.py
@@ -2,6 +2,10 @@
 
 import unittest
 
+import msgspec
+
+from swifthoist_engine.cell import Cell
+from swifthoist_engine.cell_state import MAX_EARLY_CANCELS, CellState
 from swifthoist_engine.jobs import JobState
 from swifthoist_engine.model import GANG_ORDINAL, TaskId, UnitId
 from swifthoist_engine.queueing import count_waiting
@@ -26,9 +30,61 @@
     gang,
     job_spec,
     task,
+    view,
 )
 
 
+class EarlyCancelTest(unittest.TestCase):
+    """A cancel binds a submission that comes behind it."""
+
+    def setUp(self) -> None:
+        """Cancel a job that is not known."""
+        self.scene = Scene()
+        self.scene.fold(Canceled('j', NOW_MS))
+        self.spec = job_spec('j', BATCH, task())
+
+    def test_a_submission_behind_its_cancel_starts_nothing(self) -> None:
+        """Nobody hears of the job otherwise, so it is shown as canceled."""
+        self.scene.fold(Submitted(self.spec))
+        self.assertIs(self.scene.job().state, JobState.CANCELED)
+        self.assertEqual(self.scene.decide([view(1)]).starts, ())
+
+    def test_it_binds_through_takeover_and_snapshot(self) -> None:
+        """A newcomer folds what comes later as all others do."""
+        self.scene.fold(Claimed(2, 'other', NOW_MS))
+        packed = msgspec.msgpack.encode(self.scene.cell.state)
+        state = msgspec.msgpack.decode(packed, type=CellState)
+        cell = Cell(KEEP_MS, state)
+        cell.fold(Submitted(self.spec))
+        self.assertIs(cell.state.jobs['j'].state, JobState.CANCELED)
+
+    def test_it_is_forgotten_like_a_job_that_is_over(self) -> None:
+        """The id may be used for another job then."""
+        self.scene.beat(NOW_MS + KEEP_MS)
+        self.assertIn('j', self.scene.cell.state.early_cancels)
+        self.scene.beat(NOW_MS + KEEP_MS + 1)
+        self.scene.fold(Submitted(self.spec))
+        self.assertIs(self.scene.job().state, JobState.QUEUED)
+
+    def test_the_holder_repeats_it_until_it_is_folded(self) -> None:
+        """Versions that dropped the first cancel fold the second one."""
+        self.assertEqual(self.scene.cell.state.late_jobs(), [])
+        self.scene.fold(Submitted(self.spec))
+        self.scene.beat(NOW_MS + KEEP_MS // 2)
+        self.assertEqual(self.scene.cell.state.late_jobs(), ['j'])
+        self.scene.fold(Canceled('j', NOW_MS))
+        self.assertEqual(self.scene.cell.state.late_jobs(), [])
+        self.assertEqual(self.scene.cell.state.early_cancels, {})
+
+    def test_only_the_newest_are_remembered(self) -> None:
+        """Anybody may cancel any number of ids."""
+        for number in range(MAX_EARLY_CANCELS):
+            self.scene.fold(Canceled(f'{number:016x}', NOW_MS))
+        known = self.scene.cell.state.early_cancels
+        self.assertEqual(len(known), MAX_EARLY_CANCELS)
+        self.assertNotIn('j', known)
+
+
 class JobStateTest(unittest.TestCase):
     """States of jobs follow from the records."""
 
--- a/tests/instance/test_turns.py
+++ b/tests/instance/test_turns.py
@@ -7,6 +7,7 @@
 from swifthoist_instance.turns import (
     LOGGED_DELAY_MS,
     MIN_LOG_GAP_MS,
+    RESUME_MS,
     YIELD_FACTOR,
     LoopMonitor,
 )
@@ -57,6 +58,23 @@
         run(main)
         self.assertAlmostEqual(pauses_s[0], YIELD_FACTOR * 0.1, places=2)
 
+    def test_requests_may_have_waited_while_the_loop_was_blocked(self) -> None:
+        """Until all that came meanwhile has been read."""
+        monitor = LoopMonitor(LoopClock())
+        ages_ms: list[int] = []
+
+        async def main() -> None:
+            ages_ms.append(monitor.request_age_ms)
+            monitor.note_delay(3_500)
+            ages_ms.append(monitor.request_age_ms)
+            await anyio.sleep(0.2)
+            ages_ms.append(monitor.request_age_ms)
+            await anyio.sleep(RESUME_MS / 1_000)
+            ages_ms.append(monitor.request_age_ms)
+
+        run(main)
+        self.assertEqual(ages_ms, [0, 3_500, 3_700, 0])
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/system/test_versions.py
+++ b/tests/system/test_versions.py
@@ -19,6 +19,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.model import TaskId
 from swifthoist_engine.records import (
+    Canceled,
     Claimed,
     HolderGeneration,
     Record,
@@ -116,6 +117,20 @@
         )
         self.assertEqual(shown.decode().strip(), 'failed')
 
+    def test_a_late_job_is_canceled_in_an_earlier_version_too(self) -> None:
+        """It drops the cancel that comes first, and folds the repeat."""
+        records = (
+            Canceled('j', NOW_MS),
+            Submitted(self.scene.job().spec),
+            Canceled('j', NOW_MS),
+        )
+        payloads = list(map(encode_record, records))
+        for count, state in ((2, 'queued'), (3, 'canceled')):
+            shown = run_in_version(
+                self.earlier, FOLD_ALL, msgspec.msgpack.encode(payloads[:count])
+            )
+            self.assertEqual(shown.decode().strip(), state)
+
     def test_snapshots_go_from_one_version_to_the_other_and_back(self) -> None:
         """The earlier version drops the crashes, and nothing else."""
         written = run_in_version(
