Leave a job alone that is canceled in another queue

Cause: the record names the id alone, and was appended whatever queue the known job belongs to. Change: no record where the instance knows the job in another queue. The new test showed 'canceled' before.

--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -276,11 +276,13 @@
         return answer if answer and answer.status == OK else known
 
     async def _cancel(self, call: Call, queue: Queue, job_id: str) -> Answer:
-        job = self._find_job(queue, job_id)
+        job = self._follower.cell.find_job(job_id)
+        # A record would cancel a job of another queue, which has the same id.
+        elsewhere = job is not None and job.spec.queue != queue.name
+        if not is_job_id(job_id) or elsewhere:
+            return Answer(GONE)
         if job is not None and job.state.final:
             return Answer(OK)
-        if not is_job_id(job_id):
-            return Answer(GONE)
         if not self.ready:
             raise NotServedError('log not followed')
         record = Canceled(job_id, self._follower.time.now_ms())
--- a/tests/instance/test_intake.py
+++ b/tests/instance/test_intake.py
@@ -104,6 +104,22 @@
 
         run_two(scenario)
 
+    def test_a_cancel_in_another_queue_leaves_the_job_alone(self) -> None:
+        """It is told that no such job exists, which is true in its queue."""
+
+        async def scenario(
+            first: InstanceHarness, second: InstanceHarness
+        ) -> None:
+            await first.call('POST', ID, JOB)
+            await anyio.sleep(SETTLE_S)
+            canceled = await second.call('DELETE', ID, queue='bulk')
+            self.assertEqual(canceled.status, 410)
+            await anyio.sleep(SETTLE_S)
+            shown = await first.call('GET', ID)
+            self.assertEqual(shown, Answer(200, encode_job_state('queued')))
+
+        run_two(scenario)
+
     def test_a_request_that_its_caller_has_left_is_not_taken_in(self) -> None:
         """It is refused, and nothing of it is recorded."""
 
