Put the instance last in log lines

What was missing: a report of the users has the lines of an incident cut after some 200 characters, and instance and zone took the room of what 'task given up' is about. They are the same in all lines of an instance, and come last now. Test: tests.instance.test_logs.LineTest.

--- a/packages/instance/swifthoist_instance/jsonlogs.py
+++ b/packages/instance/swifthoist_instance/jsonlogs.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections import Counter, deque
+from typing import Any
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -152,6 +153,23 @@
         self._unreported[kind] += 1
 
 
+class LineFormatter(JsonFormatter):
+    """Writes what a line is about before the instance that wrote it.
+
+    Lines that are cut for a report keep their beginning.
+    """
+
+    def process_log_record(self, log_data: dict[str, Any]) -> dict[str, Any]:
+        """Put the fields that all lines of an instance share last.
+
+        :param log_data: fields of a line.
+        :returns: the same fields.
+        """
+        for name in self.static_fields:
+            log_data[name] = log_data.pop(name)
+        return log_data
+
+
 def line_kind(record: logging.LogRecord) -> str:
     """Return the kind of a line, by which lines are dropped and counted.
 
@@ -171,7 +189,7 @@
     :param zone: zone of the instance, included in each line.
     :returns: the handler, which counts dropped lines.
     """
-    formatter = JsonFormatter(
+    formatter = LineFormatter(
         _FIELDS,
         rename_fields={'asctime': 'time', 'levelname': 'level'},
         static_fields={'instance': instance, 'zone': zone},
--- a/tests/instance/test_logs.py
+++ b/tests/instance/test_logs.py
@@ -15,6 +15,7 @@
     MAX_BACKLOG,
     MAX_LINES_PER_S,
     BoundedHandler,
+    LineFormatter,
 )
 from swifthoist_instance.run_lines import RunLines
 from tests.engine.scenes import BATCH, Scene, gang, job_spec
@@ -24,6 +25,21 @@
 PIPE_BYTES = 1_000_000
 
 
+class LineTest(unittest.TestCase):
+    """Lines are read in part as well."""
+
+    def test_a_line_that_is_cut_tells_what_it_is_about(self) -> None:
+        """The instance and its zone come last."""
+        shared = {'instance': 'i', 'zone': 'z'}
+        formatter = LineFormatter('%(message)s', static_fields=shared)
+        line = formatter.format(
+            logging.makeLogRecord({'msg': 'task given up', 'task': '0.0.3'})
+        )
+        self.assertEqual(
+            list(json.loads(line)), ['message', 'task', 'instance', 'zone']
+        )
+
+
 class DroppedLinesTest(unittest.TestCase):
     """Under load the least informative lines are dropped first."""
 
