Start urgent jobs within a guarantee before others

Cause: urgent units were ordered by deadline alone, and an occurrence counted once towards a team's demand, however many were due.

Change: of the units of one priority those within a guarantee come first, and occurrences under way count. The test failed before.

--- a/packages/engine/swifthoist_engine/progress.py
+++ b/packages/engine/swifthoist_engine/progress.py
@@ -75,6 +75,7 @@
         self._done: set[UnitKey] = set()
         self._done_in: Counter[StepPlace] = Counter()
         self._steps_left = occurrences * len(spec.steps)
+        self._steps_left_in: dict[int, int] = {}
         # How many dependencies of a step are not done, by occurrence.
         self._blockers: dict[int, list[int]] = {}
         self._next_occurrence = 0
@@ -118,12 +119,12 @@
     @property
     def prepared(self) -> bool:
         """Whether all steps have been gone through."""
-        return self.unprepared_steps == 0
+        return self._prepared == len(self._spec.steps)
 
     @property
-    def unprepared_steps(self) -> int:
-        """Number of steps that have not been gone through."""
-        return len(self._spec.steps) - self._prepared
+    def demand(self) -> int:
+        """Accelerators of all tasks of the occurrences under way."""
+        return self.accelerators * max(len(self._steps_left_in), 1)
 
     @property
     def complete(self) -> bool:
@@ -215,6 +216,7 @@
         if occurrence in self._blockers:
             return
         self._blockers[occurrence] = self._dependencies.copy()
+        self._steps_left_in[occurrence] = len(self._spec.steps)
         self._listed_steps[occurrence] = 0
 
     def _list_first_steps(self, limit: int) -> None:
@@ -240,6 +242,9 @@
     def _note_step_done(self, place: StepPlace) -> None:
         occurrence, number = place
         self._steps_left -= 1
+        self._steps_left_in[occurrence] -= 1
+        if not self._steps_left_in[occurrence]:
+            self._steps_left_in.pop(occurrence)
         blockers = self._blockers[occurrence]
         dependents = list(self._more_dependents.get(number, ()))
         if number in self._dependent:
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -1,7 +1,8 @@
 """Lists the units that wait for a start, and orders them.
 
-Units of urgent queues come first. Within a priority, units that can still meet
-their objective go before those that can't, ordered by deadline. Units too late
+Units of urgent queues come first, and of these the ones that their team's
+guarantee covers. Within a priority, units that can still meet their objective go
+before those that can't, ordered by deadline. Units too late
 to be worth anything go last, unless they are urgent. Deadlines grow with the
 job's critical path, so small jobs pass large ones, and each job moves ahead of
 later ones as it ages.
@@ -166,6 +167,17 @@
     estimates: DurationEstimates
 
 
+class _Rank(NamedTuple):
+    """Sort key of a step: lowest first, most important criterion first."""
+
+    worthless: bool
+    priority: int
+    beyond_guarantee: bool
+    tier: int
+    deadline_ms: Millis
+    key: tuple[JobId, int, int]
+
+
 class _JobTerms(NamedTuple):
     """Terms of a job that its steps share.
 
@@ -224,7 +236,7 @@
             found.extend(steps)
         if costs.out_of_time:
             break
-    found.sort(key=_sort_key)
+    found.sort(key=_rank)
     return found
 
 
@@ -232,13 +244,13 @@
     """Go through the steps of new jobs, as far as one decision may."""
     left = MAX_PREPARED_STEPS
     new = [job for job in jobs if not job.progress.prepared]
-    for job in sorted(new, key=_unprepared_steps):
+    for job in sorted(new, key=_count_steps):
         with guard.isolate(FaultSource.JOB, job.job):
             left -= job.progress.prepare(left)
 
 
-def _unprepared_steps(job: Job) -> int:
-    return job.progress.unprepared_steps
+def _count_steps(job: Job) -> int:
+    return len(job.spec.steps)
 
 
 def _is_settled(job: Job) -> bool:
@@ -254,13 +266,12 @@
     return job.final or job.progress.settled
 
 
-def _sort_key(
-    pending: PendingStep,
-) -> tuple[bool, int, int, Millis, tuple[JobId, int, int]]:
+def _rank(pending: PendingStep) -> _Rank:
     model = pending.model
-    return (
+    return _Rank(
         model.tier == LOST and not model.urgent,
         model.terms.priority,
+        not model.within_guarantee,
         model.tier,
         model.deadline_ms,
         pending.key,
@@ -373,7 +384,7 @@
         if job.final:
             continue
         with guard.isolate(FaultSource.JOB, job.job):
-            demand[job.spec.team] += job.progress.accelerators
+            demand[job.spec.team] += job.progress.demand
             if not job.progress.prepared:
                 unknown.add(job.spec.team)
     found: set[OwnerId] = set()
--- a/tests/engine/test_crashes.py
+++ b/tests/engine/test_crashes.py
@@ -196,6 +196,17 @@
                     scene.end(task_id, runner, Ending.BROKEN, run)
             self.assertEqual(scene.given_up, ())
 
+    def test_crashes_at_starts_under_two_members_fail_no_gang(self) -> None:
+        """Two runners that happen to go down as it starts are not its doing."""
+        scene = CrashScene(job_spec('j', BATCH, gang(2)))
+        for run, crashing in ((1, FIRST), (2, SECOND)):
+            runners = (f'a-{run}', f'b-{run}')
+            scene.start(UnitId('j', 0, 0, -1), *runners, run=run)
+            scene.crash(runners[crashing.ordinal], (crashing, run))
+            other = SECOND if crashing == FIRST else FIRST
+            scene.end(other, runners[other.ordinal], Ending.BROKEN, run)
+            self.assertEqual(scene.given_up, ())
+
     def test_a_member_that_crashes_its_runner_each_time_is_given_up(
         self,
     ) -> None:
--- a/tests/engine/test_large_jobs.py
+++ b/tests/engine/test_large_jobs.py
@@ -4,6 +4,7 @@
 from unittest.mock import patch
 
 from swifthoist_engine import queueing
+from swifthoist_engine.catalogue import Catalogue, Team
 from swifthoist_engine.job_checks import MAX_TASKS
 from swifthoist_engine.job_costs import (
     COSTLY_JOB_MS,
@@ -105,6 +106,19 @@
         self.assertLess(asked, 3 * MAX_STARTS)
         self.assertEqual(started, {})
 
+    def test_a_guaranteed_job_is_not_behind_others_of_any_size(self) -> None:
+        """Urgent jobs beyond their team's guarantee came before it."""
+        often = _occurrences()._replace(steps=(task(),))
+        for other in (_wide(task()), often):
+            spec = other._replace(team='blue')
+            scene = Scene(spec, job_spec('probe', URGENT, task()))
+            blue = Team('blue', frozenset(), 32)
+            teams = (*CATALOGUE.teams, blue)
+            catalogue = Catalogue(1, CATALOGUE.queues, teams, 1_000)
+            for _ in range(2):
+                decision = scene.decide(RUNNERS, catalogue=catalogue)
+            self.assertEqual(decision.starts[0].unit, PROBE)
+
     def test_a_job_that_a_fast_clock_accepted_is_not_forgotten(self) -> None:
         """It is due at once, whatever the cell's time is."""
         ahead_ms = NOW_MS + 5_000
