--- a/packages/emulator/swifthoist_emulator/callers.py
+++ b/packages/emulator/swifthoist_emulator/callers.py
@@ -22,7 +22,7 @@
 
 _FINAL_STATUSES = frozenset((200, 400, 401, 404, 410))
 
-_CANCELED_STATUSES = frozenset((200, 410))
+CANCELED_STATUSES = frozenset((200, 410))
 """Answers after which no task of a canceled job starts."""
 
 _NO_ANSWER = 0
@@ -96,7 +96,7 @@
         :returns: the last HTTP status; 0 for no answer.
         """
         statuses = await self._call('DELETE', order)
-        if statuses[-1] in _CANCELED_STATUSES:
+        if statuses[-1] in CANCELED_STATUSES:
             self._checker.note_canceled(order.job)
         return statuses[-1]
 
--- a/soak/run_soak.py
+++ b/soak/run_soak.py
@@ -17,13 +17,14 @@
 from soak.network_faults import NetworkFaults
 from soak.proxy import Proxy
 from swifthoist_core.clock import SystemClock
-from swifthoist_emulator.callers import Order
+from swifthoist_emulator.callers import CANCELED_STATUSES, Order
 from swifthoist_emulator.faults import NO_FAULT, Fault, FaultEffect
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.serving import ServedWorld
 from swifthoist_emulator.site import EVACUATE_MS, STANDARD
 from swifthoist_emulator.stage import Stage, open_stage
 from swifthoist_emulator.store_calls import INSTANT, USUAL_PACE
+from swifthoist_engine.job_checks import MAX_TASKS
 from swifthoist_instance.clients import user_agent
 
 INSTANCES = 4
@@ -51,6 +52,18 @@
 SHORT_STEP = StepWork(500, (4_000, 8_000, 1))
 LONG_STEP = StepWork(3_000, (4_000, 8_000, 2))
 GANG_STEP = StepWork(1_200, (8_000, 32_000, 8), gang=3)
+CRASHING_STEP = StepWork(500, (4_000, 8_000, 1), crashes_ms=10)
+HOPELESS_STEP = StepWork(500, (4_000, 8_000, 9))
+"""Needs more accelerators than any runner has."""
+
+ODD_STEPS = (
+    (HOPELESS_STEP, MAX_TASKS),
+    (LONG_STEP, MAX_TASKS),
+    (CRASHING_STEP, 1),
+)
+MEAN_ODD_INTERVAL_S = 2.0
+STOP_TIMEOUT_S = 10.0
+"""Time for the tasks of canceled jobs to stop once the faults end, in s."""
 
 
 class SoakResult(NamedTuple):
@@ -77,10 +90,11 @@
         :param instances: number of instances.
         """
         self._rng = random.Random(seed)
-        # Separate generators, so that evacuations and trouble with the store
-        # don't change the other draws of known seeds.
+        # Separate generators, so that evacuations, trouble with the store and
+        # odd callers don't change the other draws of known seeds.
         self._evacuation_rng = random.Random(seed)
         self._store_rng = random.Random(seed)
+        self._caller_rng = random.Random(seed)
         self._seconds = seconds
         self._instances = instances
         self._network_faults = NetworkFaults(seed)
@@ -89,6 +103,7 @@
         self._world = ServedWorld(site, SystemClock(), seed, self._add_proxy)
         self._accepted: list[Order] = []
         self._canceled: set[str] = set()
+        self._odd: list[Order] = []
         self._faults = 0
 
     async def run(self, folder: Path) -> SoakResult:
@@ -125,6 +140,7 @@
                 tasks.start_soon(self._submit_jobs, stage, tasks)
                 tasks.start_soon(self._evacuate_zones)
                 tasks.start_soon(self._trouble_store, stage)
+                tasks.start_soon(self._submit_odd_jobs, stage, tasks)
                 while True:
                     await anyio.sleep(
                         self._rng.uniform(0, MAX_FAULT_INTERVAL_S)
@@ -188,24 +204,53 @@
                 self._canceled.add(order.job)
                 await stage.caller.cancel(order)
 
+    async def _submit_odd_jobs(self, stage: Stage, tasks: TaskGroup) -> None:
+        """Submit jobs of the largest size, and ones that crash their runners.
+
+        None of them is expected to complete; they are canceled, some of them
+        while they are still being submitted.
+        """
+        rng = self._caller_rng
+        while True:
+            await anyio.sleep(rng.uniform(0, 2 * MEAN_ODD_INTERVAL_S))
+            step, width = rng.choice(ODD_STEPS)
+            prefix = rng.choice(('/urgent/', '/batch/', '/bulk/'))
+            order = stage.order(prefix, step, width=width)
+            self._odd.append(order)
+            tasks.start_soon(self._submit_and_cancel, stage, order)
+
+    async def _submit_and_cancel(self, stage: Stage, order: Order) -> None:
+        pause_s = self._caller_rng.uniform(0, MAX_FAULT_S)
+        with anyio.CancelScope(shield=True):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(stage.caller.submit, order)
+                await anyio.sleep(pause_s)
+                await stage.caller.cancel(order)
+
+    def _list_running(self) -> list[str]:
+        """List tasks that run on behind an acknowledged cancel."""
+        checker = self._world.checker
+        return [
+            f'{task} runs on, though it was canceled'
+            for job in checker.canceled
+            for task in checker.running_of(job)
+        ]
+
     async def _check_completion(self, stage: Stage) -> list[str]:
         """End all faults and check that the accepted jobs complete."""
-        self._network_faults.active.clear()
-        self._world.store.pace = INSTANT
-        for fault in ('store_writes', 'store_reads', 'orders', 'looks'):
-            setattr(self._world.faults, fault, NO_FAULT)
-        for host in self._world.fleet.hosts.values():
-            host.draining = False
-        for zone in STANDARD.zones:
-            self._world.cancel_evacuation(zone)
-        for instance in stage.instances:
-            ensure_running(instance)
+        self._end_faults(stage)
+        for order in self._odd:
+            while await stage.caller.cancel(order) not in CANCELED_STATUSES:
+                await anyio.sleep(POLL_S)
         expected = [it for it in self._accepted if it.job not in self._canceled]
         with anyio.move_on_after(COMPLETION_TIMEOUT_S):
             for order in expected:
                 while await stage.caller.state(order) != 'complete':
                     await anyio.sleep(POLL_S)
-            return self._world.checker.broken
+            with anyio.move_on_after(STOP_TIMEOUT_S):
+                while self._list_running():
+                    await anyio.sleep(POLL_S)
+            return [*self._world.checker.broken, *self._list_running()]
         states = [(it.job, await stage.caller.state(it)) for it in expected]
         incomplete = [
             f'{job} is {state or "not shown"}'
@@ -214,6 +259,18 @@
         ]
         return [*self._world.checker.broken, *incomplete]
 
+    def _end_faults(self, stage: Stage) -> None:
+        self._network_faults.active.clear()
+        self._world.store.pace = INSTANT
+        for fault in ('store_writes', 'store_reads', 'orders', 'looks'):
+            setattr(self._world.faults, fault, NO_FAULT)
+        for host in self._world.fleet.hosts.values():
+            host.draining = False
+        for zone in STANDARD.zones:
+            self._world.cancel_evacuation(zone)
+        for instance in stage.instances:
+            ensure_running(instance)
+
 
 def run_soak(
     seed: int, seconds: float, folder: Path, instances: int = INSTANCES
--- a/tests/system/test_whole_path.py
+++ b/tests/system/test_whole_path.py
@@ -7,6 +7,7 @@
 from swifthoist_emulator.faults import NO_FAULT, Fault, FaultEffect
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.stage import Stage, wait_until
+from swifthoist_engine.job_checks import MAX_TASKS
 from tests.system.stage import StageCase
 
 SMALL = StepWork(300, (4_000, 8_000, 1))
@@ -75,6 +76,20 @@
 
         self.run_scenario(scenario, instances=1)
 
+    def test_urgent_jobs_begin_beside_hopeless_ones_of_any_size(self) -> None:
+        """Each holder was replaced while it decided on their tasks."""
+
+        async def scenario(stage: Stage) -> None:
+            hopeless = StepWork(1_000, (4_000, 8_000, 9))
+            for _ in range(3):
+                large = stage.order('/urgent/', hopeless, width=MAX_TASKS)
+                self.assertEqual(await stage.caller.submit(large), 200)
+            urgent = stage.order('/urgent/', SMALL)
+            await stage.caller.submit(urgent)
+            await stage.wait_state(urgent, 'complete')
+
+        self.run_scenario(scenario)
+
     def test_unknown_keys_and_queues_are_refused(self) -> None:
         """Such submissions get 401 and 404, and nothing runs."""
 
