--- a/tests/system/test_versions.py
+++ b/tests/system/test_versions.py
@@ -1,4 +1,4 @@
-"""Tests of this version beside the one before crashes were reported."""
+"""Tests of this version beside earlier ones."""
 
 import signal
 import tempfile
@@ -33,6 +33,7 @@
 from tests.system.stage import StageCase
 from tests.system.versions import (
     BEFORE_CRASH_REPORTS,
+    BEFORE_TASK_CRASHES,
     run_in_version,
     unpack_version,
 )
@@ -69,14 +70,22 @@
 
 
 class _VersionCase(unittest.TestCase):
-    """A test with the packages of the earlier version."""
+    """A test with the packages of an earlier version.
+
+    :cvar commit: the version.
+    :cvar kept_generation: generation that its snapshots keep of a holder that
+        reports crashes.
+    """
+
+    commit = BEFORE_CRASH_REPORTS
+    kept_generation = 0
 
     @classmethod
     def setUpClass(cls) -> None:
         """Unpack the earlier version."""
         folder = tempfile.TemporaryDirectory()
         cls.addClassCleanup(folder.cleanup)
-        cls.earlier = unpack_version(BEFORE_CRASH_REPORTS, Path(folder.name))
+        cls.earlier = unpack_version(cls.commit, Path(folder.name))
 
 
 class ContentTest(_VersionCase):
@@ -142,7 +151,7 @@
         job = cell.state.jobs['j']
         unit = job.units[0, 0, 0]
         self.assertEqual((unit.last_run, unit.task_crashes), (2, {}))
-        self.assertEqual(cell.state.holder_generation, 0)
+        self.assertEqual(cell.state.holder_generation, self.kept_generation)
 
     def test_an_own_snapshot_keeps_the_crashes(self) -> None:
         """A newcomer knows the suspects."""
@@ -231,3 +240,16 @@
     def _begin_old(self, stage: Stage) -> None:
         for instance in stage.instances:
             instance.import_path = self.earlier
+
+
+class ContentBeforeTaskCrashesTest(ContentTest):
+    """The same with the version that counts crashes for gangs as a whole."""
+
+    commit = BEFORE_TASK_CRASHES
+    kept_generation = 1
+
+
+class ReplacementBeforeTaskCrashesTest(ReplacementTest):
+    """The same with the version that counts crashes for gangs as a whole."""
+
+    commit = BEFORE_TASK_CRASHES
--- a/tests/system/versions.py
+++ b/tests/system/versions.py
@@ -13,6 +13,9 @@
 BEFORE_CRASH_REPORTS = 'aceb425'
 """Commit of the last version whose holder doesn't report crashes."""
 
+BEFORE_TASK_CRASHES = '746369d'
+"""Commit of the last version that counts crashes for gangs as a whole."""
+
 
 def unpack_version(commit: str, folder: Path) -> str:
     """Unpack the packages of a commit.
