Tell units that wait for different times apart; split planner and queueing

On a last look: units of an urgent step that ran before were taken for alike whatever they had waited, though waiting decides where they may go; the second in which they became idle counts now. A short delay of the loop aged requests for half a second, so that calls passed on by another instance, which have as long in all, could be refused on a weak machine: now for as long as the delay. Moved without change: stops into engine/stops.py, demand into engine/demand.py.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -19,12 +19,11 @@
 from swifthoist_engine.planner import (
     Decision,
     DecisionInput,
-    Stop,
     decide,
-    unwanted_runs,
 )
 from swifthoist_engine.queueing import PendingUnit, pending_steps
 from swifthoist_engine.records import Placement, Started
+from swifthoist_engine.stops import Stop, unwanted_runs
 
 
 class Setting(NamedTuple):
--- a/packages/engine/swifthoist_engine/planner.py
+++ b/packages/engine/swifthoist_engine/planner.py
@@ -17,7 +17,6 @@
 from swifthoist_engine.duration_estimates import DurationEstimates
 from swifthoist_engine.faults import Fault, FaultGuard, FaultSource
 from swifthoist_engine.job_costs import JobCosts
-from swifthoist_engine.jobs import Job, OpenRun, Unit
 from swifthoist_engine.mechanisms import DEFAULT_MECHANISMS, Mechanisms
 from swifthoist_engine.model import (
     DEFAULT_SITE_TERMS,
@@ -39,16 +38,12 @@
 from swifthoist_engine.reservations import Reservations
 from swifthoist_engine.root_causes import find_root_causes
 from swifthoist_engine.runners import RunnerView
+from swifthoist_engine.stops import Stop, leaving_runs, unwanted_runs
 from swifthoist_engine.suspects import tasks_to_give_up
 
 MAX_STARTS = 64
 """Most tasks that one decision starts; the next decision follows at once."""
 
-GANG_END_GRACE_MS = 1_000
-"""Members of a gang end together, but their ends are reported at different
-times. Only members that still run after this time, in ms, have to be
-stopped."""
-
 HEADROOM_S = 0.65
 """Room is kept free for the accelerators that urgent jobs request in this time,
 in seconds, at their recent rate. Simulations with 0.3 to 2.5 s differ by less
@@ -63,6 +58,9 @@
 left to the next decision."""
 
 
+_MS_PER_S = 1_000
+
+
 class DecisionInput(NamedTuple):
     """What a decision is based on.
 
@@ -116,17 +114,6 @@
         )
 
 
-class Stop(NamedTuple):
-    """A run to stop.
-
-    :ivar run: the run.
-    :ivar reason: why it is stopped.
-    """
-
-    run: OpenRun
-    reason: str
-
-
 class Decision(NamedTuple):
     """The result of a decision.
 
@@ -158,7 +145,9 @@
     estimates = duration_estimates(inputs)
     stops = (
         *unwanted_runs(inputs.cell, inputs.now_ms, guard),
-        *leaving_runs(inputs, guard, estimates),
+        *leaving_runs(
+            inputs.cell, inputs.runners, inputs.now_ms, guard, estimates
+        ),
     )
     costs = inputs.costs or JobCosts()
     inputs = inputs._replace(costs=costs)
@@ -245,6 +234,7 @@
         do matters; empty otherwise.
     :ivar step: its step, without what does not matter.
     :ivar failures: number of runs that failed.
+    :ivar idle_s: since when it waits again, in seconds.
     :ivar suspected: whether it may crash its runners.
     """
 
@@ -252,8 +242,9 @@
     due_ms: Millis
     place: tuple[int, ...]
     step: StepSpec
-    failures: int
-    suspected: bool
+    failures: int = 0
+    idle_s: int = 0
+    suspected: bool = False
 
 
 class _Planner:
@@ -414,78 +405,16 @@
     state = pending.state
     step = pending.step
     bound = step.spread_limit or step.may_miss or pending.uses_policy
-    return _Likeness(
+    fresh = _Likeness(
         pending.unit.job,
         pending.due_ms,
         pending.unit[1:3] if bound else (),
         step._replace(width=pending.members, depends_on=()),
-        0 if state is None else state.failures,
-        suspected=state is not None and state.suspected,
     )
-
-
-def unwanted_runs(
-    cell: Cell, now_ms: Millis, guard: FaultGuard
-) -> Iterator[Stop]:
-    """List the open runs to stop.
-
-    :param cell: the cell.
-    :param now_ms: time of the cell.
-    :param guard: isolates faults by job.
-    :returns: runs of jobs in a final state, of units that are done, and of
-        gangs with missing members.
-    """
-    for job in cell.dirty_jobs():
-        with guard.isolate(FaultSource.JOB, job.job):
-            for key in job.progress.open:
-                unit = job.units[key]
-                reason = _why_unwanted(job, unit, now_ms)
-                if reason:
-                    yield from (Stop(run, reason) for run in unit.open.values())
-
-
-def leaving_runs(
-    inputs: DecisionInput, guard: FaultGuard, estimates: DurationEstimates
-) -> Iterator[Stop]:
-    """List the runs to stop because their runner leaves before they end.
-
-    Their checkpoints are reported when they are stopped; a checkpoint that is
-    not reported is lost with the runner.
-
-    :param inputs: what the decision is based on.
-    :param guard: isolates faults by job.
-    :param estimates: duration estimates.
-    :returns: runs of checkpointing tasks on draining runners that leave before
-        the expected end of the task.
-    """
-    for view in inputs.runners:
-        if view.leaving_ms is None:
-            continue
-        for run in inputs.cell.runs_on(view.runner):
-            with guard.isolate(FaultSource.JOB, run.task.job):
-                if _leaves_early(inputs, run, view.leaving_ms, estimates):
-                    yield Stop(run, 'its runner leaves')
-
-
-def _leaves_early(
-    inputs: DecisionInput,
-    run: OpenRun,
-    leaving_ms: Millis,
-    estimates: DurationEstimates,
-) -> bool:
-    job = inputs.cell.state.jobs[run.task.job]
-    left_ms = estimates.usual_ms(run) - (inputs.now_ms - run.started_ms)
-    return job.step(run.task).checkpointing and left_ms > leaving_ms
-
-
-def _why_unwanted(job: Job, unit: Unit, now_ms: Millis) -> str:
-    if unit.done and now_ms < unit.done_ms + GANG_END_GRACE_MS:
-        return ''
-    if job.final:
-        return f'job is {job.state}'
-    if unit.done:
-        return 'unit is done'
-    step = job.step(next(iter(unit.open.values())).task)
-    if step.gang and len(unit.open) < step.width:
-        return 'gang in part'
-    return ''
+    if state is None:
+        return fresh
+    return fresh._replace(
+        failures=state.failures,
+        idle_s=state.idle_since_ms // _MS_PER_S,
+        suspected=state.suspected,
+    )
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -8,18 +8,17 @@
 later ones as it ages.
 """
 
-from collections import Counter
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from swifthoist_core.types import JobId, Millis, OwnerId
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.cell import Cell
-from swifthoist_engine.cell_state import CellState
+from swifthoist_engine.demand import teams_within_guarantee
 from swifthoist_engine.duration_estimates import DurationEstimates
 from swifthoist_engine.faults import FaultGuard, FaultSource
 from swifthoist_engine.job_costs import JobCosts
-from swifthoist_engine.jobs import Job, JobState, Unit
+from swifthoist_engine.jobs import Job, Unit
 from swifthoist_engine.mechanisms import DEFAULT_MECHANISMS, Mechanisms
 from swifthoist_engine.model import (
     QueueTerms,
@@ -368,33 +367,6 @@
     return LATE if takes_ms <= LATE_FACTOR * objective_ms else LOST
 
 
-def teams_within_guarantee(
-    cell: Cell, catalogue: Catalogue, guard: FaultGuard
-) -> frozenset[OwnerId]:
-    """List the teams whose urgent jobs fit within their guarantees.
-
-    :param cell: the cell.
-    :param catalogue: configuration in force.
-    :param guard: isolates faults by job and team.
-    :returns: names of the teams.
-    """
-    demand: Counter[OwnerId] = Counter()
-    unknown: set[OwnerId] = set()
-    for job in cell.urgent.values():
-        if job.final:
-            continue
-        with guard.isolate(FaultSource.JOB, job.job):
-            demand[job.spec.team] += job.progress.demand
-            if not job.progress.prepared:
-                unknown.add(job.spec.team)
-    found: set[OwnerId] = set()
-    for team, accelerators in demand.items():
-        with guard.isolate(FaultSource.TEAM, team):
-            if accelerators <= catalogue.guaranteed(team):
-                found.add(team)
-    return frozenset(found - unknown)
-
-
 def _is_startable(unit: Unit | None, context: _Context) -> bool:
     if unit is None:
         return True
@@ -416,16 +388,3 @@
     """
     doublings = min(max(runs - FREE_RETRIES, 0), MAX_DOUBLINGS)
     return RETRY_PAUSE_MS << doublings
-
-
-def count_waiting(state: CellState, queue: str) -> int:
-    """Count the accepted jobs of a queue that have not started any task.
-
-    :param state: state of the cell.
-    :param queue: name of the queue.
-    :returns: number of jobs.
-    """
-    return sum(
-        job.spec.queue == queue and job.state is JobState.QUEUED
-        for job in state.jobs.values()
-    )
--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -17,9 +17,9 @@
 from swifthoist_core.errors import Finding, OutcomeUnknownError
 from swifthoist_core.types import JobId, Millis
 from swifthoist_engine.catalogue import Queue
+from swifthoist_engine.demand import count_waiting
 from swifthoist_engine.jobs import Job
 from swifthoist_engine.model import JobSpec
-from swifthoist_engine.queueing import count_waiting
 from swifthoist_engine.records import Canceled, Record, Submitted
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.follower import Follower
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -11,7 +11,6 @@
 from swifthoist_engine.faults import FaultGuard, FaultSource
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.model import RunKey
-from swifthoist_engine.planner import Stop
 from swifthoist_engine.records import (
     Record,
     RunnerDescribed,
@@ -20,6 +19,7 @@
 )
 from swifthoist_engine.runners import RunnerAssessment, RunnerView
 from swifthoist_engine.speed_estimates import USUAL
+from swifthoist_engine.stops import Stop
 from swifthoist_instance.contacts import Contact
 from swifthoist_instance.context import TenureContext
 from swifthoist_instance.leases import Lease, choose_lease_ms, lease_expiry_ms
--- a/packages/instance/swifthoist_instance/turns.py
+++ b/packages/instance/swifthoist_instance/turns.py
@@ -26,7 +26,8 @@
 decisions use at most a third of the CPU."""
 
 RESUME_MS = 500
-"""Time in which requests that came while the loop was blocked are read, in ms."""
+"""Longest time in which requests that came while the loop was blocked are read,
+in ms; they are read faster than they came."""
 
 _log = logging.getLogger(__name__)
 
@@ -63,7 +64,9 @@
         if self._resumed_ms is None:
             return 0
         since_ms = self._clock.boot_ms() - self._resumed_ms
-        return self._blocked_ms + since_ms if since_ms <= RESUME_MS else 0
+        if since_ms > min(self._blocked_ms, RESUME_MS):
+            return 0
+        return self._blocked_ms + since_ms
 
     def note_delay(self, late_ms: Millis) -> None:
         """Record the delay of a check, and log a long one.
--- a/packages/instance/swifthoist_instance/waves.py
+++ b/packages/instance/swifthoist_instance/waves.py
@@ -12,8 +12,8 @@
     UnreachableError,
 )
 from swifthoist_core.types import Millis, RunnerId
-from swifthoist_engine.planner import Stop
 from swifthoist_engine.records import UpkeepBegun, WaveDone
+from swifthoist_engine.stops import Stop
 from swifthoist_engine.upkeep import (
     MachineState,
     WaveState,
--- a/tests/engine/test_cell.py
+++ b/tests/engine/test_cell.py
@@ -6,9 +6,9 @@
 
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.cell_state import MAX_EARLY_CANCELS, CellState
+from swifthoist_engine.demand import count_waiting
 from swifthoist_engine.jobs import JobState
 from swifthoist_engine.model import GANG_ORDINAL, TaskId, UnitId
-from swifthoist_engine.queueing import count_waiting
 from swifthoist_engine.records import (
     Canceled,
     Claimed,
--- a/tests/engine/test_faults.py
+++ b/tests/engine/test_faults.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 from unittest.mock import patch
 
-from swifthoist_engine import cell, fleet, planner, preemption, queueing
+from swifthoist_engine import cell, fleet, preemption, queueing, stops
 from swifthoist_engine.account import Account
 from swifthoist_engine.capacity import CapacityPlan
 from swifthoist_engine.catalogue import Catalogue, Team
@@ -163,11 +163,11 @@
             scene.fold(Canceled(name, NOW_MS))
         broken = failing(queueing._of_job, lambda job, *_: job.job == 'bad')
         unknown = failing(
-            planner._why_unwanted, lambda job, *_: job.job == 'worse'
+            stops._why_unwanted, lambda job, *_: job.job == 'worse'
         )
         with (
             patch.object(queueing, '_of_job', broken),
-            patch.object(planner, '_why_unwanted', unknown),
+            patch.object(stops, '_why_unwanted', unknown),
         ):
             decision = scene.decide([view(0)])
         self.assertEqual(
@@ -258,9 +258,9 @@
         for name in ('bad', 'good'):
             scene.start(UnitId(name, 0, 0, 0), 'runner-0')
         broken = failing(
-            planner._leaves_early, lambda *args: args[1].task.job == 'bad'
+            stops._leaves_early, lambda *args: args[1].task.job == 'bad'
         )
-        with patch.object(planner, '_leaves_early', broken):
+        with patch.object(stops, '_leaves_early', broken):
             decision = scene.decide([view(0, leaving_ms=500)])
         self.assertEqual(
             [stop.run.task.job for stop in decision.stops], ['good']
--- a/tests/instance/test_turns.py
+++ b/tests/instance/test_turns.py
@@ -75,6 +75,20 @@
         run(main)
         self.assertEqual(ages_ms, [0, 3_500, 3_700, 0])
 
+    def test_a_short_delay_ages_requests_for_as_short_a_time(self) -> None:
+        """Calls that other instances pass on have half a second in all."""
+        monitor = LoopMonitor(LoopClock())
+        ages_ms: list[int] = []
+
+        async def main() -> None:
+            monitor.note_delay(60)
+            ages_ms.append(monitor.request_age_ms)
+            await anyio.sleep(0.1)
+            ages_ms.append(monitor.request_age_ms)
+
+        run(main)
+        self.assertEqual(ages_ms, [60, 0])
+
 
 if __name__ == '__main__':
     unittest.main()
