Confirm silent losses of runners by the next life of their machine

Its next life, met after the lease, tells that it went down: losses right after a start count as likely from then on.

--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -42,6 +42,7 @@
     HolderRecord,
     Joined,
     Record,
+    RunnerDescribed,
     Started,
     Submitted,
     Vanished,
@@ -50,6 +51,7 @@
 from swifthoist_engine.suspects import (
     has_suspects,
     note_crash,
+    note_next_life,
     note_unreported_crash,
     note_witnessed,
 )
@@ -210,6 +212,9 @@
                 self.dirty |= blamed
             case CrashWitnessed():
                 note_witnessed(self.state.jobs, record)
+            case RunnerDescribed():
+                self.state.apply(record)
+                note_next_life(self.state.jobs, self.suspects, record)
             case StartSent(_, task, number):
                 run = self.find_run(task, number)
                 if run is not None:
--- a/packages/engine/swifthoist_engine/crash_records.py
+++ b/packages/engine/swifthoist_engine/crash_records.py
@@ -40,12 +40,14 @@
     :ivar runner: the runner.
     :ivar seen: runs that it had when its connections broke.
     :ivar likely: runs that it had, or was about to get, at its last answer.
+    :ivar unconfirmed: the same of a runner that may only be cut off.
     """
 
     epoch: Epoch
     runner: RunnerId
     seen: tuple[RunKey, ...]
     likely: tuple[RunKey, ...]
+    unconfirmed: tuple[RunKey, ...] = ()
 
 
 class StartSent(NamedTuple):
--- a/packages/engine/swifthoist_engine/crashes.py
+++ b/packages/engine/swifthoist_engine/crashes.py
@@ -51,8 +51,16 @@
     """It was there or on its way at the last answer of the runner, which then
     fell silent before it went down."""
 
+    UNCONFIRMED = 'unconfirmed'
+    """It was there at the last answer of the runner, which may only be cut off
+    until another life of its machine shows up."""
+
     ASSUMED = 'assumed'
-    """It was recorded as started there, or the runner may only be cut off."""
+    """It was recorded as started there."""
+
+
+BACKED = frozenset((Evidence.SEEN, Evidence.LIKELY))
+"""Evidence without which no crash is a reason to give a task up."""
 
 
 class Crash(NamedTuple):
@@ -134,6 +142,31 @@
     ]
 
 
+def with_next_life(
+    crashes: Sequence[Crash], runner: RunnerId, machine: str, born_ms: Millis
+) -> list[Crash]:
+    """Confirm crashes by the next life of a machine.
+
+    Only losses right after a start are: the runs of others may have ended
+    while the runner was cut off.
+
+    :param crashes: crashes of the task.
+    :param runner: the next life.
+    :param machine: its machine.
+    :param born_ms: its birth, since the Unix epoch; 0 if unknown.
+    :returns: the crashes with the evidence.
+    """
+    return [
+        known._replace(evidence=Evidence.LIKELY)
+        if known.evidence is Evidence.UNCONFIRMED
+        and known.weight > RUNNING_WEIGHT
+        and known.machine == machine
+        and (known.runner != runner or born_ms > known.at_ms)
+        else known
+        for known in crashes
+    ]
+
+
 def should_give_up(crashes: Sequence[Crash]) -> bool:
     """Tell whether a task is to be given up.
 
@@ -143,7 +176,7 @@
     :param crashes: crashes of the task.
     :returns: whether it must not start again.
     """
-    backed = [it for it in crashes if it.evidence is not Evidence.ASSUMED]
+    backed = [it for it in crashes if it.evidence in BACKED]
     if len(backed) < MIN_BACKED:
         return False
     if len(crashes) >= MAX_CRASHES:
--- a/packages/engine/swifthoist_engine/suspects.py
+++ b/packages/engine/swifthoist_engine/suspects.py
@@ -17,6 +17,7 @@
     should_give_up,
     with_crash,
     with_evidence,
+    with_next_life,
     with_unreported,
 )
 from swifthoist_engine.jobs import Job, OpenRun, find_open_run
@@ -25,6 +26,7 @@
     Ended,
     Ending,
     Record,
+    RunnerDescribed,
 )
 
 CRASH_REASONS = frozenset(
@@ -83,6 +85,7 @@
     by_evidence = (
         (Evidence.SEEN, record.seen),
         (Evidence.LIKELY, record.likely),
+        (Evidence.UNCONFIRMED, record.unconfirmed),
     )
     for evidence, runs in by_evidence:
         for task, run in _open_on(jobs, runs, record.runner):
@@ -93,6 +96,27 @@
                 crashes[task.ordinal] = with_evidence(known, run, evidence)
 
 
+def note_next_life(
+    jobs: Mapping[JobId, Job],
+    suspects: Iterable[JobId],
+    record: RunnerDescribed,
+) -> None:
+    """Confirm crashes by what is told of the next life of a machine.
+
+    :param jobs: the jobs by id.
+    :param suspects: those with suspected units.
+    :param record: what the life reported about itself.
+    """
+    for name in suspects:
+        job = jobs[name]
+        for key in job.progress.suspected:
+            crashes = job.units[key].task_crashes
+            for ordinal, known in crashes.items():
+                crashes[ordinal] = with_next_life(
+                    known, record.runner, record.machine, record.born_ms
+                )
+
+
 def note_unreported_crash(
     job: Job, run: OpenRun, reason: str, at_ms: Millis
 ) -> bool:
--- a/packages/instance/swifthoist_instance/crashes.py
+++ b/packages/instance/swifthoist_instance/crashes.py
@@ -67,9 +67,11 @@
     ]
     if crash is None:
         return await record_all(context, vanished)
-    records: list[Record] = [crash]
-    if certain or contact.refused:
-        records.append(_describe_witnessed(contact, orders))
+    witnessed = _describe_witnessed(contact, orders)
+    if not certain and not contact.refused:
+        unsure = (*witnessed.seen, *witnessed.likely)
+        witnessed = witnessed._replace(seen=(), likely=(), unconfirmed=unsure)
+    records: list[Record] = [crash, witnessed]
     if not await record_all(context, [*records, *vanished]):
         return False
     context.crashes.crashes += 1
@@ -80,7 +82,8 @@
         'starting': [_name(run) for run in crash.starting],
         'running': len(crash.running),
         'certain': crash.certain,
-        'witnessed': _name_witnessed(records[1:]),
+        'witnessed': list(map(_name, (*witnessed.seen, *witnessed.likely))),
+        'unconfirmed': list(map(_name, witnessed.unconfirmed)),
         'with_others': _fell_silent_with_others(contact),
         'unheard_ms': unheard_ms,
         'why': reason,
@@ -206,15 +209,6 @@
     return not contact.presence.was_looked_at(orders.starts.sent_ms(run))
 
 
-def _name_witnessed(records: Iterable[Record]) -> list[str]:
-    return [
-        _name(key)
-        for record in records
-        if isinstance(record, CrashWitnessed)
-        for key in (*record.seen, *record.likely)
-    ]
-
-
 def _was_starting(contact: Contact, orders: Orders, run: OpenRun) -> bool:
     sent_ms = orders.starts.sent_ms(run)
     lost_ms = contact.lost_ms
--- a/tests/engine/test_crashes.py
+++ b/tests/engine/test_crashes.py
@@ -229,6 +229,29 @@
             self.scene.start_and_crash(number, FIRST)
         self.assertEqual(self.scene.given_up, (FIRST,))
 
+    def test_a_silent_loss_counts_once_the_machine_has_another_life(
+        self,
+    ) -> None:
+        """Before that the runner may only be cut off."""
+        for number in (1, 2, 3):
+            runner, machine = f'runner-{number}', f'm{number}'
+            self.scene.start(UnitId(*FIRST), runner, run=number)
+            key = (FIRST, number)
+            self.scene.fold(
+                RunnerCrashed(
+                    1, runner, machine, (key,), (), certain=False, at_ms=NOW_MS
+                ),
+                CrashWitnessed(1, runner, (), (), (key,)),
+                Vanished(1, FIRST, number, runner, 'lease ended'),
+            )
+        self.assertEqual(self.scene.given_up, ())
+        for number in (1, 2, 3):
+            self.assertEqual(self.scene.given_up, ())
+            facts = RunnerFacts(f'm{number}', 'rack-0', 'z', 'a')
+            name = f'next-{number}'
+            self.scene.fold(RunnerDescribed(1, name, *facts))
+        self.assertEqual(self.scene.given_up, (FIRST,))
+
     def test_a_machine_that_crashes_again_and_again_weighs_once(self) -> None:
         """Until the task has taken as many runners as any may."""
         for number in range(1, MAX_CRASHES + 1):
--- a/tests/simulation/test_crashes.py
+++ b/tests/simulation/test_crashes.py
@@ -2,6 +2,7 @@
 
 import unittest
 from functools import partial
+from unittest.mock import patch
 
 import anyio
 
@@ -264,6 +265,22 @@
         self.play(scenario)
         self.play(scenario, SAME_IDS)
 
+    def test_a_task_that_takes_machines_down_beyond_their_lease_is_given_up(
+        self,
+    ) -> None:
+        """Their next lives come when the leases of the former ones are over."""
+
+        async def scenario(cluster: Cluster) -> None:
+            await cluster.holder()
+            cluster.world.fleet.silent_crashes = True
+            order = cluster.order('/batch/', CRASHING)
+            await cluster.submit(order)
+            await cluster.wait_state(order, 'failed', 150)
+            self.assertLessEqual(_crashes(cluster, order.job), 5)
+
+        with patch('swifthoist_emulator.fleet.RESTART_MS', 14_000):
+            self.play(scenario)
+
     def test_silent_crashes_of_several_tasks_at_once_are_limited(self) -> None:
         """Runners that fall silent together excuse none without an end."""
 
