--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,86 +1,101 @@
-"""A wave of upkeep is told to be complete though a machine of it had none."""
+"""Tasks that last and request no processor are stopped again and again."""
 
 import json
 import sys
-import time
 from pathlib import Path
 
 import anyio
 
-from stage_2 import PagesMachines, TROUBLE, run_case
-from swifthoist_emulator.http import Request, Response
-from swifthoist_platform.store import STATUS_TOPIC
+from stage_2 import KEY, TROUBLE, run_case
+from swifthoist_emulator.callers import Order, write_job
+from swifthoist_emulator.lives import Life, StepWork
+from swifthoist_platform import names
 
-WAVE = 1
-MACHINES = ('runner-3', 'runner-4', 'runner-5')
-OUTAGE_S = 4.5
-"""How long the machine service is unavailable, in seconds."""
+COUNT = 3
+LOSSY = 1
+WATCH_S = 45.0
+PLAIN_MS = 6_000
+"""Work of a task that does not last, in ms."""
 
-CRASH_AFTER_S = 0.5
-"""When the runner crashes, in seconds from the begin of that outage."""
 
+def do_work(self, run, passed_ms):
+    """Work without checkpoints: neither step has `Checkpointing`."""
+    _do_work(self, run, passed_ms)
+    run.saved = ''
 
-class UnavailableMachines(PagesMachines):
-    """A machine service that is unavailable for a while."""
 
-    def attach(self, stage) -> None:
-        self.outage_ends = None
-        self.ordered = None
-        self.stage = stage
+_do_work = Life._do_work
+Life._do_work = do_work
 
-    @property
-    def out(self) -> bool:
-        return self.outage_ends is not None and (
-            time.monotonic() < self.outage_ends
-        )
 
-    def list_all(self) -> Response:
-        return Response(503) if self.out else super().list_all()
+def body_of(order: Order) -> bytes:
+    """The body of a submission, without fields that are 0, false or empty."""
+    document = json.loads(write_job(order))
+    document[names.STEPS] = [
+        {
+            name: value
+            for name, value in step.items()
+            if value and name != names.CHECKPOINTING
+        }
+        for step in document[names.STEPS]
+    ]
+    return json.dumps(document).encode()
 
-    async def order_upkeep(self, request: Request) -> Response:
-        name = request.document()['Machine']
-        if TROUBLE and self.outage_ends is None and name == MACHINES[-1]:
-            self.outage_ends = time.monotonic() + OUTAGE_S
-            self.ordered = name
-            self.stage.record.note('the machine service becomes unavailable')
-        if self.out:
-            self.stage.record.note(f'upkeep {name}: 503')
-            return Response(503)
-        answer = await super().order_upkeep(request)
-        self.stage.record.note(f'upkeep {name}: {answer.status}')
-        return answer
+
+async def submit(stage, order: Order) -> None:
+    path = f'{order.prefix}{order.job}'
+    body = body_of(order)
+    stage.record.note(f'body   {body.decode()}')
+    status, _ = await stage.client.call('POST', path, body)
+    if not 200 <= status < 300:
+        raise RuntimeError('a job was not accepted')
 
 
 async def case(stage) -> str:
-    world = stage.world
-    machines = world.machines
-    machines.attach(stage)
-    world.order_upkeep(WAVE, MACHINES, 1)
-    stage.record.note(f'op/wave/{WAVE}: {MACHINES}, one at a time')
-    if TROUBLE:
-        await stage.until(lambda: machines.ordered, 40, 'the last order')
-        await anyio.sleep(CRASH_AFTER_S)
-        hosts = world.fleet.hosts.values()
-        host = next(it for it in hosts if it.name == machines.ordered)
-        stage.record.note(f'the runner of {host.name} crashes')
-        # Its connections are refused for 3 s; then a new life answers.
-        world.fleet.crash(host)
-
-    def told() -> bool:
-        content = world.store.topic(STATUS_TOPIC).newest().get(f'wave/{WAVE}')
-        return bool(content) and json.loads(content)['State'] == 'complete'
-
-    await stage.until(told, 60, 'the wave is told to be complete')
-    missing = sorted(set(MACHINES) - machines.begun(WAVE))
-    stage.record.note(f'status/wave/{WAVE} is complete; without: {missing}')
-    await anyio.sleep(5)
-    later = sorted(set(MACHINES) - machines.begun(WAVE))
-    stage.record.note(f'5 s later, without upkeep: {later}')
-    if not missing:
+    checker = stage.checker
+    # What a task requests of a processor, it uses all the time.
+    cpu = 0 if TROUBLE else 500
+    lasting = Order(
+        f'{1:016x}',
+        '/batch/',
+        KEY,
+        (StepWork(1_000, (cpu, 22_992, 8), lasting=True),),
+        COUNT,
+    )
+    plain = Order(
+        f'{2:016x}', '/bulk/', KEY, (StepWork(PLAIN_MS, (cpu, 22_992, 1)),)
+    )
+    stopped: set = set()
+    broken: list[str] = []
+    plain_stops: list[str] = []
+    note_end = checker.note_end
+
+    def judge(runner, task, run, how):
+        note_end(runner, task, run, how)
+        if how != 'stopped':
+            return
+        if task.job == plain.job:
+            plain_stops.append(how)
+            return
+        # A task is at work while it runs; others are away if a stop has ended
+        # them and they have not started again.
+        away = {it for it in stopped if it not in checker.running_on} - {task}
+        stopped.add(task)
+        if len(away) >= LOSSY:
+            broken.append(f'{task.ordinal} is stopped while {len(away)} away')
+
+    checker.note_end = judge
+    await submit(stage, lasting)
+    await submit(stage, plain)
+    await anyio.sleep(WATCH_S)
+    _, state = await stage.client.state(plain)
+    stage.record.note(
+        f'job of one task of {PLAIN_MS} ms: {state}, {len(plain_stops)} stops'
+    )
+    if not broken:
         return ''
-    return f'the wave is told to be complete without the upkeep of {missing}'
+    return f'{len(broken)} stops beyond Lossy, the first: {broken[0]}'
 
 
 if __name__ == '__main__':
-    folder = Path(__file__).parent
-    sys.exit(run_case(case, folder, machines=UnavailableMachines))
+    sys.exit(run_case(case, Path(__file__).parent))
