--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -373,13 +373,16 @@
 
 
 @contextlib.asynccontextmanager
-async def open_stage(folder: Path, count: int = 4, machines=PagesMachines):
+async def open_stage(
+    folder: Path, count: int = 4, machines=PagesMachines, queues=()
+):
     """Run the platform and the instances, and end them on exit."""
     record = Record(folder / 'record.txt')
     record.note(f'trouble: {TROUBLE}')
     with tempfile.TemporaryDirectory() as place:
         world_module.InvariantChecker = NotingChecker
-        world = PagesWorld(SMALL, SystemClock())
+        site = SMALL._replace(lines=(*SMALL.lines, *queues))
+        world = PagesWorld(site, SystemClock())
         world.checker.attach(record)
         world.store.pace = USUAL_PACE
         world.machines = machines(
@@ -406,7 +409,7 @@
                 for instance in instances:
                     for line in instance.log_lines(
                         'term ', 'task given up', 'runner crashed', '"upkeep"',
-                        'wave complete', 'upkeep order failed',
+                        'wave complete', 'upkeep order failed', 'policy query failed',
                     ):  # fmt: skip
                         record.note(f'log    {line}')
                     instance.end()
@@ -429,13 +432,13 @@
     )
 
 
-def run_case(case, folder: Path, machines=PagesMachines) -> int:
+def run_case(case, folder: Path, machines=PagesMachines, queues=()) -> int:
     """Run a case: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
 
     results: list[str] = []
 
     async def main() -> None:
-        async with open_stage(folder, machines=machines) as stage:
+        async with open_stage(folder, machines=machines, queues=queues) as stage:
             with anyio.fail_after(100):
                 results.append(await case(stage))
             stage.record.note(f'result {results[0] or "the rule held"}')
