--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,100 +1,94 @@
-"""Tasks that last and request no processor are stopped again and again."""
+"""Small jobs wait on idle runners for a gang that waits for tasks that last."""
 
 import json
 import sys
+import time
 from pathlib import Path
 
 import anyio
 
-from stage_2 import KEY, TROUBLE, run_case
-from swifthoist_emulator.callers import Order, write_job
-from swifthoist_emulator.lives import Life, StepWork
-from swifthoist_platform import names
-
-COUNT = 3
-LOSSY = 1
-WATCH_S = 45.0
-PLAIN_MS = 6_000
-"""Work of a task that does not last, in ms."""
-
-
-def do_work(self, run, passed_ms):
-    """Work without checkpoints: neither step has `Checkpointing`."""
-    _do_work(self, run, passed_ms)
-    run.saved = ''
-
-
-_do_work = Life._do_work
-Life._do_work = do_work
-
-
-def body_of(order: Order) -> bytes:
-    """The body of a submission, without fields that are 0, false or empty."""
-    document = json.loads(write_job(order))
-    document[names.STEPS] = [
-        {
-            name: value
-            for name, value in step.items()
-            if value and name != names.CHECKPOINTING
-        }
-        for step in document[names.STEPS]
-    ]
-    return json.dumps(document).encode()
-
-
-async def submit(stage, order: Order) -> None:
-    path = f'{order.prefix}{order.job}'
-    body = body_of(order)
+from stage_2 import BOUNDS, SMALL, TROUBLE, run_case
+from swifthoist_emulator.lives import StepWork, write_payload
+
+LASTING = {
+    'Count': SMALL.runners,
+    'Cpu': 5_600,
+    'MemMb': 22_992,
+    'Gpu': 3,
+    'EstimateMs': 1_000,
+    'LongRunning': True,
+    'AntiAffinity': 1,
+}
+"""One task on each runner; together they use 72 of 192 GPUs."""
+
+GANG = {
+    'Count': SMALL.runners,
+    'Cpu': 26_000,
+    'MemMb': 110_000,
+    'Gpu': 8,
+    'EstimateMs': 8_500,
+    'Gang': True,
+}
+"""Needs the whole of every runner."""
+
+SMALL_TASK = {'Count': 1, 'Cpu': 5_600, 'MemMb': 22_992, 'Gpu': 1}
+SMALL_MS = 11_000
+SMALL_JOBS = 6
+
+
+async def submit(stage, number: int, prefix: str, step: dict, work) -> str:
+    job = f'{number:016x}'
+    document = {'Spec': write_payload((work,)), 'Steps': [step]}
+    body = json.dumps(document).encode()
     stage.record.note(f'body   {body.decode()}')
-    status, _ = await stage.client.call('POST', path, body)
+    status, _ = await stage.client.call('POST', f'{prefix}{job}', body)
     if not 200 <= status < 300:
         raise RuntimeError('a job was not accepted')
+    return job
 
 
 async def case(stage) -> str:
     checker = stage.checker
-    # What a task requests of a processor, it uses all the time.
-    cpu = 0 if TROUBLE else 500
-    lasting = Order(
-        f'{1:016x}',
-        '/batch/',
-        KEY,
-        (StepWork(1_000, (cpu, 22_992, 8), lasting=True),),
-        COUNT,
-    )
-    plain = Order(
-        f'{2:016x}', '/bulk/', KEY, (StepWork(PLAIN_MS, (cpu, 22_992, 1)),)
-    )
-    stopped: set = set()
-    broken: list[str] = []
-    plain_stops: list[str] = []
-    note_end = checker.note_end
-
-    def judge(runner, task, run, how):
-        note_end(runner, task, run, how)
-        if how != 'stopped':
-            return
-        if task.job == plain.job:
-            plain_stops.append(how)
-            return
-        # A task is at work while it runs; others are away if a stop has ended
-        # them and they have not started again.
-        away = {it for it in stopped if it not in checker.running_on} - {task}
-        stopped.add(task)
-        if len(away) >= LOSSY:
-            broken.append(f'{task.ordinal} is stopped while {len(away)} away')
-
-    checker.note_end = judge
-    await submit(stage, lasting)
-    await submit(stage, plain)
-    await anyio.sleep(WATCH_S)
-    _, state = await stage.client.state(plain)
-    stage.record.note(
-        f'job of one task of {PLAIN_MS} ms: {state}, {len(plain_stops)} stops'
+    need = (LASTING['Cpu'], LASTING['MemMb'], LASTING['Gpu'])
+    work = StepWork(1_000, need, lasting=True)
+    await submit(stage, 1, '/bulk/', LASTING, work)
+    await stage.until(
+        lambda: len(checker.running_on) == SMALL.runners, 20, 'all run'
     )
-    if not broken:
+    await anyio.sleep(3)
+    if TROUBLE:
+        need = (GANG['Cpu'], GANG['MemMb'], GANG['Gpu'])
+        work = StepWork(GANG['EstimateMs'], need, gang=GANG['Count'])
+        await submit(stage, 2, '/batch/', GANG, work)
+    await anyio.sleep(4.5)
+    step = {**SMALL_TASK, 'EstimateMs': SMALL_MS}
+    need = (step['Cpu'], step['MemMb'], step['Gpu'])
+    jobs = [
+        await submit(stage, number, '/bulk/', step, StepWork(SMALL_MS, need))
+        for number in range(3, 3 + SMALL_JOBS)
+    ]
+    ended = time.monotonic()
+    stage.record.note('the traffic ends')
+    # From finish_s on, no job may have nothing running for 3 s: of each runner
+    # five of eight GPUs and nine tenths of the processor are idle.
+    await anyio.sleep(BOUNDS['finish_s'])
+    before = [it for it in jobs if it not in checker.begun]
+    await anyio.sleep(3.1)
+    still = [it for it in before if it not in checker.begun]
+    stage.record.note(f'not begun at the end: {len(still)} of {SMALL_JOBS}')
+    while time.monotonic() - ended < 45:
+        if all(it in checker.begun for it in jobs):
+            break
+        await anyio.sleep(0.1)
+    waited_s = time.monotonic() - ended
+    stage.record.note(f'begun or given up waiting after {waited_s:.1f} s')
+    if not still:
         return ''
-    return f'{len(broken)} stops beyond Lossy, the first: {broken[0]}'
+    return (
+        f'{len(still)} of {SMALL_JOBS} small jobs have nothing running at the'
+        f' end, on runners with 120 of 192 GPUs idle; begun {waited_s:.0f} s'
+        ' after the end of the traffic'
+    )
 
 
 if __name__ == '__main__':
--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -18,6 +18,7 @@
 import httpx
 
 from swifthoist_core.clock import SystemClock
+from swifthoist_emulator import store_calls
 from swifthoist_emulator import world as world_module
 from swifthoist_emulator.callers import Order, write_job
 from swifthoist_emulator.checker import InvariantChecker
@@ -157,7 +158,9 @@
 class Instance:
     """One instance, as the deploy file starts it."""
 
-    def __init__(self, number: int, zone: str, world, folder: Path) -> None:
+    def __init__(
+        self, number: int, zone: str, world, folder: Path, keep_s: int
+    ) -> None:
         self.name = f'edge-{zone}-{number}'
         self._ports = ReservedPorts(4)
         front, ready, control, internal = self._ports.addresses
@@ -166,6 +169,7 @@
         self._settings = folder / f'{self.name}.json'
         self._log = folder / f'{self.name}.log'
         self.process = None
+        self._log_start = 0
         store = world.store_address
         port = int(internal.rpartition(':')[2])
         self._settings.write_text(
@@ -219,7 +223,7 @@
                         'ReadMbS': 80.0,
                         'RecordBytes': 262144,
                         'CallBytes': 2097152,
-                        'keep_s': 300,
+                        'keep_s': keep_s,
                         'PartMb': 200,
                         'TtlMinMs': 1000,
                     },
@@ -235,6 +239,7 @@
 
     def start(self) -> None:
         with self._log.open('ab') as log:
+            self._log_start = log.tell()
             self.process = subprocess.Popen(
                 ['python3', '-m', 'swifthoist_instance'],
                 stdin=subprocess.DEVNULL,
@@ -250,15 +255,22 @@
             )
 
     def holds(self) -> bool:
-        """Whether its log says that it holds the cell, for the record only."""
-        lines = self._log.read_text().splitlines()
-        terms = [line for line in lines if '"term ' in line]
+        """Whether the log of its newest start says that it holds the cell.
+
+        Only what to kill is chosen by it; nothing is judged by it.
+        """
+        text = self._log.read_bytes()[self._log_start :].decode()
+        terms = [line for line in text.splitlines() if '"term ' in line]
         return bool(terms) and '"term begins"' in terms[-1]
 
     def log_lines(self, *words: str) -> list[str]:
         lines = self._log.read_text().splitlines()
         return [it for it in lines if any(word in it for word in words)]
 
+    def kill(self) -> None:
+        self.process.kill()
+        self.process.wait(20)
+
     def end(self) -> None:
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
@@ -374,14 +386,21 @@
 
 @contextlib.asynccontextmanager
 async def open_stage(
-    folder: Path, count: int = 4, machines=PagesMachines, queues=()
+    folder: Path,
+    count: int = 4,
+    machines=PagesMachines,
+    queues=(),
+    lasting_ids=False,
+    keep_s=300,
 ):
     """Run the platform and the instances, and end them on exit."""
     record = Record(folder / 'record.txt')
     record.note(f'trouble: {TROUBLE}')
     with tempfile.TemporaryDirectory() as place:
         world_module.InvariantChecker = NotingChecker
-        site = SMALL._replace(lines=(*SMALL.lines, *queues))
+        store_calls.RETENTION_MS = keep_s * 1_000
+        lines = (*SMALL.lines, *queues)
+        site = SMALL._replace(lines=lines, lasting_ids=lasting_ids)
         world = PagesWorld(site, SystemClock())
         world.checker.attach(record)
         world.store.pace = USUAL_PACE
@@ -389,7 +408,7 @@
             world.fleet, world.store, world.checker, world.faults
         )
         instances = [
-            Instance(number, SMALL.zones[number % 4], world, Path(place))
+            Instance(number, SMALL.zones[number % 4], world, Path(place), keep_s)
             for number in range(count)
         ]
         async with anyio.create_task_group() as tasks:
@@ -410,6 +429,7 @@
                     for line in instance.log_lines(
                         'term ', 'task given up', 'runner crashed', '"upkeep"',
                         'wave complete', 'upkeep order failed', 'policy query failed',
+                        'records lost', 'snapshot ',
                     ):  # fmt: skip
                         record.note(f'log    {line}')
                     instance.end()
@@ -432,13 +452,13 @@
     )
 
 
-def run_case(case, folder: Path, machines=PagesMachines, queues=()) -> int:
+def run_case(case, folder: Path, **options) -> int:
     """Run a case: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
 
     results: list[str] = []
 
     async def main() -> None:
-        async with open_stage(folder, machines=machines, queues=queues) as stage:
+        async with open_stage(folder, **options) as stage:
             with anyio.fail_after(100):
                 results.append(await case(stage))
             stage.record.note(f'result {results[0] or "the rule held"}')
