--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,95 +1,98 @@
-"""Small jobs wait on idle runners for a gang that waits for tasks that last."""
+"""A start that is held up reaches the next life of its runner: a task that is
+done runs again."""
 
-import json
 import sys
 import time
 from pathlib import Path
 
 import anyio
 
-from stage_2 import BOUNDS, SMALL, TROUBLE, run_case
-from swifthoist_emulator.lives import StepWork, write_payload
-
-LASTING = {
-    'Count': SMALL.runners,
-    'Cpu': 5_600,
-    'MemMb': 22_992,
-    'Gpu': 3,
-    'EstimateMs': 1_000,
-    'LongRunning': True,
-    'AntiAffinity': 1,
-}
-"""One task on each runner; together they use 72 of 192 GPUs."""
-
-GANG = {
-    'Count': SMALL.runners,
-    'Cpu': 26_000,
-    'MemMb': 110_000,
-    'Gpu': 8,
-    'EstimateMs': 8_500,
-    'Gang': True,
-}
-"""Needs the whole of every runner."""
-
-SMALL_TASK = {'Count': 1, 'Cpu': 5_600, 'MemMb': 22_992, 'Gpu': 1}
-SMALL_MS = 11_000
-SMALL_JOBS = 6
-
-
-async def submit(stage, number: int, prefix: str, step: dict, work) -> str:
-    job = f'{number:016x}'
-    document = {'Spec': write_payload((work,)), 'Steps': [step]}
-    body = json.dumps(document).encode()
-    stage.record.note(f'body   {body.decode()}')
-    status, _ = await stage.client.call('POST', f'{prefix}{job}', body)
-    if not 200 <= status < 300:
-        raise RuntimeError('a job was not accepted')
-    return job
+from stage_2 import TROUBLE, name_of, plain_job, run_case
+from swifthoist_emulator import runner_calls
+from swifthoist_platform import names
+from swifthoist_platform.runner_calls import parse_task
+
+HELD_UP_S = 6.0
+"""How long the first order to start the task is held up, in seconds."""
+
+DOWN_S = 1.5
+"""How long the runner is down, in seconds."""
+
+BEHIND_S = 0.1
+"""How long after the runner is back the order arrives, in seconds."""
+
+_order = runner_calls.RunnerCalls._order
+
+
+class HeldUp:
+    """Holds the first order to start a job up, which then gets no answer."""
+
+    def __init__(self) -> None:
+        self.job = ''
+        self.body = None
+        self.host = None
+        self.at = 0.0
+        self.record = None
+
+    async def order(self, calls, call, request, host):
+        if call == names.RUN_START and self.body is None:
+            body = request.document()
+            task = parse_task(body[names.TASK])
+            if task is not None and task.job == self.job:
+                self.body, self.host, self.at = body, host, time.monotonic()
+                self.record.note(f'start of {name_of(task)} is held up')
+                await calls._faults.hold_unanswered()
+        return await _order(calls, call, request, host)
+
+    def arrive(self) -> None:
+        late_s = time.monotonic() - self.at
+        self.record.note(f'the start held up arrives, {late_s:.2f} s late')
+        answer = runner_calls._execute(
+            names.RUN_START, self.body, self.host.life
+        )
+        self.record.note(f'and is answered {answer.status}')
+
+
+held_up = HeldUp()
+
+
+async def order(self, call, request, host):
+    return await held_up.order(self, call, request, host)
+
+
+runner_calls.RunnerCalls._order = order
 
 
 async def case(stage) -> str:
     checker = stage.checker
-    need = (LASTING['Cpu'], LASTING['MemMb'], LASTING['Gpu'])
-    work = StepWork(1_000, need, lasting=True)
-    await submit(stage, 1, '/bulk/', LASTING, work)
-    await stage.until(
-        lambda: len(checker.running_on) == SMALL.runners, 20, 'all run'
-    )
-    await anyio.sleep(3)
+    held_up.record = stage.record
+    job = plain_job(1, 2_500)
+    if TROUBLE:
+        held_up.job = job.job
+    if not await stage.client.submit(job):
+        raise RuntimeError('the job was not accepted')
+    began = time.monotonic()
+    await stage.until(lambda: checker._acknowledged_done, 10, 'it is done')
+    stage.record.note('the end of the task is taken note of')
+    status, state = await stage.client.state(job)
+    starts = checker.starts
     if TROUBLE:
-        need = (GANG['Cpu'], GANG['MemMb'], GANG['Gpu'])
-        work = StepWork(GANG['EstimateMs'], need, gang=GANG['Count'])
-        await submit(stage, 2, '/batch/', GANG, work)
-    await anyio.sleep(4.5)
-    step = {**SMALL_TASK, 'EstimateMs': SMALL_MS}
-    need = (step['Cpu'], step['MemMb'], step['Gpu'])
-    jobs = [
-        await submit(stage, number, '/bulk/', step, StepWork(SMALL_MS, need))
-        for number in range(3, 3 + SMALL_JOBS)
-    ]
-    ended = time.monotonic()
-    stage.record.note('the traffic ends')
-    # From finish_s on, no job may have nothing running for 3 s: of each runner
-    # five of eight GPUs and nine tenths of the processor are idle.
-    await anyio.sleep(BOUNDS['finish_s'])
-    before = [it for it in jobs if it not in checker.begun]
-    await anyio.sleep(3.1)
-    still = [it for it in before if it not in checker.begun]
-    stage.record.note(f'not begun at the end: {len(still)} of {SMALL_JOBS}')
-    while time.monotonic() - ended < 45:
-        if all(it in checker.begun for it in jobs):
-            break
-        await anyio.sleep(0.1)
-    waited_s = time.monotonic() - ended
-    stage.record.note(f'begun or given up waiting after {waited_s:.1f} s')
-    if not still:
+        host = held_up.host
+        await anyio.sleep(began + HELD_UP_S - DOWN_S - time.monotonic())
+        stage.record.note(f'{host.runner} goes down')
+        stage.world.fleet.kill(host)
+        await anyio.sleep(began + HELD_UP_S - time.monotonic())
+        stage.record.note(f'{host.runner} is back, under its id')
+        stage.world.fleet.revive(host)
+        await anyio.sleep(BEHIND_S)
+        held_up.arrive()
+    await anyio.sleep(5)
+    again = checker.starts - starts
+    stage.record.note(f'shown as {state}; started again: {again}')
+    if not again:
         return ''
-    return (
-        f'{len(still)} of {SMALL_JOBS} small jobs have nothing running at the'
-        f' end, on runners with 120 of 192 GPUs idle; begun {waited_s:.0f} s'
-        ' after the end of the traffic'
-    )
+    return 'a task started again after its end, done, was taken note of'
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(case, Path(__file__).parent))
+    sys.exit(run_case(case, Path(__file__).parent, lasting_ids=True))
