--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,44 +1,53 @@
-"""A task that lasts loses its runner five times, and its job is shown as failed."""
+"""Accepted jobs are forgotten while holders of the cell are killed in turn."""
 
 import sys
+import time
 from pathlib import Path
 
 import anyio
 
-from stage_2 import TROUBLE, lasting_job, run_case
+from stage_2 import TROUBLE, plain_job, run_case
 
-CRASHES = 5
-AT_WORK_S = 4.0
-"""How long the task runs before its runner crashes, in seconds."""
+KEEP_S = 20
+KILLS = 9
+APART_S = 3.0
+CALM_S = 12.0
 
 
 async def case(stage) -> str:
-    order = lasting_job(1)
-    if not await stage.client.submit(order):
-        raise RuntimeError('the job was not accepted')
     checker = stage.checker
-
-    def runners():
-        found = checker.running_on.items()
-        return [runner for task, runner in found if task.job == order.job]
-
-    for _ in range(CRASHES):
-        await stage.until(runners, 25, 'the task runs')
-        await anyio.sleep(AT_WORK_S)
-        if TROUBLE:
-            # Its connections are refused for 3 s; then a new life answers.
-            stage.world.fleet.crash(stage.host_of(runners()[0]))
-    for _ in range(20):
-        await anyio.sleep(0.5)
-        status, state = await stage.client.state(order)
-        if status == 200 and state in {'failed', 'canceled'}:
-            if checker.failed_ends:
-                raise RuntimeError('a run has failed')
-            await anyio.sleep(6)
-            again = f'runs again: {bool(runners())}'
-            return f'shown as {state}, no run ended failed, {again}'
-    return ''
+    jobs = [plain_job(number, 600_000) for number in range(1, 4)]
+    for job in jobs:
+        if not await stage.client.submit(job):
+            raise RuntimeError('a job was not accepted')
+    await stage.until(lambda: len(checker.running_on) == 3, 10, 'all run')
+    began = time.monotonic()
+    for number in range(KILLS):
+        due = began + (number + 1) * APART_S
+        await anyio.sleep(max(due - time.monotonic(), 0))
+        if not TROUBLE:
+            continue
+        await stage.until(
+            lambda: any(it.holds() for it in stage.instances), 6, 'a holder'
+        )
+        holder = next(it for it in stage.instances if it.holds())
+        stage.record.note(f'{holder.name} is killed')
+        holder.kill()
+        await anyio.sleep(0.3)
+        holder.start()
+    await anyio.sleep(CALM_S)
+    lost = []
+    for node, instance in enumerate(stage.instances):
+        for job in jobs:
+            status, _ = await stage.client.state(job, node=node)
+            if status == 410:
+                lost.append(f'{job.job} at {instance.name}')
+    running = sorted({task.job for task in checker.running_on})
+    stage.record.note(f'jobs with tasks at work: {running}')
+    if not lost:
+        return ''
+    return f'accepted, not cancelled, and answered 410: {", ".join(lost)}'
 
 
 if __name__ == '__main__':
-    sys.exit(run_case(case, Path(__file__).parent))
+    sys.exit(run_case(case, Path(__file__).parent, keep_s=KEEP_S))
