Withhold the acknowledgement of ends whose start may still arrive

What callers saw: a task that was done, and whose end was acknowledged, ran again where its runner restarted under its id and a start without an answer reached the next life (rule TWICE).

Cause: within a life the memory of the run bars a late start; the session acknowledged the end, and the life took that memory along. The fold, the fence and the expiry of the lease bar nothing in a new life.

Change: ends that were done or failed are not acknowledged while a start of their unit may arrive on any runner; they count at once as before. A start that gets no answer is recorded before it is repeated, so that the next holder withholds what the former one did; a start without that record was sent once, and a look that shows its run settles it. A run that may still begin in a later life is not given up behind a restart. A runner that lists over 250 ends gets no more starts.

--- a/packages/emulator/swifthoist_emulator/faults.py
+++ b/packages/emulator/swifthoist_emulator/faults.py
@@ -19,6 +19,7 @@
     :cvar SLOW: it is carried out and answered after a delay.
     :cvar LOST: it is carried out, but its answer is lost.
     :cvar LATE: it is carried out after a delay and gets no answer.
+    :cvar REBORN: the same, right after a restart of its runner.
     """
 
     NONE = 'none'
@@ -27,6 +28,7 @@
     SLOW = 'slow'
     LOST = 'lost'
     LATE = 'late'
+    REBORN = 'reborn'
 
 
 class Fault(NamedTuple):
--- a/packages/emulator/swifthoist_emulator/runner_calls.py
+++ b/packages/emulator/swifthoist_emulator/runner_calls.py
@@ -7,7 +7,7 @@
 
 from swifthoist_core.errors import OutcomeUnknownError, UnreachableError
 from swifthoist_emulator.duties import ticket_for
-from swifthoist_emulator.faults import FaultEffect, Faults
+from swifthoist_emulator.faults import Fault, FaultEffect, Faults
 from swifthoist_emulator.fleet import Fleet, Host
 from swifthoist_emulator.http import Request, Response, answer_json
 from swifthoist_emulator.lives import Life, TaskRun, read_payload
@@ -74,12 +74,12 @@
             case FaultEffect.LOST:
                 _execute(call, request.document(), life)
                 await self._faults.hold_unanswered()
-            case FaultEffect.LATE:
+            case FaultEffect.LATE | FaultEffect.REBORN:
                 if host.keeps_id and self.tasks is not None:
                     # The order outlasts the timeout of its caller, and maybe
                     # the life of the runner.
                     self.tasks.start_soon(
-                        _execute_late, call, request, host, fault.delay_s
+                        self._execute_late, call, request, host, fault
                     )
                     await self._faults.hold_unanswered()
                 with anyio.CancelScope(shield=True):
@@ -92,6 +92,17 @@
                 pass
         return _execute(call, request.document(), life)
 
+    async def _execute_late(
+        self, call: str, request: Request, host: Host, fault: Fault
+    ) -> None:
+        """Carry out an order late, in whichever life has the id by then."""
+        await anyio.sleep(fault.delay_s)
+        if host.life is not None and fault.effect is FaultEffect.REBORN:
+            self._fleet.kill(host)
+            self._fleet.revive(host)
+        if host.life is not None:
+            _execute(call, request.document(), host.life)
+
     async def _poll(self, request: Request, life: Life) -> Response:
         effect = self._faults.draw(self._faults.looks)
         if effect is FaultEffect.SILENT:
@@ -137,15 +148,6 @@
     return [task_name(run.task), run.run, run.saved, run.pace, gauge]
 
 
-async def _execute_late(
-    call: str, request: Request, host: Host, delay_s: float
-) -> None:
-    """Carry out an order late, in whichever life has the id by then."""
-    await anyio.sleep(delay_s)
-    if host.life is not None:
-        _execute(call, request.document(), host.life)
-
-
 def _execute(call: str, body: dict[str, Any], life: Life) -> Response:
     if life.over:
         # The order was delayed until after the runner had crashed.
--- a/packages/engine/swifthoist_engine/cell_state.py
+++ b/packages/engine/swifthoist_engine/cell_state.py
@@ -19,6 +19,7 @@
     UpkeepBegun,
     WaveDone,
 )
+from swifthoist_engine.unanswered import StartUnanswered, with_unanswered
 
 GENERATION = 2
 """Generation of this version. Instances of a later generation take the cell
@@ -55,6 +56,7 @@
     :ivar early_cancels: time at which a job was canceled that was not known,
         and of which a submission may still come, by the id of the job. A job
         that came late stays in it until the holder has canceled it again.
+    :ivar unanswered: starts that may still be carried out.
     """
 
     epoch: Epoch = 0
@@ -74,6 +76,7 @@
     peers: dict[str, Peer] = field(default_factory=dict)
     holder_generation: int = 0
     early_cancels: dict[JobId, Millis] = field(default_factory=dict)
+    unanswered: list[StartUnanswered] = field(default_factory=list)
 
     def advance_time(self, at_ms: Millis) -> None:
         """Advance the cell's time; it never goes back.
@@ -138,6 +141,8 @@
             case UpkeepBegun(_, wave, machine, runner):
                 begun = self.upkeeps.setdefault(wave, {})
                 begun.setdefault(machine, runner)
+            case StartUnanswered():
+                self.unanswered = with_unanswered(self.unanswered, record)
             case WaveDone():
                 self.upkeeps.pop(record.wave, None)
                 self.waves_done.add(record.wave)
--- a/packages/engine/swifthoist_engine/records.py
+++ b/packages/engine/swifthoist_engine/records.py
@@ -26,6 +26,7 @@
     TaskGivenUp,
 )
 from swifthoist_engine.model import JobSpec, TaskId, UnitId
+from swifthoist_engine.unanswered import StartUnanswered
 
 
 class Ending(StrEnum):
@@ -323,6 +324,7 @@
     | RunnerCrashed
     | CrashWitnessed
     | StartSent
+    | StartUnanswered
     | TaskGivenUp
     | HolderGeneration
     | RunnerGone
--- a/packages/instance/swifthoist_instance/contacts.py
+++ b/packages/instance/swifthoist_instance/contacts.py
@@ -11,8 +11,9 @@
 from swifthoist_core.types import Millis, RunnerId
 from swifthoist_engine.past_runs import RunnerFacts
 from swifthoist_instance.context import TenureContext
+from swifthoist_instance.late_starts import ListedEnds
 from swifthoist_instance.leases import Lease
-from swifthoist_instance.lives import Life, PendingStarts
+from swifthoist_instance.lives import Life
 from swifthoist_instance.presence import Presence
 from swifthoist_platform.documents import Registration
 from swifthoist_platform.runner_calls import (
@@ -56,7 +57,8 @@
     :ivar replaced: another life answers at its address.
     :ivar closed: the contact is over: the runner is gone, or the session ended.
     :ivar life: the life of the runner that this contact is with.
-    :ivar pending_starts: starts that may still be carried out.
+    :ivar pending_starts: starts that may still be carried out, by any life.
+    :ivar listed: ends in the newest look.
     :ivar reborn: an earlier life of the runner was known.
     """
 
@@ -89,7 +91,8 @@
         self.closed = False
         clock = context.clock
         self.life = Life(registration.runner, clock, registration.born_ms)
-        self.pending_starts = PendingStarts(clock)
+        self.pending_starts = context.late_starts.on(registration.runner)
+        self.listed = ListedEnds(context.late_starts)
         self.reborn = False
 
     def continue_from(self, former: 'Contact') -> None:
@@ -98,7 +101,6 @@
         :param former: that contact.
         """
         self.reborn = True
-        self.pending_starts = former.pending_starts
         self.life = Life(
             self.runner,
             self.context.clock,
@@ -183,12 +185,15 @@
 
         A new life that was not noticed yet must not forget ends that share
         numbers with those of its predecessor, so an acknowledgement requires a
-        recent answer of this life.
+        recent answer of this life. An end whose task a late start may begin
+        anew is not acknowledged yet.
         """
         if not self.life.born_ms:
             return self.seen
         unsure = self.unanswered or self.silent or not self.lease.known
-        return 0 if unsure else self.seen
+        if unsure:
+            return 0
+        return self.listed.last_settled(self.seen)
 
     def active(self) -> bool:
         """Return whether the runner should still be called."""
--- a/packages/instance/swifthoist_instance/context.py
+++ b/packages/instance/swifthoist_instance/context.py
@@ -14,6 +14,7 @@
 from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
+from swifthoist_instance.late_starts import LateStarts
 from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.notifier import Notifier
 from swifthoist_instance.run_lines import RunLines
@@ -36,6 +37,7 @@
     :ivar over: set, and never cleared, once the tenure was found not in force.
     :ivar lives: counts restarts of runners under the same id.
     :ivar crashes: counts crashes of runners.
+    :ivar late_starts: starts that may still be carried out.
     """
 
     tenure: Tenure
@@ -51,6 +53,7 @@
     over: anyio.Event
     lives: LifeCounts
     crashes: CrashCounts
+    late_starts: LateStarts
 
     @property
     def epoch(self) -> Epoch:
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -15,6 +15,7 @@
 from swifthoist_instance.deciding import Decider
 from swifthoist_instance.dependencies import HolderDependencies
 from swifthoist_instance.job_lines import JobLines
+from swifthoist_instance.late_starts import LateStarts
 from swifthoist_instance.notifier import Notifier
 from swifthoist_instance.outcomes import (
     OwnRecords,
@@ -98,6 +99,7 @@
             anyio.Event(),
             dependencies.lives,
             dependencies.crashes,
+            LateStarts(dependencies.follower.cell, dependencies.clock),
         )
         self._own_records = OwnRecords(self._context)
         self._roster = Roster(
@@ -131,10 +133,7 @@
             self._dependencies.clock.boot_ms() - self._context.hold.since_ms
         )
         _log.info('term begins', extra={'epoch': epoch, 'held_ms': held_ms})
-        self._context.cell.mark_all_dirty()
-        # An earlier term of this epoch may have sent the open runs already;
-        # looks show which of them are on their runners.
-        self._context.cell.runs.take_unsent()
+        self._take_over_runs()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._registry.run)
             tasks.start_soon(self._wake_on_fold)
@@ -149,6 +148,14 @@
         unread_ms = self._dependencies.follower.age_ms
         _log.info('term ends', extra={'epoch': epoch, 'unread_ms': unread_ms})
 
+    def _take_over_runs(self) -> None:
+        context = self._context
+        context.cell.mark_all_dirty()
+        # An earlier term of this epoch may have sent the open runs already;
+        # looks show which of them are on their runners.
+        context.cell.runs.take_unsent()
+        context.late_starts.restore(context.follower.time.now_ms())
+
     async def _wake_on_fold(self) -> None:
         while True:
             await self._dependencies.follower.wait_progress()
--- a/packages/instance/swifthoist_instance/lives.py
+++ b/packages/instance/swifthoist_instance/lives.py
@@ -9,6 +9,7 @@
 from collections.abc import KeysView, Set
 
 from swifthoist_core.clock import Clock
+from swifthoist_core.errors import SwifthoistError, UnreachableError
 from swifthoist_core.types import Millis, RunnerId
 from swifthoist_engine.model import RunKey
 
@@ -20,6 +21,10 @@
 """How long an order without an answer may still be carried out, in ms. The
 protocol says seconds; this is longer than any lease."""
 
+RECORD_VALIDITY_MS = 5_000
+"""How long a start is repeated behind one record of it, in ms. A term that took
+over counts it as sent until then."""
+
 EARLIER_BIRTH_TIMEOUT_MS = 3_000
 """Time after which a life that keeps answering with an earlier birth counts as
 the newest, in ms: delayed answers of older lives have all arrived by then."""
@@ -181,6 +186,41 @@
         self._clock = clock
         self._sent: dict[RunKey, Millis] = {}
         self._answered: dict[RunKey, Millis] = {}
+        self._recorded: dict[RunKey, Millis] = {}
+        self._repeated: set[RunKey] = set()
+
+    def restore(self, key: RunKey, sent_ms: Millis) -> None:
+        """Take over a start of an earlier term.
+
+        :param key: the run.
+        :param sent_ms: latest time at which it was sent.
+        """
+        self._sent[key] = max(sent_ms, self._sent.get(key, sent_ms))
+
+    def is_unanswered(self, key: RunKey) -> bool:
+        """Return whether a start may arrive, and none has an answer.
+
+        :param key: the run.
+        :returns: whether that is so.
+        """
+        return key in self.keys() and key not in self._answered
+
+    def needs_record(self, key: RunKey) -> bool:
+        """Return whether a start has to be recorded before it is repeated.
+
+        :param key: the run.
+        :returns: whether its newest record is missing or too old.
+        """
+        limit = self._clock.boot_ms() - RECORD_VALIDITY_MS
+        return key in self.keys() and self._recorded.get(key, limit) <= limit
+
+    def note_recorded(self, key: RunKey, at_ms: Millis) -> None:
+        """Note that the log tells that a start may still arrive.
+
+        :param key: the run.
+        :param at_ms: time of the record, on the clock that includes suspension.
+        """
+        self._recorded[key] = at_ms
 
     def note_sent(self, key: RunKey) -> bool:
         """Record that a start is being sent.
@@ -189,9 +229,20 @@
         :returns: whether an earlier start of the run may still arrive.
         """
         known = key in self.keys()
+        if known:
+            self._repeated.add(key)
         self._sent[key] = self._clock.boot_ms()
         return known
 
+    def note_unanswered(self, key: RunKey, exc: SwifthoistError) -> None:
+        """Record that a start got no answer.
+
+        :param key: the run.
+        :param exc: why there is none.
+        """
+        if isinstance(exc, UnreachableError) and key not in self._repeated:
+            self._sent.pop(key, None)
+
     def note_answered(self, key: RunKey) -> None:
         """Record that every start that was sent for a run got an answer.
 
@@ -218,6 +269,8 @@
             for key, sent_ms in self._sent.items()
             if sent_ms > limit
         }
-        for key in self._answered.keys() - self._sent.keys():
-            self._answered.pop(key)
+        for known in (self._answered, self._recorded):
+            for key in known.keys() - self._sent.keys():
+                known.pop(key)
+        self._repeated &= self._sent.keys()
         return self._sent.keys()
--- a/packages/instance/swifthoist_instance/orders.py
+++ b/packages/instance/swifthoist_instance/orders.py
@@ -27,10 +27,13 @@
 )
 from swifthoist_instance.outcomes import (
     note_doubt,
-    record_sent,
     record_vanished,
 )
 from swifthoist_instance.sent_starts import SentStarts
+from swifthoist_instance.start_records import (
+    record_suspected,
+    record_unanswered,
+)
 from swifthoist_platform.runner_calls import OrderResult, StartOrder
 
 _log = logging.getLogger(__name__)
@@ -224,6 +227,7 @@
             answer = await contact.client.start(order, CALL_S)
         except NO_ANSWER_ERRORS as exc:
             self.starts.note_unanswered(key, sent_ms, exc)
+            contact.pending_starts.note_unanswered(key, exc)
             contact.note_no_answer(exc)
             _log_unanswered('start', run, exc)
             return None
@@ -248,16 +252,16 @@
         contact = self._contact
         if contact.silent or _gate(self._contact) is not Gate.OPEN:
             return False
-        is_repeated = (run.task, run.run) in contact.pending_starts.keys()
-        if is_repeated or not is_suspected(job, run.task):
+        if (run.task, run.run) in contact.pending_starts.keys():
+            ready = await record_unanswered(contact, run)
+        elif is_suspected(job, run.task):
+            ready = await record_suspected(contact, run)
+        else:
             return True
-        # Sent to a runner that is already down, it would be blamed for that.
-        if not await contact.probe():
-            return False
-        lost_ms = contact.lost_ms
-        announced = await record_sent(self._context, run)
-        up = announced and contact.lost_ms == lost_ms and self._wanted(run)
-        return up and _gate(contact) is Gate.OPEN and not self._obstacle(run)
+        wanted = ready and self._wanted(run)
+        return (
+            wanted and _gate(contact) is Gate.OPEN and not self._obstacle(run)
+        )
 
     async def _note_rejected(
         self, run: OpenRun, result: OrderResult, *, may_be_pending: bool
--- a/packages/instance/swifthoist_instance/outcomes.py
+++ b/packages/instance/swifthoist_instance/outcomes.py
@@ -17,6 +17,7 @@
     RunnerDoubted,
     Vanished,
 )
+from swifthoist_engine.unanswered import StartUnanswered
 from swifthoist_instance.context import TenureContext
 from swifthoist_platform.runner_calls import EndedRun
 
@@ -125,6 +126,20 @@
     return run.sent or await record_all(context, [sent])
 
 
+def unanswered_record(
+    context: TenureContext, runner: RunnerId, key: RunKey
+) -> StartUnanswered:
+    """Build the record of a start that may still be carried out.
+
+    :param context: state shared within the tenure.
+    :param runner: the runner.
+    :param key: the run.
+    :returns: the record.
+    """
+    now_ms = context.follower.time.now_ms()
+    return StartUnanswered(context.epoch, runner, *key, now_ms)
+
+
 def note_doubt(
     context: TenureContext, runner: RunnerId, doubt: Doubt, job: JobId = ''
 ) -> None:
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -278,4 +278,4 @@
 
     def _usable(self, session: Session) -> bool:
         listed = self._registry.present(session.contact.runner) is not None
-        return listed and session.open
+        return listed and session.open and not session.contact.listed.crowded
--- a/packages/instance/swifthoist_instance/sessions.py
+++ b/packages/instance/swifthoist_instance/sessions.py
@@ -6,7 +6,7 @@
 
 import logging
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 import anyio
 
@@ -14,7 +14,7 @@
 from swifthoist_engine.breakers import STRIKE_EXPIRY_MS
 from swifthoist_engine.jobs import OpenRun
 from swifthoist_engine.model import RunKey
-from swifthoist_engine.records import Belated, Doubt, Record, Vanished
+from swifthoist_engine.records import Belated, Doubt, Record
 from swifthoist_engine.runners import RunnerAssessment, RunnerView
 from swifthoist_instance.anomalies import Anomalies
 from swifthoist_instance.contacts import (
@@ -24,13 +24,17 @@
     Contact,
 )
 from swifthoist_instance.crashes import record_crash
+from swifthoist_instance.missing_runs import (
+    find_late_starts,
+    find_missing_runs,
+    present_runs,
+)
 from swifthoist_instance.orders import Orders
 from swifthoist_instance.outcomes import (
     Checkpoints,
     ended_record,
     note_doubt,
     record_all,
-    vanished_record,
 )
 from swifthoist_instance.paces import filling_tasks, keep_pace
 from swifthoist_instance.rebirths import (
@@ -56,6 +60,10 @@
 """Longest gap between looks, in ms, after which ends still count as seen at
 once; behind a longer one they may have been listed for that long."""
 
+HELD_LOOK_PAUSE_S = 0.2
+"""Pause between looks while ends that may not be acknowledged yet are listed, in
+seconds, since such looks are answered at once."""
+
 RECORD_RETRY_S = 0.25
 """Pause between looks while records can't be appended, in seconds."""
 
@@ -186,6 +194,11 @@
             await end_life(self.contact, orders, self.checkpoints)
             return
         if not self.contact.replaced:
+            seen = self.contact.seen
+            if self.contact.next_seen() < seen and self.contact.listed.held(
+                seen
+            ):
+                await anyio.sleep(HELD_LOOK_PAUSE_S)
             await self._look(orders)
             return
         runs = self._context.cell.runs_on(self.contact.runner)
@@ -225,7 +238,8 @@
         if not contact.life.note_answer_birth(poll.born_ms):
             await anyio.sleep(RETRY_S)
             return
-        contact.pending_starts.note_look(sent_ms, _present_runs(poll))
+        contact.listed.note(poll.ends)
+        contact.pending_starts.note_look(sent_ms, present_runs(poll))
         contact.note_clock(poll.clock_ms)
         contact.lease.note_granted(until_ms)
         if not await record_life(contact):
@@ -298,13 +312,18 @@
             ended_record(self._context, self.contact.runner, end)
             for end in ends
         ]
+        records.extend(find_late_starts(self.contact, ends))
         if ends and _was_unwatched(self._last_look_ms, sent_ms):
             number = max(end.number for end in ends)
             end_key = (self._context.epoch, self.contact.runner, number)
             records.insert(0, Belated(*end_key))
         self._last_look_ms = None
         if poll.complete:
-            records.extend(self._missing_runs(poll, orders, sent_ms))
+            records.extend(
+                find_missing_runs(
+                    self.contact, orders, poll, sent_ms, self.checkpoints
+                )
+            )
         if not await record_all(self._context, records):
             await anyio.sleep(RECORD_RETRY_S)
             return
@@ -312,7 +331,7 @@
         for end in ends:
             orders.note_ended((end.task, end.run))
         if poll.complete:
-            orders.stop_orphans(_present_runs(poll))
+            orders.stop_orphans(present_runs(poll))
         cold = self.contact.cold
         self._anomalies.stop_anomalous(self._running, orders, cold=cold)
         await keep_pace(self.contact, self._running.values())
@@ -326,27 +345,7 @@
             if self._context.cell.find_run(*key) is None:
                 self.checkpoints.pop(key)
 
-    def _missing_runs(
-        self, poll: PollReply, orders: Orders, sent_ms: Millis
-    ) -> Iterator[Vanished]:
-        present = _present_runs(poll)
-        for run in self._context.cell.runs_on(self.contact.runner):
-            key = (run.task, run.run)
-            if key in present:
-                continue
-            settled_ms = orders.settled.get(key, sent_ms)
-            if run.epoch < self._context.epoch or settled_ms < sent_ms:
-                yield vanished_record(
-                    self._context, run, 'not on its runner', self.checkpoints
-                )
-
 
 def _was_unwatched(last_look_ms: Millis | None, sent_ms: Millis) -> bool:
     """Return whether ends may have been listed long before a look was sent."""
     return last_look_ms is None or sent_ms - last_look_ms > MAX_LOOK_GAP_MS
-
-
-def _present_runs(poll: PollReply) -> set[RunKey]:
-    """Return the runs that a look shows, running or ended."""
-    running = {(row.task, row.run) for row in poll.running}
-    return running | {(end.task, end.run) for end in poll.ends}
--- a/tests/instance/test_orders.py
+++ b/tests/instance/test_orders.py
@@ -20,6 +20,7 @@
 from swifthoist_instance.context import TenureContext
 from swifthoist_instance.crash_counts import CrashCounts
 from swifthoist_instance.evacuations import EvacuationRequests, ZoneGate
+from swifthoist_instance.late_starts import LateStarts
 from swifthoist_instance.leases import Lease
 from swifthoist_instance.notifier import Notifier
 from swifthoist_instance.orders import Orders
@@ -68,6 +69,7 @@
         self.cell = cell
         self.clock = LoopClock()
         self.crashes = CrashCounts()
+        self.late_starts = LateStarts(cell, self.clock)
         self.zones = ZoneGate(
             EvacuationRequests(self.clock), self.clock.boot_ms, lambda: None
         )
--- a/tests/instance/test_session_end.py
+++ b/tests/instance/test_session_end.py
@@ -16,6 +16,7 @@
 from swifthoist_instance.context import TenureContext
 from swifthoist_instance.crash_counts import CrashCounts
 from swifthoist_instance.evacuations import EvacuationRequests, ZoneGate
+from swifthoist_instance.late_starts import LateStarts
 from swifthoist_instance.leases import Lease
 from swifthoist_instance.orders import Orders
 from swifthoist_instance.run_lines import RunLines
@@ -80,6 +81,7 @@
         self.cell = cell
         self.clock = LoopClock()
         self.crashes = CrashCounts()
+        self.late_starts = LateStarts(cell, self.clock)
         self.in_force = True
         self.lines = RunLines(cell, self.clock)
         self.zones = ZoneGate(
--- a/tests/instance/test_unconfirmed.py
+++ b/tests/instance/test_unconfirmed.py
@@ -26,6 +26,7 @@
 from swifthoist_instance.crash_counts import CrashCounts
 from swifthoist_instance.evacuations import EvacuationRequests, ZoneGate
 from swifthoist_instance.holding import Term
+from swifthoist_instance.late_starts import LateStarts
 from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.notifier import Notifier
 from swifthoist_instance.outcomes import OwnRecords
@@ -159,6 +160,7 @@
         anyio.Event(),
         LifeCounts(),
         CrashCounts(),
+        LateStarts(instance.follower.cell, clock),
     )
 
 
