Keep accepted jobs known while holders are killed again and again

Cause, three sides of one: whether the state is complete hung on one process living long enough.

An instance that claims as its next life for the second time running, behind a tenure under 10 s, waits for others as anybody does.

--- a/packages/engine/swifthoist_engine/records.py
+++ b/packages/engine/swifthoist_engine/records.py
@@ -26,6 +26,7 @@
     TaskGivenUp,
 )
 from swifthoist_engine.model import JobSpec, TaskId, UnitId
+from swifthoist_engine.snapshot_records import SnapshotTaken
 from swifthoist_engine.unanswered import StartUnanswered
 
 
@@ -327,6 +328,7 @@
     | StartUnanswered
     | TaskGivenUp
     | HolderGeneration
+    | SnapshotTaken
     | RunnerGone
     | UpkeepBegun
     | WaveDone
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -118,7 +118,10 @@
         )
         self._quarantine = Quarantine(self.faults, clock)
         snapshots = Snapshots(
-            self._clients.store(), boot.store.keep_ms, boot.store.record_bytes
+            self._clients.store(),
+            boot.store.keep_ms,
+            boot.store.record_bytes,
+            boot.store.part_bytes,
         )
         self._follower = Follower(
             self._clients.store(),
--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -19,9 +19,12 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.cell_state import CellState
 from swifthoist_engine.records import Record, decode_record
+from swifthoist_engine.snapshot_records import SnapshotTaken
 from swifthoist_engine.snapshots import Restored
 from swifthoist_instance.cell_time import CellTime
 from swifthoist_instance.faults import Faults
+from swifthoist_instance.gaps import GapWatch
+from swifthoist_instance.history import History
 from swifthoist_instance.journal import CELL_TOPIC, RecordReader
 from swifthoist_instance.read_size import ReadSize
 from swifthoist_instance.store_latency import StoreLatency
@@ -37,9 +40,9 @@
 RETRY_S = 0.1
 """Pause after a failed read, in seconds."""
 
-SNAPSHOT_WAIT_MS = 3_000
-"""How long an instance that missed expired records waits for a snapshot that
-includes them, in ms, before it skips them."""
+GAP_RETRY_S = 0.3
+"""Pause between looks for a snapshot that includes records that expired before
+they were read, in seconds."""
 
 READ_PAUSE_S = 0.3
 """Pause between reads of an instance that does not hold the cell, in seconds.
@@ -71,6 +74,8 @@
     :ivar reads: number of successful reads.
     :ivar fold_failures: number of records skipped because folding failed.
     :ivar faults: where exceptions of the fold are reported.
+    :ivar history: which part of the log the newest snapshot covers.
+    :ivar in_gap: whether records are missing that another instance may have.
     """
 
     def __init__(
@@ -105,6 +110,10 @@
         self.holder_seen_ms: Millis = clock.boot_ms()
         self._began_ms = self.holder_seen_ms
         self.read_continuously = False
+        self.history = History()
+        self.in_gap = False
+        self._skipped_to: Offset | None = None
+        self._outdated = False
         self.reads = 0
         self.fold_failures = 0
         self.faults = faults or Faults(clock)
@@ -165,6 +174,14 @@
         """Wait until the next read has succeeded or failed."""
         await self._progress.wait()
 
+    def note_own_snapshot(self, taken: SnapshotTaken) -> None:
+        """Take note of a snapshot that this instance has written.
+
+        :param taken: the snapshot.
+        """
+        self.history.note_snapshot(taken.position, taken.at_ms)
+        self._skipped_to = None
+
     async def run(self) -> None:
         """Read and fold, until canceled."""
         await self._restore()
@@ -173,7 +190,7 @@
             try:
                 batch = await self._read()
             except LogExpiredError as exc:
-                await self._skip_expired(exc.earliest)
+                await self._bridge_gap(exc.earliest)
             except LogUnavailableError as exc:
                 self._note_failure(exc)
                 # Only a timeout suggests that the read was too large; a refusal
@@ -199,6 +216,8 @@
         )
 
     async def _pause_between_reads(self, batch: Batch) -> None:
+        if self._outdated:
+            await self._restore()
         self._long_polling = self.read_continuously or not batch.records
         if self._long_polling or not self.caught_up:
             return
@@ -221,32 +240,53 @@
                 return
 
     def _apply_snapshot(self, restored: Restored | None) -> None:
-        if restored is None or restored.position <= self.position:
+        if restored is None:
             return
+        # Beyond this position a snapshot has more than this instance.
+        known = self._skipped_to
+        known = self.position if known is None else known
+        if restored.position <= known:
+            return
+        self._skipped_to = None
+        self._outdated = False
+        self.history.note_snapshot(restored.position, restored.state.time_ms)
         self.cell.replace_state(restored.state)
         self.position = restored.position
         self.holder_seen_ms = self._clock.boot_ms()
         _log.info('snapshot loaded', extra={'position': self.position})
 
-    async def _skip_expired(self, earliest: Offset) -> None:
-        """Continue after records that expired before they were folded."""
-        self.caught_up = False
-        if self._expired_since_ms is None:
-            self._expired_since_ms = self._clock.boot_ms()
-        await self._restore()
-        if self.position >= earliest:
-            self._expired_since_ms = None
-            return
-        await anyio.sleep(RETRY_S)
-        if self._clock.boot_ms() - self._expired_since_ms < SNAPSHOT_WAIT_MS:
+    async def _bridge_gap(self, earliest: Offset) -> None:
+        """Get over records that expired before they were folded.
+
+        They are given up only once no instance is left that has them.
+        """
+        if self._skipped_to == self.position:
+            # More records have expired since others were skipped.
+            self.position = earliest
+            self._skipped_to = earliest
             return
-        # No instance is left that could write a newer snapshot. Changes that
-        # were acknowledged in the gap are lost; runs are found again by polling
-        # the runners.
         fields = {'position': self.position, 'earliest': earliest}
-        _log.error('records lost', extra=fields)
-        self.position = earliest
-        self._expired_since_ms = None
+        _log.warning('records missing', extra=fields)
+        self.caught_up = False
+        self.in_gap = True
+        self._notify_waiters()
+        watch = GapWatch(self._store, self._clock, self._latency, earliest)
+        await self._restore()
+        while self.position < watch.earliest and not watch.vacant:
+            await anyio.sleep(GAP_RETRY_S)
+            try:
+                await watch.look()
+            except LogUnavailableError as exc:
+                self._note_failure(exc)
+            await self._restore()
+        if self.position < watch.earliest:
+            # Changes that were acknowledged in the gap are lost; runs are
+            # found again by polling the runners.
+            fields['earliest'] = watch.earliest
+            _log.error('records lost', extra=fields)
+            self.position = watch.earliest
+            self._skipped_to = watch.earliest
+        self.in_gap = False
 
     def _note_failure(self, exc: LogUnavailableError) -> None:
         if not self._failing:
@@ -263,6 +303,7 @@
 
     def _note_read(self, began_ms: Millis, batch: Batch) -> None:
         self.reads += 1
+        self.history.note_read(batch)
         if self.reading_since_ms is None:
             _log.info('log reached', extra={'position': self.position})
             self.reading_since_ms = began_ms
@@ -313,16 +354,19 @@
         except Exception as exc:
             # Every instance skips the same record, so their states agree. An
             # instance that stopped here would stop again at every start.
-            self._note_fold_failure(record, exc)
-
-    def _note_fold_failure(self, record: Record, exc: Exception) -> None:
-        self.fold_failures += 1
-        kind = type(record).__name__
-        fields = {'offset': self.position, 'record': kind, 'error': repr(exc)}
-        _log.error('record not folded', extra=fields)
-        self.faults.note('record', kind, exc, {'offset': self.position})
+            self.fold_failures += 1
+            kind = type(record).__name__
+            fields = {'offset': self.position, 'record': kind}
+            _log.error(
+                'record not folded', extra={**fields, 'error': repr(exc)}
+            )
+            self.faults.note('record', kind, exc, {'offset': self.position})
 
     def _note_holder_record(self, record: Record) -> None:
         epoch = getattr(record, 'epoch', None)
         if epoch is not None and epoch >= self.cell.state.epoch:
             self.holder_seen_ms = self._clock.boot_ms()
+        if isinstance(record, SnapshotTaken):
+            self.history.note_snapshot(record.position, record.at_ms)
+            # Who skipped records goes on from the state of who claimed since.
+            self._outdated = self._skipped_to is not None
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -141,7 +141,12 @@
             tasks.start_soon(self._roster.run, tasks)
             tasks.start_soon(self._waves.run)
             tasks.start_soon(self._decide_repeatedly, tasks)
-            tasks.start_soon(snapshots.run, self._dependencies.follower, epoch)
+            tasks.start_soon(
+                snapshots.run,
+                self._dependencies.follower,
+                epoch,
+                self._context.journal,
+            )
             while self._context.may_act():
                 await anyio.sleep(CHECK_INTERVAL_S)
             tasks.cancel_scope.cancel()
--- a/packages/instance/swifthoist_instance/snapshotting.py
+++ b/packages/instance/swifthoist_instance/snapshotting.py
@@ -12,6 +12,7 @@
     SnapshotError,
 )
 from swifthoist_core.types import Epoch, Millis, Offset
+from swifthoist_engine.snapshot_records import SnapshotTaken
 from swifthoist_engine.snapshots import (
     HEAD_KEY,
     Head,
@@ -23,19 +24,27 @@
 )
 from swifthoist_instance.configuration import KeyedTopicReader
 from swifthoist_instance.follower import Follower
+from swifthoist_instance.journal import Journal
 from swifthoist_platform.store_records import parse_keyed_record
 
 SNAPSHOT_TOPIC = 'keyed.swifthoist.snapshot'
 """Topic of the chunks; the store keeps the newest record of each key."""
 
-PAUSE_SHARE = 0.2
-"""Pause between snapshots, as a share of the log's retention time. Several
-snapshots may fail before a record expires that none includes."""
+AGE_SHARE = 0.2
+"""Age at which a snapshot is replaced, as a share of the log's retention time.
+Several snapshots may fail before a record expires that none includes."""
 
-MAX_PAUSE_S = 60.0
+MAX_AGE_MS = 60_000
+
+BYTES_SHARE = 0.2
+"""The same as a share of the size beyond which the log drops records."""
+
+CHECK_INTERVAL_S = 0.05
+WRITE_RETRY_S = 0.5
 CHUNK_SHARE = 0.9
 """Maximum size of a chunk, as a share of the maximum size of a record."""
 
+DEFAULT_PART_BYTES = 200_000_000
 CALL_TIMEOUT_S = 2.0
 RETRY_S = 0.2
 LOAD_ATTEMPTS = 5
@@ -71,17 +80,23 @@
     """
 
     def __init__(
-        self, store: SnapshotStore, retention_ms: Millis, record_bytes: int
+        self,
+        store: SnapshotStore,
+        retention_ms: Millis,
+        record_bytes: int,
+        part_bytes: int = DEFAULT_PART_BYTES,
     ) -> None:
         """Keep snapshots in a store.
 
         :param store: the store.
         :param retention_ms: how long the log keeps records, in ms.
         :param record_bytes: maximum size of a record, in bytes.
+        :param part_bytes: size beyond which the log drops records, in bytes.
         """
         self.written = 0
         self._store = store
-        self._pause_s = min(retention_ms / 1_000 * PAUSE_SHARE, MAX_PAUSE_S)
+        self._max_age_ms = min(int(retention_ms * AGE_SHARE), MAX_AGE_MS)
+        self._max_bytes = int(part_bytes * BYTES_SHARE)
         self._max_chunk_bytes = int(record_bytes * CHUNK_SHARE)
         self._unsettled: _SentHead | None = None
 
@@ -126,31 +141,47 @@
             if position >= batch.end or not batch.records:
                 return position
 
-    async def run(self, follower: Follower, epoch: Epoch) -> None:
+    async def run(
+        self, follower: Follower, epoch: Epoch, journal: Journal | None = None
+    ) -> None:
         """Write snapshots during a tenure, until canceled.
 
+        One is written as soon as the newest one in the store is too old,
+        whoever wrote it, so that short tenures don't add up to a gap.
+
         :param follower: maintains the cell state.
         :param epoch: epoch of the tenure.
+        :param journal: tells other instances of snapshots; None tells nobody.
         """
         before = self.written
-        dropped = False
         while True:
-            await anyio.sleep(self._pause_s)
+            await anyio.sleep(CHECK_INTERVAL_S)
+            if not self._is_due(follower):
+                continue
             try:
-                await self._write(follower, epoch)
-                if not dropped and self.written >= before + 2:
-                    await self._drop_stale(epoch)
-                    dropped = True
+                await self._write(follower, epoch, journal)
             except _WRITE_ERRORS as exc:
                 _log.warning('snapshot not written', extra={'why': str(exc)})
+                await anyio.sleep(WRITE_RETRY_S)
+            if self.written == before + 2:
+                await self._drop_stale(epoch)
 
-    async def _write(self, follower: Follower, epoch: Epoch) -> None:
+    def _is_due(self, follower: Follower) -> bool:
+        return follower.history.needs_snapshot(
+            follower.time.now_ms(), self._max_age_ms, self._max_bytes
+        )
+
+    async def _write(
+        self, follower: Follower, epoch: Epoch, journal: Journal | None
+    ) -> None:
         if follower.cell.state.epoch != epoch:
             return
         await self._settle_head(epoch)
         # A tenure may continue the epoch of an earlier one, and must not
         # overwrite chunks that the head refers to, so the number of the
         # snapshot continues, too.
+        now_ms = follower.time.now_ms()
+        taken = SnapshotTaken(epoch, follower.position, now_ms)
         snapshot = take_snapshot(
             follower.cell.state,
             follower.position,
@@ -160,6 +191,9 @@
         for key, chunk in snapshot.chunks.items():
             await self._store.put(SNAPSHOT_TOPIC, key, chunk, CALL_TIMEOUT_S)
         await self._write_head(_SentHead(epoch, snapshot.head))
+        follower.note_own_snapshot(taken)
+        if journal is not None:
+            await journal.append([taken], CALL_TIMEOUT_S)
 
     async def _write_head(self, sent: _SentHead) -> None:
         self._unsettled = sent
@@ -194,6 +228,9 @@
 
         This happens one snapshot later than would be possible.
         """
-        contents, _ = await self._list()
-        for key in stale_chunks(contents, epoch):
-            await self._store.put(SNAPSHOT_TOPIC, key, b'', CALL_TIMEOUT_S)
+        try:
+            contents, _ = await self._list()
+            for key in stale_chunks(contents, epoch):
+                await self._store.put(SNAPSHOT_TOPIC, key, b'', CALL_TIMEOUT_S)
+        except _WRITE_ERRORS as exc:
+            _log.warning('old snapshot not dropped', extra={'why': str(exc)})
--- a/packages/instance/swifthoist_instance/tenure.py
+++ b/packages/instance/swifthoist_instance/tenure.py
@@ -66,6 +66,10 @@
 """How long a holder of an earlier generation is left in place, in ms, so that
 instances that start together don't replace one after the other."""
 
+SOUND_HOLD_MS = 10_000
+"""How long an instance held the cell that claims it as its next life for a second
+time without waiting for others, in ms: several times the time of a takeover."""
+
 TAKE_OVER_TIMEOUT_S = 0.35
 """Time for a claim that the holder asked for, in seconds."""
 
@@ -153,7 +157,8 @@
     def hold(self) -> Hold | None:
         """The tenure of this instance, or None if it may not act."""
         state = self._follower.cell.state
-        if state.holder != self._instance or state.epoch <= self._fenced:
+        deposed = state.epoch <= self._fenced or self._follower.in_gap
+        if state.holder != self._instance or deposed:
             self._hold = None
             return None
         if self._hold is None or self._hold.epoch != state.epoch:
@@ -245,7 +250,7 @@
         claim_ms += int(self._claim_delay_ms)
         holder = follower.cell.state.holder
         outdated_ms = self._outdated_since_ms(follower.cell.state)
-        if not holder or self._is_earlier_life(holder):
+        if not holder or self._may_continue(follower.cell.state):
             spread_ms = VACANT_CLAIM_JITTER_MS
         else:
             spread_ms = CLAIM_JITTER_MS
@@ -280,6 +285,18 @@
         node = node_of(self._instance)
         return bool(node) and node_of(holder) == node
 
+    def _may_continue(self, state: CellState) -> bool:
+        """Return whether this instance claims at once as its next life.
+
+        If it has just done so in vain, others claim first: what ended its
+        earlier lives may end this one, too.
+        """
+        held_ms = state.time_ms - state.claimed_ms
+        sound = held_ms >= SOUND_HOLD_MS
+        return self._is_earlier_life(state.holder) and (
+            sound or not self._is_earlier_life(state.former)
+        )
+
     async def _claim(self) -> None:
         self._jitter_ms = self._random.uniform(0, CLAIM_JITTER_MS)
         state = self._follower.cell.state
--- a/packages/platform/swifthoist_platform/boot.py
+++ b/packages/platform/swifthoist_platform/boot.py
@@ -15,6 +15,7 @@
 
 _MS_PER_S = 1_000
 _BYTES_PER_MBIT = 125_000
+_BYTES_PER_MB = 1_000_000
 
 
 class StoreSettings(NamedTuple):
@@ -24,12 +25,15 @@
     :ivar record_bytes: maximum size of a record, in bytes.
     :ivar call_bytes: maximum size of all records of a call, in bytes.
     :ivar keep_ms: retention time of records, in ms.
+    :ivar part_bytes: size of a partition beyond which it drops its oldest
+        records, in bytes.
     """
 
     address: str
     record_bytes: int
     call_bytes: int
     keep_ms: Millis
+    part_bytes: int
 
 
 class Bounds(NamedTuple):
@@ -172,6 +176,7 @@
         reader.integer(names.RECORD_BYTES, 262_144),
         reader.integer(names.CALL_BYTES, 2_097_152),
         int(reader.number(names.KEEP_S, 20) * _MS_PER_S),
+        int(reader.number(names.PART_MB, 200) * _BYTES_PER_MB),
     )
 
 
--- a/packages/platform/swifthoist_platform/store_records.py
+++ b/packages/platform/swifthoist_platform/store_records.py
@@ -21,11 +21,13 @@
     :ivar start: offset of the first of them.
     :ivar records: the records, in order.
     :ivar end: offset that the next record of the topic will get.
+    :ivar earliest: offset of the oldest record that is retained.
     """
 
     start: Offset
     records: tuple[bytes, ...]
     end: Offset
+    earliest: Offset = 0
 
 
 class KeyedRecord(NamedTuple):
@@ -60,7 +62,7 @@
     """
     if len(content) < _READ_HEADER.size:
         raise LogUnavailableError('truncated reply from the store')
-    end, _ = _READ_HEADER.unpack_from(content)
+    end, earliest = _READ_HEADER.unpack_from(content)
     records: list[bytes] = []
     position = _READ_HEADER.size
     while position < len(content):
@@ -72,7 +74,7 @@
         position += length
     if position > len(content):
         raise LogUnavailableError('truncated reply from the store')
-    return Batch(start, tuple(records), end)
+    return Batch(start, tuple(records), end, earliest)
 
 
 def parse_keyed_record(record: bytes) -> KeyedRecord | None:
--- a/tests/instance/fakes.py
+++ b/tests/instance/fakes.py
@@ -131,7 +131,7 @@
         records = stored.read(start)
         if records is None:
             raise LogExpiredError(stored.first)
-        return Batch(start, tuple(records), stored.end)
+        return Batch(start, tuple(records), stored.end, stored.first)
 
     async def newest(self, topic: str, timeout_s: float) -> KeyedListing:
         """List the newest record of each key."""
--- a/tests/instance/test_snapshotting.py
+++ b/tests/instance/test_snapshotting.py
@@ -31,6 +31,7 @@
 from tests.instance.fakes import FakeStore, LoopClock, run
 
 MAX_CHUNK_BYTES = 100
+JOB_ID = '00000000000000aa'
 
 
 def _make_scene() -> Scene:
@@ -102,6 +103,55 @@
 
         run(main)
 
+    def test_an_instance_with_a_gap_waits_while_another_has_the_state(
+        self,
+    ) -> None:
+        """It would answer that accepted jobs don't exist, and claim the cell."""
+
+        async def main() -> None:
+            store = FakeStore()
+            configure(store)
+            first = InstanceHarness('first', store)
+            second = InstanceHarness('second', store)
+            async with anyio.create_task_group() as tasks:
+                first.start(tasks, claims=True)
+                await anyio.sleep(1)
+                await first.call('POST', JOB_ID, JOB)
+                store.topic(CELL_TOPIC).forget(first.follower.position)
+                second.start(tasks, claims=True)
+                await anyio.sleep(30)
+                self.assertFalse(second.intake.ready)
+                self.assertIsNone(second.tenure.hold)
+                answer = await second.call('GET', JOB_ID, wait_s=1)
+                self.assertNotEqual(answer.status, 410)
+                with anyio.move_on_after(0.2):
+                    await first.snapshots.run(first.follower, first.epoch)
+                await anyio.sleep(2)
+                self.assertTrue(second.intake.ready)
+                answer = await second.call('GET', JOB_ID)
+                self.assertEqual(answer.status, 200)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
+    def test_short_tenures_write_snapshots(self) -> None:
+        """The first one of a tenure waited for a fifth of the retention time."""
+
+        async def main() -> None:
+            store = FakeStore()
+            snapshots = Snapshots(store, 20_000, 1_000)
+            follower = Follower(store, Cell(KEEP_MS), LoopClock())
+            written: list[int] = []
+            for _ in range(12):
+                with anyio.move_on_after(1.5):
+                    await snapshots.run(follower, 0)
+                written.append(snapshots.written)
+            self.assertEqual(written[0], 1)
+            self.assertGreaterEqual(written[-1], 12 * 1.5 // 4)
+            self.assertLessEqual(written[-1], 1 + 12 * 1.5 // 4)
+
+        run(main)
+
 
 class ContinuedTest(unittest.TestCase):
     """A term may continue the epoch of an earlier one."""
@@ -113,7 +163,7 @@
             store = FakeStore()
             snapshots = Snapshots(store, 1_000, 1_000)
             follower = Follower(store, Cell(KEEP_MS), LoopClock())
-            with anyio.move_on_after(0.3):
+            with anyio.move_on_after(0.15):
                 await snapshots.run(follower, 0)
             self.assertEqual(snapshots.written, 1)
             follower.cell.replace_state(_make_scene().cell.state)
