Query policies one by one, for as long as their service needs

What callers saw: jobs of a queue with advice never started where a call to the policy service takes 1 s (rule LOST): nine of twelve, for good.

Cause: the service takes the calls of a machine in turn; four calls at once waited there 3 s each, the fourth and then each one timed out while or before it was served, and was asked again behind the abandoned ones. The service worked at full rate and none of its answers was of use. The figures that the configuration states for a call were not read.

Change: one call at a time, for the step that would start next by the order of the decision; steps whose earlier answers were of no use come behind the others. The time to wait follows from the stated figures, what stands before the call and what answers take; a call that was given up still counts. While other steps wait, a query names as many runners as its step probably needs, those with room first.

--- a/packages/emulator/swifthoist_emulator/duties.py
+++ b/packages/emulator/swifthoist_emulator/duties.py
@@ -1,10 +1,12 @@
 """The emulated policy service and machine service."""
 
 import zlib
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 import anyio
 import msgspec
+from anyio.abc import TaskGroup
 
 from swifthoist_core.types import Millis, RunnerId
 from swifthoist_emulator.checker import InvariantChecker
@@ -23,6 +25,9 @@
 ADVICE_PER_RUNNER_S = 0.002
 """Additional time for each runner in the request, in seconds."""
 
+MAX_WAITING_CALLS = 32
+"""Number of calls of a machine that may wait for their turn."""
+
 UPKEEP_MS = 2_000
 """Duration of the upkeep of a machine, in ms."""
 
@@ -39,21 +44,82 @@
     return f'{step}@{runner}' if allowed else ''
 
 
-async def advise(request: Request) -> Response:
+async def advise(
+    request: Request,
+    base_s: float = ADVICE_BASE_S,
+    per_runner_s: float = ADVICE_PER_RUNNER_S,
+) -> Response:
     """Answer which runners may run a step.
 
     :param request: the request.
+    :param base_s: time for the call, in seconds.
+    :param per_runner_s: additional time for each runner in it, in seconds.
     :returns: the response.
     """
     body = request.document()
     step = body[names.STEP]
     runners = body[names.WORKERS]
-    await anyio.sleep(ADVICE_BASE_S + ADVICE_PER_RUNNER_S * len(runners))
+    await anyio.sleep(base_s + per_runner_s * len(runners))
     rows = [[runner, ticket_for(step, runner)] for runner in runners]
     allowed = [row for row in rows if row[1]]
     return answer_json(200, {names.ALLOWED: allowed, names.VALID_MS: VALID_MS})
 
 
+class PolicyService:
+    """A policy service that takes the calls of each machine in turn.
+
+    :ivar base_s: time for a call, in seconds.
+    :ivar per_runner_s: additional time for each runner in it, in seconds.
+    :ivar answered: number of calls answered.
+    """
+
+    def __init__(
+        self, tasks: TaskGroup, base_s: float, per_runner_s: float
+    ) -> None:
+        """Start without calls.
+
+        :param tasks: task group that answers the calls.
+        :param base_s: time for a call, in seconds.
+        :param per_runner_s: additional time for each runner in it, in seconds.
+        """
+        self.base_s = base_s
+        self.per_runner_s = per_runner_s
+        self.answered = 0
+        self._tasks = tasks
+        self._turns: dict[str, anyio.Lock] = defaultdict(anyio.Lock)
+
+    async def answer(self, request: Request) -> Response:
+        """Answer a call in its turn; it takes that if its caller has left, too.
+
+        :param request: the request.
+        :returns: the response.
+        """
+        turn = self._turns[request.headers.get('user-agent', '')]
+        if turn.statistics().tasks_waiting >= MAX_WAITING_CALLS:
+            return Response(429)
+        answered = anyio.Event()
+        responses: list[Response] = []
+        self._tasks.start_soon(
+            self._take_turn, turn, request, responses, answered
+        )
+        await answered.wait()
+        return responses[0]
+
+    async def _take_turn(
+        self,
+        turn: anyio.Lock,
+        request: Request,
+        responses: list[Response],
+        answered: anyio.Event,
+    ) -> None:
+        async with turn:
+            responses.append(
+                await advise(request, self.base_s, self.per_runner_s)
+            )
+        self.answered += 1
+        answered.set()
+
+
 class WaveOrder(msgspec.Struct):
     """A wave of upkeep that the operator requested.
 
--- a/packages/emulator/swifthoist_emulator/site.py
+++ b/packages/emulator/swifthoist_emulator/site.py
@@ -30,6 +30,8 @@
     :ivar slack: objective for the duration of a job, as a multiple of its
         critical path.
     :ivar needs_ticket: a policy decides which runners may run its steps.
+    :ivar query_ms: stated time of a call to the policy service, in ms, and
+        that for each runner in it.
     """
 
     name: str
@@ -38,6 +40,7 @@
     attempts: int = 3
     slack: float = 3.0
     needs_ticket: bool = False
+    query_ms: tuple[int, int] = (0, 0)
 
 
 class TeamSpec(NamedTuple):
@@ -141,7 +144,12 @@
         names.TARGET_LATENCY_MS: 500,
     }
     if line.needs_ticket:
-        route[names.ADVICE] = {names.VALID_MS: VALID_MS}
+        decision_ms, per_runner_ms = line.query_ms
+        route[names.ADVICE] = {
+            names.VALID_MS: VALID_MS,
+            names.DECISION_MS: decision_ms,
+            names.PER_WORKER_MS: per_runner_ms,
+        }
     return route
 
 
--- a/packages/emulator/swifthoist_emulator/world.py
+++ b/packages/emulator/swifthoist_emulator/world.py
@@ -10,7 +10,7 @@
 from swifthoist_core.clock import Clock
 from swifthoist_core.types import Millis, RunnerId, ZoneId
 from swifthoist_emulator.checker import InvariantChecker
-from swifthoist_emulator.duties import Machines, advise
+from swifthoist_emulator.duties import Machines, PolicyService, advise
 from swifthoist_emulator.faults import Faults
 from swifthoist_emulator.fleet import Fleet, Host, Place
 from swifthoist_emulator.http import Request, Response
@@ -53,6 +53,8 @@
     :ivar store: the store.
     :ivar machines: the machines that host the runners.
     :ivar store_address: address of the store.
+    :ivar policies: a policy service that takes calls in turn; None for one that
+        takes them at once.
     :ivar instances: what answers at the internal address of each instance, for
         simulations without a network.
     """
@@ -79,6 +81,7 @@
         )
         self._runner_calls = RunnerCalls(self.fleet, self.faults)
         self.instances: dict[str, Respond] = {}
+        self.policies: PolicyService | None = None
         self._version = 0
         self._evacuated: dict[ZoneId, Millis] = {}
         self.store_address = addresses[0]
@@ -156,6 +159,8 @@
     async def _answer_service(self, request: Request) -> Response:
         match request.path.removeprefix(names.ROOT):
             case names.ADVISE:
+                if self.policies is not None:
+                    return await self.policies.answer(request)
                 return await advise(request)
             case names.MACHINES_LIST:
                 return self.machines.list_all()
--- a/packages/engine/swifthoist_engine/catalogue.py
+++ b/packages/engine/swifthoist_engine/catalogue.py
@@ -14,9 +14,13 @@
     """Terms of a queue whose policy selects the runners allowed to run a step.
 
     :ivar valid_ms: how long a permission is valid, in ms.
+    :ivar decision_ms: time that the service needs for a query, in ms.
+    :ivar per_runner_ms: the same for each runner in the query, in ms.
     """
 
     valid_ms: Millis
+    decision_ms: float = 0
+    per_runner_ms: float = 0
 
 
 class Queue(NamedTuple):
--- a/packages/instance/swifthoist_instance/deciding.py
+++ b/packages/instance/swifthoist_instance/deciding.py
@@ -1,15 +1,15 @@
 """Makes the holder's decisions from the current state of this instance."""
 
+import functools
 import logging
 import random
 from collections.abc import Callable, Iterable, Sequence
 
-from anyio.abc import TaskGroup
-
 from swifthoist_core.types import RunnerId
 from swifthoist_engine.breakers import readmit_runners
+from swifthoist_engine.capacity import StepKey
 from swifthoist_engine.catalogue import Catalogue
-from swifthoist_engine.faults import FaultGuard, FaultSource
+from swifthoist_engine.faults import FaultGuard
 from swifthoist_engine.job_costs import JobCosts, LeftOutJobs
 from swifthoist_engine.model import SiteTerms
 from swifthoist_engine.occupancy import Occupancy
@@ -20,13 +20,10 @@
 from swifthoist_instance.cold_zones import ColdZones
 from swifthoist_instance.context import TenureContext
 from swifthoist_instance.faults import Quarantine
-from swifthoist_instance.policies import Policies
+from swifthoist_instance.policies import Policies, PolicyRequest
 from swifthoist_instance.roster import Roster
 from swifthoist_instance.waves import Waves
 
-MAX_ADVISED_RUNNERS = 30
-"""Maximum number of runners in one query; each one costs the service time."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -65,11 +62,10 @@
         self._breaker_lines = BreakerLines(context.cell)
         self._random = random.Random(context.epoch)
 
-    def decide(self, catalogue: Catalogue, tasks: TaskGroup) -> Decision:
+    def decide(self, catalogue: Catalogue) -> Decision:
         """Decide which runs to start and which to stop.
 
         :param catalogue: the configuration in force.
-        :param tasks: task group that runs the policy queries.
         :returns: the decision.
         """
         guard = FaultGuard()
@@ -100,37 +96,48 @@
         self._left_out.note(decision.costly, clock.boot_ms())
         if decision.costly:
             _log.warning('jobs costly', extra={'jobs': dict(decision.costly)})
-        self._ask_policies(
-            decision.awaiting_policy, world.runners, tasks, guard
-        )
+        self._request_permissions(decision.awaiting_policy, world)
         self._quarantine.note((*guard.faults, *decision.faults))
         return decision
 
-    def _ask_policies(
-        self,
-        awaiting_policy: Sequence[PendingUnit],
-        runners: Sequence[RunnerView],
-        tasks: TaskGroup,
-        guard: FaultGuard,
+    def _request_permissions(
+        self, awaiting_policy: Sequence[PendingUnit], world: DecisionInput
     ) -> None:
-        if not awaiting_policy:
-            return
-        # A new random order each time, so that every runner is asked about.
-        views = self._random.sample(runners, len(runners))
-        views.sort(key=lambda view: view.suspicion)
+        """Tell which steps wait for permissions, in the order of their start."""
+        requests: dict[StepKey, PolicyRequest] = {}
         for waiting in awaiting_policy:
-            with guard.isolate(FaultSource.JOB, waiting.unit.job):
-                names = _advisable(waiting, views)[:MAX_ADVISED_RUNNERS]
-                self._policies.ask(tasks, waiting.unit[:3], names)
+            job = world.cell.find_job(waiting.unit.job)
+            queue = job and world.catalogue.queue_named(job.spec.queue)
+            if queue and queue.advice:
+                step = waiting.unit[:3]
+                choose = functools.partial(self._choose, waiting, world)
+                needed = waiting.step.width
+                request = PolicyRequest(step, needed, queue.advice, choose)
+                requests.setdefault(step, request)
+        self._policies.request(tuple(requests.values()))
+
+    def _choose(
+        self, waiting: PendingUnit, world: DecisionInput
+    ) -> list[RunnerId]:
+        """Return the runners to ask about, those with room first."""
+        names = _advisable(waiting, world.runners)
+        # A new random order each time, so that every runner is asked about.
+        found = self._random.sample(names, len(names))
+        found.sort(key=lambda it: (self._is_full(it, waiting), it.suspicion))
+        return [view.runner for view in found]
+
+    def _is_full(self, view: RunnerView, waiting: PendingUnit) -> bool:
+        used = self._context.cell.runs.used_on(view.runner)
+        return not used.plus(waiting.step.allocated).fits(view.room)
 
 
 def _advisable(
     waiting: PendingUnit, views: Iterable[RunnerView]
-) -> list[RunnerId]:
+) -> list[RunnerView]:
     """Return the runners that a policy may be asked about."""
     label = waiting.step.label
     return [
-        view.runner
+        view
         for view in views
         if view.open
         and view.service == waiting.terms.service
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -4,7 +4,6 @@
 from collections import deque
 
 import anyio
-from anyio.abc import TaskGroup
 
 from swifthoist_engine.hang_detector import HangDetector
 from swifthoist_engine.jobs import OpenRun
@@ -140,7 +139,8 @@
             tasks.start_soon(self._write_lines)
             tasks.start_soon(self._roster.run, tasks)
             tasks.start_soon(self._waves.run)
-            tasks.start_soon(self._decide_repeatedly, tasks)
+            tasks.start_soon(self._policies.run)
+            tasks.start_soon(self._decide_repeatedly)
             tasks.start_soon(
                 snapshots.run,
                 self._dependencies.follower,
@@ -176,7 +176,7 @@
         finally:
             self._context.lines.flush(everything=True)
 
-    async def _decide_repeatedly(self, tasks: TaskGroup) -> None:
+    async def _decide_repeatedly(self) -> None:
         await self._registry.loaded.wait()
         while True:
             await self._context.wake.wait(MAX_DECISION_INTERVAL_S)
@@ -185,7 +185,7 @@
             if catalogue is None or not await self._own_records.settle():
                 continue
             began_ms = self._dependencies.clock.boot_ms()
-            decision = self._decider.decide(catalogue, tasks)
+            decision = self._decider.decide(catalogue)
             took_ms = self._dependencies.clock.boot_ms() - began_ms
             self._dependencies.turns.note_decision(took_ms)
             await self._apply_decision(decision)
--- a/packages/platform/swifthoist_platform/documents.py
+++ b/packages/platform/swifthoist_platform/documents.py
@@ -262,8 +262,12 @@
     )
     advice = None
     if reader.has(names.ADVICE):
-        valid_ms = reader.nested(names.ADVICE).integer(names.VALID_MS, 1_000)
-        advice = AdviceTerms(valid_ms)
+        policy = reader.nested(names.ADVICE)
+        advice = AdviceTerms(
+            policy.integer(names.VALID_MS, 1_000),
+            max(policy.number(names.DECISION_MS, 0), 0),
+            max(policy.number(names.PER_WORKER_MS, 0), 0),
+        )
     return Queue(
         name=reader.string(names.NAME),
         host=reader.string(names.HOST).lower(),
