Don't decide anew for a step that no runner can be asked about

A query without runners woke the planner, which requested it again at once: one decision after the other.

--- a/packages/instance/swifthoist_instance/policies.py
+++ b/packages/instance/swifthoist_instance/policies.py
@@ -140,7 +140,6 @@
                 self._requested = anyio.Event()
             else:
                 await self._ask(request)
-                self._wake.notify()
 
     def _next_request(self) -> PolicyRequest | None:
         """Return the step to ask about now.
@@ -162,7 +161,8 @@
             return MAX_ADVISED_RUNNERS
         needed = (request.runners + SPARE_RUNNERS) / self._allowed_share
         least = max(math.ceil(needed), MIN_ADVISED_RUNNERS)
-        return min(least << self._answers[request.step], MAX_ADVISED_RUNNERS)
+        more = least * (1 + self._answers[request.step])
+        return min(more, MAX_ADVISED_RUNNERS)
 
     async def _ask(self, request: PolicyRequest) -> None:
         runners = request.choose()[: self._count(request)]
@@ -212,3 +212,4 @@
             'slowness': round(self._turns.slowness, 2),
         }
         _log.info('policy', extra=fields)
+        self._wake.notify()
