--- a/packages/instance/swifthoist_instance/deciding.py
+++ b/packages/instance/swifthoist_instance/deciding.py
@@ -149,7 +149,7 @@
     """Return the terms of the policy that a unit waits for."""
     job = world.cell.find_job(waiting.unit.job)
     queue = job and world.catalogue.queue_named(job.spec.queue)
-    return queue and queue.advice or AdviceTerms(0)
+    return (queue and queue.advice) or AdviceTerms(0)
 
 
 def _advisable(
--- a/tests/instance/test_unconfirmed.py
+++ b/tests/instance/test_unconfirmed.py
@@ -224,7 +224,7 @@
             async with anyio.create_task_group() as tasks:
                 context = await _hold(store, tasks)
                 term = _make_term(context, roster)
-                tasks.start_soon(term._decide_repeatedly, tasks)
+                tasks.start_soon(term._decide_repeatedly)
                 await anyio.sleep(1)
                 store.muted_by = Vanished
                 await _record_start(context, 'r')
