Decode no more steps of a job than its record can hold

Callers saw: one legal body of 262,144 bytes with 130,992 wrong steps took the loop for 1.6 s and an answer with a line for each; three jobs of 87,000 empty steps were accepted and filled both instances. Cause: each row was decoded and checked, whatever their number, and each problem was listed. A job of 87,000 steps needs a record of 1.9 MB, where the store takes 262,144 bytes, so nothing far over 10,000 steps can be stored. Change: a job of over 10,000 steps is one finding, told before its rows are decoded; an answer lists 100 problems and counts the rest; the log line of an accepted job shows its first 16 steps.

--- a/packages/engine/swifthoist_engine/job_checks.py
+++ b/packages/engine/swifthoist_engine/job_checks.py
@@ -15,6 +15,10 @@
 """Most tasks of a job over all its occurrences."""
 
 
+MAX_STEPS = 10_000
+"""Most steps of a job: their record is then no larger than the store takes."""
+
+
 def check_job(
     steps: Sequence[StepSpec], payload: str, times: int
 ) -> list[Finding]:
@@ -25,6 +29,8 @@
     :param times: number of times its steps run.
     :returns: all problems that were found.
     """
+    if len(steps) > MAX_STEPS:
+        return [too_many_steps(len(steps))]
     findings: list[Finding] = []
     if not steps:
         findings.append(Finding('steps', 'are missing'))
@@ -41,6 +47,15 @@
     return findings
 
 
+def too_many_steps(count: int) -> Finding:
+    """Describe a job that has more steps than are decoded and checked.
+
+    :param count: number of its steps.
+    :returns: the problem.
+    """
+    return Finding('steps', f'are {count}, over {MAX_STEPS}')
+
+
 def _check_step(number: int, step: StepSpec) -> Iterator[Finding]:
     path = f'steps[{number}]'
     if any(not 0 <= before < number for before in step.depends_on):
--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -76,6 +76,10 @@
 """Maximum random addition to Retry-After, in seconds, so that refused callers
 do not all retry at once."""
 
+MAX_LOGGED_STEPS = 16
+"""Most steps of a job that are logged when it is accepted, and most
+dependencies of each."""
+
 _REJECTIONS = frozenset((BAD_REQUEST, UNAUTHORIZED, NOT_FOUND, CONFLICT))
 """Answers that blame the call; others log why they are given."""
 
@@ -390,8 +394,9 @@
                 'need': step.need,
                 'estimate_ms': step.estimate_ms,
                 'gang': step.gang,
-                'after': step.depends_on,
+                'after': step.depends_on[:MAX_LOGGED_STEPS],
             }
-            for step in spec.steps
+            for step in spec.steps[:MAX_LOGGED_STEPS]
         ],
+        'step_count': len(spec.steps),
     }
--- a/packages/platform/swifthoist_platform/job_calls.py
+++ b/packages/platform/swifthoist_platform/job_calls.py
@@ -7,11 +7,18 @@
 import msgspec
 
 from swifthoist_core.errors import Finding
-from swifthoist_engine.job_checks import check_job
+from swifthoist_engine.job_checks import (
+    MAX_STEPS,
+    check_job,
+    too_many_steps,
+)
 from swifthoist_engine.model import Resources, Schedule, StepSpec
 from swifthoist_platform import names
 from swifthoist_platform.values import DocumentReader, read_json
 
+MAX_LISTED_FINDINGS = 100
+"""Most problems of a request that its answer lists."""
+
 _KEY_SCHEME = 'token '
 _JOB_ID = re.compile('[0-9a-fA-F]{16}')
 
@@ -84,6 +91,9 @@
     :returns: the job, or all its problems.
     """
     reader = read_json(content)
+    count = len(reader.array(names.STEPS))
+    if count > MAX_STEPS:
+        return DecodedJob(None, (too_many_steps(count),))
     steps = reader.decode_each(names.STEPS, _decode_step)
     payload = reader.string(names.SPEC)
     occurrences = reader.integer(names.REPEAT_COUNT)
@@ -125,9 +135,13 @@
     """Encode the answer to an invalid request.
 
     :param findings: all problems of the request.
-    :returns: the body.
+    :returns: the body, with the number of those that it does not list.
     """
-    return msgspec.json.encode({names.ERROR: [str(item) for item in findings]})
+    listed = [str(item) for item in findings[:MAX_LISTED_FINDINGS]]
+    left = len(findings) - len(listed)
+    if left:
+        listed.append(f'{left} more problems')
+    return msgspec.json.encode({names.ERROR: listed})
 
 
 def _decode_step(reader: DocumentReader) -> StepSpec:
--- /dev/null
+++ b/tests/system/test_misbehaving_clients.py
@@ -0,0 +1,197 @@
+"""Tests of clients that keep to no limit, on real processes.
+
+Each crowd stays connected while the process is checked: it lives, its memory
+and descriptors stay within its settings, and an ordinary job is served.
+"""
+
+import contextlib
+import os
+import re
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import anyio
+import httpx
+import msgspec
+
+from swifthoist_emulator.callers import Caller
+from swifthoist_emulator.crowds import Crowd, Visit, chunk_of, head_of
+from swifthoist_emulator.lives import StepWork
+from swifthoist_emulator.site import HOST
+from swifthoist_emulator.stage import Instance, Stage
+from swifthoist_platform import names
+from tests.system.stage import StageCase
+
+MEMORY_MB = 80
+MAX_FDS = 300
+MAX_BODY = 262_144
+
+PATIENCE_S = 20.0
+"""How long a crowd tries to send, in seconds."""
+
+HOLD_S = 4.0
+"""How long it stays before the process is checked, in seconds."""
+
+SMALL = StepWork(300, (4_000, 8_000, 1))
+JOB_PATH = '/bulk/00000000000000ff'
+CHUNKED = 'Transfer-Encoding: chunked'
+
+
+def _lower_limits(stage: Stage) -> None:
+    for instance in stage.instances:
+        document = msgspec.json.decode(instance.settings.read_bytes())
+        document[names.LIMITS].update(
+            {'MemoryMb': MEMORY_MB, 'MaxFds': MAX_FDS}
+        )
+        instance.settings.write_bytes(msgspec.json.encode(document))
+
+
+def _pid(instance: Instance) -> int:
+    assert instance.popen is not None
+    return instance.popen.pid
+
+
+def _peak_bytes(instance: Instance) -> int:
+    status = Path(f'/proc/{_pid(instance)}/status').read_text()
+    found = re.search(r'VmHWM:\s+(\d+) kB', status)
+    assert found is not None
+    return int(found[1]) * 1_024
+
+
+def _open_files(instance: Instance) -> int:
+    return len(os.listdir(f'/proc/{_pid(instance)}/fd'))
+
+
+def _submission(*lines: str) -> bytes:
+    return head_of('POST', JOB_PATH, 'key-red', *lines)
+
+
+def _padded(size: int) -> bytes:
+    """Return a valid job whose body has a size."""
+    step = {names.COUNT: 1, names.CPU: 1_000, names.MEM_MB: 10}
+    body = msgspec.json.encode({names.SPEC: 'x', names.STEPS: [step]})
+    return body[:-1] + b' ' * (size - len(body)) + b'}'
+
+
+def _steps_body(step: bytes, size: int) -> bytes:
+    """Return a body that repeats a step up to a size."""
+    count = (size - 30) // (len(step) + 1)
+    return b'{"%s":[%s]}' % (names.STEPS.encode(), b','.join((step,) * count))
+
+
+class _Case(StageCase):
+    """A crowd at one instance of two."""
+
+    @contextlib.asynccontextmanager
+    async def crowd(
+        self, address: str, visit: Visit, count: int
+    ) -> AsyncIterator[Crowd]:
+        """Have a crowd send what it can, and stay."""
+        crowd = Crowd(address, visit, count)
+        await crowd.press(PATIENCE_S)
+        await anyio.sleep(HOLD_S)
+        try:
+            yield crowd
+        finally:
+            await crowd.leave()
+
+    async def check_alive(self, stage: Stage) -> None:
+        """Check every process, and that the first one serves a job."""
+        first = stage.instances[0]
+        caller = Caller([first.callers], stage.world.checker)
+        order = stage.order('/batch/', SMALL)
+        self.assertEqual(await caller.submit(order), 200)
+        await caller.close()
+        await stage.wait_state(order, 'complete')
+        for instance in stage.instances:
+            assert instance.popen is not None
+            self.assertIsNone(instance.popen.poll())
+            self.assertLessEqual(
+                _peak_bytes(instance), MEMORY_MB * 1_000_000, instance.name
+            )
+            self.assertLessEqual(_open_files(instance), MAX_FDS)
+
+    def check_crowd(
+        self, visit: Visit, count: int, *, internal: bool = False
+    ) -> None:
+        """Check the processes beside a crowd at the first one."""
+
+        async def scenario(stage: Stage) -> None:
+            first = stage.instances[0]
+            address = first.internal if internal else first.callers
+            async with self.crowd(address, visit, count):
+                await self.check_alive(stage)
+
+        self.run_scenario(scenario, instances=2, prepare=_lower_limits)
+
+
+class WholeJobTest(_Case):
+    """Whole bodies of legal size that cost far more than ordinary ones."""
+
+    def test_jobs_of_empty_steps(self) -> None:
+        """Three such jobs filled the memory of every instance."""
+        body = _steps_body(b'{}', MAX_BODY)
+        self._check_jobs(body, 3)
+
+    def test_bodies_of_wrong_steps(self) -> None:
+        """Each row was a finding in the answer."""
+        body = _steps_body(b'1', MAX_BODY)
+        head = _submission(f'Content-Length: {len(body)}')
+        self.check_crowd(Visit(head, body), 30)
+
+    def _check_jobs(self, body: bytes, count: int) -> None:
+        async def scenario(stage: Stage) -> None:
+            callers = stage.instances[0].callers
+            async with httpx.AsyncClient(trust_env=False) as http:
+                for number in range(count):
+                    await self._submit(http, callers, number, body)
+            await self.check_alive(stage)
+
+        self.run_scenario(scenario, instances=2, prepare=_lower_limits)
+
+    async def _submit(
+        self, http: httpx.AsyncClient, address: str, number: int, body: bytes
+    ) -> None:
+        with contextlib.suppress(httpx.HTTPError):
+            await http.post(
+                f'http://{address}/bulk/{number + 0xF000:016x}',
+                content=body,
+                headers={
+                    'Host': HOST,
+                    names.AUTHORIZATION: 'Token key-red',
+                },
+                timeout=PATIENCE_S,
+            )
+
+
+def _split(content: bytes, size: int) -> list[bytes]:
+    starts = range(0, len(content), size)
+    return [content[start : start + size] for start in starts]
+
+
+def _chunked(pieces: list[bytes]) -> bytes:
+    return b''.join(map(chunk_of, pieces)) + b'0\r\n\r\n'
+
+
+async def _first_line(address: str, sent: bytes) -> bytes:
+    """Send a request, and return the first line of the final answer.
+
+    Nothing is returned if there is no answer within some time.
+    """
+    host, _, port = address.rpartition(':')
+    found = b''
+    with anyio.move_on_after(PATIENCE_S), contextlib.suppress(Exception):
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(sent)
+            while not _final_line(found):
+                found += await stream.receive()
+    return _final_line(found) or found
+
+
+def _final_line(received: bytes) -> bytes:
+    """Return the first line of an answer that is not an interim one."""
+    for head in received.split(b'\r\n\r\n')[:-1]:
+        line = head.split(b'\r\n')[0]
+        if not line.startswith(b'HTTP/1.1 100'):
+            return line
+    return b''
