Keep descriptors free beside any number of connections

Callers saw: beside 500 silent, idle or half-written connections at a process of 300 descriptors neither readiness nor an ordinary job was answered. Cause: every connection was accepted, and each was kept for 30 s or for ever; accept then failed for want of a descriptor, at all addresses and for the store. A client that sent many pieces before it was refused kept its task for ever, since the server library put the end of the stream into a full queue. Change: the instance accepts connections itself, as many per address as memory and descriptors of the settings allow; hypercorn still speaks HTTP/1.1. At the limit the connection of least use is closed: one that only drops data, then the longest idle, then the longest unfinished request; what is being served stays. A head has 10 s, an answer 10 s to be taken. What is unread stays in the kernel, in a receive buffer of 16 KB. Behind an early answer data is dropped for 2 s, so that the answer is not lost to a reset. HTTP/2 and upgrades to it are not spoken any more. Which connection is closed is decided by code that runs without a network.

--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -30,11 +30,14 @@
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.jsonlogs import BoundedHandler
 from swifthoist_instance.learned import LearnedView
+from swifthoist_instance.limits import Limits, limits_of
+from swifthoist_instance.listening import Door, Listening
 from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.open_calls import OpenCalls
 from swifthoist_instance.peers import LIFE_SEPARATOR, Peers
 from swifthoist_instance.recording import Recorder
+from swifthoist_instance.refusals import Refusals
 from swifthoist_instance.registry import Registry
 from swifthoist_instance.settings import Settings
 from swifthoist_instance.snapshotting import Snapshots
@@ -43,7 +46,7 @@
 from swifthoist_instance.tenure import Tenure, claim_delay_ms
 from swifthoist_instance.turns import LoopMonitor
 from swifthoist_instance.unusable_entries import UnusableEntries
-from swifthoist_instance.web import ShutdownState, Web, serve_web
+from swifthoist_instance.web import ShutdownState, Web
 from swifthoist_platform.endpoint import EndpointProtocol
 
 DEREGISTRATION_S = 2.5
@@ -230,12 +233,9 @@
         )
         metrics.register('log_reads', lambda: self._follower.reads)
         metrics.register('snapshots_written', lambda: snapshots.written)
-        journals = (self._journal, self._call_journal)
-        metrics.register('appends', lambda: sum(it.appends for it in journals))
-        metrics.register(
-            'appends_repeated', lambda: sum(it.repeats for it in journals)
-        )
         self._register_store_metrics(metrics)
+        refusals = Refusals(clock)
+        metrics.register_all(refusals.counts)
         metrics.register('epoch', lambda: self._follower.cell.state.epoch)
         metrics.register('faults', lambda: self.faults.count)
         metrics.register('set_aside', lambda: len(self._quarantine))
@@ -278,21 +278,28 @@
             self.faults,
             turns,
         )
+        self._listening = Listening(self.web, refusals)
+        self._listening.register(metrics)
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then shut down gracefully."""
         _log.info('start', extra={'life': self._life, 'pid': os.getpid()})
         stopped = anyio.Event()
         boot = self._settings.boot
-        addresses = [boot.callers_address, boot.ready_address]
+        doors = [
+            Door(boot.callers_address, lambda: self._limits().callers),
+            Door(boot.ready_address, lambda: self._limits().ready),
+        ]
         if boot.internal_address:
-            addresses.append(boot.internal_address)
+            doors.append(
+                Door(boot.internal_address, lambda: self._limits().internal)
+            )
         async with anyio.create_task_group() as tasks:
             for name, func in self.background_tasks():
                 tasks.start_soon(run_supervised, name, func)
             tasks.start_soon(self._watch_signals, stopped, tasks)
             served = anyio.Event()
-            tasks.start_soon(self._serve, addresses, stopped, served)
+            tasks.start_soon(self._serve, doors, stopped, served)
             await served.wait()
             tasks.cancel_scope.cancel()
         _log.info('stop', extra={'life': self._life})
@@ -314,11 +321,11 @@
 
     async def _serve(
         self,
-        addresses: list[str],
+        doors: list[Door],
         stopped: anyio.Event,
         served: anyio.Event,
     ) -> None:
-        await serve_web(self.web, addresses, stopped)
+        await self._listening.run(doors, stopped)
         served.set()
 
     async def _watch_signals(
@@ -372,6 +379,11 @@
     def _register_store_metrics(self, metrics: Metrics) -> None:
         latency = self._latency
         counts = self._peers.counts
+        journals = (self._journal, self._call_journal)
+        metrics.register('appends', lambda: sum(it.appends for it in journals))
+        metrics.register(
+            'appends_repeated', lambda: sum(it.repeats for it in journals)
+        )
         metrics.register('store_answer_ms', lambda: latency.answer_s * 1_000)
         metrics.register('store_slow_ms', lambda: latency.slow_ms)
         metrics.register('calls_passed_on', lambda: counts.served)
@@ -380,6 +392,9 @@
             'cell_handed_over', lambda: self._hand_over.handed_over
         )
 
+    def _limits(self) -> Limits:
+        return limits_of(self._settings.boot)
+
     def _revocation_ms(self) -> Millis:
         return self._settings.boot.bounds.revocation_ms
 
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -1,16 +1,16 @@
 """HTTP server of an instance: callers, operators, readiness and metrics."""
 
 import logging
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, TypeAlias
 from urllib.parse import parse_qs
 
 import anyio
 import msgspec
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
 from swifthoist_instance.api import Api
+from swifthoist_instance.connections import Phase
+from swifthoist_instance.conversations import CONNECTION_KEY
 from swifthoist_instance.faults import Faults
 from swifthoist_instance.intake import DEFAULT_WAIT_S, Intake
 from swifthoist_instance.messages import (
@@ -37,11 +37,6 @@
 
 METRICS_PATH = '/metrics'
 
-BACKLOG = 1_024
-KEEP_ALIVE_S = 30.0
-GRACEFUL_TIMEOUT_S = 1.0
-"""Time for connections to close after the last response, in seconds."""
-
 LAST_ANSWER_S = 0.2
 """Time to send the answer to a call that is cut off by the end of the server,
 in seconds."""
@@ -172,6 +167,7 @@
         content = await _read_body(receive)
         if content is None:
             return Answer(TOO_LARGE)
+        _enter_serving(scope)
         query = scope['query_string'].decode('latin-1')
         sent = Sent(_headers(scope), content)
         return await self.answer_internal(
@@ -202,6 +198,7 @@
         content = await _read_body(receive)
         if content is None:
             return Answer(TOO_LARGE)
+        _enter_serving(scope)
         sent = Sent(_headers(scope), content)
         call = self._to_call(scope['method'], scope['path'], sent)
         answer = await self.intake.answer(call)
@@ -222,24 +219,11 @@
         )
 
 
-async def serve_web(
-    app: Web, addresses: Iterable[str], stopped: anyio.Event
-) -> None:
-    """Serve until stopped, then let requests in progress finish.
-
-    :param app: the application.
-    :param addresses: addresses to listen on, each ``host:port``.
-    :param stopped: event that stops the server.
-    """
-    cfg = Config()
-    cfg.bind = list(addresses)
-    cfg.backlog = BACKLOG
-    cfg.keep_alive_timeout = KEEP_ALIVE_S
-    cfg.graceful_timeout = GRACEFUL_TIMEOUT_S
-    cfg.include_server_header = False
-    cfg.accesslog = None
-    cfg.errorlog = None
-    await serve(app, cfg, shutdown_trigger=stopped.wait)  # type: ignore[arg-type]
+def _enter_serving(scope: Scope) -> None:
+    """Note that the connection has a whole request, which is to be served."""
+    connection = scope.get('state', {}).get(CONNECTION_KEY)
+    if connection is not None:
+        connection.enter(Phase.SERVING, anyio.current_time())
 
 
 async def _read_body(receive: Receive) -> bytes | None:
--- a/packages/platform/swifthoist_platform/boot.py
+++ b/packages/platform/swifthoist_platform/boot.py
@@ -91,6 +91,8 @@
     :ivar beat_ms: interval of the runners' heartbeats, in ms.
     :ivar cores: processor capacity, in cores of standard speed.
     :ivar link_bytes_s: bandwidth of the machine's link, in bytes per second.
+    :ivar memory_bytes: memory beyond which the process is killed, in bytes.
+    :ivar max_descriptors: most descriptors that the process may open.
     """
 
     instance: InstanceId
@@ -106,6 +108,8 @@
     beat_ms: Millis
     cores: float
     link_bytes_s: float
+    memory_bytes: int
+    max_descriptors: int
 
     @property
     def internal_address(self) -> str:
@@ -154,6 +158,8 @@
         beat_ms=reader.integer(names.HEARTBEAT_MS, 1_500),
         cores=limits.number(names.CPU_SHARE, 1) * limits.number(names.CORES, 1),
         link_bytes_s=_link_bandwidth(limits),
+        memory_bytes=(limits.integer(names.MEMORY_MB) or 300) * _BYTES_PER_MB,
+        max_descriptors=limits.integer(names.MAX_FDS) or 4_100,
     )
     raise_findings('settings file', reader.findings)
     return boot
--- a/tests/system/test_misbehaving_clients.py
+++ b/tests/system/test_misbehaving_clients.py
@@ -7,6 +7,7 @@
 import contextlib
 import os
 import re
+import resource
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -18,7 +19,7 @@
 from swifthoist_emulator.crowds import Crowd, Visit, chunk_of, head_of
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.site import HOST
-from swifthoist_emulator.stage import Instance, Stage
+from swifthoist_emulator.stage import READY_PATH, Instance, Stage
 from swifthoist_platform import names
 from tests.system.stage import StageCase
 
@@ -164,6 +165,88 @@
             )
 
 
+class ConnectionTest(_Case):
+    """More connections than the process has descriptors."""
+
+    def test_silent_connections(self) -> None:
+        """They took every descriptor, and readiness failed beside them."""
+        self._check_descriptors(Visit(b''))
+
+    def test_heads_that_do_not_end(self) -> None:
+        """They did the same, with some bytes each."""
+        head = b'POST /bulk/1 HTTP/1.1\r\nHost: a\r\nX-Long: '
+        self._check_descriptors(Visit(head, b'y' * 1_000, 8))
+
+    def test_idle_connections(self) -> None:
+        """A request was served on each of them."""
+        self._check_descriptors(Visit(head_of('GET', '/bulk/', 'key-red')))
+
+    def _check_descriptors(self, visit: Visit) -> None:
+        async def scenario(stage: Stage) -> None:
+            first = stage.instances[0]
+            limit = (MAX_FDS, MAX_FDS)
+            resource.prlimit(_pid(first), resource.RLIMIT_NOFILE, limit)
+            async with self.crowd(first.callers, visit, 500):
+                async with httpx.AsyncClient(trust_env=False) as http:
+                    url = f'http://{first.ready}{READY_PATH}'
+                    reply = await http.get(url)
+                self.assertEqual(reply.status_code, 200)
+                await self.check_alive(stage)
+
+        self.run_scenario(scenario, instances=2, prepare=_lower_limits)
+
+
+class RefusalTest(_Case):
+    """What is refused by its head, and what is not."""
+
+    def test_one_request_inside_the_limits_is_served(self) -> None:
+        """A limit must not refuse what the pages allow."""
+
+        async def scenario(stage: Stage) -> None:
+            address = stage.instances[0].callers
+            whole = _padded(MAX_BODY)
+            small = _padded(500)
+            pieces = [
+                whole[at : at + 9_000] for at in range(0, MAX_BODY, 9_000)
+            ]
+            bodies = [
+                (f'Content-Length: {MAX_BODY}', whole),
+                (CHUNKED, _chunked(pieces)),
+                (CHUNKED, _chunked(_split(small, 1))),
+                ('Content-Length: 500\r\nExpect: 100-continue', small),
+            ]
+            for number, (line, body) in enumerate(bodies):
+                path = f'/bulk/{number + 0xFF00:016x}'
+                with self.subTest(line=line, size=len(body)):
+                    head = head_of('POST', path, 'key-red', line)
+                    found = await _first_line(address, head + body)
+                    self.assertIn(b' 200 ', found)
+
+        self.run_scenario(scenario, instances=1, prepare=_lower_limits)
+
+    def test_no_other_protocol_is_spoken(self) -> None:
+        """HTTP/2 has streams and windows of its own, outside the limits."""
+
+        async def scenario(stage: Stage) -> None:
+            address = stage.instances[0].callers
+            settings_frame = b'\0\0\0\4\0\0\0\0\0'
+            preface = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n' + settings_frame
+            found = await _first_line(address, preface)
+            self.assertFalse(found.startswith(b'\0\0'), found)
+            for line in (
+                'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+                'HTTP2-Settings: AAMAAABkAAQCAAAAAAIAAAAA',
+                'Connection: Upgrade\r\nUpgrade: websocket\r\n'
+                'Sec-WebSocket-Version: 13\r\n'
+                'Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==',
+            ):
+                head = head_of('GET', '/bulk/', 'key-red', line)
+                found = await _first_line(address, head)
+                self.assertNotIn(b' 101 ', found)
+
+        self.run_scenario(scenario, instances=1, prepare=_lower_limits)
+
+
 def _split(content: bytes, size: int) -> list[bytes]:
     starts = range(0, len(content), size)
     return [content[start : start + size] for start in starts]
