Bound the bodies of requests by size, memory and time

Callers saw: crowds of bodies that are announced, sent or dripped far over the limit, or that stop just short of their end, took a process beyond its memory; a 404, a 401 and a length over the limit were told only behind the body. Cause: each body was read up to 4 MB, sixteen times what the configuration allows, as a list of its pieces, and waited for as long as its connection was open; no sum over all connections was kept. Change: host, route, key and announced length are judged before the body is read, and a body without a length meets the limit while it arrives. All large bodies (over 16 KB) share a part of the memory of the settings; when the next piece doesn't fit, the body that has come at the lowest rate is given up with 503, unless it is whole. A body is waited for as long as its caller waits, 20 s at most. Pieces go into one buffer; beyond 64 of them they take turns with other requests. A body over the limit is now 413 everywhere (400 before, or 413 over 4 MB). All of it holds at the internal address, too; bodies there are bounded like those of callers, not by 4 MB. What is given up is decided by code that runs without a network.

--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -24,6 +24,7 @@
 from swifthoist_instance.evacuations import ZoneGate
 from swifthoist_instance.faults import Faults, Quarantine
 from swifthoist_instance.follower import READ_PAUSE_S, Follower
+from swifthoist_instance.guard import create_guard
 from swifthoist_instance.hand_over import HandOverWatch
 from swifthoist_instance.holding import Holding
 from swifthoist_instance.intake import Intake
@@ -37,7 +38,6 @@
 from swifthoist_instance.open_calls import OpenCalls
 from swifthoist_instance.peers import LIFE_SEPARATOR, Peers
 from swifthoist_instance.recording import Recorder
-from swifthoist_instance.refusals import Refusals
 from swifthoist_instance.registry import Registry
 from swifthoist_instance.settings import Settings
 from swifthoist_instance.snapshotting import Snapshots
@@ -216,6 +216,11 @@
                 self._crashes,
             )
         )
+        guard = create_guard(
+            lambda: limits_of(settings.boot),
+            lambda: self._follower.cell,
+            clock,
+        )
         intake = Intake(
             self._configuration,
             self._follower,
@@ -234,8 +239,7 @@
         metrics.register('log_reads', lambda: self._follower.reads)
         metrics.register('snapshots_written', lambda: snapshots.written)
         self._register_store_metrics(metrics)
-        refusals = Refusals(clock)
-        metrics.register_all(refusals.counts)
+        guard.register(metrics)
         metrics.register('epoch', lambda: self._follower.cell.state.epoch)
         metrics.register('faults', lambda: self.faults.count)
         metrics.register('set_aside', lambda: len(self._quarantine))
@@ -277,8 +281,10 @@
             self.tenure,
             self.faults,
             turns,
+            guard.bodies,
+            guard.refusals,
         )
-        self._listening = Listening(self.web, refusals)
+        self._listening = Listening(self.web, guard.refusals)
         self._listening.register(metrics)
 
     async def run(self) -> None:
--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -10,17 +10,18 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import NamedTuple
 
 import anyio
 
 from swifthoist_core.errors import Finding, OutcomeUnknownError
 from swifthoist_core.types import JobId, Millis
-from swifthoist_engine.catalogue import Queue
+from swifthoist_engine.catalogue import Catalogue, Queue
+from swifthoist_engine.cell import Cell
 from swifthoist_engine.demand import count_waiting
 from swifthoist_engine.jobs import Job
 from swifthoist_engine.model import JobSpec
 from swifthoist_engine.records import Canceled, Record, Submitted
+from swifthoist_instance.admission import Admission, Admitted
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.messages import (
@@ -31,6 +32,7 @@
     METHOD_NOT_ALLOWED,
     NOT_FOUND,
     OK,
+    TOO_LARGE,
     UNAUTHORIZED,
     UNAVAILABLE,
     Answer,
@@ -43,6 +45,7 @@
     Recorder,
     answer_deadline,
 )
+from swifthoist_instance.refusals import Refusal
 from swifthoist_platform.job_calls import (
     Verb,
     decode_job,
@@ -52,10 +55,6 @@
     is_job_id,
 )
 
-MAX_CONFIGURATION_AGE_SHARE = 0.6
-"""Maximum age of an unconfirmed configuration that is still used, as a share of
-the time within which a revoked key has to be refused."""
-
 MAX_FOLD_AGE_MS = 2_500
 """Maximum age of the cell state from which callers are answered, in ms; one
 read of the log takes up to 1.7 s."""
@@ -80,25 +79,14 @@
 """Most steps of a job that are logged when it is accepted, and most
 dependencies of each."""
 
-_REJECTIONS = frozenset((BAD_REQUEST, UNAUTHORIZED, NOT_FOUND, CONFLICT))
+_REJECTIONS = frozenset(
+    (BAD_REQUEST, UNAUTHORIZED, NOT_FOUND, CONFLICT, TOO_LARGE)
+)
 """Answers that blame the call; others log why they are given."""
 
 _log = logging.getLogger(__name__)
 
 
-class _Admitted(NamedTuple):
-    """What an admitted request may use.
-
-    :ivar queue: queue that the request addresses.
-    :ivar team: team that owns the API key; empty for a public queue.
-    :ivar max_body_bytes: maximum body that the configuration allows, in bytes.
-    """
-
-    queue: Queue
-    team: str
-    max_body_bytes: int
-
-
 class Intake:
     """Serves callers' requests about jobs."""
 
@@ -125,7 +113,7 @@
         self._follower = follower
         self._recorder = recorder
         self._peers = peers
-        self._revocation_ms = revocation_ms
+        self._admission = Admission(configuration, revocation_ms)
         self._open_calls = open_calls
         self._random = random.Random()
 
@@ -134,16 +122,50 @@
         """Whether requests can be served now."""
         age_ms = self._follower.age_ms
         return (
-            self._configuration_confirmed
+            self._admission.confirmed
             and age_ms is not None
             and age_ms < MAX_FOLD_AGE_MS
         )
 
     @property
-    def _configuration_confirmed(self) -> bool:
-        age_ms = self._configuration.age_ms
-        trust_ms = self._revocation_ms() * MAX_CONFIGURATION_AGE_SHARE
-        return age_ms is not None and age_ms < trust_ms
+    def max_body_bytes(self) -> int:
+        """Largest body of a request, in bytes."""
+        return self._admission.max_body_bytes
+
+    def judge_head(self, call: Call, length: int) -> Answer | None:
+        """Answer a request that is rejected whatever its body is.
+
+        :param call: the request, without its body.
+        :param length: announced length of the body, in bytes.
+        :returns: the answer; none if the body has to be received.
+        """
+        try:
+            admitted = self._admission.admit(call)
+        except NotServedError:
+            # Another instance may serve it.
+            admitted = None
+        answer = admitted if isinstance(admitted, Answer) else None
+        if answer is None and length > self.max_body_bytes:
+            answer = _reject_length(self.max_body_bytes)
+        if answer is not None and call.changes_state:
+            _log_rejected(call, answer, self._configuration.catalogue)
+        return answer
+
+    def refuse_body(
+        self, call: Call, refusal: Refusal, took_s: float
+    ) -> Answer:
+        """Answer a request whose body is not received to its end.
+
+        :param call: the request, without its body.
+        :param refusal: why it is not.
+        :param took_s: time spent on receiving it, in seconds.
+        :returns: the answer.
+        """
+        if refusal is Refusal.BODY_LENGTH:
+            answer = _reject_length(self.max_body_bytes)
+            _log_rejected(call, answer, self._configuration.catalogue)
+            return answer
+        return self._refuse(call, f'{refusal.value} after {took_s:.1f} s')
 
     async def answer(self, call: Call) -> Answer:
         """Serve a request.
@@ -163,7 +185,7 @@
                 return self._refuse(call, str(exc))
             return await self._pass_on(call, str(exc), deadline)
         if answer.status in _REJECTIONS and call.changes_state:
-            self._log_rejected(call, answer)
+            _log_rejected(call, answer, self._configuration.catalogue)
         return answer
 
     async def _pass_on(
@@ -180,7 +202,7 @@
     async def _serve(self, call: Call) -> Answer:
         if call.wait_s <= 0 and call.changes_state:
             raise NotServedError('read after its caller may have given up')
-        admitted = self._admit(call)
+        admitted = self._admission.admit(call)
         if isinstance(admitted, Answer):
             return admitted
         suffix = call.path[len(admitted.queue.prefix) :]
@@ -199,39 +221,14 @@
             case _:
                 return Answer(METHOD_NOT_ALLOWED)
 
-    def _admit(self, call: Call) -> _Admitted | Answer:
-        catalogue = self._configuration.catalogue
-        if catalogue is None or not self._configuration_confirmed:
-            raise NotServedError('configuration not confirmed')
-        if catalogue.version < call.min_version:
-            raise NotServedError('configuration older than at the sender')
-        queue = catalogue.find_queue(call.host, call.path)
-        if queue is None:
-            return Answer(NOT_FOUND)
-        team = catalogue.team_of(call.key) if call.key else None
-        if team is None and not queue.public:
-            return Answer(UNAUTHORIZED)
-        name = team.name if team else ''
-        return _Admitted(queue, name, catalogue.max_body_bytes)
-
     async def _submit(
-        self, call: Call, admitted: _Admitted, job_id: JobId
+        self, call: Call, admitted: Admitted, job_id: JobId
     ) -> Answer:
-        known = self._follower.cell.find_job(job_id)
-        if known is not None:
-            same = known.spec.queue == admitted.queue.name
-            return Answer(OK) if same else Answer(CONFLICT)
-        cell = self._follower.cell
-        canceled_ms = cell.state.early_cancels.get(job_id)
-        if canceled_ms is not None:
-            ago_s = (self._follower.time.now_ms() - canceled_ms) / 1_000
-            finding = Finding('id', f'was canceled {ago_s:.1f} s ago')
-            return Answer(CONFLICT, encode_error((finding,)))
+        answer = self._answer_known(admitted, job_id)
+        if answer is not None:
+            return answer
         if len(call.content) > admitted.max_body_bytes:
-            finding = Finding(
-                'body', f'is over {admitted.max_body_bytes} bytes'
-            )
-            return Answer(BAD_REQUEST, encode_error((finding,)))
+            return _reject_length(admitted.max_body_bytes)
         decoded = decode_job(call.content)
         if decoded.request is None:
             return Answer(BAD_REQUEST, encode_error(decoded.findings))
@@ -250,6 +247,20 @@
         )
         return await self._append_record(Submitted(spec), job_id, call)
 
+    def _answer_known(self, admitted: Admitted, job_id: JobId) -> Answer | None:
+        """Answer a submission of a job that was accepted or canceled before."""
+        cell = self._follower.cell
+        known = cell.find_job(job_id)
+        if known is not None:
+            same = known.spec.queue == admitted.queue.name
+            return Answer(OK) if same else Answer(CONFLICT)
+        canceled_ms = cell.state.early_cancels.get(job_id)
+        if canceled_ms is None:
+            return None
+        ago_s = (self._follower.time.now_ms() - canceled_ms) / 1_000
+        finding = Finding('id', f'was canceled {ago_s:.1f} s ago')
+        return Answer(CONFLICT, encode_error((finding,)))
+
     def _show_queue(self, call: Call, queue: Queue) -> Answer:
         if not self.ready:
             raise NotServedError('log not followed')
@@ -257,10 +268,10 @@
         return Answer(OK, encode_pending_count(waiting))
 
     async def _show_job(self, call: Call, queue: Queue, job_id: str) -> Answer:
-        job = self._find_job(queue, job_id)
+        job = _find_job(self._follower.cell, queue, job_id)
         if job is None or not job.state.final:
             await self._follower.refresh()
-            job = self._find_job(queue, job_id)
+            job = _find_job(self._follower.cell, queue, job_id)
         if job is not None:
             return await self._show_newest(call, job)
         if not self.ready:
@@ -293,15 +304,9 @@
         answer = await self._append_record(record, job_id, call)
         # The cell state may not include yet a job that another instance
         # accepted, but does once the later cancellation is folded.
-        known = self._find_job(queue, job_id) is not None
+        known = _find_job(self._follower.cell, queue, job_id) is not None
         return answer if known or answer.status != OK else Answer(GONE)
 
-    def _find_job(self, queue: Queue, job_id: str) -> Job | None:
-        job = self._follower.cell.find_job(job_id)
-        if job is None or job.spec.queue != queue.name:
-            return None
-        return job
-
     async def _append_record(
         self, record: Record, job_id: JobId, call: Call
     ) -> Answer:
@@ -328,18 +333,6 @@
             await self._follower.wait_folded(offset, CANCEL_FOLD_TIMEOUT_S)
         return Answer(OK)
 
-    def _log_rejected(self, call: Call, answer: Answer) -> None:
-        catalogue = self._configuration.catalogue
-        fields = {
-            'job': call.job,
-            'method': call.method,
-            'path': call.path,
-            'status': answer.status,
-            'version': catalogue.version if catalogue else None,
-            'relayed': call.relayed,
-        }
-        _log.info('call rejected', extra=fields)
-
     def _leave_open(self, call: Call) -> Answer:
         self._open_calls.note(call)
         return Answer(GATEWAY_TIMEOUT)
@@ -377,6 +370,32 @@
         )
 
 
+def _find_job(cell: Cell, queue: Queue, job_id: str) -> Job | None:
+    job = cell.find_job(job_id)
+    if job is None or job.spec.queue != queue.name:
+        return None
+    return job
+
+
+def _log_rejected(
+    call: Call, answer: Answer, catalogue: Catalogue | None
+) -> None:
+    fields = {
+        'job': call.job,
+        'method': call.method,
+        'path': call.path,
+        'status': answer.status,
+        'version': catalogue.version if catalogue else None,
+        'relayed': call.relayed,
+    }
+    _log.info('call rejected', extra=fields)
+
+
+def _reject_length(max_bytes: int) -> Answer:
+    finding = Finding('body', f'is over {max_bytes} bytes')
+    return Answer(TOO_LARGE, encode_error((finding,)))
+
+
 def _job_fields(record: Record) -> dict[str, object]:
     """Return the log fields that describe a submitted job."""
     if not isinstance(record, Submitted):
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from swifthoist_instance.api import Api
+from swifthoist_instance.bodies import Bodies, Receive
 from swifthoist_instance.connections import Phase
 from swifthoist_instance.conversations import CONNECTION_KEY
 from swifthoist_instance.faults import Faults
@@ -19,6 +20,7 @@
     INTERNAL_ERROR,
     OK,
     READING_METHODS,
+    TOO_LARGE,
     UNAVAILABLE,
     Answer,
     Call,
@@ -30,6 +32,7 @@
     RELAY_PATH,
     HandOver,
 )
+from swifthoist_instance.refusals import Refusal, Refusals
 from swifthoist_instance.tenure import Tenure
 from swifthoist_instance.turns import LoopMonitor
 from swifthoist_platform.job_calls import parse_api_key
@@ -41,16 +44,13 @@
 """Time to send the answer to a call that is cut off by the end of the server,
 in seconds."""
 
-BODY_LIMIT = 4 * 1024 * 1024
-"""Maximum request body that is read, in bytes."""
+INTERNAL_WAIT_S = 3.0
+"""Time for the body of an operator's request to arrive, in seconds."""
 
 MAX_DIGITS = 15
 """Maximum length of a number in a header: more digits are not exact in JSON."""
 
-TOO_LARGE = 413
-
 Scope: TypeAlias = dict[str, Any]
-Receive: TypeAlias = Callable[[], Awaitable[dict[str, Any]]]
 Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
 
 _log = logging.getLogger(__name__)
@@ -90,6 +90,8 @@
     :ivar tenure: claims the cell when its holder asks.
     :ivar faults: reports calls that fail by an unexpected error.
     :ivar turns: tells how long a request may have waited to be read.
+    :ivar bodies: receives the bodies of requests.
+    :ivar refusals: counts and logs what clients are refused.
     """
 
     intake: Intake
@@ -100,6 +102,8 @@
     tenure: Tenure
     faults: Faults
     turns: LoopMonitor
+    bodies: Bodies
+    refusals: Refusals
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -139,7 +143,8 @@
         :returns: the response.
         """
         if path == RELAY_PATH:
-            return await self._serve_relayed(method, query, sent)
+            call = self._relayed_call(method, query, sent)
+            return await self.intake.answer(call)
         if path == HAND_OVER_PATH:
             return await self._take_over(sent.content)
         answer = await self.api.answer(method, path, query, sent.content)
@@ -162,27 +167,34 @@
         return Answer(GATEWAY_TIMEOUT if changes else INTERNAL_ERROR)
 
     async def _serve_internal(self, scope: Scope, receive: Receive) -> Answer:
-        if scope['path'] == METRICS_PATH:
+        path = scope['path']
+        if path == METRICS_PATH:
             return Answer(OK, self.metrics.expose())
-        content = await _read_body(receive)
-        if content is None:
-            return Answer(TOO_LARGE)
-        _enter_serving(scope)
         query = scope['query_string'].decode('latin-1')
-        sent = Sent(_headers(scope), content)
-        return await self.answer_internal(
-            scope['method'], scope['path'], query, sent
-        )
-
-    async def _serve_relayed(
-        self, method: str, query: str, sent: Sent
-    ) -> Answer:
+        sent = Sent(_headers(scope), b'')
+        if path == RELAY_PATH:
+            call = self._relayed_call(scope['method'], query, sent)
+            return await self._receive_call(call, scope, receive)
+        with self.bodies.open() as body:
+            refusal = await self.bodies.receive(
+                receive, body, self.intake.max_body_bytes, INTERNAL_WAIT_S
+            )
+            if refusal is not None:
+                self._note_refusal(refusal, scope)
+                too_long = refusal is Refusal.BODY_LENGTH
+                return Answer(TOO_LARGE if too_long else UNAVAILABLE)
+            _enter_serving(scope)
+            whole = sent._replace(content=body.take())
+            return await self.answer_internal(
+                scope['method'], path, query, whole
+            )
+
+    def _relayed_call(self, method: str, query: str, sent: Sent) -> Call:
         call = self._to_call(method, _relayed_path(query), sent)
         version = sent.headers.get(MIN_VERSION_HEADER.lower(), '')
-        call = call._replace(
+        return call._replace(
             relayed=True, min_version=_parse_number(version) or 0
         )
-        return await self.intake.answer(call)
 
     async def _take_over(self, content: bytes) -> Answer:
         try:
@@ -195,17 +207,51 @@
 
     async def _serve_caller(self, scope: Scope, receive: Receive) -> Answer:
         began = anyio.current_time()
-        content = await _read_body(receive)
-        if content is None:
-            return Answer(TOO_LARGE)
-        _enter_serving(scope)
-        sent = Sent(_headers(scope), content)
+        sent = Sent(_headers(scope), b'')
         call = self._to_call(scope['method'], scope['path'], sent)
-        answer = await self.intake.answer(call)
+        answer = await self._receive_call(call, scope, receive)
         took_ms = (anyio.current_time() - began) * 1_000
         self.metrics.count_call(call.method, answer.status, took_ms)
         return answer
 
+    async def _receive_call(
+        self, call: Call, scope: Scope, receive: Receive
+    ) -> Answer:
+        """Receive the body of a call, unless its head decides, and answer."""
+        length = _announced_bytes(scope)
+        early = self.intake.judge_head(call, length) if length else None
+        if early is not None:
+            if early.status == TOO_LARGE:
+                self._note_refusal(Refusal.BODY_LENGTH, scope)
+            return early
+        began = anyio.current_time()
+        # A caller that gives no time, or none that is left, is told so.
+        wait_s = call.wait_s if call.wait_s > 0 else DEFAULT_WAIT_S
+        with self.bodies.open() as body:
+            refusal = await self.bodies.receive(
+                receive, body, self.intake.max_body_bytes, wait_s
+            )
+            took_s = anyio.current_time() - began
+            if refusal is not None:
+                self._note_refusal(refusal, scope)
+                return self.intake.refuse_body(call, refusal, took_s)
+            _enter_serving(scope)
+            whole = call._replace(
+                content=body.take(), wait_s=call.wait_s - took_s
+            )
+            return await self.intake.answer(whole)
+
+    def _note_refusal(self, refusal: Refusal, scope: Scope) -> None:
+        client = scope.get('client') or ('',)
+        fields = {
+            'client': client[0],
+            'max_body_bytes': self.intake.max_body_bytes,
+            'body_bytes': self.bodies.held_bytes,
+            'limit_bytes': self.bodies.limit_bytes,
+            **_describe(scope),
+        }
+        self.refusals.note(refusal, fields)
+
     def _to_call(self, method: str, path: str, sent: Sent) -> Call:
         headers = sent.headers
         wait_s = _wait_s(headers.get('deadline-ms', ''))
@@ -226,21 +272,19 @@
         connection.enter(Phase.SERVING, anyio.current_time())
 
 
-async def _read_body(receive: Receive) -> bytes | None:
-    chunks: list[bytes] = []
-    size = 0
-    while True:
-        message = await receive()
-        if message['type'] != 'http.request':
-            # The caller disconnected, so the body is incomplete.
-            return None
-        chunk = message.get('body', b'')
-        size += len(chunk)
-        if size > BODY_LIMIT:
-            return None
-        chunks.append(chunk)
-        if not message.get('more_body'):
-            return b''.join(chunks)
+def _announced_bytes(scope: Scope) -> int | None:
+    """Return the length of a body; 1 if it is not told, None without body."""
+    headers = _headers(scope)
+    if 'transfer-encoding' in headers:
+        return 1
+    return _parse_length(headers.get('content-length', ''))
+
+
+def _parse_length(text: str) -> int | None:
+    if not text.isdecimal():
+        return None
+    # A longer number is far over any limit.
+    return int(text[:MAX_DIGITS])
 
 
 def _headers(scope: Scope) -> dict[str, str]:
--- a/tests/instance/fakes.py
+++ b/tests/instance/fakes.py
@@ -15,6 +15,9 @@
 )
 from swifthoist_core.types import Offset
 from swifthoist_emulator.topics import AppendId, Topic
+from swifthoist_engine.cell import Cell
+from swifthoist_instance.guard import Guard, create_guard
+from swifthoist_instance.limits import Limits
 from swifthoist_platform.store import (
     MAX_READ_KB,
     AppendConflictError,
@@ -43,6 +46,23 @@
         return self.boot_ms()
 
 
+GENEROUS = Limits(
+    callers=100,
+    internal=100,
+    ready=100,
+    body_bytes=10_000_000,
+    job_bytes=100_000_000,
+    record_bytes=262_144,
+)
+"""Limits that no test meets by accident."""
+
+
+def open_guard(cell: Cell | None = None, limits: Limits = GENEROUS) -> Guard:
+    """Create what bounds clients, beside a cell."""
+    known = Cell(1_000) if cell is None else cell
+    return create_guard(lambda: limits, lambda: known, LoopClock())
+
+
 class JumpingClock(LoopClock):
     """The event loop's clock, and a time of day that a test shifts.
 
--- a/tests/instance/test_configuration.py
+++ b/tests/instance/test_configuration.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from swifthoist_instance.intake import MAX_CONFIGURATION_AGE_SHARE
+from swifthoist_instance.admission import MAX_CONFIGURATION_AGE_SHARE
 from tests.instance.entry import InstanceHarness, configure
 from tests.instance.fakes import FakeStore, run
 
--- a/tests/instance/test_true_answers.py
+++ b/tests/instance/test_true_answers.py
@@ -57,7 +57,7 @@
     RECORD_BYTES,
     REVOKE_MS,
 )
-from tests.instance.fakes import FakeStore, LoopClock, run
+from tests.instance.fakes import FakeStore, LoopClock, open_guard, run
 
 NODES = 'abcd'
 JOBS = 80
@@ -293,6 +293,8 @@
             tenure,
             faults,
             LoopMonitor(LoopClock()),
+            open_guard().bodies,
+            open_guard().refusals,
         )
 
 
--- a/tests/instance/test_web.py
+++ b/tests/instance/test_web.py
@@ -11,6 +11,7 @@
     GATEWAY_TIMEOUT,
     INTERNAL_ERROR,
     OK,
+    UNAVAILABLE,
     Answer,
     Call,
 )
@@ -18,7 +19,7 @@
 from swifthoist_instance.peers import MIN_VERSION_HEADER, RELAY_PATH
 from swifthoist_instance.turns import RESUME_MS, LoopMonitor
 from swifthoist_instance.web import Sent, ShutdownState, Web
-from tests.instance.fakes import LoopClock, run
+from tests.instance.fakes import LoopClock, open_guard, run
 
 SCOPE = {
     'type': 'http',
@@ -32,15 +33,21 @@
 
 class _Intake(NamedTuple):
     calls: list[Call]
+    max_body_bytes: int = 1_000
 
     async def answer(self, call: Call) -> Answer:
         """Record the call and accept it."""
         self.calls.append(call)
         return Answer(OK)
 
+    def refuse_body(self, *_: object) -> Answer:
+        """Refuse a call whose body did not arrive whole."""
+        return Answer(UNAVAILABLE)
+
 
 class _Broken(NamedTuple):
     error: Exception | None
+    max_body_bytes: int = 1_000
 
     async def answer(self, _: Call) -> Answer:
         """Fail, or never end."""
@@ -84,6 +91,8 @@
         None,
         faults,
         LoopMonitor(LoopClock()),
+        open_guard().bodies,
+        open_guard().refusals,
     )
 
 
--- a/tests/system/test_misbehaving_clients.py
+++ b/tests/system/test_misbehaving_clients.py
@@ -19,7 +19,7 @@
 from swifthoist_emulator.crowds import Crowd, Visit, chunk_of, head_of
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.site import HOST
-from swifthoist_emulator.stage import READY_PATH, Instance, Stage
+from swifthoist_emulator.stage import READY_PATH, Instance, Stage, wait_until
 from swifthoist_platform import names
 from tests.system.stage import StageCase
 
@@ -126,6 +126,57 @@
         self.run_scenario(scenario, instances=2, prepare=_lower_limits)
 
 
+class BodyTest(_Case):
+    """Bodies of any size and form, most of them unfinished."""
+
+    def test_bodies_that_stop_one_byte_short(self) -> None:
+        """Each was kept whole for as long as its connection was open."""
+        head = _submission(f'Content-Length: {MAX_BODY}')
+        self.check_crowd(Visit(head, b' ' * (MAX_BODY - 1)), 300)
+
+    def test_bodies_announced_far_over_the_limit(self) -> None:
+        """They were read up to 4 MB each."""
+        head = _submission('Content-Length: 1000000000')
+        self.check_crowd(Visit(head, b' ' * 100_000, 40), 40)
+
+    def test_large_chunks_far_over_the_limit(self) -> None:
+        """A body without a length was read up to 4 MB."""
+        piece = chunk_of(b' ' * 100_000)
+        self.check_crowd(Visit(_submission(CHUNKED), piece, 40), 40)
+
+    def test_bodies_in_pieces_that_do_not_end(self) -> None:
+        """Chunked bodies just below the limit were kept, too."""
+        piece = chunk_of(b' ' * 17_000)
+        self.check_crowd(Visit(_submission(CHUNKED), piece, 15), 300)
+
+    def test_tiny_chunks_that_do_not_end(self) -> None:
+        """Each chunk was kept as an object of its own."""
+        pieces = chunk_of(b'  ') * 1_000
+        self.check_crowd(Visit(_submission(CHUNKED), pieces, 100), 60)
+
+    def test_trailers_that_do_not_end(self) -> None:
+        """The body before them was kept."""
+        head = _submission(CHUNKED)
+        body = chunk_of(b' ' * 262_000) + b'0\r\nX-Trailer: a'
+        self.check_crowd(Visit(head, body), 300)
+
+    def test_chunk_extensions(self) -> None:
+        """Much is sent for bodies of a few bytes."""
+        piece = chunk_of(b' ', f';x={"y" * 4_000}')
+        self.check_crowd(Visit(_submission(CHUNKED), piece, 500), 60)
+
+    def test_bodies_at_the_internal_address(self) -> None:
+        """What instances pass on to each other was not bounded, either."""
+        head = head_of(
+            'POST',
+            f'/v1/relay?path={JOB_PATH}',
+            'key-red',
+            f'Content-Length: {MAX_BODY}',
+        )
+        visit = Visit(head, b' ' * (MAX_BODY - 1))
+        self.check_crowd(visit, 300, internal=True)
+
+
 class WholeJobTest(_Case):
     """Whole bodies of legal size that cost far more than ordinary ones."""
 
@@ -181,6 +232,24 @@
         """A request was served on each of them."""
         self._check_descriptors(Visit(head_of('GET', '/bulk/', 'key-red')))
 
+    def test_unfinished_bodies_give_their_descriptors_back(self) -> None:
+        """A body that stopped short held its connection for ever."""
+
+        async def scenario(stage: Stage) -> None:
+            first = stage.instances[0]
+            usual = _open_files(first)
+            head = _submission(f'Content-Length: {MAX_BODY}')
+            visit = Visit(head, b' ' * 1_000)
+            async with self.crowd(first.callers, visit, 100):
+
+                async def given_back() -> bool:
+                    return _open_files(first) < usual + 50
+
+                await wait_until(given_back)
+                await self.check_alive(stage)
+
+        self.run_scenario(scenario, instances=2, prepare=_lower_limits)
+
     def _check_descriptors(self, visit: Visit) -> None:
         async def scenario(stage: Stage) -> None:
             first = stage.instances[0]
@@ -199,6 +268,36 @@
 class RefusalTest(_Case):
     """What is refused by its head, and what is not."""
 
+    def test_the_head_decides_without_its_body(self) -> None:
+        """The answer came only behind the whole body."""
+
+        async def scenario(stage: Stage) -> None:
+            address = stage.instances[0].callers
+            body = 'Content-Length: 1000'
+            refused = {
+                head_of('POST', '/none/1', 'key-red', body): 404,
+                head_of('POST', JOB_PATH, 'wrong', body): 401,
+                _submission('Content-Length: 1000000000'): 413,
+            }
+            for head, status in refused.items():
+                with self.subTest(status=status):
+                    found = await _first_line(address, head)
+                    self.assertIn(b' %d ' % status, found)
+
+        self.run_scenario(scenario, instances=1, prepare=_lower_limits)
+
+    def test_the_answer_to_a_body_over_the_limit_is_seen(self) -> None:
+        """The connection was reset while the client still sent."""
+
+        async def scenario(stage: Stage) -> None:
+            address = stage.instances[0].callers
+            head = _submission('Content-Length: 4000000')
+            found = await _first_line(address, head + b' ' * 4_000_000)
+            self.assertIn(b' 413 ', found)
+            await self.check_alive(stage)
+
+        self.run_scenario(scenario, instances=1, prepare=_lower_limits)
+
     def test_one_request_inside_the_limits_is_served(self) -> None:
         """A limit must not refuse what the pages allow."""
 
