Bound the memory of accepted jobs, with room for every team

Cause: nothing added up what accepted jobs hold, and each large body was decoded as soon as it had arrived. Change: the cell adds up an estimate of what its jobs hold. A submission for which there is no room gets 503 with Retry-After and is not recorded; what was accepted stays. A job whose record is larger than the store takes is 400 at once, not 503 each time. Large bodies are decoded one at a time, with a pause as long behind each; one whose turn doesn't come gets 503. Who is refused is decided by code that runs without a network.

--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -24,6 +24,7 @@
     update_job_outcome,
     update_unit,
 )
+from swifthoist_engine.footprints import Footprints
 from swifthoist_engine.histories import VANISHED
 from swifthoist_engine.jobs import (
     Job,
@@ -71,6 +72,7 @@
     :ivar urgent: jobs of urgent queues, including finished ones.
     :ivar finished: jobs that reached a final state, the newest last.
     :ivar suspects: jobs under which runners have crashed.
+    :ivar footprints: memory that the jobs hold.
     """
 
     def __init__(self, keep_ms: Millis, state: CellState | None = None) -> None:
@@ -83,6 +85,7 @@
         self.runs = RunIndex()
         self.dirty: set[JobId] = set()
         self.suspects: set[JobId] = set()
+        self.footprints = Footprints()
         self.urgent: dict[JobId, Job] = {}
         self.finished: deque[JobId] = deque(maxlen=MAX_FINISHED)
         self._keep_ms = keep_ms
@@ -103,6 +106,7 @@
             if job.spec.terms.priority == 0
         }
         self.suspects = set()
+        self.footprints = Footprints(job.spec for job in state.jobs.values())
         for job in state.jobs.values():
             job.forget_progress()
             if has_suspects(job):
@@ -178,6 +182,7 @@
         match record:
             case Submitted(spec):
                 job = self.state.jobs.setdefault(spec.job, Job(spec))
+                self.footprints.add(job.spec)
                 if spec.terms.priority == 0:
                     self.urgent[spec.job] = job
                 self.dirty.add(spec.job)
@@ -234,6 +239,7 @@
         ]
         for job_id in old:
             self.state.jobs.pop(job_id)
+            self.footprints.remove(job_id)
             self.urgent.pop(job_id, None)
             self.dirty.discard(job_id)
             self.suspects.discard(job_id)
--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -33,6 +33,7 @@
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.job_lines import describe_end
 from swifthoist_instance.journal import Journal
+from swifthoist_instance.submissions import BusyError, Submissions
 
 APPEND_TIMEOUT_S = 3.0
 MAX_JOBS = 500
@@ -99,6 +100,7 @@
         follower: Follower,
         journal: Journal,
         describe: Callable[[], dict[str, Any]],
+        submissions: Submissions,
     ) -> None:
         """Serve from the cell state.
 
@@ -106,11 +108,13 @@
         :param follower: maintains the cell state from the log.
         :param journal: appends records to the log.
         :param describe: returns the instance's state, for bug reports.
+        :param submissions: bounds what jobs hold.
         """
         self._configuration = configuration
         self._follower = follower
         self._journal = journal
         self._describe = describe
+        self._submissions = submissions
 
     async def answer(
         self, method: str, path: str, query: str, content: bytes
@@ -228,7 +232,14 @@
             self._follower.time.now_ms(),
             Schedule(**schedule) if schedule else None,
         )
-        return await self._append_record(Submitted(spec))
+        problem = self._submissions.check_record(spec)
+        if problem is not None:
+            return Answer(400, {'error': [str(problem)]})
+        try:
+            with self._submissions.reserve(spec):
+                return await self._append_record(Submitted(spec))
+        except BusyError as exc:
+            return Answer(503, {'error': [str(exc)]})
 
     async def _append_record(self, record: Record) -> Answer:
         try:
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -228,6 +228,7 @@
             self._peers,
             self._revocation_ms,
             OpenCalls(clock),
+            guard.submissions,
         )
         metrics = Metrics()
         metrics.register('log_lines_dropped', logs.dropped.total)
@@ -271,6 +272,7 @@
             self._follower,
             self._call_journal,
             self._describe,
+            guard.submissions,
         )
         self.web = Web(
             intake,
--- a/packages/instance/swifthoist_instance/guard.py
+++ b/packages/instance/swifthoist_instance/guard.py
@@ -11,16 +11,19 @@
 from swifthoist_instance.limits import Limits
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.refusals import Refusals
+from swifthoist_instance.submissions import Submissions
 
 
 class Guard(NamedTuple):
     """What bounds the clients of an instance.
 
     :ivar bodies: receives the bodies of requests.
+    :ivar submissions: decodes submissions, and bounds what jobs hold.
     :ivar refusals: counts and logs what clients are refused.
     """
 
     bodies: Bodies
+    submissions: Submissions
     refusals: Refusals
 
     def register(self, metrics: Metrics) -> None:
@@ -30,6 +33,7 @@
         """
         metrics.register_all(self.refusals.counts)
         metrics.register('body_bytes', lambda: self.bodies.held_bytes)
+        metrics.register('job_bytes', lambda: self.submissions.held_bytes)
 
 
 def create_guard(
@@ -47,5 +51,6 @@
     room = BodyRoom(lambda: limits().body_bytes, clock)
     return Guard(
         Bodies(room, turns),
+        Submissions(cell, limits, turns, refusals),
         refusals,
     )
--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -41,14 +41,16 @@
 from swifthoist_instance.open_calls import OpenCalls
 from swifthoist_instance.peers import Peers
 from swifthoist_instance.recording import (
+    ANSWER_SHARE,
+    MAX_WAIT_S,
     NotServedError,
     Recorder,
     answer_deadline,
 )
 from swifthoist_instance.refusals import Refusal
+from swifthoist_instance.submissions import BusyError, Submissions
 from swifthoist_platform.job_calls import (
     Verb,
-    decode_job,
     encode_error,
     encode_job_state,
     encode_pending_count,
@@ -98,6 +100,7 @@
         peers: Peers,
         revocation_ms: Callable[[], Millis],
         open_calls: OpenCalls,
+        submissions: Submissions,
     ) -> None:
         """Serve from the cell state, and append accepted changes to the log.
 
@@ -108,6 +111,7 @@
         :param revocation_ms: returns the time within which a revoked key has
             to be refused, in ms.
         :param open_calls: calls whose outcome was told to be unknown.
+        :param submissions: decodes submissions, and bounds what they hold.
         """
         self._configuration = configuration
         self._follower = follower
@@ -115,6 +119,7 @@
         self._peers = peers
         self._admission = Admission(configuration, revocation_ms)
         self._open_calls = open_calls
+        self._submissions = submissions
         self._random = random.Random()
 
     @property
@@ -180,6 +185,8 @@
             call = call._replace(min_version=catalogue.version)
         try:
             answer = await self._serve(call)
+        except BusyError as exc:
+            return self._refuse(call, str(exc))
         except NotServedError as exc:
             if call.relayed:
                 return self._refuse(call, str(exc))
@@ -229,7 +236,8 @@
             return answer
         if len(call.content) > admitted.max_body_bytes:
             return _reject_length(admitted.max_body_bytes)
-        decoded = decode_job(call.content)
+        wait_s = min(call.wait_s, MAX_WAIT_S) * ANSWER_SHARE
+        decoded = await self._submissions.decode(call.content, wait_s)
         if decoded.request is None:
             return Answer(BAD_REQUEST, encode_error(decoded.findings))
         if not self.ready:
@@ -245,7 +253,11 @@
             self._follower.time.now_ms(),
             request.schedule,
         )
-        return await self._append_record(Submitted(spec), job_id, call)
+        problem = self._submissions.check_record(spec)
+        if problem is not None:
+            return Answer(BAD_REQUEST, encode_error((problem,)))
+        with self._submissions.reserve(spec):
+            return await self._append_record(Submitted(spec), job_id, call)
 
     def _answer_known(self, admitted: Admitted, job_id: JobId) -> Answer | None:
         """Answer a submission of a job that was accepted or canceled before."""
--- a/tests/instance/entry.py
+++ b/tests/instance/entry.py
@@ -23,7 +23,7 @@
 from swifthoist_platform import names
 from swifthoist_platform.endpoint import EndpointProtocol
 from swifthoist_platform.store import CONFIG_KEY, OPERATOR_TOPIC
-from tests.instance.fakes import FakeStore, LoopClock, run
+from tests.instance.fakes import FakeStore, LoopClock, open_guard, run
 
 KEEP_MS = 100_000
 LOG_KEEP_MS = 20_000
@@ -74,6 +74,7 @@
             peers,
             lambda: revoke_ms,
             OpenCalls(clock),
+            open_guard(self.follower.cell).submissions,
         )
 
     def start(self, tasks: TaskGroup, *, claims: bool = False) -> None:
--- a/tests/instance/test_api.py
+++ b/tests/instance/test_api.py
@@ -7,7 +7,7 @@
 
 from swifthoist_instance.api import Api
 from tests.instance.entry import JOB, InstanceHarness, configure
-from tests.instance.fakes import FakeStore, run
+from tests.instance.fakes import FakeStore, open_guard, run
 
 _JOBS = tuple(f'{number:016x}' for number in range(20))
 
@@ -30,6 +30,7 @@
                 second.follower,
                 second.journal,
                 dict,
+                open_guard().submissions,
             )
             async with anyio.create_task_group() as tasks:
                 first.start(tasks)
@@ -61,6 +62,7 @@
                 instance.follower,
                 instance.journal,
                 dict,
+                open_guard().submissions,
             )
             async with anyio.create_task_group() as tasks:
                 instance.start(tasks)
--- a/tests/instance/test_intake.py
+++ b/tests/instance/test_intake.py
@@ -23,7 +23,7 @@
     InstanceHarness,
     run_two,
 )
-from tests.instance.fakes import FakeStore, LoopClock, run
+from tests.instance.fakes import FakeStore, LoopClock, open_guard, run
 
 ID = '00000000000000aa'
 _NO_STEPS = msgspec.json.encode({names.STEPS: 7})
@@ -255,6 +255,7 @@
                 peers,
                 lambda: REVOKE_MS,
                 OpenCalls(LoopClock()),
+                open_guard(second.follower.cell).submissions,
             )
             for method, status in (
                 ('POST', 504),
--- /dev/null
+++ b/tests/instance/test_submissions.py
@@ -0,0 +1,139 @@
+"""Tests of what submissions may hold, without a network."""
+
+import unittest
+
+import anyio
+import msgspec
+
+from swifthoist_engine.cell import Cell
+from swifthoist_engine.footprints import footprint_of
+from swifthoist_engine.model import JobSpec, QueueTerms, Resources, StepSpec
+from swifthoist_engine.records import Submitted
+from swifthoist_instance.limits import LARGE_BODY_BYTES
+from swifthoist_instance.submissions import BusyError, Submissions
+from swifthoist_platform import names
+from tests.instance.fakes import GENEROUS, open_guard, run
+
+TERMS = QueueTerms(1, 3, 1, 500, 'pool')
+LIMITS = GENEROUS._replace(job_bytes=10_000_000)
+
+
+def _spec(number: int, team: str, steps: int = 1) -> JobSpec:
+    step = StepSpec(1, Resources(1))
+    return JobSpec(
+        f'{number:016x}', 'bulk', team, 'x', (step,) * steps, TERMS, 1
+    )
+
+
+def _submit_until_refused(
+    cell: Cell, submissions: Submissions, first: int, team: str, steps: int
+) -> int:
+    """Submit jobs of a team; return how many are accepted."""
+    for number in range(first, first + 10_000):
+        spec = _spec(number, team, steps)
+        try:
+            with submissions.reserve(spec):
+                cell.fold(Submitted(spec))
+        except BusyError:
+            return number - first
+    raise AssertionError('no job was refused')
+
+
+class RoomTest(unittest.TestCase):
+    """Accepted jobs keep to the limit, and each team has its part."""
+
+    def test_accepted_jobs_keep_to_the_limit(self) -> None:
+        """All teams together, whatever their jobs are."""
+
+        async def main() -> None:
+            cell = Cell(1_000)
+            submissions = open_guard(cell, LIMITS).submissions
+            for team in range(20):
+                _submit_until_refused(
+                    cell, submissions, 100_000 * team, str(team), 2_000
+                )
+            self.assertLessEqual(submissions.held_bytes, LIMITS.job_bytes)
+
+        run(main)
+
+    def test_a_team_that_fills_its_part_does_not_shut_out_others(self) -> None:
+        """Another team may submit as much as half of what is left."""
+
+        async def main() -> None:
+            cell = Cell(1_000)
+            submissions = open_guard(cell, LIMITS).submissions
+            _submit_until_refused(cell, submissions, 0, 'red', 1)
+            of_blue = _submit_until_refused(
+                cell, submissions, 100_000, 'blue', 1
+            )
+            self.assertGreater(of_blue, 100)
+
+        run(main)
+
+    def test_large_jobs_leave_room_for_ordinary_ones(self) -> None:
+        """Also for those of the same team."""
+
+        async def main() -> None:
+            cell = Cell(1_000)
+            submissions = open_guard(cell, LIMITS).submissions
+            _submit_until_refused(cell, submissions, 0, 'red', 3_900)
+            small = _submit_until_refused(cell, submissions, 100_000, 'red', 1)
+            self.assertGreater(small, 100)
+
+        run(main)
+
+    def test_jobs_that_are_being_recorded_count(self) -> None:
+        """Many at once were all accepted before the first was folded."""
+
+        async def main() -> None:
+            submissions = open_guard(Cell(1_000), LIMITS).submissions
+            spec = _spec(1, 'red', 5_000)
+            with submissions.reserve(spec), self.assertRaises(BusyError):
+                with submissions.reserve(_spec(2, 'red', 5_000)):
+                    self.fail('both were accepted')
+            with submissions.reserve(_spec(2, 'red', 5_000)):
+                self.assertGreater(footprint_of(spec), 2_000_000)
+
+        run(main)
+
+    def test_a_job_that_no_record_can_hold_is_rejected(self) -> None:
+        """The store refused its record each time it was submitted."""
+
+        async def main() -> None:
+            limits = GENEROUS._replace(record_bytes=10_000)
+            submissions = open_guard(limits=limits).submissions
+            self.assertIsNone(submissions.check_record(_spec(1, 'red', 100)))
+            self.assertIsNotNone(submissions.check_record(_spec(1, 'red', 500)))
+
+        run(main)
+
+
+class DecodingTest(unittest.TestCase):
+    """Large submissions are decoded one after the other."""
+
+    def test_a_small_submission_needs_no_turn(self) -> None:
+        """However many large ones wait."""
+
+        async def main() -> None:
+            submissions = open_guard().submissions
+            step = msgspec.json.encode({names.COUNT: 1})
+            small = b'{"%s":[%s]}' % (names.STEPS.encode(), step)
+            large = small + b' ' * LARGE_BODY_BYTES
+            async with anyio.create_task_group() as tasks:
+                for _ in range(5):
+                    tasks.start_soon(submissions.decode, large, 3)
+                decoded = await submissions.decode(small, 0)
+            self.assertEqual(decoded.findings, ())
+
+        run(main)
+
+    def test_a_turn_that_does_not_come_in_time_is_told(self) -> None:
+        """The caller is refused before it gives up."""
+
+        async def main() -> None:
+            submissions = open_guard().submissions
+            large = b' ' * (LARGE_BODY_BYTES + 1)
+            with self.assertRaises(BusyError):
+                await submissions.decode(large, 0)
+
+        run(main)
--- a/tests/instance/test_true_answers.py
+++ b/tests/instance/test_true_answers.py
@@ -279,6 +279,7 @@
             peers,
             lambda: REVOKE_MS,
             OpenCalls(clock),
+            open_guard(follower.cell).submissions,
         )
         for part in (follower, own, calls, settings, tenure):
             self.tasks.start_soon(run_supervised, node, part.run)
--- a/tests/system/test_misbehaving_clients.py
+++ b/tests/system/test_misbehaving_clients.py
@@ -185,6 +185,11 @@
         body = _steps_body(b'{}', MAX_BODY)
         self._check_jobs(body, 3)
 
+    def test_many_large_jobs(self) -> None:
+        """Accepted jobs were kept in every instance, without a bound."""
+        step = b'{"Count":1,"Cpu":1000,"MemMb":10,"EstimateMs":1000,"Gpu":9   }'
+        self._check_jobs(_steps_body(step, 250_000), 60)
+
     def test_bodies_of_wrong_steps(self) -> None:
         """Each row was a finding in the answer."""
         body = _steps_body(b'1', MAX_BODY)
