Soak beside clients that keep to no limit

The emulator's crowds send what such clients were seen to send; a soak has some of them press at one instance or another, at either address, drawn by a generator of their own so that the draws of known seeds stay. It also checks that no instance has had more memory than its settings give. The stand-in of the store rejects records over its size, as the platform's does; before, jobs that no store could keep were accepted in tests.

--- a/packages/emulator/swifthoist_emulator/crowds.py
+++ b/packages/emulator/swifthoist_emulator/crowds.py
@@ -6,7 +6,7 @@
 import anyio
 from anyio.abc import ByteStream, SocketStream
 
-from swifthoist_emulator.site import HOST
+from swifthoist_emulator.site import HOST, MAX_BODY_BYTES
 
 CONNECT_TIMEOUT_S = 5.0
 
@@ -126,3 +126,28 @@
     :returns: the chunk.
     """
     return b'%x%s\r\n%s\r\n' % (len(content), extension.encode(), content)
+
+
+def bad_visits(path: str, key: str) -> list[Visit]:
+    """List what clients may send that keep to no limit.
+
+    :param path: path of a submission.
+    :param key: key of a team.
+    :returns: visits that don't end.
+    """
+    chunked = head_of('POST', path, key, 'Transfer-Encoding: chunked')
+    short = head_of('POST', path, key, f'Content-Length: {MAX_BODY_BYTES}')
+    endless = head_of('POST', path, key, 'Content-Length: 1000000000')
+    piece = b' ' * 50_000
+    return [
+        Visit(b''),
+        Visit(b'POST / HTTP/1.1\r\nX-Long: ', b'x' * 1_000, 10),
+        Visit(short, b' ' * (MAX_BODY_BYTES - 1)),
+        Visit(endless, piece, 40),
+        Visit(chunked, chunk_of(piece), 40),
+        Visit(chunked, chunk_of(b'  ') * 500, 40),
+        Visit(chunked, chunk_of(b' ', f';x={"x" * 4_000}'), 40),
+        Visit(chunked + chunk_of(piece), b'0\r\nX-Trailer: x'),
+        Visit(head_of('GET', path, key), head_of('GET', path, key), 500),
+        Visit(short, b'{"Steps":[' + b'1,' * 131_066 + b'1]}'),
+    ]
--- a/packages/emulator/swifthoist_emulator/site.py
+++ b/packages/emulator/swifthoist_emulator/site.py
@@ -9,6 +9,7 @@
 from swifthoist_platform import names
 
 HOST = 'jobs.example'
+MAX_BODY_BYTES = 262_144
 SERVICE = 'pool'
 RUNNER_CAPACITY = Resources(64_000, 262_144, 8)
 RUNNERS_PER_RACK = 6
@@ -106,7 +107,7 @@
             }
             for account in site.accounts
         ],
-        names.LIMITS: {names.MAX_BODY_BYTES: 262_144},
+        names.LIMITS: {names.MAX_BODY_BYTES: MAX_BODY_BYTES},
     }
     return msgspec.json.encode(document)
 
--- a/packages/emulator/swifthoist_emulator/stage.py
+++ b/packages/emulator/swifthoist_emulator/stage.py
@@ -22,6 +22,7 @@
 
 WAIT_TIMEOUT_S = 40.0
 POLL_S = 0.05
+_BYTES_PER_KB = 1_024
 READY_PATH = '/-/readyz'
 
 
@@ -84,6 +85,23 @@
         """Return the log lines since its last start."""
         return self._log.read_bytes()[self._log_start :].decode().splitlines()
 
+    @property
+    def peak_bytes(self) -> int:
+        """Largest memory that the process has had, in bytes."""
+        status = self._process_folder.joinpath('status').read_text()
+        lines = dict(line.split(':', 1) for line in status.splitlines())
+        return int(lines['VmHWM'].split()[0]) * _BYTES_PER_KB
+
+    @property
+    def descriptors(self) -> int:
+        """Number of descriptors that the process has open."""
+        return sum(1 for _ in self._process_folder.joinpath('fd').iterdir())
+
+    @property
+    def _process_folder(self) -> Path:
+        assert self.popen is not None
+        return Path('/proc', str(self.popen.pid))
+
     def holds(self) -> bool:
         """Return whether it holds the cell: its last log line on terms begins one."""
         terms = [line for line in self.lines() if '"term ' in line]
--- a/packages/emulator/swifthoist_emulator/store_calls.py
+++ b/packages/emulator/swifthoist_emulator/store_calls.py
@@ -17,6 +17,9 @@
 
 RETENTION_MS = 300_000
 PAGE_SIZE = 500
+RECORD_BYTES = 262_144
+"""Largest record, in bytes; an append with a larger one is rejected."""
+
 MAX_QUEUE_S = 2.0
 """Longest time that an append waits for its partition, in seconds; others are
 refused."""
@@ -152,6 +155,8 @@
 
     async def _append(self, request: Request) -> Response:
         append = self._decode(request)
+        if any(len(record) > RECORD_BYTES for record in append.records):
+            return Response(400)
         fault = self._faults.store_writes
         match self._faults.draw(fault, _caller(request)):
             case FaultEffect.BUSY:
--- a/soak/run_soak.py
+++ b/soak/run_soak.py
@@ -18,6 +18,7 @@
 from soak.proxy import Proxy
 from swifthoist_core.clock import SystemClock
 from swifthoist_emulator.callers import CANCELED_STATUSES, Order
+from swifthoist_emulator.crowds import Crowd, bad_visits
 from swifthoist_emulator.faults import NO_FAULT, Fault, FaultEffect
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.serving import ServedWorld
@@ -62,6 +63,14 @@
     (CRASHING_STEP, 1),
 )
 MEAN_ODD_INTERVAL_S = 2.0
+MEAN_CROWD_INTERVAL_S = 1.5
+
+MAX_CROWD = 60
+"""Most clients of a crowd: some hundred connections at a time."""
+
+MEMORY_BYTES = 300_000_000
+"""Memory that the settings give to an instance, in bytes."""
+
 STOP_TIMEOUT_S = 10.0
 """Time for the tasks of canceled jobs to stop once the faults end, in s."""
 
@@ -90,11 +99,12 @@
         :param instances: number of instances.
         """
         self._rng = random.Random(seed)
-        # Separate generators, so that evacuations, trouble with the store and
-        # odd callers don't change the other draws of known seeds.
+        # Separate generators, so that evacuations, trouble with the store, odd
+        # callers and crowds don't change the other draws of known seeds.
         self._evacuation_rng = random.Random(seed)
         self._store_rng = random.Random(seed)
         self._caller_rng = random.Random(seed)
+        self._crowd_rng = random.Random(seed)
         self._seconds = seconds
         self._instances = instances
         self._network_faults = NetworkFaults(seed)
@@ -141,6 +151,7 @@
                 tasks.start_soon(self._evacuate_zones)
                 tasks.start_soon(self._trouble_store, stage)
                 tasks.start_soon(self._submit_odd_jobs, stage, tasks)
+                tasks.start_soon(self._send_crowds, stage)
                 while True:
                     await anyio.sleep(
                         self._rng.uniform(0, MAX_FAULT_INTERVAL_S)
@@ -219,6 +230,33 @@
             self._odd.append(order)
             tasks.start_soon(self._submit_and_cancel, stage, order)
 
+    async def _send_crowds(self, stage: Stage) -> None:
+        """Have clients that keep to no limit press at one instance or another.
+
+        Some come to the address for operators and other instances.
+        """
+        rng = self._crowd_rng
+        while True:
+            await anyio.sleep(rng.uniform(0, 2 * MEAN_CROWD_INTERVAL_S))
+            instance = rng.choice(stage.instances)
+            address = rng.choice((instance.callers, instance.internal))
+            visit = rng.choice(bad_visits('/bulk/ffffffffffffffff', 'key-red'))
+            crowd = Crowd(address, visit, rng.randint(1, MAX_CROWD))
+            stay_s = rng.uniform(0, MAX_FAULT_S)
+            try:
+                await crowd.press(stay_s)
+                await anyio.sleep(stay_s)
+            finally:
+                await crowd.leave()
+
+    def _list_oversized(self, stage: Stage) -> list[str]:
+        """List instances that have had more memory than their settings give."""
+        return [
+            f'{instance.name} has had {instance.peak_bytes} bytes of memory'
+            for instance in stage.instances
+            if instance.peak_bytes > MEMORY_BYTES
+        ]
+
     async def _submit_and_cancel(self, stage: Stage, order: Order) -> None:
         pause_s = self._caller_rng.uniform(0, MAX_FAULT_S)
         with anyio.CancelScope(shield=True):
@@ -250,7 +288,11 @@
             with anyio.move_on_after(STOP_TIMEOUT_S):
                 while self._list_running():
                     await anyio.sleep(POLL_S)
-            return [*self._world.checker.broken, *self._list_running()]
+            return [
+                *self._world.checker.broken,
+                *self._list_running(),
+                *self._list_oversized(stage),
+            ]
         states = [(it.job, await stage.caller.state(it)) for it in expected]
         incomplete = [
             f'{job} is {state or "not shown"}'
--- a/tests/emulator/test_stand_ins.py
+++ b/tests/emulator/test_stand_ins.py
@@ -5,12 +5,16 @@
 import anyio
 
 from swifthoist_emulator.checker import InvariantChecker
+from swifthoist_emulator.faults import Faults
 from swifthoist_emulator.fleet import Fleet, Host, Place
-from swifthoist_emulator.http import read_request
+from swifthoist_emulator.http import Request, read_request
 from swifthoist_emulator.lives import Life, StepWork, write_payload
+from swifthoist_emulator.store_calls import RECORD_BYTES, Store
 from swifthoist_emulator.topics import MAX_REPEATABLE_APPENDS, AppendId, Topic
 from swifthoist_engine.model import Resources, TaskId
 from swifthoist_engine.records import Ending
+from swifthoist_platform import names
+from swifthoist_platform.store_records import add_length
 
 ROOM = Resources(10_000, 10_000, 8)
 WORK = StepWork(1_000, (1_000, 1_000, 1))
@@ -39,6 +43,30 @@
         self.assertIsNone(anyio.run(read_request, scope, receive))
 
 
+class RecordSizeTest(unittest.TestCase):
+    """The store takes records up to a size."""
+
+    def test_a_record_that_is_too_large_is_rejected(self) -> None:
+        """Nothing of the append is stored."""
+
+        async def main() -> None:
+            store = Store(Faults(1), int)
+            query = {names.TOPIC: 'a', names.PART: '0'}
+            for size, status in ((RECORD_BYTES, 200), (RECORD_BYTES + 1, 400)):
+                request = Request(
+                    'POST',
+                    f'{names.ROOT}{names.LOG_APPEND}',
+                    query,
+                    {},
+                    add_length(b'x' * size),
+                    1,
+                )
+                response = await store.answer(request)
+                self.assertEqual(response.status, status)
+
+        anyio.run(main)
+
+
 class TopicTest(unittest.TestCase):
     """Numbered appends take effect once."""
 
--- a/tests/system/test_misbehaving_clients.py
+++ b/tests/system/test_misbehaving_clients.py
@@ -5,11 +5,8 @@
 """
 
 import contextlib
-import os
-import re
 import resource
 from collections.abc import AsyncIterator
-from pathlib import Path
 
 import anyio
 import httpx
@@ -52,17 +49,6 @@
     return instance.popen.pid
 
 
-def _peak_bytes(instance: Instance) -> int:
-    status = Path(f'/proc/{_pid(instance)}/status').read_text()
-    found = re.search(r'VmHWM:\s+(\d+) kB', status)
-    assert found is not None
-    return int(found[1]) * 1_024
-
-
-def _open_files(instance: Instance) -> int:
-    return len(os.listdir(f'/proc/{_pid(instance)}/fd'))
-
-
 def _submission(*lines: str) -> bytes:
     return head_of('POST', JOB_PATH, 'key-red', *lines)
 
@@ -108,9 +94,9 @@
             assert instance.popen is not None
             self.assertIsNone(instance.popen.poll())
             self.assertLessEqual(
-                _peak_bytes(instance), MEMORY_MB * 1_000_000, instance.name
+                instance.peak_bytes, MEMORY_MB * 1_000_000, instance.name
             )
-            self.assertLessEqual(_open_files(instance), MAX_FDS)
+            self.assertLessEqual(instance.descriptors, MAX_FDS)
 
     def check_crowd(
         self, visit: Visit, count: int, *, internal: bool = False
@@ -242,13 +228,13 @@
 
         async def scenario(stage: Stage) -> None:
             first = stage.instances[0]
-            usual = _open_files(first)
+            usual = first.descriptors
             head = _submission(f'Content-Length: {MAX_BODY}')
             visit = Visit(head, b' ' * 1_000)
             async with self.crowd(first.callers, visit, 100):
 
                 async def given_back() -> bool:
-                    return _open_files(first) < usual + 50
+                    return first.descriptors < usual + 50
 
                 await wait_until(given_back)
                 await self.check_alive(stage)
