Close the connection behind an answer that did not wait for its body

Callers saw: the connection was closed behind an early 404, 401, 413 or 503, but the answer did not say so, so a client that keeps connections could send its next request on it and get no answer. Such answers now carry Connection: close.

--- a/packages/instance/swifthoist_instance/listening.py
+++ b/packages/instance/swifthoist_instance/listening.py
@@ -23,7 +23,7 @@
 
 POLL_S = 0.02
 
-MAX_QUEUED_PIECES = 8
+MAX_QUEUED_PIECES = 2
 """Most pieces of a body that wait for the application."""
 
 ACCEPT_PAUSE_S = 0.1
--- a/packages/instance/swifthoist_instance/messages.py
+++ b/packages/instance/swifthoist_instance/messages.py
@@ -61,11 +61,14 @@
     :ivar status: HTTP status.
     :ivar content: response body.
     :ivar retry_after_s: value of Retry-After, in seconds; 0 omits it.
+    :ivar closing: whether the connection is closed behind it, since the body
+        of the request was not read.
     """
 
     status: int
     content: bytes = b''
     retry_after_s: int = 0
+    closing: bool = False
 
     @property
     def tells_effect(self) -> bool:
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -182,7 +182,8 @@
             if refusal is not None:
                 self._note_refusal(refusal, scope)
                 too_long = refusal is Refusal.BODY_LENGTH
-                return Answer(TOO_LARGE if too_long else UNAVAILABLE)
+                status = TOO_LARGE if too_long else UNAVAILABLE
+                return Answer(status, closing=True)
             _enter_serving(scope)
             whole = sent._replace(content=body.take())
             return await self.answer_internal(
@@ -223,7 +224,7 @@
         if early is not None:
             if early.status == TOO_LARGE:
                 self._note_refusal(Refusal.BODY_LENGTH, scope)
-            return early
+            return early._replace(closing=True)
         began = anyio.current_time()
         # A caller that gives no time, or none that is left, is told so.
         wait_s = call.wait_s if call.wait_s > 0 else DEFAULT_WAIT_S
@@ -234,7 +235,8 @@
             took_s = anyio.current_time() - began
             if refusal is not None:
                 self._note_refusal(refusal, scope)
-                return self.intake.refuse_body(call, refusal, took_s)
+                answer = self.intake.refuse_body(call, refusal, took_s)
+                return answer._replace(closing=True)
             _enter_serving(scope)
             whole = call._replace(
                 content=body.take(), wait_s=call.wait_s - took_s
@@ -328,7 +330,7 @@
     headers.append((b'content-length', str(len(answer.content)).encode()))
     if answer.retry_after_s:
         headers.append((b'retry-after', str(answer.retry_after_s).encode()))
-    if closing:
+    if closing or answer.closing:
         headers.append((b'connection', b'close'))
     await send(
         {
--- a/tests/instance/test_web.py
+++ b/tests/instance/test_web.py
@@ -10,6 +10,7 @@
 from swifthoist_instance.messages import (
     GATEWAY_TIMEOUT,
     INTERNAL_ERROR,
+    NOT_FOUND,
     OK,
     UNAVAILABLE,
     Answer,
@@ -45,6 +46,16 @@
         return Answer(UNAVAILABLE)
 
 
+class _Rejecting(NamedTuple):
+    lengths: list[int]
+    max_body_bytes: int = 1_000
+
+    def judge_head(self, _: Call, length: int) -> Answer:
+        """Reject a call, whatever its body."""
+        self.lengths.append(length)
+        return Answer(NOT_FOUND)
+
+
 class _Broken(NamedTuple):
     error: Exception | None
     max_body_bytes: int = 1_000
@@ -176,6 +187,38 @@
         self.assertEqual(found, [7, 0, 0, 0])
 
 
+class EarlyAnswerTest(unittest.TestCase):
+    """What is wrong with a head is told without the body."""
+
+    def test_no_body_is_received_and_the_connection_closes(self) -> None:
+        """What follows on it would be the rest of that body."""
+        intake = _Rejecting([])
+        web = _web(intake, Faults(LoopClock()))
+        sent: list[dict[str, Any]] = []
+
+        async def receive() -> dict[str, Any]:
+            raise AssertionError('the body was received')
+
+        async def send(message: dict[str, Any]) -> None:
+            await anyio.lowlevel.checkpoint()
+            sent.append(message)
+
+        for header in (
+            (b'content-length', b'1000'),
+            (b'content-length', b'9' * 20),
+            (b'transfer-encoding', b'chunked'),
+        ):
+            anyio.run(web, {**SCOPE, 'headers': [header]}, receive, send)
+        starts = sent[::2]
+        self.assertEqual(
+            [row['status'] for row in starts], [NOT_FOUND, NOT_FOUND, NOT_FOUND]
+        )
+        for row in starts:
+            self.assertIn((b'connection', b'close'), row['headers'])
+        self.assertEqual(intake.lengths[0], 1_000)
+        self.assertGreater(intake.lengths[1], 10**12)
+
+
 class WebTest(unittest.TestCase):
     """Only complete calls reach the intake."""
 
