--- a/tests/system/test_misbehaving_clients.py
+++ b/tests/system/test_misbehaving_clients.py
@@ -163,6 +163,43 @@
         self.check_crowd(visit, 300, internal=True)
 
 
+class OtherDoorTest(_Case):
+    """Answers that are not read, and the addresses of operators."""
+
+    def test_answers_that_nobody_reads(self) -> None:
+        """Many requests are sent ahead on each connection."""
+        head = head_of('GET', JOB_PATH, 'key-red')
+        self.check_crowd(Visit(head, head * 20, 100), 100)
+
+    def test_silent_connections_at_the_internal_address(self) -> None:
+        """The metrics are answered beside them."""
+
+        async def scenario(stage: Stage) -> None:
+            first = stage.instances[0]
+            limit = (MAX_FDS, MAX_FDS)
+            resource.prlimit(_pid(first), resource.RLIMIT_NOFILE, limit)
+            async with self.crowd(first.internal, Visit(b''), 500):
+                shown = await _metrics(first)
+                self.assertIn('open_connections', shown)
+                await self.check_alive(stage)
+
+        self.run_scenario(scenario, instances=2, prepare=_lower_limits)
+
+    def test_the_metrics_tell_what_was_refused(self) -> None:
+        """An operator sees which limit a crowd has met."""
+
+        async def scenario(stage: Stage) -> None:
+            first = stage.instances[0]
+            head = _submission('Content-Length: 1000000000')
+            async with self.crowd(first.callers, Visit(head), 20):
+                shown = await _metrics(first)
+            figure = 'swifthoist_state{figure="refused_body_length"} 20.0'
+            self.assertIn(figure, shown)
+            self.assertIn('"client refused"', '\n'.join(first.lines()))
+
+        self.run_scenario(scenario, instances=1, prepare=_lower_limits)
+
+
 class WholeJobTest(_Case):
     """Whole bodies of legal size that cost far more than ordinary ones."""
 
@@ -342,6 +379,12 @@
     return [content[start : start + size] for start in starts]
 
 
+async def _metrics(instance: Instance) -> str:
+    async with httpx.AsyncClient(trust_env=False) as http:
+        reply = await http.get(f'http://{instance.internal}/metrics')
+    return reply.text
+
+
 def _chunked(pieces: list[bytes]) -> bytes:
     return b''.join(map(chunk_of, pieces)) + b'0\r\n\r\n'
 
