Time heads and idle connections from when they began

Seen by own tests, not by callers: a head whose first piece came behind a pause was timed from the request before it, and cut off; a connection that had served a request was never closed for being idle, since the wait for its next piece had begun while the request was served. The deadline of that wait now follows the phase of the connection. Both tests failed before (cut off; not closed in 20 s), and pass now, three times of three.

--- a/packages/instance/swifthoist_instance/conversations.py
+++ b/packages/instance/swifthoist_instance/conversations.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import socket
 from typing import NamedTuple, cast
 
@@ -92,9 +93,10 @@
         self._connection = connection
         self._server = server
         self._reading = anyio.CancelScope()
+        self._waiting = anyio.CancelScope()
         self._send_lock = anyio.Lock()
         self._idle = True
-        self._head_began = False
+        self._head_began_s: float | None = None
         self._broken = False
         self._protocol: H11Protocol
 
@@ -124,26 +126,43 @@
             await self._protocol.handle(RawData(piece))
             if not piece:
                 return
-            self._head_began = self._idle
+            self._note_head()
+
+    def _note_head(self) -> None:
+        """Note since when a part of a head waits for the rest."""
+        parser = cast(h11.Connection, self._protocol.connection)
+        if not self._idle or not parser.trailing_data[0]:
+            self._head_began_s = None
+        elif self._head_began_s is None:
+            self._head_began_s = anyio.current_time()
 
     async def _read(self) -> bytes:
         """Wait for the next piece; nothing if there is none, or none in time."""
-        limit_s = KEEP_ALIVE_S
-        if self._head_began:
-            limit_s = HEAD_S - (anyio.current_time() - self._connection.since_s)
-        if not self._idle:
-            limit_s = float('inf')
-        with anyio.move_on_after(limit_s):
+        with self._new_wait():
             try:
                 return await receive(self._conn, PIECE_BYTES)
             except OSError:
                 self._broken = True
                 return b''
-        if self._head_began:
+        if self._head_began_s is not None:
             self._note(Refusal.HEAD_LATE)
         self._broken = True
         return b''
 
+    def _new_wait(self) -> anyio.CancelScope:
+        """Return the scope of a wait for data, which ends by the deadline."""
+        self._waiting = anyio.CancelScope(deadline=self._deadline)
+        return self._waiting
+
+    @property
+    def _deadline(self) -> float:
+        """Until when data is waited for, in seconds of the loop's clock."""
+        if not self._idle:
+            return math.inf
+        if self._head_began_s is not None:
+            return self._head_began_s + HEAD_S
+        return self._connection.since_s + KEEP_ALIVE_S
+
     async def _take(self, event: Event) -> None:
         """Process what the protocol has for the connection."""
         match event:
@@ -153,9 +172,11 @@
                 self._reading.cancel()
             case Updated(idle):
                 self._idle = idle
-                self._head_began = False
+                self._head_began_s = None
                 phase = Phase.IDLE if idle else Phase.RECEIVING
                 self._connection.enter(phase, anyio.current_time())
+                # The next piece is waited for from the request before on.
+                self._waiting.deadline = self._deadline
 
     async def _send(self, data: bytes) -> None:
         if self._broken:
