Yield between pieces, and wait for a body as long as its caller does

With a deadline, the time that the body took is taken off; - a client that was gone when it was accepted left an error line. Own tests of the times; the rest has none.

--- a/packages/instance/swifthoist_instance/bodies.py
+++ b/packages/instance/swifthoist_instance/bodies.py
@@ -80,7 +80,7 @@
         self, receive: Receive, body: Body, max_bytes: int
     ) -> Refusal | None:
         pieces = 0
-        while not body.whole:
+        while not (body.whole or body.given_up):
             message = await receive()
             if message['type'] != 'http.request':
                 return Refusal.BODY_BROKEN_OFF
--- a/packages/instance/swifthoist_instance/conversations.py
+++ b/packages/instance/swifthoist_instance/conversations.py
@@ -43,6 +43,9 @@
 """How long data is dropped behind the last answer, in seconds, since unread
 data would reset the connection before the client has read the answer."""
 
+END_S = 1.0
+"""Time for the application to be told that the client has gone, in seconds."""
+
 CONNECTION_KEY = 'connection'
 """Where the application finds the connection in the state of a request."""
 
@@ -62,6 +65,27 @@
     refusals: Refusals
 
 
+class Ends(NamedTuple):
+    """Addresses of a connection, each as host and port.
+
+    :ivar client: the other end.
+    :ivar server: this end.
+    """
+
+    client: tuple[str, int]
+    server: tuple[str, int]
+
+
+def ends_of(conn: socket.socket) -> Ends:
+    """Return the addresses of a connection.
+
+    :param conn: the connection.
+    :returns: its ends.
+    :raises OSError: if the other end has gone already.
+    """
+    return Ends(conn.getpeername(), conn.getsockname())
+
+
 class _Http1(H11Protocol):
     """The protocol without upgrades to any other one."""
 
@@ -81,15 +105,21 @@
     """The requests and answers of one connection."""
 
     def __init__(
-        self, conn: socket.socket, connection: Connection, server: Server
+        self,
+        conn: socket.socket,
+        ends: Ends,
+        connection: Connection,
+        server: Server,
     ) -> None:
         """Prepare to serve.
 
         :param conn: the socket.
+        :param ends: its addresses.
         :param connection: the connection, as others know it.
         :param server: what all connections share.
         """
         self._conn = conn
+        self._ends = ends
         self._connection = connection
         self._server = server
         self._reading = anyio.CancelScope()
@@ -111,13 +141,15 @@
                 tasks,
                 ConnectionState({CONNECTION_KEY: self._connection}),
                 ssl=False,
-                client=_address(self._conn.getpeername()),
-                server=_address(self._conn.getsockname()),
+                client=self._ends.client,
+                server=self._ends.server,
                 send=self._take,
             )
             with self._reading:
                 await self._read_all()
-            await self._protocol.handle(Closed())
+            # An application that takes nothing more has no room for the end.
+            with anyio.move_on_after(END_S):
+                await self._protocol.handle(Closed())
         await self._linger()
 
     async def _read_all(self) -> None:
@@ -139,6 +171,8 @@
     async def _read(self) -> bytes:
         """Wait for the next piece; nothing if there is none, or none in time."""
         with self._new_wait():
+            # A client that always has data must not keep others waiting.
+            await anyio.lowlevel.checkpoint()
             try:
                 return await receive(self._conn, PIECE_BYTES)
             except OSError:
@@ -182,9 +216,9 @@
         if self._broken:
             return
         async with self._send_lock:
-            self._broken = not await self._send_in_time(data)
-        if self._broken:
-            self._reading.cancel()
+            if not await self._send_in_time(data):
+                self._broken = True
+                self._reading.cancel()
 
     async def _send_in_time(self, data: bytes) -> bool:
         """Send data; return whether the client has taken it."""
@@ -213,8 +247,3 @@
 
     def _note(self, refusal: Refusal) -> None:
         self._server.refusals.note(refusal, {'client': self._connection.client})
-
-
-def _address(name: object) -> tuple[str, int]:
-    host, port = cast(tuple[str, int], name)
-    return host, port
--- a/packages/instance/swifthoist_instance/listening.py
+++ b/packages/instance/swifthoist_instance/listening.py
@@ -13,7 +13,7 @@
 from hypercorn.config import Config
 
 from swifthoist_instance.connections import Connection, Connections
-from swifthoist_instance.conversations import Conversation, Server
+from swifthoist_instance.conversations import Conversation, Server, ends_of
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.refusals import Refusal, Refusals
 from swifthoist_instance.sockets import accept, open_listener
@@ -136,12 +136,14 @@
     ) -> None:
         scope = anyio.CancelScope()
         try:
-            client = str(conn.getpeername()[0])
+            ends = ends_of(conn)
         except OSError:
             # The client has gone already.
             conn.close()
             return
-        connection = Connection(client, anyio.current_time(), scope.cancel)
+        connection = Connection(
+            ends.client[0], anyio.current_time(), scope.cancel
+        )
         surplus = connections.admit(connection)
         if surplus is not None:
             fields = {
@@ -155,7 +157,7 @@
             conn.close()
             return
         self._abort(surplus)
-        conversation = Conversation(conn, connection, self._server)
+        conversation = Conversation(conn, ends, connection, self._server)
         tasks.start_soon(
             _converse, conversation, conn, connection, connections, scope
         )
--- a/packages/instance/swifthoist_instance/sockets.py
+++ b/packages/instance/swifthoist_instance/sockets.py
@@ -1,6 +1,7 @@
 """Sockets without buffers in the process: what is unread stays in the kernel."""
 
 import socket
+from contextlib import suppress
 
 import anyio
 
@@ -41,8 +42,10 @@
         except (BlockingIOError, ConnectionAbortedError):
             await anyio.wait_readable(listener)
             continue
+        with suppress(OSError):
+            # Fails where the other end has gone, which is found out later.
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         accepted.setblocking(False)
-        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return accepted
 
 
--- a/packages/instance/swifthoist_instance/web.py
+++ b/packages/instance/swifthoist_instance/web.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from swifthoist_instance.api import Api
-from swifthoist_instance.bodies import Bodies, Receive
+from swifthoist_instance.bodies import MAX_BODY_S, Bodies, Receive
 from swifthoist_instance.connections import Phase
 from swifthoist_instance.conversations import CONNECTION_KEY
 from swifthoist_instance.faults import Faults
@@ -44,6 +44,12 @@
 """Time to send the answer to a call that is cut off by the end of the server,
 in seconds."""
 
+DEADLINE = 'deadline-ms'
+"""Header with the time that the caller waits, in ms."""
+
+MIN_WAIT_S = 1.0
+"""Least time for the body of a request to arrive, in seconds."""
+
 INTERNAL_WAIT_S = 3.0
 """Time for the body of an operator's request to arrive, in seconds."""
 
@@ -226,11 +232,9 @@
                 self._note_refusal(Refusal.BODY_LENGTH, scope)
             return early._replace(closing=True)
         began = anyio.current_time()
-        # A caller that gives no time, or none that is left, is told so.
-        wait_s = call.wait_s if call.wait_s > 0 else DEFAULT_WAIT_S
         with self.bodies.open() as body:
             refusal = await self.bodies.receive(
-                receive, body, self.intake.max_body_bytes, wait_s
+                receive, body, self.intake.max_body_bytes, _patience_s(scope)
             )
             took_s = anyio.current_time() - began
             if refusal is not None:
@@ -238,10 +242,9 @@
                 answer = self.intake.refuse_body(call, refusal, took_s)
                 return answer._replace(closing=True)
             _enter_serving(scope)
-            whole = call._replace(
-                content=body.take(), wait_s=call.wait_s - took_s
-            )
-            return await self.intake.answer(whole)
+            if _tells_deadline(scope):
+                call = call._replace(wait_s=call.wait_s - took_s)
+            return await self.intake.answer(call._replace(content=body.take()))
 
     def _note_refusal(self, refusal: Refusal, scope: Scope) -> None:
         client = scope.get('client') or ('',)
@@ -256,7 +259,7 @@
 
     def _to_call(self, method: str, path: str, sent: Sent) -> Call:
         headers = sent.headers
-        wait_s = _wait_s(headers.get('deadline-ms', ''))
+        wait_s = _wait_s(headers.get(DEADLINE, ''))
         return Call(
             method,
             headers.get('host', '').rsplit(':', 1)[0].lower(),
@@ -274,6 +277,20 @@
         connection.enter(Phase.SERVING, anyio.current_time())
 
 
+def _tells_deadline(scope: Scope) -> bool:
+    return _parse_number(_headers(scope).get(DEADLINE, '')) is not None
+
+
+def _patience_s(scope: Scope) -> float:
+    """Return how long the body of a request may take to arrive.
+
+    Whether the caller still waits is judged once the request is whole.
+    """
+    if not _tells_deadline(scope):
+        return MAX_BODY_S
+    return max(_wait_s(_headers(scope)[DEADLINE]), MIN_WAIT_S)
+
+
 def _announced_bytes(scope: Scope) -> int | None:
     """Return the length of a body; 1 if it is not told, None without body."""
     headers = _headers(scope)
--- a/tests/instance/test_web.py
+++ b/tests/instance/test_web.py
@@ -6,7 +6,9 @@
 import anyio
 import anyio.lowlevel
 
+from swifthoist_instance.bodies import MAX_BODY_S
 from swifthoist_instance.faults import Faults
+from swifthoist_instance.intake import DEFAULT_WAIT_S
 from swifthoist_instance.messages import (
     GATEWAY_TIMEOUT,
     INTERNAL_ERROR,
@@ -19,7 +21,7 @@
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.peers import MIN_VERSION_HEADER, RELAY_PATH
 from swifthoist_instance.turns import RESUME_MS, LoopMonitor
-from swifthoist_instance.web import Sent, ShutdownState, Web
+from swifthoist_instance.web import MIN_WAIT_S, Sent, ShutdownState, Web
 from tests.instance.fakes import LoopClock, open_guard, run
 
 SCOPE = {
@@ -219,6 +221,53 @@
         self.assertGreater(intake.lengths[1], 10**12)
 
 
+class PatienceTest(unittest.TestCase):
+    """A body has as long to arrive as its caller waits."""
+
+    def test_a_slow_body_leaves_its_caller_less_time(self) -> None:
+        """Without a deadline, the time to answer begins behind the body."""
+        intake = _Intake([])
+        web = _web(intake, Faults(LoopClock()))
+
+        async def receive() -> dict[str, Any]:
+            await anyio.sleep(2)
+            return {'type': 'http.request', 'body': b'', 'more_body': False}
+
+        async def send(_: dict[str, Any]) -> None:
+            """Discard the answer."""
+
+        async def main() -> None:
+            for headers in ([(b'deadline-ms', b'5000')], []):
+                await web({**SCOPE, 'headers': headers}, receive, send)
+
+        run(main)
+        left = [round(call.wait_s, 3) for call in intake.calls]
+        self.assertEqual(left, [3, DEFAULT_WAIT_S])
+
+    def test_a_body_behind_the_deadline_of_its_caller_is_given_up(self) -> None:
+        """It was waited for as long as the connection stayed open."""
+        intake = _Intake([])
+        web = _web(intake, Faults(LoopClock()))
+
+        async def send(_: dict[str, Any]) -> None:
+            """Discard the answer."""
+
+        async def main() -> None:
+            for headers, took_s in (
+                ([(b'deadline-ms', b'5000')], 5),
+                ([(b'deadline-ms', b'0')], MIN_WAIT_S),
+                ([(b'deadline-ms', b'x')], MAX_BODY_S),
+                ([], MAX_BODY_S),
+            ):
+                began = anyio.current_time()
+                scope = {**SCOPE, 'headers': headers}
+                await web(scope, anyio.sleep_forever, send)
+                self.assertAlmostEqual(anyio.current_time() - began, took_s)
+
+        run(main)
+        self.assertEqual(intake.calls, [])
+
+
 class WebTest(unittest.TestCase):
     """Only complete calls reach the intake."""
 
