--- a/tests/simulation/test_rejections_under_faults.py
+++ b/tests/simulation/test_rejections_under_faults.py
@@ -13,7 +13,7 @@
 from swifthoist_emulator.site import HOST, STANDARD, Site, TeamSpec
 from swifthoist_emulator.store_calls import USUAL_PACE
 from swifthoist_instance.application import DEREGISTRATION_S
-from swifthoist_instance.web import GRACEFUL_TIMEOUT_S
+from swifthoist_instance.listening import GRACEFUL_TIMEOUT_S
 from tests.simulation.cluster import OK, STORE, Cluster, Node, simulate
 
 SEEDS = range(4)
