--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -32,7 +32,7 @@
 from swifthoist_instance.jsonlogs import BoundedHandler
 from swifthoist_instance.learned import LearnedView
 from swifthoist_instance.limits import Limits, limits_of
-from swifthoist_instance.listening import Door, Listening
+from swifthoist_instance.listening import ListenAddress, Listening
 from swifthoist_instance.lives import LifeCounts
 from swifthoist_instance.metrics import Metrics
 from swifthoist_instance.open_calls import OpenCalls
@@ -294,20 +294,22 @@
         _log.info('start', extra={'life': self._life, 'pid': os.getpid()})
         stopped = anyio.Event()
         boot = self._settings.boot
-        doors = [
-            Door(boot.callers_address, lambda: self._limits().callers),
-            Door(boot.ready_address, lambda: self._limits().ready),
+        addresses = [
+            ListenAddress(boot.callers_address, lambda: self._limits().callers),
+            ListenAddress(boot.ready_address, lambda: self._limits().ready),
         ]
         if boot.internal_address:
-            doors.append(
-                Door(boot.internal_address, lambda: self._limits().internal)
+            addresses.append(
+                ListenAddress(
+                    boot.internal_address, lambda: self._limits().internal
+                )
             )
         async with anyio.create_task_group() as tasks:
             for name, func in self.background_tasks():
                 tasks.start_soon(run_supervised, name, func)
             tasks.start_soon(self._watch_signals, stopped, tasks)
             served = anyio.Event()
-            tasks.start_soon(self._serve, doors, stopped, served)
+            tasks.start_soon(self._serve, addresses, stopped, served)
             await served.wait()
             tasks.cancel_scope.cancel()
         _log.info('stop', extra={'life': self._life})
@@ -329,11 +331,11 @@
 
     async def _serve(
         self,
-        doors: list[Door],
+        addresses: list[ListenAddress],
         stopped: anyio.Event,
         served: anyio.Event,
     ) -> None:
-        await self._listening.run(doors, stopped)
+        await self._listening.run(addresses, stopped)
         served.set()
 
     async def _watch_signals(
--- a/packages/instance/swifthoist_instance/listening.py
+++ b/packages/instance/swifthoist_instance/listening.py
@@ -35,7 +35,7 @@
 _log = logging.getLogger(__name__)
 
 
-class Door(NamedTuple):
+class ListenAddress(NamedTuple):
     """An address, and how many connections it may have.
 
     :ivar address: ``host:port``.
@@ -78,18 +78,22 @@
         """
         metrics.register('open_connections', lambda: self.connections)
 
-    async def run(self, doors: Iterable[Door], stopped: anyio.Event) -> None:
+    async def run(
+        self, addresses: Iterable[ListenAddress], stopped: anyio.Event
+    ) -> None:
         """Serve until stopped, then let requests in progress finish.
 
-        :param doors: the addresses.
+        :param addresses: the addresses.
         :param stopped: event that stops the server.
         """
-        listeners = [(open_listener(door.address), door) for door in doors]
+        listeners = [
+            (open_listener(bound.address), bound) for bound in addresses
+        ]
         async with anyio.create_task_group() as conversations:
             async with anyio.create_task_group() as accepting:
-                for listener, door in listeners:
+                for listener, bound in listeners:
                     accepting.start_soon(
-                        self._accept_all, listener, door, conversations
+                        self._accept_all, listener, bound, conversations
                     )
                 await stopped.wait()
                 accepting.cancel_scope.cancel()
@@ -108,21 +112,21 @@
                 await anyio.sleep(POLL_S)
 
     async def _accept_all(
-        self, listener: socket.socket, door: Door, tasks: TaskGroup
+        self, listener: socket.socket, bound: ListenAddress, tasks: TaskGroup
     ) -> None:
-        connections = Connections(door.limit)
+        connections = Connections(bound.limit)
         self._open.append(connections)
         accepted = 0
         while True:
             try:
                 conn = await accept(listener)
             except OSError as exc:
-                fields = {'address': door.address, 'why': str(exc)}
+                fields = {'address': bound.address, 'why': str(exc)}
                 self._refusals.note(Refusal.CONNECTIONS, fields)
                 self._abort(connections.free_one())
                 await anyio.sleep(ACCEPT_PAUSE_S)
                 continue
-            self._admit(conn, connections, door, tasks)
+            self._admit(conn, connections, bound, tasks)
             accepted += 1
             if accepted % ACCEPTS_PER_TURN == 0:
                 await anyio.lowlevel.checkpoint()
@@ -131,7 +135,7 @@
         self,
         conn: socket.socket,
         connections: Connections,
-        door: Door,
+        bound: ListenAddress,
         tasks: TaskGroup,
     ) -> None:
         scope = anyio.CancelScope()
@@ -148,8 +152,8 @@
         if surplus is not None:
             fields = {
                 'client': surplus.client,
-                'address': door.address,
-                'limit': door.limit(),
+                'address': bound.address,
+                'limit': bound.limit(),
                 'phase': surplus.phase.name.lower(),
             }
             self._refusals.note(Refusal.CONNECTIONS, fields)
--- a/tests/instance/test_conversations.py
+++ b/tests/instance/test_conversations.py
@@ -11,7 +11,7 @@
 
 from swifthoist_emulator.serving import ReservedPorts
 from swifthoist_instance import conversations
-from swifthoist_instance.listening import Door, Listening
+from swifthoist_instance.listening import ListenAddress, Listening
 from swifthoist_instance.refusals import Refusal, Refusals
 from tests.instance.fakes import LoopClock
 
@@ -48,8 +48,8 @@
             server = Listening(_app, self.refusals)
             with anyio.fail_after(WAIT_S):
                 async with anyio.create_task_group() as tasks:
-                    door = Door(address, lambda: LIMIT)
-                    tasks.start_soon(server.run, [door], stopped)
+                    bound = ListenAddress(address, lambda: LIMIT)
+                    tasks.start_soon(server.run, [bound], stopped)
                     await anyio.lowlevel.checkpoint()
                     await client(address)
                     stopped.set()
--- a/tests/system/test_misbehaving_clients.py
+++ b/tests/system/test_misbehaving_clients.py
@@ -163,7 +163,7 @@
         self.check_crowd(visit, 300, internal=True)
 
 
-class OtherDoorTest(_Case):
+class OtherUseTest(_Case):
     """Answers that are not read, and the addresses of operators."""
 
     def test_answers_that_nobody_reads(self) -> None:
@@ -327,7 +327,7 @@
         self.run_scenario(scenario, instances=1, prepare=_lower_limits)
 
     def test_one_request_inside_the_limits_is_served(self) -> None:
-        """A limit must not refuse what the pages allow."""
+        """A limit must not refuse an ordinary request."""
 
         async def scenario(stage: Stage) -> None:
             address = stage.instances[0].callers
