--- a/scripts/check.py
+++ b/scripts/check.py
@@ -40,6 +40,8 @@
         print(f'known red, passed over: {name}')
     for check in broken:
         print(f'check failed: {check}')
+    for name in counts.failed:
+        print(f'failed: {name}')
     failed = len(counts.failed) + len(broken)
     print(f'{counts.passed} passed, {failed} failed')
     return int(failed > 0 or counts.passed == 0)
