Emulator: the error of a scene is not joined by one of its server

A system test that fails cancels the emulated platform while that ends its calls. Canceled again there, hypercorn reads the outcome of calls that have not ended (InvalidStateError), and this error was printed last, over the one of the test.

The server is shielded, and stops by its own event when it is canceled. Which test failed there is not known from this.

--- a/packages/emulator/swifthoist_emulator/serving.py
+++ b/packages/emulator/swifthoist_emulator/serving.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+import anyio
 from anyio.abc import TaskGroup
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
@@ -77,7 +78,22 @@
         cfg.errorlog = None
         cfg.graceful_timeout = GRACEFUL_S
         self.live(tasks)
-        await serve(self._app, cfg, shutdown_trigger=self.faults.over.wait)  # type: ignore[arg-type]
+        async with anyio.create_task_group() as serving:
+            serving.start_soon(self._serve, cfg)
+            try:
+                await self.faults.over.wait()
+            finally:
+                self.faults.over.set()
+
+    async def _serve(self, cfg: Config) -> None:
+        # hypercorn fails if it is canceled again while it ends its calls, and
+        # its error would join the one for which all is canceled.
+        with anyio.CancelScope(shield=True):
+            await serve(
+                self._app,  # type: ignore[arg-type]
+                cfg,
+                shutdown_trigger=self.faults.over.wait,
+            )
 
     async def _app(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope['type'] != 'http':
--- a/tests/emulator/test_serving.py
+++ b/tests/emulator/test_serving.py
@@ -4,7 +4,45 @@
 import socket
 import unittest
 
-from swifthoist_emulator.serving import ReservedPorts
+import anyio
+from anyio.abc import SocketStream
+
+from swifthoist_core.clock import SystemClock
+from swifthoist_emulator.http import Request, Response
+from swifthoist_emulator.serving import ReservedPorts, ServedWorld
+from swifthoist_emulator.site import STANDARD
+
+
+class _SceneError(Exception):
+    """What went wrong in a scene."""
+
+
+async def _connect(address: str) -> SocketStream:
+    """Connect to a server that may not have begun to listen."""
+    host, _, port = address.rpartition(':')
+    while True:
+        try:
+            return await anyio.connect_tcp(host, int(port))
+        except OSError:
+            await anyio.sleep(0.01)
+
+
+class _SlowWorld(ServedWorld):
+    """A world that answers nothing, and says when it is asked."""
+
+    def expect(self) -> None:
+        """Prepare to be asked."""
+        self.asked = anyio.Event()
+
+    async def answer(self, address: str, request: Request) -> Response:
+        """Wait until the world ends, and for a moment longer."""
+        self.asked.set()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(0.05)
+        raise AssertionError('woken')
 
 
 class ReservedTest(unittest.TestCase):
@@ -34,3 +72,27 @@
                 listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 listener.bind(self.address)
                 listener.listen()
+
+
+class ServedWorldTest(unittest.TestCase):
+    """A world ends with whoever runs it."""
+
+    def test_the_error_of_a_scene_is_not_joined_by_one_of_the_server(
+        self,
+    ) -> None:
+        """The one that was printed last hid the first one."""
+
+        async def main() -> None:
+            world = _SlowWorld(STANDARD, SystemClock())
+            world.expect()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(world.run, tasks)
+                async with await _connect(world.store_address) as stream:
+                    await stream.send(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+                    await world.asked.wait()
+                    raise _SceneError
+
+        with self.assertRaises(ExceptionGroup) as caught:
+            anyio.run(main)
+        kinds = [type(exc) for exc in caught.exception.exceptions]
+        self.assertEqual(kinds, [_SceneError])
