--- a/tests/instance/test_conversations.py
+++ b/tests/instance/test_conversations.py
@@ -37,7 +37,10 @@
         self.refusals = Refusals(LoopClock())
 
     def run_client(
-        self, client: Callable[[str], Awaitable[None]], **limits: float
+        self,
+        client: Callable[[str], Awaitable[None]],
+        app: Callable[..., Awaitable[None]] = _app,
+        **limits: float,
     ) -> None:
         """Run a client against a server, with changed time limits."""
 
@@ -45,7 +48,7 @@
             ports = ReservedPorts(1)
             address = ports.addresses[0]
             stopped = anyio.Event()
-            server = Listening(_app, self.refusals)
+            server = Listening(app, self.refusals)
             with anyio.fail_after(WAIT_S):
                 async with anyio.create_task_group() as tasks:
                     bound = ListenAddress(address, lambda: LIMIT)
@@ -115,6 +118,39 @@
 
         self.run_client(client)
 
+    def test_a_client_that_ends_its_own_side_gets_its_answer(self) -> None:
+        """The end was taken for a client that has gone."""
+
+        async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
+            await anyio.sleep(0.2)
+            await _app(scope, receive, send)
+
+        async def client(address: str) -> None:
+            for count in (1, 3):
+                async with await _connect(address) as stream:
+                    await stream.send(REQUEST * count)
+                    await stream.send_eof()
+                    found = await _receive_all(stream)
+                    self.assertEqual(found.count(ANSWER_START), count)
+
+        self.run_client(client, app)
+
+    def test_a_body_that_its_client_ends_early_is_refused(self) -> None:
+        """The connection does not stay open for the rest."""
+
+        async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
+            while (await receive())['type'] == 'http.request':
+                pass
+
+        async def client(address: str) -> None:
+            head = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n'
+            async with await _connect(address) as stream:
+                await stream.send(head + b'12345678')
+                await stream.send_eof()
+                self.assertIn(b'HTTP/1.1 400', await _receive_all(stream))
+
+        self.run_client(client, app)
+
     def test_requests_sent_ahead_are_answered_in_turn(self) -> None:
         """And a connection that is closed leaves the others alone."""
 
@@ -158,3 +194,8 @@
     await stream.send(request)
     received = await stream.receive()
     assert received.startswith(ANSWER_START), received
+
+
+async def _receive_all(stream: SocketStream) -> bytes:
+    """Receive until the server closes the connection."""
+    return b''.join([piece async for piece in stream])
