A large submission waits for its turn within its time to answer

Callers of submissions over 16 KB that waited for their turn to be decoded could get their answer after they had given up: the time to record began anew behind the turn, so up to 0.8 of the caller's time was spent twice.

One deadline now holds for the whole call, from its arrival.

--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -41,8 +41,6 @@
 from swifthoist_instance.open_calls import OpenCalls
 from swifthoist_instance.peers import Peers
 from swifthoist_instance.recording import (
-    ANSWER_SHARE,
-    MAX_WAIT_S,
     NotServedError,
     Recorder,
     answer_deadline,
@@ -184,7 +182,7 @@
             # Callers never see an instance go back to an older configuration.
             call = call._replace(min_version=catalogue.version)
         try:
-            answer = await self._serve(call)
+            answer = await self._serve(call, deadline)
         except BusyError as exc:
             return self._refuse(call, str(exc))
         except NotServedError as exc:
@@ -206,7 +204,7 @@
             return self._leave_open(call)
         return self._refuse(call, reason, alone=relayed.alone)
 
-    async def _serve(self, call: Call) -> Answer:
+    async def _serve(self, call: Call, deadline: float) -> Answer:
         if call.wait_s <= 0 and call.changes_state:
             raise NotServedError('read after its caller may have given up')
         admitted = self._admission.admit(call)
@@ -215,13 +213,15 @@
         suffix = call.path[len(admitted.queue.prefix) :]
         match call.method:
             case Verb.SUBMIT.value if is_job_id(suffix):
-                return await self._submit(call, admitted, suffix)
+                return await self._submit(call, admitted, suffix, deadline)
             case Verb.SHOW.value if not suffix:
                 return self._show_queue(call, admitted.queue)
             case Verb.SHOW.value:
                 return await self._show_job(call, admitted.queue, suffix)
             case Verb.CANCEL.value:
-                return await self._cancel(call, admitted.queue, suffix)
+                return await self._cancel(
+                    call, admitted.queue, suffix, deadline
+                )
             case Verb.SUBMIT.value:
                 finding = Finding('id', 'must be 16 hexadecimal digits')
                 return Answer(BAD_REQUEST, encode_error((finding,)))
@@ -229,15 +229,15 @@
                 return Answer(METHOD_NOT_ALLOWED)
 
     async def _submit(
-        self, call: Call, admitted: Admitted, job_id: JobId
+        self, call: Call, admitted: Admitted, job_id: JobId, deadline: float
     ) -> Answer:
         answer = self._answer_known(admitted, job_id)
         if answer is not None:
             return answer
         if len(call.content) > admitted.max_body_bytes:
             return _reject_length(admitted.max_body_bytes)
-        wait_s = min(call.wait_s, MAX_WAIT_S) * ANSWER_SHARE
-        decoded = await self._submissions.decode(call.content, wait_s)
+        left_s = deadline - anyio.current_time()
+        decoded = await self._submissions.decode(call.content, left_s)
         if decoded.request is None:
             return Answer(BAD_REQUEST, encode_error(decoded.findings))
         if not self.ready:
@@ -257,7 +257,9 @@
         if problem is not None:
             return Answer(BAD_REQUEST, encode_error((problem,)))
         with self._submissions.reserve(spec):
-            return await self._append_record(Submitted(spec), job_id, call)
+            return await self._append_record(
+                Submitted(spec), job_id, call, deadline
+            )
 
     def _answer_known(self, admitted: Admitted, job_id: JobId) -> Answer | None:
         """Answer a submission of a job that was accepted or canceled before."""
@@ -302,7 +304,9 @@
         answer = relayed.answer
         return answer if answer and answer.status == OK else known
 
-    async def _cancel(self, call: Call, queue: Queue, job_id: str) -> Answer:
+    async def _cancel(
+        self, call: Call, queue: Queue, job_id: str, deadline: float
+    ) -> Answer:
         job = self._follower.cell.find_job(job_id)
         # A record would cancel a job of another queue, which has the same id.
         elsewhere = job is not None and job.spec.queue != queue.name
@@ -313,14 +317,14 @@
         if not self.ready:
             raise NotServedError('log not followed')
         record = Canceled(job_id, self._follower.time.now_ms())
-        answer = await self._append_record(record, job_id, call)
+        answer = await self._append_record(record, job_id, call, deadline)
         # The cell state may not include yet a job that another instance
         # accepted, but does once the later cancellation is folded.
         known = _find_job(self._follower.cell, queue, job_id) is not None
         return answer if known or answer.status != OK else Answer(GONE)
 
     async def _append_record(
-        self, record: Record, job_id: JobId, call: Call
+        self, record: Record, job_id: JobId, call: Call, deadline: float
     ) -> Answer:
         kind = type(record).__name__
         fields = {
@@ -330,7 +334,7 @@
             'path': call.path,
         }
         try:
-            recorded = await self._recorder.record(record, call)
+            recorded = await self._recorder.record(record, call, deadline)
         except OutcomeUnknownError as exc:
             _log.warning('unknown', extra={**fields, 'why': str(exc)})
             return self._leave_open(call)
--- a/packages/instance/swifthoist_instance/recording.py
+++ b/packages/instance/swifthoist_instance/recording.py
@@ -81,16 +81,19 @@
         self._peers = peers
         self._latency = latency
 
-    async def record(self, record: Record, call: Call) -> Recorded:
+    async def record(
+        self, record: Record, call: Call, deadline: float
+    ) -> Recorded:
         """Record a request.
 
         :param record: its record.
         :param call: the request, for another instance.
+        :param deadline: until when it has to be answered, in seconds of the
+            event loop's clock.
         :returns: how it was recorded.
         :raises NotServedError: if it was certainly not recorded.
         :raises OutcomeUnknownError: if it may be recorded, now or later.
         """
-        deadline = answer_deadline(call)
         if call.relayed:
             return await self._append(record, deadline)
         if self._latency.slow and self._peers.holder:
--- a/tests/instance/entry.py
+++ b/tests/instance/entry.py
@@ -10,6 +10,7 @@
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.peers import Peer
 from swifthoist_instance.configuration import Configuration
+from swifthoist_instance.fair_turns import FairTurns
 from swifthoist_instance.follower import READ_PAUSE_S, Follower
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import Journal
@@ -17,13 +18,15 @@
 from swifthoist_instance.open_calls import OpenCalls
 from swifthoist_instance.peers import Peers
 from swifthoist_instance.recording import Recorder
+from swifthoist_instance.refusals import Refusals
 from swifthoist_instance.snapshotting import Snapshots
 from swifthoist_instance.store_latency import StoreLatency
+from swifthoist_instance.submissions import Submissions
 from swifthoist_instance.tenure import Tenure, claim_delay_ms
 from swifthoist_platform import names
 from swifthoist_platform.endpoint import EndpointProtocol
 from swifthoist_platform.store import CONFIG_KEY, OPERATOR_TOPIC
-from tests.instance.fakes import FakeStore, LoopClock, open_guard, run
+from tests.instance.fakes import GENEROUS, FakeStore, LoopClock, run
 
 KEEP_MS = 100_000
 LOG_KEEP_MS = 20_000
@@ -52,6 +55,7 @@
     ) -> None:
         """Connect the parts of the instance."""
         clock = LoopClock()
+        self.turns = FairTurns(clock)
         self.store = store
         self.snapshots = Snapshots(store, LOG_KEEP_MS, RECORD_BYTES)
         self.follower = Follower(
@@ -74,7 +78,12 @@
             peers,
             lambda: revoke_ms,
             OpenCalls(clock),
-            open_guard(self.follower.cell).submissions,
+            Submissions(
+                lambda: self.follower.cell,
+                lambda: GENEROUS,
+                self.turns,
+                Refusals(clock),
+            ),
         )
 
     def start(self, tasks: TaskGroup, *, claims: bool = False) -> None:
--- a/tests/instance/test_intake.py
+++ b/tests/instance/test_intake.py
@@ -4,13 +4,16 @@
 
 import anyio
 import msgspec
+from anyio.abc import TaskStatus
 
 from swifthoist_emulator.site import HOST, STANDARD, write_config
+from swifthoist_instance.fair_turns import FairTurns
 from swifthoist_instance.intake import Intake
 from swifthoist_instance.journal import CELL_TOPIC
+from swifthoist_instance.limits import LARGE_BODY_BYTES
 from swifthoist_instance.messages import Answer, Call
 from swifthoist_instance.open_calls import OpenCalls
-from swifthoist_instance.recording import Recorder
+from swifthoist_instance.recording import ANSWER_SHARE, Recorder
 from swifthoist_instance.relayed import Relayed
 from swifthoist_instance.store_latency import StoreLatency
 from swifthoist_platform import names
@@ -239,6 +242,25 @@
 
         run_two(scenario)
 
+    def test_a_wait_for_its_turn_counts_in_the_time_of_an_answer(self) -> None:
+        """A large submission had its whole time again behind its turn."""
+
+        async def scenario(
+            first: InstanceHarness, second: InstanceHarness
+        ) -> None:
+            first.store.silent = True
+            large = JOB + b' ' * LARGE_BODY_BYTES
+            wait_s = 3
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(_take_turn, first.turns)
+                began = anyio.current_time()
+                answer = await first.call('POST', ID, large, wait_s=wait_s)
+                took_s = anyio.current_time() - began
+            self.assertEqual(answer.status, 504)
+            self.assertLessEqual(took_s, ANSWER_SHARE * wait_s + 0.01)
+
+        run_two(scenario)
+
     def test_a_change_that_another_instance_may_have_made_is_not_refused(
         self,
     ) -> None:
@@ -269,6 +291,15 @@
         run(main)
 
 
+async def _take_turn(
+    turns: FairTurns, *, task_status: TaskStatus[None]
+) -> None:
+    """Have others wait for their turn."""
+    async with turns.turn():
+        task_status.started()
+        await anyio.sleep(1)
+
+
 class _SilentPeers:
     """Other instances that take every call and answer none."""
 
--- a/tests/instance/test_recording.py
+++ b/tests/instance/test_recording.py
@@ -19,6 +19,7 @@
     NotServedError,
     Recorded,
     Recorder,
+    answer_deadline,
 )
 from swifthoist_instance.relayed import Relayed
 from swifthoist_instance.store_latency import StoreLatency
@@ -89,7 +90,7 @@
             latency = StoreLatency(LoopClock())
             latency.note_answer(SLOW_S if slow else 0.004)
             recorder = Recorder(journal, peers, latency)
-            await check(recorder.record(RECORD, call))
+            await check(recorder.record(RECORD, call, answer_deadline(call)))
 
         run(main)
 
