--- a/tests/engine/test_footprints.py
+++ b/tests/engine/test_footprints.py
@@ -1,11 +1,22 @@
 """Tests of the memory that jobs are expected to hold."""
 
+import gc
+import tracemalloc
 import unittest
 
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.footprints import Footprints, footprint_of
-from swifthoist_engine.model import JobSpec, QueueTerms, Resources, StepSpec
-from swifthoist_engine.records import Beat, Canceled, Claimed, Submitted
+from swifthoist_engine.model import (
+    JobSpec,
+    QueueTerms,
+    Resources,
+    StepSpec,
+    TaskId,
+    UnitId,
+)
+from swifthoist_engine.records import Beat, Canceled, Claimed, Ending, Submitted
+from tests.engine.scenes import BULK, NOW_MS, Scene, job_spec, task
+from tests.engine.scenes import KEEP_MS as SCENE_KEEP_MS
 
 TERMS = QueueTerms(1, 3, 1, 500, 'pool')
 KEEP_MS = 1_000
@@ -52,3 +63,23 @@
         footprints = Footprints((_spec('a'),))
         footprints.remove('b')
         self.assertEqual(footprints.total, footprint_of(_spec('a')))
+
+    def test_tasks_that_are_done_hold_no_more_than_was_counted(self) -> None:
+        """What a job holds grew with each task that had run."""
+        spec = job_spec('many', BULK, task(count=2_000))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        scene = Scene(spec)
+        for ordinal in range(2_000):
+            scene.start(UnitId('many', 0, 0, ordinal), 'runner-1')
+            done = TaskId('many', 0, 0, ordinal)
+            scene.end(done, 'runner-1', Ending.DONE)
+        with_job = _held_bytes()
+        scene.beat(NOW_MS + SCENE_KEEP_MS + 1)
+        self.assertEqual(scene.jobs(), [])
+        self.assertLessEqual(with_job - _held_bytes(), footprint_of(spec))
+
+
+def _held_bytes() -> int:
+    gc.collect()
+    return tracemalloc.get_traced_memory()[0]
