Tasks that are done are packed where there are very many

A job is counted when it is accepted, by its steps; but it held 716 bytes more for each task that was done, for as long as it was known, and may have 100,000 tasks.

Of a unit that is done, without open runs and under which no runner crashed, nothing is needed but that it is done. Beyond an eighth of the spare memory (39,375 units at 300 MB) such units are kept as a bit; progress is derived in bits, too, and drops what it knew of steps and occurrences that are done. A job counts a byte for two units now.

--- a/packages/engine/swifthoist_engine/cell.py
+++ b/packages/engine/swifthoist_engine/cell.py
@@ -32,6 +32,7 @@
     find_open_run,
     open_runs_from,
 )
+from swifthoist_engine.kept_units import MAX_UNITS, KeptUnits
 from swifthoist_engine.model import TaskId
 from swifthoist_engine.past_runs import past_run
 from swifthoist_engine.peers import Peer, add_peer
@@ -75,11 +76,18 @@
     :ivar footprints: memory that the jobs hold.
     """
 
-    def __init__(self, keep_ms: Millis, state: CellState | None = None) -> None:
+    def __init__(
+        self,
+        keep_ms: Millis,
+        state: CellState | None = None,
+        max_units: int = MAX_UNITS,
+    ) -> None:
         """Create a cell.
 
         :param keep_ms: how long finished jobs can still be queried, in ms.
         :param state: state from a snapshot; none to start empty.
+        :param max_units: most units that are kept in full before those that
+            are done are packed.
         """
         self.state = CellState()
         self.runs = RunIndex()
@@ -89,6 +97,7 @@
         self.urgent: dict[JobId, Job] = {}
         self.finished: deque[JobId] = deque(maxlen=MAX_FINISHED)
         self._keep_ms = keep_ms
+        self._units = KeptUnits(max_units)
         if state is not None:
             self.replace_state(state)
 
@@ -107,6 +116,7 @@
         }
         self.suspects = set()
         self.footprints = Footprints(job.spec for job in state.jobs.values())
+        self._units.recount(state.jobs.values())
         for job in state.jobs.values():
             job.forget_progress()
             if has_suspects(job):
@@ -238,7 +248,7 @@
             if 0 < job.finished_ms < limit and not any(job.open_runs())
         ]
         for job_id in old:
-            self.state.jobs.pop(job_id)
+            self._units.forget(self.state.jobs.pop(job_id))
             self.footprints.remove(job_id)
             self.urgent.pop(job_id, None)
             self.dirty.discard(job_id)
@@ -263,10 +273,11 @@
         if job is None:
             return
         need = job.step(record.unit).allocated
-        unit = job.ensure_unit(record.unit)
-        if unit.done:
+        known = job.find_unit(record.unit)
+        if known is not None and known.done:
             # An earlier run, already given up, turned out to be done.
             return
+        unit = self._units.ensure(job, record.unit)
         if unit.open or record.run <= unit.last_run:
             # The start was decided again because it was unknown whether the
             # first record had been appended; the first one is valid.
@@ -299,6 +310,7 @@
         gang = tuple(unit.open.values())
         update_unit(job, unit, record)
         run = self._close_run(record.task, record.run)
+        self._units.pack_settled(job, record.task)
         self.dirty.add(job.job)
         update_job_outcome(job, unit, record)
         at_ms = self.state.time_ms
@@ -327,6 +339,7 @@
             self.suspects.add(job.job)
         if record.checkpoint and record.run == unit.last_run:
             unit.checkpoint = record.checkpoint
+        self._units.pack_settled(job, record.task)
         job.add_to_history(run, VANISHED, self.state.time_ms, record.reason)
         self.state.account.add_run(job, run, self.state.time_ms, VANISHED)
 
--- a/packages/engine/swifthoist_engine/footprints.py
+++ b/packages/engine/swifthoist_engine/footprints.py
@@ -8,9 +8,10 @@
 from collections.abc import Iterable
 
 from swifthoist_core.types import JobId, OwnerId
+from swifthoist_engine.done_units import count_units
 from swifthoist_engine.model import JobSpec, StepSpec
 
-JOB_BYTES = 4_000
+JOB_BYTES = 4_600
 """Memory of a job without its steps and payload, in bytes."""
 
 STEP_BYTES = 500
@@ -18,6 +19,10 @@
 
 DEPENDENCY_BYTES = 40
 
+UNITS_PER_BYTE = 2
+"""Units of which a byte tells that they are done: a bit for each is stored, and
+another one is derived."""
+
 
 def footprint_of(spec: JobSpec) -> int:
     """Estimate the memory that a job holds.
@@ -25,7 +30,14 @@
     :param spec: the job.
     :returns: its memory, in bytes.
     """
-    return JOB_BYTES + len(spec.payload) + sum(map(_step_bytes, spec.steps))
+    steps = sum(map(_step_bytes, spec.steps))
+    return JOB_BYTES + len(spec.payload) + steps + _progress_bytes(spec)
+
+
+def _progress_bytes(spec: JobSpec) -> int:
+    times = 1 if spec.schedule is None else spec.schedule.times
+    units = times * sum(map(count_units, spec.steps))
+    return units // UNITS_PER_BYTE
 
 
 def _step_bytes(step: StepSpec) -> int:
--- a/packages/engine/swifthoist_engine/jobs.py
+++ b/packages/engine/swifthoist_engine/jobs.py
@@ -1,11 +1,20 @@
 """Jobs with their units, open runs, attempts and state."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from swifthoist_core.types import Epoch, JobId, Millis, RunnerId
 from swifthoist_engine.crashes import Crash, should_give_up
+from swifthoist_engine.done_units import (
+    KnownUnits,
+    UnitKey,
+    UnitNumbers,
+    has_bit,
+    has_unit,
+    numbers_set,
+    set_bit,
+)
 from swifthoist_engine.histories import Attempt, History
 from swifthoist_engine.model import (
     GANG_ORDINAL,
@@ -97,17 +106,26 @@
         """Whether a runner has crashed that it may have caused."""
         return bool(self.task_crashes)
 
+    @property
+    def settled(self) -> bool:
+        """Whether it is done, and nothing may come of it any more."""
+        return self.done and not self.open and not self.suspected
+
     @property
     def to_give_up(self) -> bool:
         """Whether it must not start again, since it crashes its runners."""
         return any(map(should_give_up, self.task_crashes.values()))
 
 
+_PACKED = UnitStage(done=True, open=False, suspected=False)
+
+
 class _Derived:
     """What is derived from a job, and not stored with it."""
 
-    __slots__ = ('_progress',)
+    __slots__ = ('_numbers', '_progress')
 
+    _numbers: UnitNumbers
     _progress: Progress
 
     def forget_progress(self) -> None:
@@ -115,6 +133,12 @@
         if hasattr(self, '_progress'):
             del self._progress
 
+    def _derive_numbers(self, steps: Sequence[StepSpec]) -> UnitNumbers:
+        """Return the numbers of the units, which are derived once."""
+        if not hasattr(self, '_numbers'):
+            self._numbers = UnitNumbers(steps)
+        return self._numbers
+
     def _derive(self, derive: Callable[[], Progress]) -> Progress:
         """Return the progress, which is derived once."""
         try:
@@ -129,23 +153,27 @@
     """A job with the state of its units.
 
     :ivar spec: the job as accepted.
-    :ivar units: units that were ever started, by occurrence, step and ordinal.
+    :ivar units: units that were ever started, by occurrence, step and ordinal,
+        but for those that are packed.
     :ivar started: whether any unit was started.
     :ivar canceled: whether a caller canceled it.
     :ivar failed: whether a unit used up its attempts.
     :ivar complete: whether every unit is done.
     :ivar finished_ms: time at which it reached its final state; 0 before.
     :ivar history: summary of its ended runs.
+    :ivar packed: units that are done and of which nothing else is kept, a bit
+        each.
     """
 
     spec: JobSpec
-    units: dict[tuple[int, int, int], Unit] = field(default_factory=dict)
+    units: dict[UnitKey, Unit] = field(default_factory=dict)
     started: bool = False
     canceled: bool = False
     failed: bool = False
     complete: bool = False
     finished_ms: Millis = 0
     history: History = field(default_factory=History)
+    packed: bytearray = field(default_factory=bytearray)
 
     @property
     def job(self) -> JobId:
@@ -179,18 +207,38 @@
         """Which units may start, run or are done."""
         return self._derive(self._derive_progress)
 
+    @property
+    def numbers(self) -> UnitNumbers:
+        """Numbers of its units."""
+        return self._derive_numbers(self.spec.steps)
+
     def note_unit(self, unit_id: UnitId) -> None:
         """Process a change of a unit.
 
         :param unit_id: the unit.
         """
-        unit = self.ensure_unit(unit_id)
-        self.progress.note(unit_id[1:], unit.stage)
+        unit = self.find_unit(unit_id)
+        if unit is not None:
+            self.progress.note(unit_id[1:], unit.stage)
+
+    def pack(self, unit_id: UnitId) -> None:
+        """Keep of a unit only that it is done, unless the job has no such unit.
+
+        :param unit_id: the unit; it is settled.
+        """
+        key = unit_id[1:]
+        if has_unit(self.spec, self.occurrences, key):
+            set_bit(self.packed, self.numbers.number(key))
+            self.units.pop(key, None)
 
     def _derive_progress(self) -> Progress:
-        progress = Progress(self.spec, self.occurrences, self.units)
+        numbers = self.numbers
+        known = KnownUnits(self.units, self.packed, numbers)
+        progress = Progress(self.spec, self.occurrences, known, numbers)
         for key, unit in self.units.items():
             progress.note(key, unit.stage)
+        for number in numbers_set(self.packed):
+            progress.note(numbers.key(number), _PACKED)
         return progress
 
     def step(self, unit: UnitId | TaskId) -> StepSpec:
@@ -214,9 +262,15 @@
         """Return the state of a unit.
 
         :param unit: id of the unit.
-        :returns: its state; none if it was never started.
+        :returns: its state; none if it was never started. Changes of a
+            packed unit are not kept.
         """
-        return self.units.get((unit.occurrence, unit.step, unit.ordinal))
+        key = unit[1:]
+        found = self.units.get(key)
+        if found is not None or not self.packed:
+            return found
+        packed = has_bit(self.packed, self.numbers.number(key))
+        return Unit(done=True) if packed else None
 
     def ensure_unit(self, unit: UnitId) -> Unit:
         """Return the state of a unit, creating it if needed.
@@ -224,8 +278,7 @@
         :param unit: id of the unit.
         :returns: its state.
         """
-        key = (unit.occurrence, unit.step, unit.ordinal)
-        return self.units.setdefault(key, Unit())
+        return self.units.setdefault(unit[1:], self.find_unit(unit) or Unit())
 
     def task_done(self, task: TaskId) -> bool:
         """Return whether the unit of a task is done.
--- a/packages/engine/swifthoist_engine/progress.py
+++ b/packages/engine/swifthoist_engine/progress.py
@@ -5,19 +5,24 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Container, Iterator
+from collections.abc import Callable, Iterator
 from itertools import islice
-from typing import NamedTuple, TypeAlias, TypeVar
+from typing import NamedTuple, TypeVar
 
 from swifthoist_core.types import Millis
+from swifthoist_engine.done_units import (
+    DoneUnits,
+    KnownUnits,
+    StepPlace,
+    UnitKey,
+    UnitNumbers,
+    count_units,
+    has_bit,
+    has_unit,
+    set_bit,
+)
 from swifthoist_engine.model import GANG_ORDINAL, JobSpec, StepSpec
 
-UnitKey: TypeAlias = tuple[int, int, int]
-"""Occurrence, step and ordinal of a unit."""
-
-StepPlace: TypeAlias = tuple[int, int]
-"""Occurrence and number of a step."""
-
 _Member = TypeVar('_Member')
 
 
@@ -38,7 +43,7 @@
     """Progress of one job.
 
     A job with very many steps is prepared in slices, unless a unit of it is
-    known already.
+    known already. What is done costs a bit or two.
 
     :ivar open: units with open runs, in the order in which they started.
     :ivar suspected: units that are suspected of crashing their runners.
@@ -48,13 +53,18 @@
     """
 
     def __init__(
-        self, spec: JobSpec, occurrences: int, known: Container[UnitKey]
+        self,
+        spec: JobSpec,
+        occurrences: int,
+        known: KnownUnits,
+        numbers: UnitNumbers,
     ) -> None:
         """Start without any unit.
 
         :param spec: the job.
         :param occurrences: number of times its steps run.
         :param known: units that were ever started.
+        :param numbers: the numbers of the units.
         """
         self.open: dict[UnitKey, None] = {}
         self.suspected: dict[UnitKey, None] = {}
@@ -72,8 +82,8 @@
         self._more_dependents: dict[int, list[int]] = defaultdict(list)
         self._dependencies: list[int] = []
         self._first_steps: list[int] = []
-        self._done: set[UnitKey] = set()
-        self._done_in: Counter[StepPlace] = Counter()
+        self._done = DoneUnits(spec.steps, numbers)
+        self._over = bytearray()
         self._steps_left = occurrences * len(spec.steps)
         self._steps_left_in: dict[int, int] = {}
         # How many dependencies of a step are not done, by occurrence.
@@ -144,7 +154,7 @@
         :param place: the step.
         :returns: whether they are.
         """
-        return self._done_in[place] == _count_units(self._spec.steps[place[1]])
+        return self._done.has_step(place)
 
     def note(self, key: UnitKey, stage: UnitStage) -> None:
         """Process a change of a unit.
@@ -152,7 +162,7 @@
         :param key: the unit.
         :param stage: its stage now.
         """
-        if not _exists(key, self._spec, self._occurrences):
+        if not has_unit(self._spec, self._occurrences, key):
             return
         self.prepare(len(self._spec.steps))
         place = key[:2]
@@ -160,11 +170,8 @@
         _set_member(self.open, key, member=stage.open)
         _set_member(self.suspected, key, member=stage.suspected)
         self._note_idle(place, key[2], idle=not (stage.done or stage.open))
-        if stage.done and key not in self._done:
-            self._done.add(key)
-            self._done_in[place] += 1
-            if self.step_done(place):
-                self._note_step_done(place)
+        if stage.done and self._done.add(key):
+            self._note_step_done(place)
         self._update_startable(place)
 
     def open_due(self, is_due: Callable[[int], bool], limit: int) -> None:
@@ -207,13 +214,13 @@
                 yield GANG_ORDINAL
             return
         for ordinal in range(
-            self._fresh[place], _count_units(self._spec.steps[place[1]])
+            self._fresh[place], count_units(self._spec.steps[place[1]])
         ):
             if (*place, ordinal) not in self._known:
                 yield ordinal
 
     def _open_occurrence(self, occurrence: int) -> None:
-        if occurrence in self._blockers:
+        if occurrence in self._blockers or has_bit(self._over, occurrence):
             return
         self._blockers[occurrence] = self._dependencies.copy()
         self._steps_left_in[occurrence] = len(self._spec.steps)
@@ -233,19 +240,25 @@
                 return
 
     def _note_idle(self, place: StepPlace, ordinal: int, *, idle: bool) -> None:
-        known = self._idle.setdefault(place, set())
         if idle:
-            known.add(ordinal)
-        else:
-            known.discard(ordinal)
+            self._idle.setdefault(place, set()).add(ordinal)
+            return
+        known = self._idle.get(place, set())
+        known.discard(ordinal)
+        if not known:
+            self._idle.pop(place, None)
 
     def _note_step_done(self, place: StepPlace) -> None:
         occurrence, number = place
+        blockers = self._blockers[occurrence]
+        self._fresh.pop(place, None)
         self._steps_left -= 1
         self._steps_left_in[occurrence] -= 1
         if not self._steps_left_in[occurrence]:
             self._steps_left_in.pop(occurrence)
-        blockers = self._blockers[occurrence]
+            self._blockers.pop(occurrence)
+            self._listed_steps.pop(occurrence, None)
+            set_bit(self._over, occurrence)
         dependents = list(self._more_dependents.get(number, ()))
         if number in self._dependent:
             dependents.append(self._dependent[number])
@@ -255,8 +268,10 @@
 
     def _update_startable(self, place: StepPlace) -> None:
         occurrence, number = place
-        member = not self._blockers[occurrence][number] and (
-            bool(self._idle.get(place)) or self._has_fresh(place)
+        member = (
+            not self.step_done(place)
+            and not self._blockers[occurrence][number]
+            and (bool(self._idle.get(place)) or self._has_fresh(place))
         )
         _set_member(self._startable, place, member=member)
 
@@ -266,7 +281,7 @@
             return (*place, GANG_ORDINAL) not in self._known
         ordinal, width = (
             self._fresh[place],
-            _count_units(self._spec.steps[place[1]]),
+            count_units(self._spec.steps[place[1]]),
         )
         while ordinal < width and (*place, ordinal) in self._known:
             ordinal += 1
@@ -274,20 +289,6 @@
         return ordinal < width
 
 
-def _exists(key: UnitKey, spec: JobSpec, occurrences: int) -> bool:
-    occurrence, number, ordinal = key
-    if not 0 <= occurrence < occurrences:
-        return False
-    step = spec.steps[number]
-    if step.gang:
-        return ordinal == GANG_ORDINAL
-    return 0 <= ordinal < step.width
-
-
-def _count_units(step: StepSpec) -> int:
-    return 1 if step.gang else step.width
-
-
 def _set_member(
     members: dict[_Member, None], item: _Member, *, member: bool
 ) -> None:
--- a/packages/engine/swifthoist_engine/queueing.py
+++ b/packages/engine/swifthoist_engine/queueing.py
@@ -15,6 +15,7 @@
 from swifthoist_engine.catalogue import Catalogue
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.demand import teams_within_guarantee
+from swifthoist_engine.done_units import StepPlace
 from swifthoist_engine.duration_estimates import DurationEstimates
 from swifthoist_engine.faults import FaultGuard, FaultSource
 from swifthoist_engine.job_costs import JobCosts
@@ -25,7 +26,6 @@
     StepSpec,
     UnitId,
 )
-from swifthoist_engine.progress import StepPlace
 
 LATE_FACTOR = 3
 """A job that takes longer than this multiple of its objective has no value."""
--- a/packages/engine/swifthoist_engine/snapshots.py
+++ b/packages/engine/swifthoist_engine/snapshots.py
@@ -16,7 +16,11 @@
 from swifthoist_engine.cell_state import CellState
 
 FORMAT = 1
-"""Format of the state that this version writes and reads."""
+"""Format of the state."""
+
+PACKED_FORMAT = 2
+"""Format of a state with packed units. Versions that don't know them would
+start those again, and refuse the format."""
 
 HEAD_KEY = 'snapshot/head'
 CHUNK_KEY_PREFIX = 'snapshot/chunk/'
@@ -89,7 +93,14 @@
     chunks = {
         chunk_key(slot, index): piece for index, piece in enumerate(pieces)
     }
-    head = Head(FORMAT, position, slot, len(pieces), zlib.crc32(packed))
+    units_packed = any(job.packed for job in state.jobs.values())
+    head = Head(
+        PACKED_FORMAT if units_packed else FORMAT,
+        position,
+        slot,
+        len(pieces),
+        zlib.crc32(packed),
+    )
     return Snapshot(head, chunks)
 
 
@@ -130,7 +141,7 @@
         )
     except (msgspec.MsgspecError, KeyError) as exc:
         raise SnapshotError(f'snapshot is incomplete: {exc!r}') from exc
-    if head.format != FORMAT:
+    if head.format not in {FORMAT, PACKED_FORMAT}:
         raise SnapshotError(f'snapshot has format {head.format}')
     if zlib.crc32(packed) != head.checksum:
         raise SnapshotError('snapshot does not match its checksum')
--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -18,6 +18,7 @@
 from swifthoist_core.types import Millis
 from swifthoist_engine.account import UsageFilter, usage_lines
 from swifthoist_engine.burn import burn_lines
+from swifthoist_engine.done_units import count_bits
 from swifthoist_engine.evacuation import zone_lines
 from swifthoist_engine.job_checks import check_job
 from swifthoist_engine.jobs import Job
@@ -194,7 +195,11 @@
             }
             for key, unit in sorted(job.units.items())
         ]
-        summary = {**_summarize(job), 'units': units}
+        summary = {
+            **_summarize(job),
+            'units': units,
+            'packed_units': count_bits(job.packed),
+        }
         return Answer(200, {**summary, 'history': describe_end(job, {})})
 
     async def _submit(self, job_id: str, content: bytes) -> Answer:
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -128,7 +128,7 @@
         )
         self._follower = Follower(
             self._clients.store(),
-            Cell(retention_ms),
+            Cell(retention_ms, max_units=limits_of(boot).units),
             clock,
             snapshots.load,
             self.faults,
--- a/packages/instance/swifthoist_instance/limits.py
+++ b/packages/instance/swifthoist_instance/limits.py
@@ -1,12 +1,14 @@
 """Limits of what clients may hold, derived from those of the process.
 
 The memory that an instance needs for itself comes first. Of the rest, a part
-each may be held by connections, by bodies that are being received, and by
-accepted jobs; what is left is for copies, snapshots and the fold.
+each may be held by connections, by bodies that are being received, by accepted
+jobs, and by their units that are done; what is left is for copies, snapshots
+and the fold.
 """
 
 from typing import NamedTuple
 
+from swifthoist_engine.kept_units import UNIT_BYTES
 from swifthoist_platform.boot import BootSettings
 
 BASE_BYTES = 48_000_000
@@ -18,6 +20,7 @@
 CONNECTION_SHARE = 0.25
 BODY_SHARE = 0.125
 JOB_SHARE = 0.25
+UNIT_SHARE = 0.125
 
 CONNECTION_BYTES = 80_000
 """Memory of a connection, in bytes: its objects, what the kernel has received
@@ -56,6 +59,8 @@
     :ivar body_bytes: size of all large bodies that are being received or
         worked on, in bytes.
     :ivar job_bytes: memory of all accepted jobs, in bytes.
+    :ivar units: most units of all jobs that are kept in full before those that
+        are done are packed.
     :ivar record_bytes: largest record that the store takes, in bytes.
     """
 
@@ -64,6 +69,7 @@
     ready: int
     body_bytes: int
     job_bytes: int
+    units: int
     record_bytes: int
 
 
@@ -83,6 +89,7 @@
         _count(min(affordable, sockets * READY_DESCRIPTOR_SHARE)),
         max(int(spare * BODY_SHARE), MIN_BODY_BYTES),
         int(spare * JOB_SHARE),
+        int(spare * UNIT_SHARE / UNIT_BYTES),
         boot.store.record_bytes,
     )
 
--- a/tests/instance/fakes.py
+++ b/tests/instance/fakes.py
@@ -52,6 +52,7 @@
     ready=100,
     body_bytes=10_000_000,
     job_bytes=100_000_000,
+    units=100_000,
     record_bytes=262_144,
 )
 """Limits that no test meets by accident."""
--- a/tests/instance/test_limits.py
+++ b/tests/instance/test_limits.py
@@ -3,6 +3,7 @@
 import unittest
 
 from swifthoist_emulator.site import write_settings
+from swifthoist_engine.kept_units import UNIT_BYTES
 from swifthoist_instance.limits import (
     BASE_BYTES,
     CONNECTION_BYTES,
@@ -34,6 +35,7 @@
                 found = _limits(memory_mb)
                 held = found.body_bytes + found.job_bytes
                 held += found.callers * CONNECTION_BYTES
+                held += found.units * UNIT_BYTES
                 spare = memory_mb * MB - BASE_BYTES
                 self.assertLessEqual(held, 0.75 * spare)
 
