At most 4,000 occurrences of a job are under way at a time

Each occurrence that was due was prepared whole in the holder: 334 bytes, and 117 for each of its steps, of which nothing was counted when the job was accepted. A job may have 100,000 that are all due at once, so one of 4,500 counted bytes would take 33 MB (computed).

The next occurrences now wait until some are done: 4,000 tasks at a time are more than the runners of any known site take. What may be under way counts with the job. The new checks failed: 668,095 bytes for 2,000 occurrences where 4,500 were counted, 287,511 for 20 of 100 steps where 54,000 were; and 4,551 for a plain job, which counts 5,000 now.

--- a/packages/engine/swifthoist_engine/footprints.py
+++ b/packages/engine/swifthoist_engine/footprints.py
@@ -10,8 +10,9 @@
 from swifthoist_core.types import JobId, OwnerId
 from swifthoist_engine.done_units import count_units
 from swifthoist_engine.model import JobSpec, StepSpec
+from swifthoist_engine.progress import MAX_OPEN_OCCURRENCES
 
-JOB_BYTES = 4_600
+JOB_BYTES = 5_000
 """Memory of a job without its steps and payload, in bytes."""
 
 STEP_BYTES = 500
@@ -19,6 +20,12 @@
 
 DEPENDENCY_BYTES = 40
 
+OCCURRENCE_BYTES = 400
+"""Memory of an occurrence that is under way, in bytes."""
+
+PLACE_BYTES = 160
+"""Memory of a step of such an occurrence, in bytes."""
+
 UNITS_PER_BYTE = 2
 """Units of which a byte tells that they are done: a bit for each is stored, and
 another one is derived."""
@@ -36,8 +43,10 @@
 
 def _progress_bytes(spec: JobSpec) -> int:
     times = 1 if spec.schedule is None else spec.schedule.times
+    occurrence = OCCURRENCE_BYTES + PLACE_BYTES * len(spec.steps)
     units = times * sum(map(count_units, spec.steps))
-    return units // UNITS_PER_BYTE
+    under_way = min(times, MAX_OPEN_OCCURRENCES) * occurrence
+    return under_way + units // UNITS_PER_BYTE
 
 
 def _step_bytes(step: StepSpec) -> int:
--- a/packages/engine/swifthoist_engine/progress.py
+++ b/packages/engine/swifthoist_engine/progress.py
@@ -23,6 +23,10 @@
 )
 from swifthoist_engine.model import GANG_ORDINAL, JobSpec, StepSpec
 
+MAX_OPEN_OCCURRENCES = 4_000
+"""Most occurrences of a job that are under way at a time, since each of them is
+prepared whole; the others wait until some are done."""
+
 _Member = TypeVar('_Member')
 
 
@@ -183,6 +187,8 @@
         most = max(limit // len(self._spec.steps), 1)
         until = min(self._next_occurrence + most, self._occurrences)
         for occurrence in range(self._next_occurrence, until):
+            if len(self._blockers) >= MAX_OPEN_OCCURRENCES:
+                return
             if occurrence not in self._blockers and not is_due(occurrence):
                 return
             self._open_occurrence(occurrence)
--- a/tests/engine/test_footprints.py
+++ b/tests/engine/test_footprints.py
@@ -17,6 +17,7 @@
     TaskId,
     UnitId,
 )
+from swifthoist_engine.progress import MAX_OPEN_OCCURRENCES
 from swifthoist_engine.records import Beat, Canceled, Claimed, Ending, Submitted
 from tests.engine.scenes import BULK, NOW_MS, Scene, job_spec, task
 from tests.engine.scenes import KEEP_MS as SCENE_KEEP_MS
@@ -103,10 +104,18 @@
         """Each that was done was kept as an object of its own."""
         self.check(task(count=2_000))
 
+    def test_many_occurrences(self) -> None:
+        """Those that are due are prepared whole."""
+        self.check(task(), times=MAX_OPEN_OCCURRENCES + 500)
+
     def test_many_steps(self) -> None:
         """Each is prepared when the job is first looked at."""
         self.check(*(task() for _ in range(2_000)))
 
+    def test_many_occurrences_of_many_steps(self) -> None:
+        """Each step is listed once for each of them."""
+        self.check(*(task() for _ in range(100)), times=20)
+
 
 def _units(spec: JobSpec, times: int) -> Iterator[UnitId]:
     for occurrence in range(times):
--- a/tests/engine/test_progress.py
+++ b/tests/engine/test_progress.py
@@ -15,6 +15,7 @@
     TaskId,
     UnitId,
 )
+from swifthoist_engine.progress import MAX_OPEN_OCCURRENCES
 from swifthoist_engine.records import Ending, Vanished
 from swifthoist_engine.snapshots import (
     HEAD_KEY,
@@ -236,3 +237,20 @@
         progress.open_due(is_due, ALL)
         self.assertEqual(progress.take_startable(ALL), [(0, 0), (1, 0)])
         self.assertEqual(asked, [0, 1, 2])
+
+    def test_occurrences_beyond_the_most_follow_as_others_are_done(
+        self,
+    ) -> None:
+        """All that were due were prepared at once."""
+        spec = job_spec('j', BATCH, task())
+        times = MAX_OPEN_OCCURRENCES + 2
+        scene = Scene(spec._replace(schedule=Schedule(NOW_MS, 0, times)))
+        progress = scene.job().progress
+        progress.prepare(ALL)
+        for done in range(3):
+            progress.open_due(lambda _: True, times)
+            listed = progress.take_startable(times)
+            self.assertEqual(len(listed), MAX_OPEN_OCCURRENCES)
+            self.assertEqual(listed[-1][0], MAX_OPEN_OCCURRENCES + done - 1)
+            scene.start(UnitId('j', done, 0, 0), 'r')
+            scene.end(TaskId('j', done, 0, 0), 'r', Ending.DONE)
