--- a/packages/emulator/swifthoist_emulator/stage.py
+++ b/packages/emulator/swifthoist_emulator/stage.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import logging
 import os
 import signal
 import subprocess
@@ -20,9 +21,14 @@
 from swifthoist_emulator.site import STANDARD, write_settings
 from swifthoist_platform.boot import BOOT_VARIABLE
 
+_log = logging.getLogger(__name__)
+
 WAIT_TIMEOUT_S = 40.0
 POLL_S = 0.05
 _BYTES_PER_KB = 1_024
+MAX_SHOWN_LINES = 30
+"""Lines of an instance's log that are shown when a scene fails."""
+
 READY_PATH = '/-/readyz'
 
 
@@ -166,6 +172,12 @@
             await self.caller.close()
         self.world.faults.over.set()
 
+    def log_ends(self) -> None:
+        """Log how the logs of the instances end, since they are removed."""
+        for instance in self.instances:
+            end = '\n'.join(instance.lines()[-MAX_SHOWN_LINES:])
+            _log.error('log of %s ends:\n%s', instance.name, end)
+
     async def _is_held(self) -> bool:
         return sum(item.holds() for item in self._alive()) == 1
 
@@ -221,6 +233,9 @@
         try:
             await stage.start()
             yield stage
+        except Exception:
+            stage.log_ends()
+            raise
         finally:
             await stage.close()
 
