A job counts until it is read back from the log, not until it is recorded

Accepted jobs could hold more than their part of the memory: a reservation ended when the record was appended, but the cell counts the job only once this instance has read it, up to 0.4 s later. The next large submission came in between. Behind it ordinary jobs of the team were refused with 503.

The test of the decision (a second job behind a record that is not folded) failed before.

The room is given back once the cell has the job, at once where it was certainly not recorded, and after 10 s otherwise. test_jobs_that_are_being_recorded_count took it for free behind the record; what it asked there is asked of a job that was not recorded, in a test of its own.

--- a/packages/instance/swifthoist_instance/submissions.py
+++ b/packages/instance/swifthoist_instance/submissions.py
@@ -6,12 +6,14 @@
 ones, so a team that has submitted many of those can still submit the usual.
 """
 
+import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import anyio
 
 from swifthoist_core.errors import Finding
+from swifthoist_core.types import JobId
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.footprints import Footprints, footprint_of
 from swifthoist_engine.model import JobSpec
@@ -28,6 +30,10 @@
 MAX_ROOM_SHARE = 0.125
 """Most room that a job has to leave, as a share of the limit."""
 
+UNFOLDED_S = 10.0
+"""How long a job counts that may be recorded and was not read back from the
+log, in seconds; an instance that reads no log for that long accepts none."""
+
 MB = 1_000_000
 
 
@@ -57,6 +63,8 @@
         self._turns = turns
         self._refusals = refusals
         self._reserved = Footprints()
+        # Until when jobs count that may be recorded and are not folded.
+        self._unfolded: dict[JobId, float] = {}
 
     @property
     def held_bytes(self) -> int:
@@ -93,12 +101,13 @@
 
     @contextmanager
     def reserve(self, spec: JobSpec) -> Iterator[None]:
-        """Reserve the memory of a job while it is recorded.
+        """Reserve the memory of a job while it is recorded, until it is folded.
 
         :param spec: the job.
         :returns: a context manager.
         :raises BusyError: if there is not enough left.
         """
+        self._release_folded()
         size = footprint_of(spec)
         held = self._cell().footprints
         total = held.total + self._reserved.total
@@ -119,7 +128,25 @@
                 f'{of_team / MB:.1f} MB of them of the same team'
             )
         self._reserved.add(spec)
+        self._unfolded[spec.job] = math.inf
         try:
             yield
+        except NotServedError:
+            self._release(spec.job)
+            raise
         finally:
-            self._reserved.remove(spec.job)
+            if spec.job in self._unfolded:
+                until = anyio.current_time() + UNFOLDED_S
+                self._unfolded[spec.job] = until
+
+    def _release_folded(self) -> None:
+        """Release jobs that the cell counts, or that are not to come."""
+        now = anyio.current_time()
+        cell = self._cell()
+        for job, until in tuple(self._unfolded.items()):
+            if now >= until or cell.find_job(job) is not None:
+                self._release(job)
+
+    def _release(self, job: JobId) -> None:
+        self._unfolded.pop(job, None)
+        self._reserved.remove(job)
--- a/tests/instance/test_submissions.py
+++ b/tests/instance/test_submissions.py
@@ -10,7 +10,8 @@
 from swifthoist_engine.model import JobSpec, QueueTerms, Resources, StepSpec
 from swifthoist_engine.records import Submitted
 from swifthoist_instance.limits import LARGE_BODY_BYTES
-from swifthoist_instance.submissions import BusyError, Submissions
+from swifthoist_instance.recording import NotServedError
+from swifthoist_instance.submissions import UNFOLDED_S, BusyError, Submissions
 from swifthoist_platform import names
 from tests.instance.fakes import GENEROUS, open_guard, run
 
@@ -39,6 +40,12 @@
     raise AssertionError('no job was refused')
 
 
+def _reserve(submissions: Submissions, spec: JobSpec) -> None:
+    """Reserve the room of a job whose record is then appended."""
+    with submissions.reserve(spec):
+        return
+
+
 class RoomTest(unittest.TestCase):
     """Accepted jobs keep to the limit, and each team has its part."""
 
@@ -91,8 +98,38 @@
             with submissions.reserve(spec), self.assertRaises(BusyError):
                 with submissions.reserve(_spec(2, 'red', 5_000)):
                     self.fail('both were accepted')
-            with submissions.reserve(_spec(2, 'red', 5_000)):
-                self.assertGreater(footprint_of(spec), 2_000_000)
+            self.assertGreater(footprint_of(spec), 2_000_000)
+
+        run(main)
+
+    def test_a_job_counts_from_its_record_until_it_is_folded(self) -> None:
+        """The next one was accepted before this instance had read the log."""
+
+        async def main() -> None:
+            cell = Cell(1_000)
+            submissions = open_guard(cell, LIMITS).submissions
+            spec = _spec(1, 'red', 5_000)
+            _reserve(submissions, spec)
+            with self.assertRaises(BusyError):
+                _reserve(submissions, _spec(2, 'red', 5_000))
+            cell.fold(Submitted(spec))
+            _reserve(submissions, _spec(3, 'red', 1))
+
+        run(main)
+
+    def test_a_job_that_was_not_recorded_gives_its_room_back(self) -> None:
+        """At once if that is certain, else once its record is not to come."""
+
+        async def main() -> None:
+            submissions = open_guard(Cell(1_000), LIMITS).submissions
+            with self.assertRaises(NotServedError):
+                with submissions.reserve(_spec(1, 'red', 5_000)):
+                    raise NotServedError('log away')
+            _reserve(submissions, _spec(2, 'red', 5_000))
+            with self.assertRaises(BusyError):
+                _reserve(submissions, _spec(3, 'red', 5_000))
+            await anyio.sleep(UNFOLDED_S)
+            _reserve(submissions, _spec(3, 'red', 5_000))
 
         run(main)
 
