--- a/packages/emulator/swifthoist_emulator/stage.py
+++ b/packages/emulator/swifthoist_emulator/stage.py
@@ -93,10 +93,10 @@
 
     @property
     def peak_bytes(self) -> int:
-        """Largest memory that the process has had, in bytes."""
+        """Largest memory that the process has had, in bytes; 0 as it ends."""
         status = self._process_folder.joinpath('status').read_text()
         lines = dict(line.split(':', 1) for line in status.splitlines())
-        return int(lines['VmHWM'].split()[0]) * _BYTES_PER_KB
+        return int(lines.get('VmHWM', '0').split()[0]) * _BYTES_PER_KB
 
     @property
     def descriptors(self) -> int:
