--- a/tests/engine/test_progress.py
+++ b/tests/engine/test_progress.py
@@ -18,7 +18,9 @@
 from swifthoist_engine.progress import MAX_OPEN_OCCURRENCES
 from swifthoist_engine.records import Ending, Vanished
 from swifthoist_engine.snapshots import (
+    FORMAT,
     HEAD_KEY,
+    PACKED_FORMAT,
     encode_head,
     restore,
     take_snapshot,
@@ -199,6 +201,15 @@
             scene.end(TaskId('j', occurrence, 0, ordinal), 'r', Ending.DONE)
         self.assertFalse(scene.job().all_done())
 
+    def test_earlier_versions_refuse_snapshots_with_packed_units(self) -> None:
+        """They would start these units again; without any, nothing changes."""
+        for max_units, wanted in ((ALL, FORMAT), (0, PACKED_FORMAT)):
+            scene = Scene(job_spec('j', BATCH, task()), max_units=max_units)
+            scene.start(UnitId('j', 0, 0, 0), 'r')
+            scene.end(TaskId('j', 0, 0, 0), 'r', Ending.DONE)
+            head = take_snapshot(scene.cell.state, 1, 1, 1_000).head
+            self.assertEqual(head.format, wanted)
+
     def test_a_unit_that_the_job_does_not_have_packs_no_other(self) -> None:
         """Else another unit of the job would never start."""
         scene = Scene(job_spec('j', BATCH, task(count=2)), max_units=0)
