A repeat of a submission that is being recorded has its room already

A job counts until it is read back from the log. A caller that repeated a large submission in that time, since its answer was lost, could be told 503, nothing recorded, though it was: the job counted twice.

A job that counts already is not checked again, and an operator's gives its room back at once.

--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -5,6 +5,7 @@
 
 import re
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 from typing import Any, NamedTuple, NotRequired, TypedDict
 from urllib.parse import parse_qs
 
@@ -140,7 +141,7 @@
                 return await self._submit(job_path[1], content)
             case 'DELETE' if job_path:
                 record = Canceled(job_path[1], self._follower.time.now_ms())
-                return await self._append_record(record)
+                return await self._append_record(record, nullcontext())
             case _:
                 return Answer(404, {'error': ['no such call']})
 
@@ -240,16 +241,17 @@
         problem = self._submissions.check_record(spec)
         if problem is not None:
             return Answer(400, {'error': [str(problem)]})
-        try:
-            with self._submissions.reserve(spec):
-                return await self._append_record(Submitted(spec))
-        except BusyError as exc:
-            return Answer(503, {'error': [str(exc)]})
+        return await self._append_record(
+            Submitted(spec), self._submissions.reserve(spec)
+        )
 
-    async def _append_record(self, record: Record) -> Answer:
+    async def _append_record(
+        self, record: Record, room: AbstractContextManager[None]
+    ) -> Answer:
         try:
-            offset = await self._journal.append([record], APPEND_TIMEOUT_S)
-        except LogUnavailableError as exc:
+            with room:
+                offset = await self._journal.append([record], APPEND_TIMEOUT_S)
+        except (BusyError, LogUnavailableError) as exc:
             return Answer(503, {'error': [str(exc)]})
         except OutcomeUnknownError as exc:
             return Answer(504, {'error': [str(exc)]})
--- a/packages/instance/swifthoist_instance/submissions.py
+++ b/packages/instance/swifthoist_instance/submissions.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from swifthoist_core.errors import Finding
+from swifthoist_core.errors import Finding, LogUnavailableError
 from swifthoist_core.types import JobId
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.footprints import Footprints, footprint_of
@@ -108,6 +108,23 @@
         :raises BusyError: if there is not enough left.
         """
         self._release_folded()
+        repeated = spec.job in self._unfolded
+        if not repeated:
+            self._check_room(spec)
+        self._reserved.add(spec)
+        self._unfolded[spec.job] = math.inf
+        try:
+            yield
+        except (NotServedError, LogUnavailableError):
+            if not repeated:
+                self._release(spec.job)
+            raise
+        finally:
+            if spec.job in self._unfolded:
+                until = anyio.current_time() + UNFOLDED_S
+                self._unfolded[spec.job] = until
+
+    def _check_room(self, spec: JobSpec) -> None:
         size = footprint_of(spec)
         held = self._cell().footprints
         total = held.total + self._reserved.total
@@ -127,17 +144,6 @@
                 f'accepted jobs hold {total / MB:.1f} of {limit / MB:.1f} MB, '
                 f'{of_team / MB:.1f} MB of them of the same team'
             )
-        self._reserved.add(spec)
-        self._unfolded[spec.job] = math.inf
-        try:
-            yield
-        except NotServedError:
-            self._release(spec.job)
-            raise
-        finally:
-            if spec.job in self._unfolded:
-                until = anyio.current_time() + UNFOLDED_S
-                self._unfolded[spec.job] = until
 
     def _release_folded(self) -> None:
         """Release jobs that the cell counts, or that are not to come."""
