--- a/tests/emulator/test_serving.py
+++ b/tests/emulator/test_serving.py
@@ -5,28 +5,18 @@
 import unittest
 
 import anyio
-from anyio.abc import SocketStream
 
 from swifthoist_core.clock import SystemClock
 from swifthoist_emulator.http import Request, Response
 from swifthoist_emulator.serving import ReservedPorts, ServedWorld
 from swifthoist_emulator.site import STANDARD
+from tests.streams import connect
 
 
 class _SceneError(Exception):
     """What went wrong in a scene."""
 
 
-async def _connect(address: str) -> SocketStream:
-    """Connect to a server that may not have begun to listen."""
-    host, _, port = address.rpartition(':')
-    while True:
-        try:
-            return await anyio.connect_tcp(host, int(port))
-        except OSError:
-            await anyio.sleep(0.01)
-
-
 class _SlowWorld(ServedWorld):
     """A world that answers nothing, and says when it is asked."""
 
@@ -87,7 +77,7 @@
             world.expect()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(world.run, tasks)
-                async with await _connect(world.store_address) as stream:
+                async with await connect(world.store_address) as stream:
                     await stream.send(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
                     await world.asked.wait()
                     raise _SceneError
--- a/tests/instance/test_conversations.py
+++ b/tests/instance/test_conversations.py
@@ -14,6 +14,7 @@
 from swifthoist_instance.listening import ListenAddress, Listening
 from swifthoist_instance.refusals import Refusal, Refusals
 from tests.instance.fakes import LoopClock
+from tests.streams import connect, receive_all
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 ANSWER_START = b'HTTP/1.1 200'
@@ -66,7 +67,7 @@
         """The time of the head counted from the request before it."""
 
         async def client(address: str) -> None:
-            async with await _connect(address) as stream:
+            async with await connect(address) as stream:
                 await _ask(stream, REQUEST)
                 await anyio.sleep(2.2)
                 await stream.send(REQUEST[:10])
@@ -81,7 +82,7 @@
 
         async def client(address: str) -> None:
             for requests in range(2):
-                async with await _connect(address) as stream:
+                async with await connect(address) as stream:
                     for _ in range(requests):
                         await _ask(stream, REQUEST)
                     with self.assertRaises(anyio.EndOfStream):
@@ -93,7 +94,7 @@
         """Also if a byte comes now and then."""
 
         async def client(address: str) -> None:
-            async with await _connect(address) as stream:
+            async with await connect(address) as stream:
                 with self.assertRaises(anyio.BrokenResourceError):
                     while True:
                         await stream.send(b'x')
@@ -112,7 +113,7 @@
             head = (
                 b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000000\r\n\r\n'
             )
-            async with await _connect(address) as stream:
+            async with await connect(address) as stream:
                 await stream.send(head + b' ' * 4_000_000)
                 self.assertIn(ANSWER_START, await stream.receive())
 
@@ -127,10 +128,10 @@
 
         async def client(address: str) -> None:
             for count in (1, 3):
-                async with await _connect(address) as stream:
+                async with await connect(address) as stream:
                     await stream.send(REQUEST * count)
                     await stream.send_eof()
-                    found = await _receive_all(stream)
+                    found = await receive_all(stream)
                     self.assertEqual(found.count(ANSWER_START), count)
 
         self.run_client(client, app)
@@ -144,10 +145,10 @@
 
         async def client(address: str) -> None:
             head = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n'
-            async with await _connect(address) as stream:
+            async with await connect(address) as stream:
                 await stream.send(head + b'12345678')
                 await stream.send_eof()
-                self.assertIn(b'HTTP/1.1 400', await _receive_all(stream))
+                self.assertIn(b'HTTP/1.1 400', await receive_all(stream))
 
         self.run_client(client, app)
 
@@ -155,12 +156,12 @@
         """And a connection that is closed leaves the others alone."""
 
         async def client(address: str) -> None:
-            async with await _connect(address) as stream:
+            async with await connect(address) as stream:
                 await stream.send(REQUEST * 50)
                 found = b''
                 while found.count(ANSWER_START) < 50:
                     found += await stream.receive()
-            async with await _connect(address) as stream:
+            async with await connect(address) as stream:
                 await _ask(stream, REQUEST)
 
         self.run_client(client)
@@ -169,8 +170,8 @@
         """A request on the newest one is served."""
 
         async def client(address: str) -> None:
-            silent = [await _connect(address) for _ in range(LIMIT)]
-            async with await _connect(address) as stream:
+            silent = [await connect(address) for _ in range(LIMIT)]
+            async with await connect(address) as stream:
                 await _ask(stream, REQUEST)
                 with self.assertRaises(anyio.EndOfStream):
                     await silent[0].receive()
@@ -181,21 +182,7 @@
         self.assertEqual(self.refusals.counts()['refused_connections'], 1)
 
 
-async def _connect(address: str) -> SocketStream:
-    host, _, port = address.rpartition(':')
-    while True:
-        try:
-            return await anyio.connect_tcp(host, int(port))
-        except OSError:
-            await anyio.sleep(0.02)
-
-
 async def _ask(stream: SocketStream, request: bytes) -> None:
     await stream.send(request)
     received = await stream.receive()
     assert received.startswith(ANSWER_START), received
-
-
-async def _receive_all(stream: SocketStream) -> bytes:
-    """Receive until the server closes the connection."""
-    return b''.join([piece async for piece in stream])
--- a/tests/system/test_connections.py
+++ b/tests/system/test_connections.py
@@ -1,11 +1,10 @@
 """Tests of single connections to a real process."""
 
-import anyio
-
 from swifthoist_emulator.callers import write_job
 from swifthoist_emulator.crowds import head_of
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.stage import Stage
+from tests.streams import connect, receive_all
 from tests.system.stage import StageCase
 
 SMALL = StepWork(300, (4_000, 8_000, 1))
@@ -33,8 +32,7 @@
 
 async def _ask(address: str, request: bytes) -> bytes:
     """Send a request, end the sending side, and receive until the end."""
-    host, _, port = address.rpartition(':')
-    async with await anyio.connect_tcp(host, int(port)) as stream:
+    async with await connect(address) as stream:
         await stream.send(request)
         await stream.send_eof()
-        return b''.join([piece async for piece in stream])
+        return await receive_all(stream)
