--- a/packages/instance/swifthoist_instance/intake.py
+++ b/packages/instance/swifthoist_instance/intake.py
@@ -15,13 +15,14 @@
 
 from swifthoist_core.errors import Finding, OutcomeUnknownError
 from swifthoist_core.types import JobId, Millis
-from swifthoist_engine.catalogue import Catalogue, Queue
+from swifthoist_engine.catalogue import Queue
 from swifthoist_engine.cell import Cell
 from swifthoist_engine.demand import count_waiting
 from swifthoist_engine.jobs import Job
 from swifthoist_engine.model import JobSpec
 from swifthoist_engine.records import Canceled, Record, Submitted
 from swifthoist_instance.admission import Admission, Admitted
+from swifthoist_instance.call_logs import job_fields, log_rejected
 from swifthoist_instance.configuration import Configuration
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.messages import (
@@ -75,10 +76,6 @@
 """Maximum random addition to Retry-After, in seconds, so that refused callers
 do not all retry at once."""
 
-MAX_LOGGED_STEPS = 16
-"""Most steps of a job that are logged when it is accepted, and most
-dependencies of each."""
-
 _REJECTIONS = frozenset(
     (BAD_REQUEST, UNAUTHORIZED, NOT_FOUND, CONFLICT, TOO_LARGE)
 )
@@ -151,7 +148,7 @@
         if answer is None and length > self.max_body_bytes:
             answer = _reject_length(self.max_body_bytes)
         if answer is not None and call.changes_state:
-            _log_rejected(call, answer, self._configuration.catalogue)
+            log_rejected(call, answer, self._configuration.catalogue)
         return answer
 
     def refuse_body(
@@ -166,7 +163,7 @@
         """
         if refusal is Refusal.BODY_LENGTH:
             answer = _reject_length(self.max_body_bytes)
-            _log_rejected(call, answer, self._configuration.catalogue)
+            log_rejected(call, answer, self._configuration.catalogue)
             return answer
         return self._refuse(call, f'{refusal.value} after {took_s:.1f} s')
 
@@ -190,7 +187,7 @@
                 return self._refuse(call, str(exc))
             return await self._pass_on(call, str(exc), deadline)
         if answer.status in _REJECTIONS and call.changes_state:
-            _log_rejected(call, answer, self._configuration.catalogue)
+            log_rejected(call, answer, self._configuration.catalogue)
         return answer
 
     async def _pass_on(
@@ -343,7 +340,7 @@
         offset = recorded.offset
         _log.info(
             'recorded',
-            extra={**fields, **_job_fields(record), 'offset': offset},
+            extra={**fields, **job_fields(record), 'offset': offset},
         )
         if isinstance(record, Canceled):
             await self._follower.wait_folded(offset, CANCEL_FOLD_TIMEOUT_S)
@@ -393,45 +390,6 @@
     return job
 
 
-def _log_rejected(
-    call: Call, answer: Answer, catalogue: Catalogue | None
-) -> None:
-    fields = {
-        'job': call.job,
-        'method': call.method,
-        'path': call.path,
-        'status': answer.status,
-        'version': catalogue.version if catalogue else None,
-        'relayed': call.relayed,
-    }
-    _log.info('call rejected', extra=fields)
-
-
 def _reject_length(max_bytes: int) -> Answer:
     finding = Finding('body', f'is over {max_bytes} bytes')
     return Answer(TOO_LARGE, encode_error((finding,)))
-
-
-def _job_fields(record: Record) -> dict[str, object]:
-    """Return the log fields that describe a submitted job."""
-    if not isinstance(record, Submitted):
-        return {}
-    spec = record.spec
-    return {
-        'team': spec.team,
-        'queue': spec.queue,
-        'priority': spec.terms.priority,
-        'slack': spec.terms.slack,
-        'objective_ms': spec.terms.objective_ms,
-        'steps': [
-            {
-                'tasks': step.width,
-                'need': step.need,
-                'estimate_ms': step.estimate_ms,
-                'gang': step.gang,
-                'after': step.depends_on[:MAX_LOGGED_STEPS],
-            }
-            for step in spec.steps[:MAX_LOGGED_STEPS]
-        ],
-        'step_count': len(spec.steps),
-    }
