A bench of crowds at the size of a machine; one copy of reading a peak

The figures of 300 MB in docs/CAPACITY came from a script that was not kept. Stage.Instance lowers limits and reads the peak for the bench and the tests; crowds and bounds of the tests are as they were.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 .DEFAULT_GOAL := help
 
 .PHONY: help setup demo test simulate soak format lint types clean \
-	ablation losses bench bench-decisions bench-placement bench-takeover bench-control bench-turns bound
+	ablation losses bench bench-decisions bench-placement bench-takeover bench-control bench-turns bench-crowds bound
 
 help:  ## Show this list.
 	@awk -F ':.*## ' '/^[a-z-]+:.*## / {printf "%-18s %s\n", $$1, $$2}' Makefile
@@ -63,6 +63,9 @@
 bench-turns: setup  ## Measure the longest turns beside jobs of any size.
 	$(PY) -m bench.turns
 
+bench-crowds: setup  ## Measure an instance beside clients that keep to no limit.
+	$(PY) -m bench.crowds
+
 ablation: setup  ## Leave each part of a decision out in turn (SEEDS=plays a load).
 	$(PY) -m bench.ablation --seeds=$(or $(SEEDS),5)
 
@@ -74,7 +77,7 @@
 	$(PY) -m pip install -q -c constraints.txt -r requirements-experiments.txt
 	$(PY) -m experiments.plays
 
-bench: bench-decisions bench-placement bench-takeover bench-control bench-turns  ## Run every bench.
+bench: bench-decisions bench-placement bench-takeover bench-control bench-turns bench-crowds  ## Run every bench.
 
 clean:  ## Remove what the targets above made.
 	rm -rf $(VENV) build .mypy_cache .ruff_cache .hypothesis .coverage
--- a/bench/control.py
+++ b/bench/control.py
@@ -61,11 +61,9 @@
     process = Path('/proc') / str(instance.popen.pid)
     fields = (process / 'stat').read_text().rpartition(')')[2].split()
     ticks = int(fields[11]) + int(fields[12])
-    status = (process / 'status').read_text()
-    peak_kb = int(status.partition('VmHWM:')[2].split()[0])
     return Cost(
         ticks / os.sysconf('SC_CLK_TCK'),
-        peak_kb / 1_024,
+        instance.peak_bytes / 1_024**2,
         world.traffic[user_agent(instance.name)],
     )
 
--- a/packages/emulator/swifthoist_emulator/stage.py
+++ b/packages/emulator/swifthoist_emulator/stage.py
@@ -12,6 +12,7 @@
 
 import anyio
 import httpx
+import msgspec
 from anyio.abc import TaskGroup
 
 from swifthoist_core.clock import SystemClock
@@ -19,6 +20,7 @@
 from swifthoist_emulator.lives import StepWork
 from swifthoist_emulator.serving import ReservedPorts, ServedWorld
 from swifthoist_emulator.site import STANDARD, write_settings
+from swifthoist_platform import names
 from swifthoist_platform.boot import BOOT_VARIABLE
 
 _log = logging.getLogger(__name__)
@@ -54,6 +56,18 @@
         self._log = folder / f'{name}.log'
         self._log_start = 0
 
+    def set_limits(self, memory_mb: int, descriptors: int) -> None:
+        """Change its settings, before it is started.
+
+        :param memory_mb: memory of the process, in MB.
+        :param descriptors: most descriptors that it may have open.
+        """
+        document = msgspec.json.decode(self.settings.read_bytes())
+        document[names.LIMITS].update(
+            {names.MEMORY_MB: memory_mb, names.MAX_FDS: descriptors}
+        )
+        self.settings.write_bytes(msgspec.json.encode(document))
+
     def start(self) -> None:
         """Start the process."""
         self._log.touch()
--- a/tests/system/test_misbehaving_clients.py
+++ b/tests/system/test_misbehaving_clients.py
@@ -37,11 +37,7 @@
 
 def _lower_limits(stage: Stage) -> None:
     for instance in stage.instances:
-        document = msgspec.json.decode(instance.settings.read_bytes())
-        document[names.LIMITS].update(
-            {'MemoryMb': MEMORY_MB, 'MaxFds': MAX_FDS}
-        )
-        instance.settings.write_bytes(msgspec.json.encode(document))
+        instance.set_limits(MEMORY_MB, MAX_FDS)
 
 
 def _pid(instance: Instance) -> int:
