--- a/review/stage_3.py
+++ b/review/stage_3.py
@@ -53,9 +53,13 @@
     """The emulated platform, where entries of crashed runners last longer.
 
     A runner that crashes sends nothing; its entry is removed after three
-    heartbeat intervals of silence.
+    heartbeat intervals of silence; that of one that has left is removed at once.
+
+    :ivar left: ids of runners that left as planned.
     """
 
+    left = frozenset()
+
     async def _register(self):
         from swifthoist_emulator import world as module
 
@@ -74,7 +78,8 @@
                     listed[runner] = entry
             for runner in listed.keys() - entries.keys():
                 since = silent_since.setdefault(runner, time.monotonic())
-                if time.monotonic() - since >= HEARTBEATS_S:
+                silent_s = time.monotonic() - since
+                if silent_s >= HEARTBEATS_S or runner in self.left:
                     self.store.put(module.RUNNER_TOPIC, runner, b'')
                     listed.pop(runner)
                     silent_since.pop(runner)
