--- a/packages/engine/swifthoist_engine/account.py
+++ b/packages/engine/swifthoist_engine/account.py
@@ -34,6 +34,10 @@
 in ms: the time until the stop is over and the task goes on elsewhere."""
 
 
+CARRY_MS = 1 << 62
+"""What one figure of a total holds, in ms; a snapshot holds 64 bits of it."""
+
+
 class LineKey(NamedTuple):
     """Key of the usage totals.
 
@@ -51,9 +55,10 @@
 class UsageTotals:
     """Totals of one month, team and queue.
 
-    :ivar used_ms: accelerator-milliseconds of all runs.
+    :ivar used_ms: accelerator-milliseconds that all runs held, without what is
+        carried; the same for the next two.
     :ivar wasted_ms: those of runs that were neither done nor saved progress.
-    :ivar cpu_ms: core-milliseconds of all runs.
+    :ivar cpu_ms: core-milliseconds that all runs held.
     :ivar runs: number of ended runs by ending.
     :ivar jobs: number of ended jobs by final state.
     :ivar waits: times from acceptance to the first start.
@@ -61,6 +66,9 @@
     :ivar tardy: urgent jobs that started later.
     :ivar vain: runs stopped, while their job went on, before they gained
         anything.
+    :ivar used_carry: multiples of ``CARRY_MS`` beyond ``used_ms``.
+    :ivar wasted_carry: the same beyond ``wasted_ms``.
+    :ivar cpu_carry: the same beyond ``cpu_ms``.
     """
 
     used_ms: Millis = 0
@@ -72,6 +80,56 @@
     prompt: int = 0
     tardy: int = 0
     vain: int = 0
+    used_carry: int = 0
+    wasted_carry: int = 0
+    cpu_carry: int = 0
+
+    @property
+    def held(self) -> 'HeldTime':
+        """What all runs held, in whole."""
+        return HeldTime(
+            self.used_carry * CARRY_MS + self.used_ms,
+            self.wasted_carry * CARRY_MS + self.wasted_ms,
+            self.cpu_carry * CARRY_MS + self.cpu_ms,
+        )
+
+    def add_held(self, added: 'HeldTime') -> None:
+        """Add what a run held.
+
+        :param added: what it held.
+        """
+        used, wasted, cpu = self.held.plus(added)
+        self.used_ms = used % CARRY_MS
+        self.used_carry = used // CARRY_MS
+        self.wasted_ms = wasted % CARRY_MS
+        self.wasted_carry = wasted // CARRY_MS
+        self.cpu_ms = cpu % CARRY_MS
+        self.cpu_carry = cpu // CARRY_MS
+
+
+class HeldTime(NamedTuple):
+    """Resources that runs held, times the time for which they held them.
+
+    :ivar used_ms: accelerator-milliseconds.
+    :ivar wasted_ms: those of runs that were neither done nor saved progress.
+    :ivar cpu_ms: core-milliseconds.
+    """
+
+    used_ms: Millis
+    wasted_ms: Millis
+    cpu_ms: Millis
+
+    def plus(self, other: 'HeldTime') -> 'HeldTime':
+        """Add figure by figure.
+
+        :param other: what to add.
+        :returns: the sum.
+        """
+        return HeldTime(
+            self.used_ms + other.used_ms,
+            self.wasted_ms + other.wasted_ms,
+            self.cpu_ms + other.cpu_ms,
+        )
 
 
 class Span(NamedTuple):
@@ -125,14 +183,15 @@
         :param ending: how it ended.
         """
         step = job.step(run.task)
+        held = step.allocated
         kept = ending == Ending.DONE or step.checkpointing or step.lasting
         last_ms = max(ended_ms, run.started_ms)
         for piece in split_by_month(run.started_ms, last_ms):
-            line = self._line(piece.month, job)
-            used = step.need.accelerators * piece.length_ms
-            line.used_ms += used
-            line.wasted_ms += 0 if kept else used
-            line.cpu_ms += step.need.cpu * piece.length_ms // 1_000
+            used_ms = held.accelerators * piece.length_ms
+            cpu_ms = held.cpu * piece.length_ms // 1_000
+            self._line(piece.month, job).add_held(
+                HeldTime(used_ms, 0 if kept else used_ms, cpu_ms)
+            )
         line = self._line(month_of(last_ms), job)
         line.runs[ending] = line.runs.get(ending, 0) + 1
         if ending == Ending.STOPPED and not job.final:
@@ -145,7 +204,7 @@
                 run.task,
                 run.run,
                 run.runner,
-                step.need.accelerators,
+                held.accelerators,
                 run.started_ms,
                 last_ms,
                 ending,
@@ -217,9 +276,9 @@
     :ivar month: the month, as ``2026-12``, in UTC.
     :ivar team: the team.
     :ivar queue: the queue.
-    :ivar accelerator_s: accelerator-seconds.
+    :ivar accelerator_s: accelerator-seconds that runs held.
     :ivar wasted_s: those of runs that were neither done nor saved progress.
-    :ivar core_s: core-seconds.
+    :ivar core_s: core-seconds that runs held; a filling task holds none.
     :ivar runs: number of ended runs by ending.
     :ivar jobs: number of ended jobs by final state.
     :ivar prompt: urgent jobs that started within the target.
@@ -277,11 +336,12 @@
 
 
 def _usage_line(key: LineKey, line: UsageTotals) -> UsageLine:
+    held = line.held
     return UsageLine(
         *key,
-        line.used_ms / 1_000,
-        line.wasted_ms / 1_000,
-        line.cpu_ms / 1_000,
+        held.used_ms / 1_000,
+        held.wasted_ms / 1_000,
+        held.cpu_ms / 1_000,
         dict(line.runs),
         dict(line.jobs),
         line.prompt,
--- a/tests/engine/test_account.py
+++ b/tests/engine/test_account.py
@@ -3,12 +3,31 @@
 import unittest
 
 from swifthoist_core.series import Outcomes
-from swifthoist_engine.account import UsageFilter, UsageLine, usage_lines
+from swifthoist_engine.account import (
+    LineKey,
+    UsageFilter,
+    UsageLine,
+    usage_lines,
+)
 from swifthoist_engine.burn import SLO_TARGET, Severity, burn_lines, burn_rate
-from swifthoist_engine.model import GANG_ORDINAL, TaskId, UnitId
+from swifthoist_engine.cell import Cell
+from swifthoist_engine.model import (
+    GANG_ORDINAL,
+    JobSpec,
+    Resources,
+    TaskId,
+    UnitId,
+)
 from swifthoist_engine.records import Canceled, Ended, Ending
+from swifthoist_engine.snapshots import (
+    HEAD_KEY,
+    encode_head,
+    restore,
+    take_snapshot,
+)
 from tests.engine.scenes import (
     BATCH,
+    KEEP_MS,
     NOW_MS,
     URGENT,
     Scene,
@@ -17,6 +36,9 @@
     task,
 )
 
+_ALL = Resources(2**53 - 1, 2**53 - 1, 2**53 - 1)
+_ALL_CPU = Resources(2**53 - 1, 10, 0)
+
 
 def _lines(
     scene: Scene, usage_filter: UsageFilter | None = None
@@ -25,6 +47,26 @@
     return list(usage_lines(account, usage_filter or UsageFilter()))
 
 
+def _snapshot_of(scene: Scene) -> Cell:
+    """Take a snapshot of a cell, and restore it."""
+    snapshot = take_snapshot(scene.cell.state, 0, 0, 100_000)
+    head = encode_head(snapshot.head)
+    restored = restore({**snapshot.chunks, HEAD_KEY: head})
+    assert restored is not None
+    return Cell(KEEP_MS, restored.state)
+
+
+def _play_for_an_hour(spec: JobSpec) -> Scene:
+    """Run the only task of a job for an hour, and restore a snapshot."""
+    scene = Scene(spec)
+    scene.start(UnitId(spec.job, 0, 0, 0), 'r')
+    done = TaskId(spec.job, 0, 0, 0)
+    end = Ended(1, 'r', 1, done, 1, Ending.DONE, '', NOW_MS + 3_600_000)
+    scene.fold(end)
+    scene.cell = _snapshot_of(scene)
+    return scene
+
+
 class AccountTest(unittest.TestCase):
     """Accelerator time by team, and whether guarantees were met."""
 
@@ -72,6 +114,39 @@
         self.assertEqual(line.vain, 2)
         self.assertEqual(line.runs, {'stopped': 4})
 
+    def test_a_filling_task_that_asks_for_any_cpu_leaves_room_for_snapshots(
+        self,
+    ) -> None:
+        """It is charged no cores, since it holds none."""
+        spec = job_spec('j', BATCH, task(_ALL_CPU, filling=True))
+        line = _lines(_play_for_an_hour(spec))[0]
+        self.assertEqual(line.core_s, 0)
+        self.assertEqual(line.runs, {'done': 1})
+
+    def test_totals_beyond_one_figure_come_back_from_a_snapshot(self) -> None:
+        """A runner may say that it has as much as a task asks for."""
+        scene = _play_for_an_hour(job_spec('j', BATCH, task(_ALL)))
+        expected_s = (2**53 - 1) * 3_600
+        line = _lines(scene)[0]
+        self.assertAlmostEqual(line.core_s / expected_s, 1 / 1_000)
+        self.assertAlmostEqual(line.accelerator_s / expected_s, 1)
+        self.assertAlmostEqual(line.wasted_s, 0)
+
+    def test_totals_of_an_earlier_version_go_on(self) -> None:
+        """Its snapshots hold up to 64 bits in one figure."""
+        scene = Scene(job_spec('j', BATCH, task()))
+        scene.start(UnitId('j', 0, 0, 0), 'r')
+        month = _lines(scene)[0].month
+        lines = scene.cell.state.account.lines
+        lines[LineKey(month, 'red', 'batch')].used_ms = 2**64 - 1
+        scene.cell = _snapshot_of(scene)
+        done = TaskId('j', 0, 0, 0)
+        end = Ended(1, 'r', 1, done, 1, Ending.DONE, '', NOW_MS + 1_000)
+        scene.fold(end)
+        scene.cell = _snapshot_of(scene)
+        line = _lines(scene)[0]
+        self.assertEqual(line.accelerator_s, (2**64 - 1 + 1_000) / 1_000)
+
     def test_urgent_jobs_count_by_whether_they_began_in_time(self) -> None:
         """A guarantee promises that jobs start in time."""
         scene = Scene(
