Terms: a part that fails is restarted by itself, and the others go on

Cause: the parts of a term share a task group, so that the first exception ends them all; the next term, or the next holder, meets the same state. What jobs need hung on what they don't.

Single entries, orders, queries and log lines are isolated, so that one can't hold up the next.

--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -306,7 +306,7 @@
             )
         async with anyio.create_task_group() as tasks:
             for name, func in self.background_tasks():
-                tasks.start_soon(run_supervised, name, func)
+                tasks.start_soon(run_supervised, name, func, self.faults)
             tasks.start_soon(self._watch_signals, stopped, tasks)
             served = anyio.Event()
             tasks.start_soon(self._serve, addresses, stopped, served)
--- a/packages/instance/swifthoist_instance/context.py
+++ b/packages/instance/swifthoist_instance/context.py
@@ -12,6 +12,7 @@
 from swifthoist_engine.records import Record
 from swifthoist_instance.crash_counts import CrashCounts
 from swifthoist_instance.evacuations import ZoneGate
+from swifthoist_instance.faults import Faults
 from swifthoist_instance.follower import Follower
 from swifthoist_instance.journal import Journal
 from swifthoist_instance.late_starts import LateStarts
@@ -38,6 +39,7 @@
     :ivar lives: counts restarts of runners under the same id.
     :ivar crashes: counts crashes of runners.
     :ivar late_starts: starts that may still be carried out.
+    :ivar faults: where unexpected exceptions are reported.
     """
 
     tenure: Tenure
@@ -54,6 +56,7 @@
     lives: LifeCounts
     crashes: CrashCounts
     late_starts: LateStarts
+    faults: Faults
 
     @property
     def epoch(self) -> Epoch:
--- a/packages/instance/swifthoist_instance/faults.py
+++ b/packages/instance/swifthoist_instance/faults.py
@@ -5,7 +5,8 @@
 """
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -85,6 +86,19 @@
             line = {kind: name, 'error': key.error, **(fields or {})}
             _log.error('fault', exc_info=error, extra=line)
 
+    @contextmanager
+    def isolate(self, kind: str, name: str) -> Iterator[None]:
+        """Note an unexpected exception, and go on behind it.
+
+        :param kind: kind of the object that may cause one.
+        :param name: id or name of that object.
+        :returns: a context manager.
+        """
+        try:
+            yield
+        except Exception as exc:
+            self.note(kind, name, exc)
+
     def describe(self) -> list[dict[str, object]]:
         """Describe recent faults, for bug reports.
 
--- a/packages/instance/swifthoist_instance/holding.py
+++ b/packages/instance/swifthoist_instance/holding.py
@@ -2,13 +2,17 @@
 
 import logging
 from collections import deque
+from collections.abc import Iterable, Mapping
 
 import anyio
+from anyio.abc import TaskGroup
 
+from swifthoist_engine.faults import FaultGuard, FaultSource
 from swifthoist_engine.hang_detector import HangDetector
 from swifthoist_engine.jobs import OpenRun
+from swifthoist_engine.model import TaskId
 from swifthoist_engine.planner import Decision
-from swifthoist_engine.records import Canceled
+from swifthoist_engine.records import Canceled, Record
 from swifthoist_instance.context import TenureContext
 from swifthoist_instance.crashes import give_up_tasks
 from swifthoist_instance.deciding import Decider
@@ -24,6 +28,7 @@
 from swifthoist_instance.policies import Policies
 from swifthoist_instance.roster import Roster
 from swifthoist_instance.run_lines import RunLines
+from swifthoist_instance.supervision import Task, run_supervised
 from swifthoist_instance.tenure import Hold
 from swifthoist_instance.turns import CHECK_INTERVAL_S
 from swifthoist_instance.waves import Waves
@@ -64,13 +69,20 @@
             hold = self._dependencies.tenure.hold
             if hold is not None and follower.caught_up:
                 follower.read_continuously = True
-                await Term(self._dependencies, hold).run()
-                follower.read_continuously = False
+                try:
+                    await Term(self._dependencies, hold).run()
+                finally:
+                    follower.read_continuously = False
             await anyio.sleep(POLL_INTERVAL_S)
 
 
 class Term:
-    """One tenure of the cell, from its beginning to its end."""
+    """One tenure of the cell, from its beginning to its end.
+
+    Its parts fail and are restarted one by one; only the end of the tenure ends
+    it. A new term would meet all runners anew, in the state in which the part
+    has failed.
+    """
 
     def __init__(self, dependencies: HolderDependencies, hold: Hold) -> None:
         """Set up the components of a tenure.
@@ -99,6 +111,7 @@
             dependencies.lives,
             dependencies.crashes,
             LateStarts(dependencies.follower.cell, dependencies.clock),
+            dependencies.quarantine.faults,
         )
         self._own_records = OwnRecords(self._context)
         self._roster = Roster(
@@ -114,45 +127,57 @@
             dependencies.status,
             self._roster.stop,
         )
-        self._decider = Decider(
-            self._context,
-            self._roster,
-            self._waves,
-            self._policies,
-            dependencies.quarantine,
-            dependencies.terms,
-            dependencies.cold_zones,
-        )
+        self._decider = self._create_decider()
+        self._job_lines: JobLines | None = None
 
     async def run(self) -> None:
         """Act until the tenure ends."""
         epoch = self._context.epoch
-        snapshots = self._dependencies.snapshots
         held_ms = (
             self._dependencies.clock.boot_ms() - self._context.hold.since_ms
         )
         _log.info('term begins', extra={'epoch': epoch, 'held_ms': held_ms})
         self._take_over_runs()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._registry.run)
-            tasks.start_soon(self._wake_on_fold)
-            tasks.start_soon(self._write_lines)
-            tasks.start_soon(self._roster.run, tasks)
-            tasks.start_soon(self._waves.run)
-            tasks.start_soon(self._policies.run)
-            tasks.start_soon(self._decide_repeatedly)
-            tasks.start_soon(
-                snapshots.run,
-                self._dependencies.follower,
-                epoch,
-                self._context.journal,
-            )
+            for name, part in self._parts(tasks).items():
+                tasks.start_soon(
+                    run_supervised, name, part, self._context.faults
+                )
             while self._context.may_act():
                 await anyio.sleep(CHECK_INTERVAL_S)
             tasks.cancel_scope.cancel()
         unread_ms = self._dependencies.follower.age_ms
         _log.info('term ends', extra={'epoch': epoch, 'unread_ms': unread_ms})
 
+    def _parts(self, tasks: TaskGroup) -> Mapping[str, Task]:
+        """Return the parts of the term, by the name that the log gives them."""
+        return {
+            'registry': self._registry.run,
+            'wake': self._wake_on_fold,
+            'lines': self._write_lines,
+            'roster': lambda: self._roster.run(tasks),
+            'waves': self._waves.run,
+            'policies': self._policies.run,
+            'decisions': self._decide_or_fail,
+            'snapshots': lambda: self._dependencies.snapshots.run(
+                self._dependencies.follower,
+                self._context.epoch,
+                self._context.journal,
+            ),
+        }
+
+    def _create_decider(self) -> Decider:
+        dependencies = self._dependencies
+        return Decider(
+            self._context,
+            self._roster,
+            self._waves,
+            self._policies,
+            dependencies.quarantine,
+            dependencies.terms,
+            dependencies.cold_zones,
+        )
+
     def _take_over_runs(self) -> None:
         context = self._context
         context.cell.mark_all_dirty()
@@ -167,14 +192,25 @@
             self._context.wake.notify()
 
     async def _write_lines(self) -> None:
-        job_lines = JobLines(self._dependencies.follower, self._context.lines)
+        lines = self._context.lines
+        if self._job_lines is None:
+            self._job_lines = JobLines(self._dependencies.follower, lines)
         try:
             while True:
                 await anyio.sleep(LOG_FLUSH_INTERVAL_S)
-                self._context.lines.flush()
-                job_lines.write_finished()
+                lines.flush()
+                self._job_lines.write_finished()
         finally:
-            self._context.lines.flush(everything=True)
+            lines.flush(everything=True)
+
+    async def _decide_or_fail(self) -> None:
+        """Decide repeatedly; after a failure nothing cached is relied on."""
+        try:
+            await self._decide_repeatedly()
+        except Exception:
+            self._own_records.note_unsettled()
+            self._decider = self._create_decider()
+            raise
 
     async def _decide_repeatedly(self) -> None:
         await self._registry.loaded.wait()
@@ -195,7 +231,7 @@
         self._roster.stop(decision.stops)
         doubts = tuple(self._context.doubts)
         self._context.doubts.clear()
-        given_up = give_up_tasks(self._context, decision.given_up)
+        given_up = self._give_up(decision.given_up)
         now_ms = self._context.follower.time.now_ms()
         canceled = [
             Canceled(job, now_ms)
@@ -209,16 +245,30 @@
             self._own_records.note_unsettled()
         await self._send_starts()
 
+    def _give_up(self, tasks: Iterable[TaskId]) -> list[Record]:
+        """Make the records that give tasks up, as far as that doesn't fail."""
+        records: list[Record] = []
+        guard = FaultGuard()
+        for task in tasks:
+            with guard.isolate(FaultSource.JOB, task.job):
+                records += give_up_tasks(self._context, [task])
+        self._dependencies.quarantine.note(guard.faults)
+        return records
+
     async def _send_starts(self) -> None:
         """Send every new run of this tenure to its runner, once."""
         unsent: list[OpenRun] = []
         runs = self._context.cell.runs
+        guard = FaultGuard()
         for run in runs.take_unsent():
             if run.epoch != self._context.epoch:
                 continue
-            ticket = self._policies.ticket(run.task[:3], run.runner)
-            if not self._roster.start(run, ticket):
-                unsent.append(run)
+            # What fails here may be sent: the next look decides whether it is.
+            with guard.isolate(FaultSource.RUNNER, run.runner):
+                ticket = self._policies.ticket(run.task[:3], run.runner)
+                if not self._roster.start(run, ticket):
+                    unsent.append(run)
+        self._dependencies.quarantine.note(guard.faults)
         reason = 'never sent, its runner is gone'
         if not await record_vanished(self._context, unsent, reason):
             # Their ends may be folded later, so they must not be sent now.
--- a/packages/instance/swifthoist_instance/job_lines.py
+++ b/packages/instance/swifthoist_instance/job_lines.py
@@ -57,11 +57,17 @@
             self._waiting.append(finished.popleft())
         late_ms = self._follower.time.now_ms() - MAX_OPEN_WAIT_MS
         self._waiting = [
-            name
-            for name in self._waiting
-            if not self._write_line(name, late_ms)
+            name for name in self._waiting if not self._try_write(name, late_ms)
         ]
 
+    def _try_write(self, name: JobId, late_ms: Millis) -> bool:
+        """Write the line of a job unless it has to wait; drop it if it fails."""
+        try:
+            return self._write_line(name, late_ms)
+        except Exception:
+            _log.exception('line of a job failed', extra={'job': name})
+            return True
+
     def _write_line(self, name: JobId, late_ms: Millis) -> bool:
         """Write the line of a job, unless it has to wait."""
         job = self._follower.cell.find_job(name)
--- a/packages/instance/swifthoist_instance/policies.py
+++ b/packages/instance/swifthoist_instance/policies.py
@@ -176,6 +176,11 @@
             answer = await self._client.ask(request.step, runners, timeout_s)
         except (OutcomeUnknownError, UnreachableError) as exc:
             await self._note_failure(request, exc)
+        except Exception:
+            # The others are asked about first, so that this one can't hold
+            # them up.
+            self._answers[request.step] += 1
+            raise
         else:
             self._turns.note_answer()
             self._note_answer(request, len(runners), answer)
--- a/packages/instance/swifthoist_instance/registry.py
+++ b/packages/instance/swifthoist_instance/registry.py
@@ -95,7 +95,11 @@
         self.listed.pop(runner, None)
 
     async def run(self) -> None:
-        """Watch the registrations, until canceled."""
+        """Watch the registrations, until canceled.
+
+        It begins with all of them, also after a failure.
+        """
+        self._position = None
         while True:
             try:
                 await self._read_changes()
@@ -137,20 +141,28 @@
             if item is None:
                 self._unusable.note('', 'key undecodable')
             else:
-                self._apply(item)
+                self._apply_or_report(item)
         self._position += len(batch.records)
 
     async def _read_all(self) -> None:
         listing = await self._store.newest(RUNNER_TOPIC, LIST_TIMEOUT_S)
         named = {item.key for item in listing.items if item.content}
         for item in listing.items:
-            self._apply(item)
+            self._apply_or_report(item)
         for runner in self.listed.keys() - named:
             self._note_absent(runner)
         self._position = listing.end
         self.loaded.set()
         _log.info('registry loaded', extra={'runners': len(named)})
 
+    def _apply_or_report(self, item: KeyedRecord) -> None:
+        """Apply a record; a fault of this program doesn't hide the others."""
+        try:
+            self._apply(item)
+        except Exception as exc:
+            self._unusable.note(item.key, repr(exc))
+            _log.exception('registry entry failed', extra={'runner': item.key})
+
     def _apply(self, item: KeyedRecord) -> None:
         if not item.content:
             self._note_absent(item.key)
--- a/packages/instance/swifthoist_instance/roster.py
+++ b/packages/instance/swifthoist_instance/roster.py
@@ -1,4 +1,8 @@
-"""Runner sessions of one tenure, one for each known runner."""
+"""Runner sessions of one tenure, one for each known runner.
+
+A session that fails is replaced by a new one, as a new term would do it; the
+sessions with other runners go on.
+"""
 
 import logging
 from collections.abc import Callable, Iterable
@@ -26,6 +30,7 @@
 from swifthoist_instance.lives import MAX_ORDER_DELAY_MS
 from swifthoist_instance.outcomes import record_all, vanished_record
 from swifthoist_instance.registry import Registry
+from swifthoist_instance.session_failures import SessionFailures
 from swifthoist_instance.sessions import Session
 from swifthoist_platform.documents import Registration, unregistered_runner
 from swifthoist_platform.runner_calls import RunnerClient
@@ -64,6 +69,7 @@
         )
         self._unknown_clock_expiry_ms = lease_expiry_ms(renewed_ms)
         self._sessions: dict[RunnerId, Session] = {}
+        self._failures = SessionFailures(context)
         self._speeds: dict[RunnerId, int] = {}
 
     async def run(self, tasks: TaskGroup) -> None:
@@ -73,14 +79,21 @@
         """
         await self._registry.loaded.wait()
         while True:
-            for listed in list(self._registry.listed.values()):
-                self._open_or_update(listed.registration, tasks)
-            for entry in self._unlisted_entries():
-                self._open_or_update(entry, tasks)
-            self._reopen_restarted(tasks)
-            await self._note_addresses()
-            await self._close_gone()
-            await self._forget_unlisted()
+            isolate = self._context.faults.isolate
+            listed = [it.registration for it in self._registry.listed.values()]
+            for entry in (*listed, *self._unlisted_entries()):
+                with isolate('runner', entry.runner):
+                    self._open_or_update(entry, tasks)
+            for session in list(self._sessions.values()):
+                with isolate('runner', session.contact.runner):
+                    await self._reopen_if_over(session, tasks)
+            for duty in (
+                self._note_addresses,
+                self._close_gone,
+                self._forget_unlisted,
+            ):
+                with isolate('task', duty.__name__):
+                    await duty()
             await anyio.sleep(POLL_INTERVAL_S)
 
     def views(
@@ -136,45 +149,57 @@
 
         :param stops: the runs to stop.
         """
+        faults = self._context.faults
         for stop in stops:
             session = self._sessions.get(stop.run.runner)
             if session is not None:
-                session.stop(stop.run, stop.reason)
+                with faults.isolate('runner', stop.run.runner):
+                    session.stop(stop.run, stop.reason)
 
     def _open_or_update(self, entry: Registration, tasks: TaskGroup) -> None:
         session = self._sessions.get(entry.runner)
         if session is None:
-            state = self._context.cell.state
-            facts = state.facts.get(entry.runner)
-            born_ms = 0 if facts is None else facts.born_ms
-            reborn = 0 < born_ms < entry.born_ms
-            known = entry._replace(born_ms=max(born_ms, entry.born_ms))
-            self._run_session(
-                Session(self._make_contact(known, reborn=reborn)), tasks
-            )
+            self._run_session(Session(self._meet(entry, reborn=False)), tasks)
         elif session.note_entry(entry):
             self._context.wake.notify()
 
-    def _reopen_restarted(self, tasks: TaskGroup) -> None:
-        """Open sessions with the new lives of runners that have restarted."""
-        for session in list(self._sessions.values()):
-            if session.contact.closed and session.contact.life.over:
-                entry = session.contact.registration
-                contact = self._make_contact(entry, reborn=True)
-                contact.continue_from(session.contact)
-                self._run_session(Session(contact, session.checkpoints), tasks)
+    async def _reopen_if_over(self, session: Session, tasks: TaskGroup) -> None:
+        """Replace the session with a life that is over, or one that failed."""
+        former = session.contact
+        if not former.closed:
+            return
+        if former.life.over:
+            contact = self._make_contact(former.registration, reborn=True)
+            contact.continue_from(former)
+        elif await self._failures.may_reopen(session):
+            contact = self._meet(former.registration, reborn=former.reborn)
+        else:
+            return
+        self._run_session(Session(contact, session.checkpoints), tasks)
 
-    def _make_contact(self, entry: Registration, *, reborn: bool) -> Contact:
-        unknown_clock_expiry_ms, order_delay_ms = (
-            self._unknown_clock_expiry_ms,
-            0,
+    def _meet(self, entry: Registration, *, reborn: bool) -> Contact:
+        """Make contact with a runner that an earlier session may have met."""
+        state = self._context.cell.state
+        facts = state.facts.get(entry.runner)
+        born_ms = 0 if facts is None else facts.born_ms
+        known = entry._replace(born_ms=max(born_ms, entry.born_ms))
+        return self._make_contact(
+            known, reborn=reborn or 0 < born_ms < entry.born_ms
         )
+
+    def _make_contact(self, entry: Registration, *, reborn: bool) -> Contact:
+        now_ms = self._context.clock.boot_ms()
+        unknown_clock_expiry_ms = self._unknown_clock_expiry_ms
+        order_delay_ms = 0
         if reborn:
             # Orders to the former life may reach this one. Its clock was reset,
             # so that the leases they carry end late by it.
             order_delay_ms = MAX_ORDER_DELAY_MS
-            now_ms = self._context.clock.boot_ms()
             unknown_clock_expiry_ms = lease_expiry_ms(now_ms + order_delay_ms)
+        elif entry.runner in self._failures:
+            # The session that failed may have renewed the lease until now.
+            renewed_ms = lease_expiry_ms(now_ms)
+            unknown_clock_expiry_ms = max(unknown_clock_expiry_ms, renewed_ms)
         contact = Contact(
             entry,
             self._open_runner(entry),
@@ -186,7 +211,7 @@
 
     def _run_session(self, session: Session, tasks: TaskGroup) -> None:
         self._sessions[session.contact.runner] = session
-        tasks.start_soon(session.run)
+        tasks.start_soon(self._failures.run, session)
 
     def _unlisted_entries(self) -> list[Registration]:
         """Return entries of runners that have runs but are not registered.
@@ -236,6 +261,7 @@
             return
         session.close()
         self._sessions.pop(runner)
+        self._failures.forget(runner)
         self._speeds.pop(runner, None)
         self._registry.forget(runner)
         _log.info('runner gone', extra={'runner': runner})
--- a/packages/instance/swifthoist_instance/run_lines.py
+++ b/packages/instance/swifthoist_instance/run_lines.py
@@ -64,6 +64,8 @@
     ) -> None:
         """Log an event of a run, in one line with those of its gang.
 
+        A line that can't be written holds up nothing else.
+
         :param message: message of the line.
         :param task: the task.
         :param run: number of the run.
@@ -71,6 +73,19 @@
         :param fields: further fields of the line; members that differ in them
             don't share a line.
         """
+        try:
+            self._note(message, task, run, runner, fields)
+        except Exception:
+            _log.exception('line of a run failed', extra={'job': task.job})
+
+    def _note(
+        self,
+        message: str,
+        task: TaskId,
+        run: int,
+        runner: RunnerId,
+        fields: dict[str, object],
+    ) -> None:
         job = self._cell.find_job(task.job)
         if job is None or not _in_gang(job, task):
             run_fields = _run_fields(task, str(task.ordinal), run)
--- a/tests/instance/test_unconfirmed.py
+++ b/tests/instance/test_unconfirmed.py
@@ -161,6 +161,7 @@
         LifeCounts(),
         CrashCounts(),
         LateStarts(instance.follower.cell, clock),
+        instance.follower.faults,
     )
 
 
