--- a/packages/engine/swifthoist_engine/snapshots.py
+++ b/packages/engine/swifthoist_engine/snapshots.py
@@ -14,6 +14,7 @@
 from swifthoist_core.errors import SnapshotError
 from swifthoist_core.types import Epoch, Offset
 from swifthoist_engine.cell_state import CellState
+from swifthoist_engine.storable import ENCODE_ERRORS, storable_state
 
 FORMAT = 1
 """Format of the state."""
@@ -51,10 +52,12 @@
 
     :ivar head: its head, to be written last.
     :ivar chunks: its chunks by key.
+    :ivar left_out: paths of totals and estimates that it lacks.
     """
 
     head: Head
     chunks: dict[str, bytes]
+    left_out: tuple[str, ...] = ()
 
 
 class Restored(NamedTuple):
@@ -77,6 +80,8 @@
 ) -> Snapshot:
     """Create a snapshot.
 
+    Totals and estimates that can't be encoded are left out of it.
+
     :param state: state of the cell.
     :param position: offset of the first record that is not included.
     :param number: number of the snapshot in this life; two slots are used
@@ -84,7 +89,8 @@
     :param max_chunk_bytes: largest size of a chunk, in bytes.
     :returns: the snapshot.
     """
-    packed = zlib.compress(msgspec.msgpack.encode(state), _COMPRESSION_LEVEL)
+    encoded, left_out = _encode_state(state)
+    packed = zlib.compress(encoded, _COMPRESSION_LEVEL)
     slot = f'{state.epoch}-{number % 2}'
     pieces = [
         packed[start : start + max_chunk_bytes]
@@ -101,7 +107,15 @@
         len(pieces),
         zlib.crc32(packed),
     )
-    return Snapshot(head, chunks)
+    return Snapshot(head, chunks, left_out)
+
+
+def _encode_state(state: CellState) -> tuple[bytes, tuple[str, ...]]:
+    try:
+        return msgspec.msgpack.encode(state), ()
+    except ENCODE_ERRORS:
+        reduced, left_out = storable_state(state)
+        return msgspec.msgpack.encode(reduced), left_out
 
 
 def chunk_key(slot: str, number: int) -> str:
--- a/packages/instance/swifthoist_instance/application.py
+++ b/packages/instance/swifthoist_instance/application.py
@@ -1,6 +1,7 @@
 """Composition root: connects the components of an instance and runs them."""
 
 import logging
+import math
 import os
 import signal
 from collections.abc import Awaitable, Callable
@@ -239,6 +240,13 @@
         )
         metrics.register('log_reads', lambda: self._follower.reads)
         metrics.register('snapshots_written', lambda: snapshots.written)
+        metrics.register('snapshots_failed', lambda: snapshots.failed)
+        metrics.register('snapshot_parts_left_out', lambda: snapshots.left_out)
+        metrics.register('snapshot_age_ms', self._snapshot_age_ms)
+        metrics.register(
+            'records_without_snapshot',
+            lambda: self._follower.history.forgotten,
+        )
         self._register_store_metrics(metrics)
         guard.register(metrics)
         metrics.register('epoch', lambda: self._follower.cell.state.epoch)
@@ -402,6 +410,12 @@
             'cell_handed_over', lambda: self._hand_over.handed_over
         )
 
+    def _snapshot_age_ms(self) -> float:
+        """Return the age of the newest snapshot; not a number without one."""
+        now_ms = self._follower.time.now_ms()
+        age_ms = self._follower.history.age_ms(now_ms)
+        return math.nan if age_ms is None else age_ms
+
     def _limits(self) -> Limits:
         return limits_of(self._settings.boot)
 
--- a/packages/instance/swifthoist_instance/follower.py
+++ b/packages/instance/swifthoist_instance/follower.py
@@ -304,6 +304,7 @@
     def _note_read(self, began_ms: Millis, batch: Batch) -> None:
         self.reads += 1
         self.history.note_read(batch)
+        self.history.log_forgotten(self.time.now_ms())
         if self.reading_since_ms is None:
             _log.info('log reached', extra={'position': self.position})
             self.reading_since_ms = began_ms
--- a/packages/instance/swifthoist_instance/history.py
+++ b/packages/instance/swifthoist_instance/history.py
@@ -1,8 +1,12 @@
 """Tracks how much of the log's past the newest snapshot covers."""
 
+import logging
+
 from swifthoist_core.types import Millis, Offset
 from swifthoist_platform.store_records import Batch
 
+_log = logging.getLogger(__name__)
+
 
 class History:
     """The part of the log that an instance without state has to read.
@@ -18,6 +22,7 @@
         self.covered: Offset | None = None
         self._taken_ms: Millis = 0
         self._uncovered_bytes = 0
+        self._forgotten = False
 
     def note_read(self, batch: Batch) -> None:
         """Take note of records that were read.
@@ -38,6 +43,40 @@
             self._taken_ms = at_ms
             self._uncovered_bytes = 0
 
+    @property
+    def forgotten(self) -> int:
+        """Number of records that the store has dropped and no snapshot has."""
+        return max(self.earliest - (self.covered or 0), 0)
+
+    def age_ms(self, now_ms: Millis) -> Millis | None:
+        """Return the age of the newest snapshot.
+
+        :param now_ms: time of the cell.
+        :returns: the age, in ms; None if no snapshot is known.
+        """
+        return None if self.covered is None else now_ms - self._taken_ms
+
+    def log_forgotten(self, now_ms: Millis) -> None:
+        """Log when records expire that no snapshot has, and when one has all.
+
+        They are lost once no instance is left that has folded them.
+
+        :param now_ms: time of the cell.
+        """
+        forgotten = bool(self.forgotten)
+        if forgotten == self._forgotten:
+            return
+        self._forgotten = forgotten
+        fields = {
+            'earliest': self.earliest,
+            'covered': self.covered,
+            'age_ms': self.age_ms(now_ms),
+        }
+        if forgotten:
+            _log.error('records expired that no snapshot has', extra=fields)
+        else:
+            _log.info('all records are covered again', extra=fields)
+
     def needs_snapshot(
         self, now_ms: Millis, max_age_ms: Millis, max_bytes: int
     ) -> bool:
--- a/packages/instance/swifthoist_instance/snapshotting.py
+++ b/packages/instance/swifthoist_instance/snapshotting.py
@@ -1,6 +1,7 @@
 """Writes snapshots while this instance holds the cell, and loads the newest."""
 
 import logging
+from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -41,6 +42,15 @@
 
 CHECK_INTERVAL_S = 0.05
 WRITE_RETRY_S = 0.5
+"""Pause behind a snapshot that failed, in seconds; it doubles while they do."""
+
+RETRY_SHARE = 0.25
+"""Longest such pause, as a share of the age at which a snapshot is replaced: the
+state is encoded at each try, which takes time."""
+
+MAX_LISTED_PARTS = 20
+"""Most parts that a snapshot lacks in its log line."""
+
 CHUNK_SHARE = 0.9
 """Maximum size of a chunk, as a share of the maximum size of a record."""
 
@@ -77,6 +87,8 @@
     """Writes and loads snapshots of the cell state.
 
     :ivar written: number of snapshots that this instance wrote.
+    :ivar failed: number of snapshots that it could not take or write.
+    :ivar left_out: number of totals and estimates that the newest one lacks.
     """
 
     def __init__(
@@ -94,7 +106,10 @@
         :param part_bytes: size beyond which the log drops records, in bytes.
         """
         self.written = 0
+        self.failed = 0
+        self.left_out = 0
         self._store = store
+        self._retention_ms = retention_ms
         self._max_age_ms = min(int(retention_ms * AGE_SHARE), MAX_AGE_MS)
         self._max_bytes = int(part_bytes * BYTES_SHARE)
         self._max_chunk_bytes = int(record_bytes * CHUNK_SHARE)
@@ -154,18 +169,43 @@
         :param journal: tells other instances of snapshots; None tells nobody.
         """
         before = self.written
+        pause_s = WRITE_RETRY_S
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
             if not self._is_due(follower):
                 continue
             try:
                 await self._write(follower, epoch, journal)
-            except _WRITE_ERRORS as exc:
-                _log.warning('snapshot not written', extra={'why': str(exc)})
-                await anyio.sleep(WRITE_RETRY_S)
+            except Exception as exc:
+                self._note_failure(follower, exc)
+                await anyio.sleep(pause_s)
+                pause_s = min(2 * pause_s, self._max_pause_s)
+            else:
+                pause_s = WRITE_RETRY_S
             if self.written == before + 2:
                 await self._drop_stale(epoch)
 
+    @property
+    def _max_pause_s(self) -> float:
+        return max(self._max_age_ms * RETRY_SHARE / 1_000, WRITE_RETRY_S)
+
+    def _note_failure(self, follower: Follower, exc: Exception) -> None:
+        """Log a failure, with the time in which the log still has it all."""
+        self.failed += 1
+        level = logging.WARNING
+        if not isinstance(exc, _WRITE_ERRORS):
+            level = logging.ERROR
+            follower.faults.note('task', 'snapshot', exc)
+        age_ms = follower.history.age_ms(follower.time.now_ms())
+        fields = {
+            'why': str(exc) or repr(exc),
+            'failed': self.failed,
+            'age_ms': age_ms,
+            'left_ms': None if age_ms is None else self._retention_ms - age_ms,
+            'forgotten': follower.history.forgotten,
+        }
+        _log.log(level, 'snapshot not written', extra=fields)
+
     def _is_due(self, follower: Follower) -> bool:
         return follower.history.needs_snapshot(
             follower.time.now_ms(), self._max_age_ms, self._max_bytes
@@ -188,6 +228,7 @@
             self.written,
             self._max_chunk_bytes,
         )
+        self._note_left_out(snapshot.left_out)
         for key, chunk in snapshot.chunks.items():
             await self._store.put(SNAPSHOT_TOPIC, key, chunk, CALL_TIMEOUT_S)
         await self._write_head(_SentHead(epoch, snapshot.head))
@@ -195,6 +236,13 @@
         if journal is not None:
             await journal.append([taken], CALL_TIMEOUT_S)
 
+    def _note_left_out(self, left_out: Sequence[str]) -> None:
+        self.left_out = len(left_out)
+        if left_out:
+            listed = left_out[:MAX_LISTED_PARTS]
+            fields = {'left_out': self.left_out, 'first': listed}
+            _log.error('snapshot lacks statistics', extra=fields)
+
     async def _write_head(self, sent: _SentHead) -> None:
         self._unsettled = sent
         try:
--- a/tests/instance/test_snapshotting.py
+++ b/tests/instance/test_snapshotting.py
@@ -34,6 +34,10 @@
 JOB_ID = '00000000000000aa'
 
 
+class _Unstorable:
+    """A part of the state that can't be encoded."""
+
+
 def _make_scene() -> Scene:
     scene = Scene(job_spec('j', BATCH, task(count=3)))
     scene.start(UnitId('j', 0, 0, 1), 'runner-1')
@@ -153,6 +157,68 @@
         run(main)
 
 
+class FailingTest(unittest.TestCase):
+    """A snapshot that can't be taken is tried again, and told of."""
+
+    def test_a_snapshot_that_keeps_failing_is_told_of_in_time(self) -> None:
+        """Its lines say for how long the log still has it all."""
+
+        async def main() -> None:
+            store = FakeStore()
+            snapshots = Snapshots(store, 20_000, 1_000)
+            follower = Follower(store, Cell(KEEP_MS), LoopClock())
+            with anyio.move_on_after(0.5):
+                await snapshots.run(follower, 0)
+            follower.cell.state.jobs['j'] = _Unstorable
+            with anyio.move_on_after(25):
+                await snapshots.run(follower, 0)
+            self.assertEqual(snapshots.written, 1)
+            # It is due every 4 s, and tried again after 1 s at most.
+            self.assertGreaterEqual(snapshots.failed, 15)
+            self.assertLessEqual(snapshots.failed, 25)
+            self.assertEqual(follower.faults.count, snapshots.failed)
+            del follower.cell.state.jobs['j']
+            with anyio.move_on_after(2):
+                await snapshots.run(follower, 0)
+            self.assertEqual(snapshots.written, 2)
+
+        with self.assertLogs('swifthoist_instance.snapshotting') as logs:
+            run(main)
+        left_ms = [it.left_ms for it in logs.records if hasattr(it, 'left_ms')]
+        self.assertGreater(left_ms[0], 15_000)
+        self.assertLess(left_ms[-1], 0)
+
+    def test_an_instance_tells_of_records_that_only_instances_have(
+        self,
+    ) -> None:
+        """The log has dropped them, and no snapshot has them."""
+
+        async def main() -> None:
+            store = FakeStore()
+            configure(store)
+            first = InstanceHarness('first', store)
+            async with anyio.create_task_group() as tasks:
+                first.start(tasks, claims=True)
+                await anyio.sleep(1)
+                await first.call('POST', JOB_ID, JOB)
+                self.assertEqual(first.follower.history.forgotten, 0)
+                store.topic(CELL_TOPIC).forget(first.follower.position)
+                await anyio.sleep(1)
+                self.assertGreater(first.follower.history.forgotten, 0)
+                self.assertTrue(first.intake.ready)
+                with anyio.move_on_after(0.5):
+                    await first.snapshots.run(first.follower, first.epoch)
+                await anyio.sleep(1)
+                self.assertEqual(first.follower.history.forgotten, 0)
+                tasks.cancel_scope.cancel()
+
+        with self.assertLogs('swifthoist_instance.history') as logs:
+            run(main)
+        told = [it.getMessage() for it in logs.records]
+        self.assertIn('records expired that no snapshot has', told)
+        self.assertIn('all records are covered again', told)
+
+
 class ContinuedTest(unittest.TestCase):
     """A term may continue the epoch of an earlier one."""
 
--- a/tests/simulation/test_history.py
+++ b/tests/simulation/test_history.py
@@ -1,7 +1,9 @@
 """Tests of holders that are killed again and again while the log expires."""
 
 import unittest
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from contextlib import AbstractContextManager
+from typing import Any
 from unittest import mock
 
 import anyio
@@ -11,11 +13,24 @@
 from swifthoist_emulator import store_calls
 from swifthoist_emulator.callers import Order
 from swifthoist_emulator.lives import StepWork
+from swifthoist_engine.account import Account
+from swifthoist_engine.jobs import Job
+from swifthoist_instance import snapshotting
 from swifthoist_instance.journal import CELL_TOPIC
 from tests.simulation.cluster import GONE, OK, Cluster, Node, simulate
 from tests.simulation.test_faults import HYPOTHESIS_SETTINGS
 
 ENDLESS = StepWork(600_000, (4_000, 8_000, 1))
+TINY = StepWork(500, (4_000, 8_000, 1))
+KEEP_MS = 20_000
+"""How long the log keeps records, in ms."""
+
+FAILING_S = 27.0
+"""How long snapshots fail, in seconds: longer than the log keeps records."""
+
+URGENT_S = 4.0
+"""Time in which an urgent job of half a second is done, in seconds."""
+
 DOWN_S = 0.3
 CALM_S = 12.0
 NINE_KILLS = tuple(('kill', 2.7) for _ in range(9))
@@ -47,6 +62,81 @@
     return 0 if answer is None else answer.status
 
 
+async def _lose_all(cluster: Cluster) -> None:
+    """Kill all instances; they start again at once."""
+    for node in cluster.nodes:
+        node.kill()
+    for node in cluster.nodes:
+        node.start()
+    await anyio.sleep(CALM_S)
+
+
+async def _serve(cluster: Cluster) -> Order:
+    """Complete an urgent job."""
+    order = cluster.order('/urgent/', TINY)
+    await cluster.submit(order)
+    await cluster.wait_state(order, 'complete', URGENT_S)
+    return order
+
+
+class FailingSnapshotTest(unittest.TestCase):
+    """Snapshots fail for longer than the log keeps, then all is lost."""
+
+    def play(
+        self,
+        fail: Callable[[], AbstractContextManager[object]],
+        *,
+        recovers: bool,
+    ) -> None:
+        """Complete jobs before, during and behind the failures."""
+
+        async def scenario(cluster: Cluster) -> None:
+            for node in cluster.nodes:
+                node.supervised = True
+            await _lose_all(cluster)
+            with fail():
+                lasting = cluster.order('/batch/', ENDLESS)
+                await cluster.submit(lasting)
+                done = [await _serve(cluster)]
+                await anyio.sleep(FAILING_S)
+                done.append(await _serve(cluster))
+                if not recovers:
+                    await _lose_all(cluster)
+            if recovers:
+                await anyio.sleep(CALM_S)
+                await _lose_all(cluster)
+            shown = [await cluster.state(it) for it in (*done, lasting)]
+            self.assertEqual(shown, ['complete', 'complete', 'active'])
+            await _serve(cluster)
+
+        with mock.patch.object(store_calls, 'RETENTION_MS', KEEP_MS):
+            with mock.patch.object(snapshotting, 'MAX_AGE_MS', KEEP_MS // 5):
+                world = simulate(scenario, expect_faults=None)
+        self.assertEqual(world.checker.broken, [])
+
+    def test_jobs_outlast_totals_that_no_snapshot_can_hold(self) -> None:
+        """Jobs that callers were told are complete were active again."""
+
+        def add_too_much(account: Account, job: Job, *args: Any) -> None:
+            add_run(account, job, *args)
+            for line in account.lines.values():
+                line.vain = 2**64
+
+        add_run = Account.add_run
+        self.play(
+            lambda: mock.patch.object(Account, 'add_run', add_too_much),
+            recovers=False,
+        )
+
+    def test_jobs_outlast_snapshots_that_failed_for_a_while(self) -> None:
+        """The next one has all that the log has forgotten meanwhile."""
+        fault = mock.Mock(side_effect=RuntimeError('a fault'))
+        self.play(
+            lambda: mock.patch.object(snapshotting, 'take_snapshot', fault),
+            recovers=True,
+        )
+
+
 class CrashingHolderTest(unittest.TestCase):
     """Accepted jobs outlast short tenures, and a log that forgets."""
 
