Generation 3: a new instance takes the cell over from a holder whose terms fail

Cause: instances take the cell over from a holder of an earlier generation only, and the version that goes on when a part fails was of the same one.

Change: the generation is 3.

Evidence: tests/system/test_versions, BeforeWideTotalsTest with beside this version: the new instance was not the holder 4 s after its start before, and is now; all 16 tests of the module pass.

--- a/packages/engine/swifthoist_engine/cell_state.py
+++ b/packages/engine/swifthoist_engine/cell_state.py
@@ -21,11 +21,11 @@
 )
 from swifthoist_engine.unanswered import StartUnanswered, with_unanswered
 
-GENERATION = 2
+GENERATION = 3
 """Generation of this version. Instances of a later generation take the cell
 over from a holder of an earlier one, which lacks something that all must do.
 The first one reports crashes of runners; the second tells under which tasks
-they crashed."""
+they crashed; the third goes on when a part of its term fails."""
 
 MAX_EARLY_CANCELS = 20_000
 """Most cancels of unknown jobs that are remembered; the oldest are dropped."""
--- a/tests/system/test_versions.py
+++ b/tests/system/test_versions.py
@@ -16,7 +16,9 @@
     Instance,
     Stage,
 )
+from swifthoist_engine.account import CARRY_MS, HeldTime, UsageTotals
 from swifthoist_engine.cell import Cell
+from swifthoist_engine.cell_state import CellState
 from swifthoist_engine.model import TaskId
 from swifthoist_engine.records import (
     Canceled,
@@ -34,6 +36,7 @@
 from tests.system.versions import (
     BEFORE_CRASH_REPORTS,
     BEFORE_TASK_CRASHES,
+    BEFORE_WIDE_TOTALS,
     run_in_version,
     unpack_version,
 )
@@ -69,6 +72,19 @@
 """
 
 
+def write_snapshot(cell: Cell) -> bytes:
+    """Encode a snapshot of a cell with all its chunks."""
+    taken = take_snapshot(cell.state, 7, 0, MAX_CHUNK_BYTES)
+    head = encode_head(taken.head)
+    return msgspec.msgpack.encode({'snapshot/head': head, **taken.chunks})
+
+
+def _only_totals(state: CellState) -> UsageTotals:
+    """Return the totals of the only line of an account."""
+    lines = state.account.lines
+    return next(iter(lines.values()))
+
+
 class _VersionCase(unittest.TestCase):
     """A test with the packages of an earlier version.
 
@@ -105,11 +121,6 @@
         for number in (1, 2):
             self.scene.start_and_crash(number, FIRST)
 
-    def _write(self, cell: Cell) -> bytes:
-        taken = take_snapshot(cell.state, 7, 0, MAX_CHUNK_BYTES)
-        head = encode_head(taken.head)
-        return msgspec.msgpack.encode({'snapshot/head': head, **taken.chunks})
-
     def test_an_earlier_version_fails_the_job_that_is_given_up(self) -> None:
         """It skips what it doesn't know, and does not start the task again."""
         given_up = give_up_records(self.scene.job(), FIRST, 1, NOW_MS)
@@ -143,7 +154,7 @@
     def test_snapshots_go_from_one_version_to_the_other_and_back(self) -> None:
         """The earlier version drops the crashes, and nothing else."""
         written = run_in_version(
-            self.earlier, RESTORE_AND_WRITE, self._write(self.scene.cell)
+            self.earlier, RESTORE_AND_WRITE, write_snapshot(self.scene.cell)
         )
         restored = restore(msgspec.msgpack.decode(written))
         assert restored is not None
@@ -155,7 +166,7 @@
 
     def test_an_own_snapshot_keeps_the_crashes(self) -> None:
         """A newcomer knows the suspects."""
-        written = self._write(self.scene.cell)
+        written = write_snapshot(self.scene.cell)
         restored = restore(msgspec.msgpack.decode(written))
         assert restored is not None
         cell = Cell(KEEP_MS, restored.state)
@@ -166,10 +177,10 @@
         self.assertEqual(job.units[0, 0, 0].task_crashes, {0: crashes})
 
 
-class ReplacementTest(_VersionCase, StageCase):
-    """Instances of both versions run side by side during an upgrade."""
+class _ReplacementCase(_VersionCase, StageCase):
+    """A test with instances of both versions side by side."""
 
-    async def _replace(
+    async def replace(
         self, stage: Stage, instance: Instance, import_path: str
     ) -> None:
         """Stop an instance, and start it in another version."""
@@ -181,6 +192,28 @@
         instance.start()
         await stage.wait_ready(instance)
 
+    def play_takeover(self) -> None:
+        """Replace one old instance; it takes the cell over, and stays."""
+
+        async def scenario(stage: Stage) -> None:
+            await self.replace(stage, stage.instances[2], '')
+            await anyio.sleep(4)
+            holder = await stage.holder()
+            self.assertIs(holder, stage.instances[2])
+            began = [it for it in holder.lines() if '"term begins"' in it]
+            self.assertEqual(len(began), 1)
+
+        self.run_scenario(scenario, site=FEW_RUNNERS, prepare=self.begin_old)
+
+    def begin_old(self, stage: Stage) -> None:
+        """Let all instances begin in the earlier version."""
+        for instance in stage.instances:
+            instance.import_path = self.earlier
+
+
+class ReplacementTest(_ReplacementCase):
+    """Instances of both versions run side by side during an upgrade."""
+
     def test_an_upgrade_under_load_gives_crashing_tasks_up(self) -> None:
         """The first new instance takes the cell over from an old holder."""
 
@@ -190,7 +223,7 @@
             for order in (*lasting, crashing):
                 await stage.caller.submit(order)
             for instance in stage.instances:
-                await self._replace(stage, instance, '')
+                await self.replace(stage, instance, '')
                 order = stage.order('/batch/', SMALL, width=3)
                 await stage.caller.submit(order)
                 await stage.wait_state(order, 'complete')
@@ -198,7 +231,7 @@
                 await stage.wait_state(order, 'complete')
             await stage.wait_state(crashing, 'failed')
 
-        self.run_scenario(scenario, site=FEW_RUNNERS, prepare=self._begin_old)
+        self.run_scenario(scenario, site=FEW_RUNNERS, prepare=self.begin_old)
 
     def test_a_rollback_under_load_starts_no_task_that_was_given_up(
         self,
@@ -211,7 +244,7 @@
             await stage.wait_state(crashing, 'failed')
             starts = stage.world.checker.starts
             for instance in stage.instances:
-                await self._replace(stage, instance, self.earlier)
+                await self.replace(stage, instance, self.earlier)
             await anyio.sleep(2)
             self.assertEqual(stage.world.checker.starts, starts)
             await stage.wait_state(crashing, 'failed')
@@ -226,20 +259,7 @@
 
     def test_a_new_instance_takes_over_from_an_old_holder_once(self) -> None:
         """It stays the holder while old instances run beside it."""
-
-        async def scenario(stage: Stage) -> None:
-            await self._replace(stage, stage.instances[2], '')
-            await anyio.sleep(4)
-            holder = await stage.holder()
-            self.assertIs(holder, stage.instances[2])
-            began = [it for it in holder.lines() if '"term begins"' in it]
-            self.assertEqual(len(began), 1)
-
-        self.run_scenario(scenario, site=FEW_RUNNERS, prepare=self._begin_old)
-
-    def _begin_old(self, stage: Stage) -> None:
-        for instance in stage.instances:
-            instance.import_path = self.earlier
+        self.play_takeover()
 
 
 class ContentBeforeTaskCrashesTest(ContentTest):
@@ -253,3 +273,30 @@
     """The same with the version that counts crashes for gangs as a whole."""
 
     commit = BEFORE_TASK_CRASHES
+
+
+class BeforeWideTotalsTest(_ReplacementCase):
+    """The version that stands still once a total needs over 64 bits."""
+
+    commit = BEFORE_WIDE_TOTALS
+
+    def test_a_cell_that_stands_still_under_an_old_holder_goes_on(self) -> None:
+        """Its heartbeats went on, so that no new instance took it over."""
+        self.play_takeover()
+
+    def test_an_earlier_version_reads_totals_of_any_size(self) -> None:
+        """It keeps the jobs, and drops what is carried."""
+        scene = CrashScene(job_spec('j', BATCH, task(count=2)))
+        for number in (1, 2):
+            scene.start_and_crash(number, FIRST)
+        totals = _only_totals(scene.cell.state)
+        totals.add_held(HeldTime(3 * CARRY_MS + 5, 0, 0))
+        written = run_in_version(
+            self.earlier, RESTORE_AND_WRITE, write_snapshot(scene.cell)
+        )
+        restored = restore(msgspec.msgpack.decode(written))
+        assert restored is not None
+        shown = _only_totals(restored.state)
+        self.assertEqual(totals.held.used_ms - shown.used_ms, 3 * CARRY_MS)
+        self.assertEqual(shown.used_carry, 0)
+        self.assertEqual(restored.state.jobs, scene.cell.state.jobs)
--- a/tests/system/versions.py
+++ b/tests/system/versions.py
@@ -16,6 +16,9 @@
 BEFORE_TASK_CRASHES = '746369d'
 """Commit of the last version that counts crashes for gangs as a whole."""
 
+BEFORE_WIDE_TOTALS = '7a38e49'
+"""Commit of the last version that stands still once a total needs over 64 bits."""
+
 
 def unpack_version(commit: str, folder: Path) -> str:
     """Unpack the packages of a commit.
