Operators' jobs: a number that the log can't hold is rejected

Operators saw: a job with a number over 64 bits was answered with an internal fault, since its record can't be encoded; smaller ones over 2^53, and negative times of a schedule, were accepted.

Cause: the limit of 2^53 was checked where callers' documents are read, and not where jobs are.

Change: check_job checks each number of steps and schedules; one constant for both doors.

Evidence: tests/instance/test_api, NumberTest, failed before with "OverflowError: can't serialize ints < -2**63 or > 2**64 - 1".

--- a/packages/core/swifthoist_core/types.py
+++ b/packages/core/swifthoist_core/types.py
@@ -11,6 +11,10 @@
 Millis: TypeAlias = int
 """Milliseconds; as a point in time, since the Unix epoch."""
 
+MAX_NUMBER = 1 << 53
+"""Largest valid number of callers, operators and runners: larger integers are
+not exact in JSON, and records of the log hold 64 bits."""
+
 InstanceId: TypeAlias = str
 RunnerId: TypeAlias = str
 RackId: TypeAlias = str
--- a/packages/instance/swifthoist_instance/api.py
+++ b/packages/instance/swifthoist_instance/api.py
@@ -221,11 +221,11 @@
         if queue is None:
             finding = Finding('queue', 'is not configured')
             return Answer(400, {'error': [str(finding)]})
-        schedule = request.get('schedule')
+        rows = request.get('schedule')
+        schedule = Schedule(**rows) if rows else None
         steps = tuple(map(_to_step_spec, request['steps']))
         payload = request.get('payload', '')
-        times = schedule['times'] if schedule else 1
-        findings = check_job(steps, payload, times)
+        findings = check_job(steps, payload, schedule)
         if findings:
             return Answer(400, {'error': list(map(str, findings))})
         spec = JobSpec(
@@ -236,7 +236,7 @@
             steps,
             queue.terms,
             self._follower.time.now_ms(),
-            Schedule(**schedule) if schedule else None,
+            schedule,
         )
         problem = self._submissions.check_record(spec)
         if problem is not None:
--- a/packages/platform/swifthoist_platform/job_calls.py
+++ b/packages/platform/swifthoist_platform/job_calls.py
@@ -106,7 +106,7 @@
         )
     findings = [
         *reader.findings,
-        *check_job(steps, payload, max(occurrences, 1)),
+        *check_job(steps, payload, schedule),
     ]
     if findings:
         return DecodedJob(None, tuple(findings))
--- a/packages/platform/swifthoist_platform/values.py
+++ b/packages/platform/swifthoist_platform/values.py
@@ -10,12 +10,9 @@
 import msgspec
 
 from swifthoist_core.errors import Finding
+from swifthoist_core.types import MAX_NUMBER
 from swifthoist_platform.addresses import is_address
 
-MAX_NUMBER = 1 << 53
-"""Largest valid number: larger integers are not exact in JSON, and records of
-the log could not hold them."""
-
 Document: TypeAlias = Mapping[str, Any]
 _Element = TypeVar('_Element')
 
--- a/tests/instance/test_api.py
+++ b/tests/instance/test_api.py
@@ -1,6 +1,7 @@
 """Tests of the operators' interface."""
 
 import dataclasses
+import json
 import unittest
 
 import anyio
@@ -47,6 +48,50 @@
         run(main)
 
 
+class NumberTest(unittest.TestCase):
+    """Operators may write any number."""
+
+    def test_a_number_that_the_log_can_not_hold_is_rejected(self) -> None:
+        """It failed as the record was encoded, or the sums made of it did."""
+        schedule = {'first_ms': 0, 'interval_ms': 0, 'times': 1}
+        jobs = [
+            {'steps': [{name: number}]}
+            for name in ('cpu', 'memory', 'accelerators', 'estimate_ms')
+            for number in (2**64, 2**53 + 1, -1)
+        ]
+        jobs.extend({'steps': [{'spread_limit': it}]} for it in (2**70, -1))
+        jobs.extend(
+            {'steps': [{}], 'schedule': schedule | {name: number}}
+            for name in ('first_ms', 'interval_ms')
+            for number in (2**64, 2**53 + 1, -1)
+        )
+        statuses: list[int] = []
+
+        async def main() -> None:
+            store = FakeStore()
+            configure(store)
+            instance = InstanceHarness('first', store)
+            api = Api(
+                instance.configuration,
+                instance.follower,
+                instance.journal,
+                dict,
+                open_guard().submissions,
+            )
+            async with anyio.create_task_group() as tasks:
+                instance.start(tasks)
+                await anyio.sleep(1)
+                for number, job in enumerate(jobs):
+                    path = f'/v1/jobs/{number:016x}'
+                    content = json.dumps({'queue': 'batch', **job}).encode()
+                    answer = await api.answer('POST', path, '', content)
+                    statuses.append(answer.status)
+                tasks.cancel_scope.cancel()
+
+        run(main)
+        self.assertEqual(statuses, [400 for _ in jobs])
+
+
 class RepeatedTest(unittest.TestCase):
     """A submission without an answer is repeated by its operator."""
 
