Preemption: a filling task loses no more cores than its runner has

A filling task's Cpu has no bound, and what its stop would lose was that Cpu times its age. So an urgent job stopped others instead, which had worked for longer, or took another rack.

Change: cores count up to those of the task's runner. Steps that don't fill fit on their runner, so nothing changes for them.

Evidence: tests/engine/test_preemption, FillingTest, failed before with "['old'] != ['new']".

--- a/packages/engine/swifthoist_engine/preemption.py
+++ b/packages/engine/swifthoist_engine/preemption.py
@@ -188,7 +188,7 @@
 
     def _loss(self, usage: RunUsage) -> float:
         step = usage.step
-        cores = _cores(step)
+        cores = self._cores(step, usage.run.runner)
         tasks = step.width if step.gang else 1
         worked_ms = max(self._now_ms - usage.run.started_ms, 0)
         if step.checkpointing:
@@ -198,6 +198,18 @@
         repeat_ms = repeated * self._usual_ms(usage) * (usage.run.run - 1)
         return cores * tasks * (worked_ms + repeat_ms + RESTART_LOSS_MS)
 
+    def _cores(self, step: StepSpec, runner: RunnerId) -> float:
+        """Count the cores of a task, including those of its accelerators.
+
+        A filling task may ask for more than its runner has, if it is listed.
+        """
+        view = self._capacity.views.get(runner)
+        cpu = step.need.cpu
+        if view is not None:
+            cpu = min(cpu, view.room.cpu)
+        accelerators = CORES_PER_ACCELERATOR * step.need.accelerators
+        return cpu / _CPU_PER_CORE + accelerators
+
     def _usual_ms(self, usage: RunUsage) -> Millis:
         return self._capacity.estimates.usual_ms(usage.run)
 
@@ -205,7 +217,7 @@
         """Add the victims' whole gangs; each member loses the same."""
         whole: dict[RunKey, OpenRun] = {}
         # The unit holds its room for longer on slow runners.
-        loss = pending.members * _cores(pending.step)
+        loss = sum(self._cores(pending.step, name) for name in attempt.runners)
         loss *= self._placer.speed_match.delay_ms(pending, attempt.runners)
         for victim in attempt.victims:
             task = victim.run.task
@@ -219,12 +231,6 @@
         return Plan(tuple(attempt.runners), tuple(whole.values()), loss)
 
 
-def _cores(step: StepSpec) -> float:
-    """Count the cores of a task, including those its accelerators count as."""
-    cpu = step.need.cpu / _CPU_PER_CORE
-    return cpu + CORES_PER_ACCELERATOR * step.need.accelerators
-
-
 class _Option(NamedTuple):
     """The cheapest way to place one task on a runner; sorts by loss.
 
--- a/tests/engine/test_preemption.py
+++ b/tests/engine/test_preemption.py
@@ -122,6 +122,36 @@
     return None
 
 
+class FillingTest(unittest.TestCase):
+    """A filling task loses no more work than it can have done."""
+
+    def plan_with(self, cpu: int) -> list[str]:
+        """Name the jobs that are stopped for a whole runner."""
+        scene = Scene(
+            job_spec('new', BATCH, task(Resources(cpu, 10, 8), filling=True)),
+            job_spec('old', BATCH, task(Resources(64_000, 10, 8))),
+        )
+        for number, name in enumerate(('new', 'old')):
+            began_ms = NOW_MS - (1_000, 60_000)[number]
+            unit = UnitId(name, 0, 0, 0)
+            scene.start(unit, f'runner-{number}', at_ms=began_ms)
+        views = (view(0), view(1))
+        occupancy = occupancy_of(scene.cell, views)
+        capacity = CapacityPlan(scene.cell, occupancy, NOW_MS, frozenset())
+        placer = Placer(capacity, NOW_MS, {})
+        preemption = Preemption(scene.cell, placer, frozenset(), NOW_MS)
+        plan = preemption.make_room(waiting_gang(URGENT, 1, 8))
+        assert plan is not None
+        return [run.task.job for run in plan.victims]
+
+    def test_a_filling_task_that_asks_for_any_cpu_is_not_kept_for_it(
+        self,
+    ) -> None:
+        """Others were stopped instead, though they had worked for longer."""
+        for cpu in (4_000, 64_000, 2**53 - 1):
+            self.assertEqual(self.plan_with(cpu), ['new'])
+
+
 class PreemptionTest(unittest.TestCase):
     """The optimized search rates runners once and skips costly racks."""
 
